--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Targets for people and CI. Everything is installed into $(VENV) from pinned versions.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+
+.PHONY: setup test lint format bench slopes soak demo clean
+
+setup: $(READY)
+
+$(READY): requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(READY)
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench
+	$(BIN)/lint-imports --no-cache
+
+format: setup
+	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff check --fix src tests bench
+
+bench: setup
+	PYTHONPATH=src:. $(BIN)/python -m bench
+
+slopes: setup
+	PYTHONPATH=src:. $(BIN)/python -m bench.slopes
+
+soak: setup
+	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest tests/core
+
+demo: setup
+	PYTHONPATH=src $(BIN)/python -m azurefold_standins.demo
+
+clean:
+	rm -rf $(VENV) .ruff_cache .import_linter_cache build
--- /dev/null
+++ b/src/azurefold/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process in the slot of each endpoint VM."""
--- /dev/null
+++ b/src/azurefold/border/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of what comes from outside, and their codecs."""
--- /dev/null
+++ b/src/azurefold/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for operators."""
--- /dev/null
+++ b/src/azurefold/control/__init__.py
@@ -0,0 +1,1 @@
+"""The process for membership, configuration and group coordination."""
--- /dev/null
+++ b/src/azurefold/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: state machines and pure functions."""
--- /dev/null
+++ b/src/azurefold/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which request is taken next, and which is refused."""
--- /dev/null
+++ b/src/azurefold/core/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts of requests: run, not run or unknown; whole answers."""
--- /dev/null
+++ b/src/azurefold/core/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Where experts are placed, and when moving one pays."""
--- /dev/null
+++ b/src/azurefold/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration revisions: accepted, spread and applied upward only."""
--- /dev/null
+++ b/src/azurefold/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes and endpoints are there, and which are leaving."""
--- /dev/null
+++ b/src/azurefold/core/objectives/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level objectives and the burn of their budgets."""
--- /dev/null
+++ b/src/azurefold/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoint a request goes to."""
--- /dev/null
+++ b/src/azurefold/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that callers talk to."""
--- /dev/null
+++ b/src/azurefold/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Plumbing shared by the binaries: logs, settings, HTTP servers."""
--- /dev/null
+++ b/src/azurefold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's table, object store and list of VMs."""
--- /dev/null
+++ b/src/azurefold/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's processes, their seals and transports."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,29 @@
+"""Fixtures and Hypothesis profiles shared by all tests.
+
+The ``ci`` profile is derandomised, so that one tree always gets one verdict.
+``make soak`` selects the larger, random one.
+"""
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+_SLOW_MACHINE = [HealthCheck.too_slow, HealthCheck.data_too_large]
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    stateful_step_count=30,
+    suppress_health_check=_SLOW_MACHINE,
+)
+settings.register_profile(
+    "soak",
+    deadline=None,
+    max_examples=2_000,
+    stateful_step_count=80,
+    suppress_health_check=_SLOW_MACHINE,
+)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
