Run attempts at the agent, relay them at the entry

Cause: a request needs a way from caller to endpoint on which 'not run' can be said truthfully. The agent's ledger alone decides whether an attempt runs; the entry's course decides when one may be sent again; claims in the table make a caller's key run at most once.

--- /dev/null
+++ b/src/azurefold/agent/endpoint.py
@@ -0,0 +1,235 @@
+"""Calls to the endpoint beside an agent: a model engine or a plain service."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from azurefold.core.clock import Millis
+from azurefold.internal.http_client import CONNECTION_ERRORS, fresh_client, http_client
+
+__all__ = [
+    "EndpointCall",
+    "EndpointEnd",
+    "EndpointHead",
+    "EndpointText",
+    "ModelEngine",
+    "NeverSent",
+    "NoSuchStream",
+    "PlainService",
+    "StreamBroke",
+    "call_endpoint",
+    "cancel_stream",
+    "resume_stream",
+]
+
+_CONNECT_TIMEOUT_MS: Millis = 1_000
+_READ_TIMEOUT_MS: Millis = 10_000
+_DATA = b"data: "
+_OK = 200
+_NOT_FOUND = 404
+_JSON = "application/json"
+
+
+class NeverSent(Exception):
+    """No connection was made, so the call was certainly not run."""
+
+
+class StreamBroke(Exception):
+    """The connection broke or went silent after the call was sent."""
+
+
+class NoSuchStream(Exception):
+    """The engine does not know the stream, or keeps it no longer."""
+
+
+@dataclass(frozen=True, slots=True)
+class ModelEngine:
+    """An engine that streams tokens and resumes streams by their id."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlainService:
+    """A service that answers a call with one body."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointCall:
+    """One request as the endpoint is given it.
+
+    Parameters
+    ----------
+    attempt_id : str
+    path : str
+        Path at a plain service.
+    body : bytes
+        The caller's JSON.
+    priority : int
+        Lower goes first at engines that honour priorities.
+    """
+
+    attempt_id: str
+    path: str
+    body: bytes
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointHead:
+    """Status and type of an answer that is about to come."""
+
+    status: int
+    content_type: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointText:
+    """Text of the answer at an offset in characters."""
+
+    offset: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointEnd:
+    """The endpoint says that the answer is whole."""
+
+    total: int
+
+
+class _Event(msgspec.Struct):
+    offset: int = 0
+    text: str = ""
+    done: bool = False
+    total: int = 0
+
+
+_decode_event = msgspec.json.Decoder(_Event).decode
+
+
+def call_endpoint(
+    target: ModelEngine | PlainService, call: EndpointCall
+) -> Iterator[EndpointHead | EndpointText | EndpointEnd]:
+    """Run a request at the endpoint and yield its answer.
+
+    Raises
+    ------
+    NeverSent
+        If no connection could be made.
+    StreamBroke
+        If the answer did not come whole.
+    """
+    match target:
+        case ModelEngine(address=address):
+            return _call_engine(address, call)
+        case PlainService(address=address):
+            return _call_plain(address, call)
+
+
+def resume_stream(
+    engine: ModelEngine, attempt_id: str, start: int
+) -> Iterator[EndpointHead | EndpointText | EndpointEnd]:
+    """Yield a stream that the engine already has, from an offset.
+
+    Raises
+    ------
+    NoSuchStream
+        If the engine does not have it.
+    StreamBroke
+        If the rest did not come whole.
+    """
+    client = fresh_client(engine.address, _CONNECT_TIMEOUT_MS, _READ_TIMEOUT_MS)
+    try:
+        response = client.get(f"/v1/streams/{attempt_id}?from={start}")
+        if response.status_code == _NOT_FOUND:
+            raise NoSuchStream(attempt_id)
+        yield from _engine_events(response)
+    except CONNECTION_ERRORS as error:
+        raise StreamBroke(str(error)) from error
+    finally:
+        client.close()
+
+
+def cancel_stream(engine: ModelEngine, attempt_id: str) -> None:
+    """Ask the engine to stop a stream; a lost order costs only its work."""
+    client = fresh_client(engine.address, _CONNECT_TIMEOUT_MS, _READ_TIMEOUT_MS)
+    try:
+        client.delete(f"/v1/streams/{attempt_id}").read()
+    except CONNECTION_ERRORS:
+        return
+    finally:
+        client.close()
+
+
+def _connected(address: str) -> "object":
+    """Return a client whose connection stands.
+
+    Connecting apart from sending keeps the two cases apart: nothing sent,
+    certainly not run; something sent, perhaps run.
+    """
+    client = http_client(address, _CONNECT_TIMEOUT_MS, _READ_TIMEOUT_MS, concurrency=1)
+    pool = client._connection_pool
+    try:
+        pool.return_socket(pool.get_socket())
+    except CONNECTION_ERRORS as error:
+        client.close()
+        raise NeverSent(str(error)) from error
+    return client
+
+
+def _call_engine(address: str, call: EndpointCall) -> Iterator:
+    client = _connected(address)
+    headers = {
+        "Content-Type": _JSON,
+        "Request-Id": call.attempt_id,
+        "Priority": str(call.priority),
+    }
+    try:
+        response = client.post("/v1/completions", body=call.body, headers=headers)
+        if response.status_code != _OK:
+            yield from _whole_body(response)
+            return
+        yield from _engine_events(response)
+    except CONNECTION_ERRORS as error:
+        raise StreamBroke(str(error)) from error
+    finally:
+        client.close()
+
+
+def _engine_events(response: object) -> Iterator:
+    yield EndpointHead(_OK, "text/event-stream")
+    while True:
+        line = response.readline(b"\n")
+        if not line:
+            raise StreamBroke("the engine closed the stream before its end")
+        if not line.startswith(_DATA):
+            continue
+        event = _decode_event(line[len(_DATA) :])
+        if event.done:
+            yield EndpointEnd(event.total)
+            return
+        yield EndpointText(event.offset, event.text)
+
+
+def _call_plain(address: str, call: EndpointCall) -> Iterator:
+    client = _connected(address)
+    headers = {"Content-Type": _JSON, "Request-Id": call.attempt_id}
+    try:
+        response = client.post(call.path, body=call.body, headers=headers)
+        yield from _whole_body(response)
+    except CONNECTION_ERRORS as error:
+        raise StreamBroke(str(error)) from error
+    finally:
+        client.close()
+
+
+def _whole_body(response: object) -> Iterator:
+    text = response.read().decode("utf-8", "replace")
+    yield EndpointHead(response.status_code, str(response.get("content-type", _JSON)))
+    if text:
+        yield EndpointText(0, text)
+    yield EndpointEnd(len(text))
--- /dev/null
+++ b/src/azurefold/agent/runner.py
@@ -0,0 +1,216 @@
+"""Runs attempts at the endpoint and keeps their answers."""
+
+import logging
+from dataclasses import dataclass, field
+
+import gevent
+
+from azurefold.agent.buffer import AnswerBuffer
+from azurefold.agent.endpoint import (
+    EndpointCall,
+    EndpointEnd,
+    EndpointHead,
+    EndpointText,
+    ModelEngine,
+    NeverSent,
+    NoSuchStream,
+    PlainService,
+    StreamBroke,
+    call_endpoint,
+    cancel_stream,
+    resume_stream,
+)
+from azurefold.core.attempts.ledger import Accepted, Known, Ledger, Phase, Refused
+from azurefold.core.clock import Clock, Millis
+from azurefold.internal.logs import log_event
+
+__all__ = ["Attached", "NotStarted", "Runner", "new_runner"]
+
+_log = logging.getLogger("azurefold.agent")
+
+_RESUMES = 3
+_RESUME_PAUSE_MS: Millis = 100
+_SECOND_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Attached:
+    """The attempt's answer can be read from here."""
+
+    buffer: AnswerBuffer
+    new: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NotStarted:
+    """The attempt was refused and not run."""
+
+    reason: str
+
+
+@dataclass(slots=True)
+class Runner:
+    """Attempts of one agent, from dispatch to the end of their answers."""
+
+    ledger: Ledger
+    target: ModelEngine | PlainService
+    clock: Clock
+    _buffers: dict[str, AnswerBuffer] = field(default_factory=dict)
+
+    def dispatch(
+        self,
+        call: EndpointCall,
+        incarnation: str,
+        organisation: str,
+        remaining_ms: Millis,
+    ) -> Attached | NotStarted:
+        """Run an attempt, or attach to it if it already runs."""
+        attempt_id = call.attempt_id
+        decision = self.ledger.dispatch(
+            attempt_id, incarnation, organisation, remaining_ms, self.clock.now()
+        )
+        match decision:
+            case Refused(reason=reason):
+                log_event(_log, "attempt_refused", attempt=attempt_id, reason=reason)
+                return NotStarted(str(reason))
+            case Known():
+                buffer = self._buffers.get(attempt_id) or _freed(attempt_id)
+                return Attached(buffer, new=False)
+            case Accepted():
+                buffer = AnswerBuffer(attempt_id)
+                self._buffers[attempt_id] = buffer
+                gevent.spawn(self._run, call, buffer)
+                log_event(_log, "attempt_started", attempt=attempt_id)
+                return Attached(buffer, new=True)
+
+    def find(self, attempt_id: str, organisation: str) -> AnswerBuffer | None:
+        """Return an attempt's answer, also one that only the engine has.
+
+        After the agent's own death its ledger is empty while the engine may
+        still be generating. Asking the engine lets the caller's answer go on.
+        """
+        if self.ledger.phase_of(attempt_id, organisation) is not None:
+            return self._buffers.get(attempt_id)
+        if not isinstance(self.target, ModelEngine):
+            return None
+        return self._adopt(self.target, attempt_id, organisation)
+
+    def forget_old(self) -> None:
+        """Free answers that nobody may ask for any more."""
+        now = self.clock.now()
+        for attempt_id in self.ledger.texts_to_free(now):
+            self._buffers.pop(attempt_id, None)
+        self.ledger.forget_old(now)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop a running attempt whose answer nobody wants any more."""
+        buffer = self._buffers.get(attempt_id)
+        if buffer is None or buffer.ended:
+            return
+        if isinstance(self.target, ModelEngine):
+            gevent.spawn(cancel_stream, self.target, attempt_id)
+
+    def _adopt(
+        self, engine: ModelEngine, attempt_id: str, organisation: str
+    ) -> AnswerBuffer | None:
+        stream = resume_stream(engine, attempt_id, 0)
+        try:
+            head = next(stream)
+        except (NoSuchStream, StreamBroke):
+            return None
+        if self.ledger.phase_of(attempt_id, organisation) is not None:
+            return self._buffers.get(attempt_id)
+        self.ledger.adopt(attempt_id, organisation)
+        buffer = AnswerBuffer(attempt_id, head.status, head.content_type)
+        self._buffers[attempt_id] = buffer
+        gevent.spawn(self._follow_adopted, engine, attempt_id, stream, buffer)
+        log_event(_log, "attempt_adopted", attempt=attempt_id)
+        return buffer
+
+    def _follow_adopted(
+        self, engine: ModelEngine, attempt_id: str, stream: object, buffer: AnswerBuffer
+    ) -> None:
+        try:
+            self._copy(stream, buffer)
+        except StreamBroke:
+            self._resume(engine, attempt_id, buffer)
+        else:
+            self._ended(buffer, Phase.DONE)
+
+    def _run(self, call: EndpointCall, buffer: AnswerBuffer) -> None:
+        try:
+            self._copy(call_endpoint(self.target, call), buffer)
+        except NeverSent as error:
+            log_event(
+                _log, "endpoint_unreachable", attempt=call.attempt_id, why=error
+            )
+            self._fail(buffer, "not_run")
+        except StreamBroke as error:
+            log_event(_log, "endpoint_broke", attempt=call.attempt_id, why=error)
+            self._after_break(call, buffer)
+        else:
+            self._ended(buffer, Phase.DONE)
+
+    def _after_break(self, call: EndpointCall, buffer: AnswerBuffer) -> None:
+        match self.target:
+            case ModelEngine():
+                self._resume(self.target, call.attempt_id, buffer)
+            case PlainService():
+                self._fail(buffer, "unknown")
+
+    def _resume(
+        self, engine: ModelEngine, attempt_id: str, buffer: AnswerBuffer
+    ) -> None:
+        for _ in range(_RESUMES):
+            gevent.sleep(_RESUME_PAUSE_MS / _SECOND_MS)
+            try:
+                self._copy(resume_stream(engine, attempt_id, buffer.total), buffer)
+            except StreamBroke:
+                continue
+            except NoSuchStream:
+                break
+            self._ended(buffer, Phase.DONE)
+            return
+        self._fail(buffer, "unknown")
+
+    def _copy(self, events: object, buffer: AnswerBuffer) -> None:
+        for event in events:
+            match event:
+                case EndpointText(offset=offset, text=text):
+                    new = text[max(0, buffer.total - offset) :]
+                    if offset > buffer.total:
+                        raise StreamBroke("the endpoint skipped part of its answer")
+                    if new:
+                        buffer.append(new)
+                case EndpointHead(status=status, content_type=content_type):
+                    buffer.status = status
+                    buffer.content_type = content_type
+                case EndpointEnd(total=total):
+                    if total != buffer.total:
+                        raise StreamBroke("the endpoint's answer is not whole")
+                    return
+
+    def _ended(self, buffer: AnswerBuffer, phase: Phase) -> None:
+        self.ledger.ended(buffer.attempt_id, phase, self.clock.now())
+        buffer.finish()
+        log_event(
+            _log, "attempt_ended", attempt=buffer.attempt_id, characters=buffer.total
+        )
+
+    def _fail(self, buffer: AnswerBuffer, reason: str) -> None:
+        self.ledger.ended(buffer.attempt_id, Phase.FAILED, self.clock.now())
+        buffer.spoil(reason)
+        log_event(_log, "attempt_failed", attempt=buffer.attempt_id, ran=reason)
+
+
+def _freed(attempt_id: str) -> AnswerBuffer:
+    buffer = AnswerBuffer(attempt_id)
+    buffer.spoil("answer_not_kept")
+    return buffer
+
+
+def new_runner(
+    ledger: Ledger, target: ModelEngine | PlainService, clock: Clock
+) -> Runner:
+    """Return a runner that has run nothing yet."""
+    return Runner(ledger=ledger, target=target, clock=clock)
--- /dev/null
+++ b/src/azurefold/core/attempts/ids.py
@@ -0,0 +1,97 @@
+"""Names of answers that lead back to where the answer is kept."""
+
+from dataclasses import dataclass
+
+from azurefold.core.clock import Millis
+
+__all__ = ["AnswerId", "BadAnswerId", "attempt_id", "minted_at", "parse_answer_id"]
+
+_SEPARATOR = "~"
+_PARTS = 4
+_TIME_DIGITS = 12
+
+
+class BadAnswerId(ValueError):
+    """An answer id that was not given out by azurefold."""
+
+
+def attempt_id(wall_now: Millis, random_hex: str) -> str:
+    """Return a new attempt id that tells when it was made.
+
+    Examples
+    --------
+    >>> attempt_id(255, "beef")
+    '0000000000ffbeef'
+    """
+    return f"{wall_now:0{_TIME_DIGITS}x}{random_hex}"
+
+
+def minted_at(attempt: str) -> Millis:
+    """Return the wall-clock time at which an attempt id was made.
+
+    An id of another form counts as made at the epoch: nothing good is ever
+    concluded from an id for being old.
+
+    Examples
+    --------
+    >>> minted_at("0000000000ffbeef")
+    255
+    >>> minted_at("nonsense")
+    0
+    """
+    try:
+        return int(attempt[:_TIME_DIGITS], 16)
+    except ValueError:
+        return 0
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerId:
+    """Where an answer is kept.
+
+    It names an endpoint, never an address: what a caller sends back must not
+    decide which address an entry connects to.
+
+    Parameters
+    ----------
+    endpoint : str
+    incarnation : str
+        Of the endpoint's agent when the attempt was dispatched.
+    attempt_id : str
+    offset : int, default=0
+        Characters that the caller has.
+
+    Examples
+    --------
+    >>> str(AnswerId("drafts-0", "i7", "a1", 12))
+    'drafts-0~i7~a1~12'
+    >>> parse_answer_id("drafts-0~i7~a1~12").offset
+    12
+    """
+
+    endpoint: str
+    incarnation: str
+    attempt_id: str
+    offset: int = 0
+
+    def __str__(self) -> str:
+        parts = (self.endpoint, self.incarnation, self.attempt_id, str(self.offset))
+        return _SEPARATOR.join(parts)
+
+
+def parse_answer_id(text: str) -> AnswerId:
+    """Read an answer id.
+
+    Raises
+    ------
+    BadAnswerId
+        If the text has another form.
+    """
+    parts = text.split(_SEPARATOR)
+    well_formed = len(parts) == _PARTS and all(parts) and parts[3].isdecimal()
+    if not well_formed or len(parts[3]) > 12:
+        raise BadAnswerId(
+            "send back the id of the last event as it came, "
+            "in the form endpoint~incarnation~attempt~offset"
+        )
+    return AnswerId(parts[0], parts[1], parts[2], int(parts[3]))
--- /dev/null
+++ b/src/azurefold/entry/admission.py
@@ -0,0 +1,165 @@
+"""Admission of requests to one service: a fair queue before a pool of endpoints."""
+
+import random
+from dataclasses import dataclass, field
+
+from gevent.event import AsyncResult
+
+from azurefold.core.admission.messages import Priority, QueueItem, Refusal, Refused
+from azurefold.core.admission.queue import FairQueue, QueuePolicy
+from azurefold.core.attempts.outcome import Failure, Ran
+from azurefold.core.clock import Clock, Millis
+from azurefold.core.routing.messages import (
+    Chosen,
+    NoneAvailable,
+    RouteRequest,
+    Unavailable,
+)
+from azurefold.core.routing.pool import Pool
+from azurefold.core.routing.retries import RetryBudget
+
+__all__ = ["Admission", "Ticket", "new_admission"]
+
+_NO_REQUEST = RouteRequest()
+_REFUSED_DETAIL = "The request was not run; come back after the time in Retry-After."
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that asks for an endpoint.
+
+    Parameters
+    ----------
+    request_id : str
+    organisation : str
+    priority : Priority
+    tokens : int
+        Estimate of the work.
+    deadline : int
+        On the entry's monotonic clock.
+    route : RouteRequest
+    """
+
+    request_id: str
+    organisation: str
+    priority: Priority
+    tokens: int
+    deadline: Millis
+    route: RouteRequest = _NO_REQUEST
+
+
+@dataclass(slots=True)
+class Admission:
+    """The queue, the pool and the retry budget of one service."""
+
+    clock: Clock
+    draw: random.Random
+    pool: Pool = field(default_factory=Pool)
+    queue: FairQueue = field(default_factory=FairQueue)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    _waiting: dict[str, tuple[Ticket, AsyncResult]] = field(default_factory=dict)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for an endpoint."""
+        return len(self._waiting)
+
+    def acquire(self, ticket: Ticket) -> Chosen | Failure:
+        """Wait for an endpoint; the caller must report the attempt's end.
+
+        Requests go straight through while nobody waits. One that is given up
+        on gets its answer here and now, never held back until its deadline.
+        """
+        now = self.clock.now()
+        self.retries.request_started(now)
+        if not self._waiting:
+            chosen = self._choose(ticket.route, now)
+            if isinstance(chosen, Chosen):
+                return self._granted(ticket, chosen)
+            if chosen.reason is not Unavailable.ALL_FULL:
+                return _failure(chosen.reason.value, chosen.retry_after_ms)
+        return self._wait(ticket, now)
+
+    def retry(self, ticket: Ticket) -> Chosen | Failure:
+        """Choose an endpoint for another attempt at once, past the queue."""
+        chosen = self._choose(ticket.route, self.clock.now())
+        if isinstance(chosen, Chosen):
+            return self._granted(ticket, chosen)
+        return _failure(chosen.reason.value, chosen.retry_after_ms)
+
+    def pump(self) -> None:
+        """Hand free endpoints to those who wait, and answer who waited in vain."""
+        now = self.clock.now()
+        for refusal in self.queue.expire(now):
+            self._answer_refusal(refusal)
+        while self._waiting and isinstance(self._choose(_NO_REQUEST, now), Chosen):
+            item = self.queue.take(now)
+            if item is None:
+                return
+            self._grant_waiting(item, now)
+
+    def tick(self) -> None:
+        """Look for slow and stuck endpoints; call it about once a second."""
+        self.pool.tick(self.clock.now())
+        self.pump()
+
+    def _wait(self, ticket: Ticket, now: Millis) -> Chosen | Failure:
+        item = QueueItem(
+            ticket.request_id,
+            ticket.organisation,
+            ticket.priority,
+            ticket.tokens,
+            ticket.deadline,
+            draw=self.draw.random(),
+        )
+        offered = self.queue.offer(item, now)
+        if isinstance(offered, Refused):
+            return _failure(offered.reason.value, offered.retry_after_ms)
+        for refusal in offered.displaced:
+            self._answer_refusal(refusal)
+        result = AsyncResult()
+        self._waiting[ticket.request_id] = (ticket, result)
+        try:
+            return result.get()
+        finally:
+            self._waiting.pop(ticket.request_id, None)
+            self.queue.withdraw(ticket.request_id, self.clock.now())
+
+    def _grant_waiting(self, item: QueueItem, now: Millis) -> None:
+        ticket, result = self._waiting.pop(item.request_id)
+        chosen = self._choose(ticket.route, now)
+        match chosen:
+            case Chosen():
+                result.set(self._granted(ticket, chosen))
+            case NoneAvailable(reason=reason, retry_after_ms=retry_after):
+                result.set(_failure(reason.value, retry_after))
+
+    def _answer_refusal(self, refusal: Refusal) -> None:
+        _, result = self._waiting.pop(refusal.item.request_id)
+        refused = refusal.refused
+        result.set(_failure(refused.reason.value, refused.retry_after_ms))
+
+    def _choose(self, route: RouteRequest, now: Millis) -> Chosen | NoneAvailable:
+        draws = (self.draw.random(), self.draw.random())
+        return self.pool.choose(route, draws, now)
+
+    def _granted(self, ticket: Ticket, chosen: Chosen) -> Chosen:
+        # Counted from here, not from the dispatch: between the two this
+        # greenlet may yield, and others would choose the same free place.
+        now = self.clock.now()
+        self.pool.started(chosen.endpoint, ticket.request_id, now, ticket.route)
+        return chosen
+
+
+def _failure(reason: str, retry_after_ms: Millis) -> Failure:
+    return Failure(Ran.NOT_RUN, reason, _REFUSED_DETAIL, retry_after_ms)
+
+
+def new_admission(
+    clock: Clock, seed: int, max_length: int = 512, max_per_organisation: int = 128
+) -> Admission:
+    """Return the admission of a service that has no endpoints yet."""
+    policy = QueuePolicy(
+        max_length=max_length, max_per_organisation=max_per_organisation
+    )
+    return Admission(clock, random.Random(seed), queue=FairQueue(policy))
--- /dev/null
+++ b/src/azurefold/entry/relay.py
@@ -0,0 +1,418 @@
+"""Carries one caller's request through its attempts to its final answer."""
+
+import logging
+import secrets
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+
+import gevent
+
+from azurefold.core.attempts.claims import Claim, Follow, Mine
+from azurefold.core.attempts.course import (
+    AgentSilent,
+    AskAgent,
+    ConnectionLost,
+    Course,
+    DispatchAgain,
+    EndpointFailed,
+    Event,
+    Fail,
+    NotDispatched,
+    NoTextLeft,
+    ResumeAt,
+    SettledAs,
+    Settlement,
+)
+from azurefold.core.attempts.frames import (
+    Assembler,
+    Dropped,
+    End,
+    Finished,
+    Frame,
+    Gap,
+    Passed,
+    Spoiled,
+)
+from azurefold.core.attempts.ids import AnswerId
+from azurefold.core.attempts.ids import attempt_id as new_attempt_id
+from azurefold.core.attempts.outcome import Failure, Ran
+from azurefold.core.clock import Clock, Millis
+from azurefold.core.routing.messages import (
+    Answered,
+    Cancelled,
+    Chosen,
+    Failed,
+    LoadReport,
+    Outcome,
+    Refused,
+)
+from azurefold.entry.admission import Admission, Ticket
+from azurefold.entry.agents import (
+    AgentAddress,
+    Agents,
+    AttemptCall,
+    Lost,
+    NotTaken,
+    Opened,
+)
+from azurefold.entry.claims import ClaimTaker
+from azurefold.entry.requests import CallerRequest
+from azurefold.internal.logs import log_event
+from azurefold.wire.frames import Broken, Head
+
+__all__ = [
+    "Announced",
+    "AnswerHead",
+    "GivenUp",
+    "Relay",
+    "Text",
+    "Whole",
+]
+
+_log = logging.getLogger("azurefold.entry")
+
+_MAX_ATTEMPTS = 4
+_FOLLOW_TRIES = 5
+_FOLLOW_PAUSE_MS: Millis = 60
+_SECOND_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Announced:
+    """The attempt was taken; the caller can resume by this id from now on."""
+
+    answer_id: AnswerId
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and type of the endpoint's answer."""
+
+    status: int
+    content_type: str
+
+
+@dataclass(frozen=True, slots=True)
+class Text:
+    """Text that the caller has not had yet; ``offset`` is where it ends."""
+
+    text: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The answer is whole."""
+
+    total: int
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The final answer to a request that got no whole answer."""
+
+    failure: Failure
+
+
+Part = Announced | AnswerHead | Text | Whole | GivenUp
+
+
+class _LostMidway(Exception):
+    """The stream has to be taken up again from the next offset."""
+
+
+@dataclass(slots=True)
+class Relay:
+    """One request on its way.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    admission : Admission
+        Of the request's service.
+    agents : Agents
+    locate : callable
+        Returns an endpoint's :class:`AgentAddress`, or None.
+    clock : Clock
+        Monotonic.
+    wall : Clock
+        Since the Unix epoch.
+    claim : ClaimTaker or None
+        For non-idempotent requests with a key.
+    on_drop : callable
+        Called with the reason of each frame that is not passed on.
+    """
+
+    request: CallerRequest
+    admission: Admission
+    agents: Agents
+    locate: Callable[[str], AgentAddress | None]
+    clock: Clock
+    wall: Clock
+    on_drop: Callable[[str], None]
+    claim: ClaimTaker | None = None
+    _course: Course = field(init=False)
+    _agent: AgentAddress | None = None
+    _assembler: Assembler | None = None
+    _tried: set[str] = field(default_factory=set)
+    _attempts: int = 0
+    _open: bool = False
+    _first_text: bool = False
+
+    def __post_init__(self) -> None:
+        self._course = Course(self.request.idempotent)
+
+    @property
+    def attempt_id(self) -> str:
+        """The present attempt, or an empty string."""
+        return self._assembler.attempt_id if self._assembler else ""
+
+    def run(self) -> Iterator[Part]:
+        """Dispatch the request and yield its answer's parts."""
+        try:
+            yield from self._follow(DispatchAgain())
+        finally:
+            self._report(Cancelled())
+
+    def attach(self, answer: AnswerId, agent: AgentAddress) -> Iterator[Part]:
+        """Yield the rest of an answer that some attempt already gives."""
+        whole = answer.offset == 0
+        self._agent = agent
+        self._assembler = Assembler(answer.attempt_id, answer.offset, whole)
+        self._course.passed = answer.offset
+        yield from self._follow(ResumeAt(answer.offset))
+
+    def _follow(self, step: object) -> Iterator[Part]:
+        while True:
+            match step:
+                case DispatchAgain():
+                    opened = self._dispatch()
+                case ResumeAt(offset=offset):
+                    opened = self._resume(offset)
+                case AskAgent():
+                    opened = self._ask()
+                case Fail(failure=failure):
+                    self._report(Failed())
+                    yield GivenUp(failure)
+                    return
+            if isinstance(opened, Failure):
+                opened = self._truthful(opened)
+            if isinstance(opened, Failure):
+                yield GivenUp(opened)
+                return
+            if isinstance(opened, Follow):
+                opened = self._attach_to(opened.claim)
+            if isinstance(opened, Opened):
+                event = yield from self._read(opened)
+                if event is None:
+                    return
+            else:
+                event = opened
+            if _certainly_not_run(event):
+                self._report(Refused())
+            step = self._course.next(event, self._may_retry)
+
+    def _dispatch(self) -> Opened | Follow | Failure | Event:
+        self._report(Failed())
+        attempt_id = new_attempt_id(self.wall.now(), secrets.token_hex(10))
+        ticket = self._ticket(attempt_id)
+        retrying = self._attempts > 0
+        acquire = self.admission.retry if retrying else self.admission.acquire
+        chosen = acquire(ticket)
+        if isinstance(chosen, Failure):
+            return chosen
+        self._attempts += 1
+        self._open = True
+        self._assembler = Assembler(attempt_id)
+        self._agent = self.locate(chosen.endpoint)
+        self._tried.add(chosen.endpoint)
+        if self._agent is None:
+            self._agent = AgentAddress(chosen.endpoint, "", "")
+            return NotDispatched("endpoint_unknown")
+        claimed = self._take_claim(self._agent, attempt_id)
+        if not isinstance(claimed, Mine):
+            self._report(Cancelled())
+            return claimed
+        return self._send(self._agent, attempt_id)
+
+    def _take_claim(
+        self, agent: AgentAddress, attempt_id: str
+    ) -> Mine | Follow | Failure:
+        if self.claim is None:
+            return Mine()
+        return self.claim.take(attempt_id, agent.endpoint, agent.incarnation)
+
+    def _attach_to(self, claim: Claim) -> Opened | Event:
+        """Go over to the attempt that holds the caller's key."""
+        located = self.locate(claim.endpoint)
+        address = located.address if located else ""
+        self._agent = AgentAddress(claim.endpoint, claim.incarnation, address)
+        self._assembler = Assembler(claim.attempt_id)
+        log_event(_log, "follow", attempt=claim.attempt_id, endpoint=claim.endpoint)
+        # Its entry may have claimed the key and not dispatched yet. Asking at
+        # once would settle the attempt as not run and undo that entry's work.
+        for _ in range(_FOLLOW_TRIES):
+            opened = self._try_resume(0)
+            if not isinstance(opened, NotTaken):
+                return opened
+            gevent.sleep(_FOLLOW_PAUSE_MS / _SECOND_MS)
+        return self._no_text()
+
+    def _truthful(self, failure: Failure) -> Follow | Failure:
+        """Make a refusal true for the caller's key, not only for this call."""
+        failure = self._course.refused(failure)
+        if self.claim is None or failure.ran is not Ran.NOT_RUN:
+            return failure
+        return self.claim.check_refusal(failure)
+
+    def _send(self, agent: AgentAddress, attempt_id: str) -> Opened | Event:
+        request = self.request
+        call = AttemptCall(
+            attempt_id,
+            request.organisation,
+            request.path,
+            request.body,
+            request.deadline - self.clock.now(),
+            int(request.priority),
+        )
+        log_event(_log, "dispatch", attempt=attempt_id, endpoint=agent.endpoint)
+        try:
+            opened = self.agents.dispatch(agent, call)
+        except Lost as error:
+            log_event(_log, "connection_lost", attempt=attempt_id, why=error)
+            return ConnectionLost()
+        if isinstance(opened, NotTaken):
+            log_event(_log, "not_taken", attempt=attempt_id, reason=opened.reason)
+            return NotDispatched(opened.reason)
+        return opened
+
+    def _resume(self, offset: int) -> Opened | Event:
+        opened = self._try_resume(offset)
+        if isinstance(opened, NotTaken):
+            return self._no_text()
+        return opened
+
+    def _try_resume(self, offset: int) -> Opened | NotTaken | Event:
+        if not self._agent.address:
+            return AgentSilent()
+        try:
+            return self.agents.resume(
+                self._agent, self.attempt_id, self.request.organisation, offset
+            )
+        except Lost:
+            return ConnectionLost()
+
+    def _no_text(self) -> Event:
+        # The agent does not have it. If it is still in the incarnation that
+        # was given the attempt, asking settles it for good as not run.
+        asked = self._ask()
+        if isinstance(asked, SettledAs) and asked.state in ("running", "done"):
+            return NoTextLeft()
+        return asked
+
+    def _ask(self) -> Event:
+        if not self._agent.address:
+            return AgentSilent()
+        try:
+            state = self.agents.settle(
+                self._agent, self.attempt_id, self.request.organisation
+            )
+        except Lost:
+            return AgentSilent()
+        log_event(_log, "settled", attempt=self.attempt_id, state=state)
+        return SettledAs(state)
+
+    def _read(self, opened: Opened) -> Iterator[Part]:
+        """Yield parts; return the event that ended them, None when whole."""
+        self.admission.pool.load_reported(
+            self._agent.endpoint, LoadReport(opened.running, 0), self.clock.now()
+        )
+        assembler = self._assembler
+        yield Announced(self._answer_id(assembler.next_offset))
+        try:
+            for lines in opened.lines:
+                self._course.heard()
+                for line in lines:
+                    event = yield from self._line(assembler, line)
+                    if event is not None:
+                        return event if isinstance(event, Event) else None
+        except (Lost, _LostMidway) as error:
+            log_event(
+                _log, "connection_lost", attempt=assembler.attempt_id, why=error
+            )
+        return ConnectionLost()
+
+    def _line(self, assembler: Assembler, line: object) -> Iterator[Part]:
+        if isinstance(line, Head):
+            yield AnswerHead(line.status, line.content_type)
+            return None
+        if isinstance(line, Broken):
+            ran = Ran.NOT_RUN if line.reason == Ran.NOT_RUN else Ran.UNKNOWN
+            return EndpointFailed(ran)
+        match assembler.accept(line):
+            case Passed(text=text):
+                self._note_text(assembler)
+                yield Text(text, assembler.next_offset)
+            case Dropped(reason=reason):
+                self.on_drop(reason)
+            case Gap():
+                raise _LostMidway("a part of the answer is missing")
+            case Spoiled(detail=detail):
+                log_event(_log, "spoiled", attempt=assembler.attempt_id, why=detail)
+                return EndpointFailed(Ran.UNKNOWN)
+            case Finished(total=total):
+                self._report(Answered(self.request.tokens))
+                yield Whole(total)
+                return total
+        return None
+
+    def _note_text(self, assembler: Assembler) -> None:
+        self._course.passed = assembler.next_offset
+        if not self._first_text:
+            self._first_text = True
+            self.admission.pool.first_token(
+                self._agent.endpoint, assembler.attempt_id, self.clock.now()
+            )
+
+    def _may_retry(self) -> bool:
+        if self._attempts >= _MAX_ATTEMPTS or self._course.passed > 0:
+            return False
+        if self.clock.now() >= self.request.deadline or self._attempts == 0:
+            return False
+        return self.admission.retries.try_retry(self.clock.now())
+
+    def _ticket(self, attempt_id: str) -> Ticket:
+        request = self.request
+        ticket = Ticket(
+            attempt_id,
+            request.organisation,
+            request.priority,
+            request.tokens,
+            request.deadline,
+        )
+        if not self._tried:
+            return ticket
+        route = replace(ticket.route, exclude=frozenset(self._tried))
+        return replace(ticket, route=route)
+
+    def _report(self, outcome: Outcome) -> None:
+        if not self._open:
+            return
+        self._open = False
+        now = self.clock.now()
+        self.admission.pool.finished(
+            self._agent.endpoint, self.attempt_id, outcome, now
+        )
+        self.admission.pump()
+
+    def _answer_id(self, offset: int) -> AnswerId:
+        agent = self._agent
+        return AnswerId(agent.endpoint, agent.incarnation, self.attempt_id, offset)
+
+
+def _certainly_not_run(event: Event) -> bool:
+    match event:
+        case NotDispatched() | SettledAs(state=Settlement.NOT_RUN):
+            return True
+        case _:
+            return False
--- /dev/null
+++ b/src/azurefold/wire/frames.py
@@ -0,0 +1,110 @@
+"""Lines in which an agent streams an answer to an entry.
+
+One JSON array a line. A line carries all text that is there when it is
+written: one message a token would cost more than the answer itself.
+"""
+
+import msgspec
+
+from azurefold.core.attempts.frames import End, Frame
+
+__all__ = [
+    "BadLine",
+    "Broken",
+    "Head",
+    "decode_line",
+    "encode_broken",
+    "encode_end",
+    "encode_frame",
+    "encode_head",
+]
+
+
+class BadLine(ValueError):
+    """A line that is no frame."""
+
+
+class _Text(msgspec.Struct, array_like=True, tag="f", frozen=True):
+    offset: int
+    text: str
+
+
+class _End(msgspec.Struct, array_like=True, tag="e", frozen=True):
+    total: int
+    digest: str
+
+
+class Broken(msgspec.Struct, array_like=True, tag="x", frozen=True):
+    """The answer cannot be finished.
+
+    Parameters
+    ----------
+    reason : str
+        A machine-readable word.
+    """
+
+    reason: str
+
+
+class Head(msgspec.Struct, array_like=True, tag="h", frozen=True):
+    """Status and type of the endpoint's answer.
+
+    Parameters
+    ----------
+    status : int
+    content_type : str
+    """
+
+    status: int
+    content_type: str
+
+
+_encode = msgspec.json.Encoder().encode
+_decode = msgspec.json.Decoder(_Text | _End | Broken | Head).decode
+
+
+def encode_frame(offset: int, text: str) -> bytes:
+    r"""Return the line of a run of text.
+
+    Examples
+    --------
+    >>> encode_frame(3, "a")
+    b'["f",3,"a"]\n'
+    """
+    return _encode(_Text(offset, text)) + b"\n"
+
+
+def encode_head(status: int, content_type: str) -> bytes:
+    """Return the line that comes before the first text."""
+    return _encode(Head(status, content_type)) + b"\n"
+
+
+def encode_end(total: int, digest: str) -> bytes:
+    """Return the last line of a whole answer."""
+    return _encode(_End(total, digest)) + b"\n"
+
+
+def encode_broken(reason: str) -> bytes:
+    """Return the last line of an answer that cannot be finished."""
+    return _encode(Broken(reason)) + b"\n"
+
+
+def decode_line(attempt_id: str, line: bytes) -> Frame | End | Broken | Head:
+    """Read a line of the attempt ``attempt_id``.
+
+    Raises
+    ------
+    BadLine
+        If the line is no frame.
+    """
+    try:
+        message = _decode(line)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadLine(f"a line from an agent is no frame: {error}") from error
+    match message:
+        case _Text(offset=offset, text=text):
+            return Frame(attempt_id, offset, text)
+        case _End(total=total, digest=digest):
+            return End(attempt_id, total, digest)
+        case _:
+            return message
