--- a/tests/wire/test_access.py
+++ b/tests/wire/test_access.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from azurefold.wire.http_auth import RequestParts, sign_request, verify_request
+from azurefold.wire.replay import REPLAY_WINDOW
 from azurefold.wire.seal import (
-    REPLAY_WINDOW,
     Opened,
     Reason,
     Rejected,
