Decide where a request goes and which one goes next

Cause: the entry process needs routing and admission decisions that are cheap and pure. Ruled out: asking other nodes before a choice (a round trip a request) and a single shared queue (its node would be one point of failure). Conclusion: the interfaces stand; behaviour under load is measured next. No tests yet in this commit: the interfaces are written against while the tests come.

--- /dev/null
+++ b/src/azurefold/core/admission/queue.py
@@ -0,0 +1,223 @@
+"""The fair queue in front of the endpoints.
+
+Confirmations go before drafts, but drafts keep a floor; within a class each
+organisation gets an equal share of tokens. What cannot be served in time is
+refused at once, with the time at which coming back is worth while.
+"""
+
+from dataclasses import dataclass
+from heapq import heappop, heappush
+
+from azurefold.core.admission.drain import DrainRate, spread_retry
+from azurefold.core.admission.messages import (
+    Offered,
+    Priority,
+    Queued,
+    QueueItem,
+    Refusal,
+    Refused,
+    RefusedReason,
+)
+from azurefold.core.admission.shares import ClassQueue
+from azurefold.core.clock import Millis
+
+__all__ = ["FairQueue", "QueuePolicy"]
+
+
+@dataclass(frozen=True, slots=True)
+class QueuePolicy:
+    """Bounds and weights of the queue.
+
+    Parameters
+    ----------
+    max_length : int
+        Requests that may wait in all.
+    max_per_organisation : int
+        Requests of one organisation that may wait in one class.
+    quantum : int
+        Tokens an organisation may take in each round.
+    draft_floor : float
+        Share of the tokens that drafts get while they wait.
+    """
+
+    max_length: int = 512
+    max_per_organisation: int = 128
+    quantum: int = 512
+    draft_floor: float = 0.1
+
+
+class FairQueue:
+    """Requests that wait for an endpoint on one node.
+
+    Call :meth:`expire` before :meth:`take` with the same ``now``, and answer
+    what it returns at once.
+
+    Parameters
+    ----------
+    policy : QueuePolicy, optional
+        Bounds and weights.
+    """
+
+    def __init__(self, policy: QueuePolicy | None = None) -> None:
+        self._policy = policy or QueuePolicy()
+        self._classes = {
+            priority: ClassQueue(self._policy.quantum) for priority in Priority
+        }
+        self._drains = {priority: DrainRate() for priority in Priority}
+        self._items: dict[str, QueueItem] = {}
+        self._latest_starts: list[tuple[Millis, str]] = []
+        self._draft_credit = 0.0
+        self._late: list[QueueItem] = []
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def length_of(self, priority: Priority) -> int:
+        """Return how many requests of a class wait."""
+        return len(self._classes[priority])
+
+    def offer(self, item: QueueItem, now: Millis) -> Offered:
+        """Queue a request, or refuse it.
+
+        Raises
+        ------
+        ValueError
+            If a request with the same id waits already.
+        """
+        if item.request_id in self._items:
+            raise ValueError(
+                f"request {item.request_id!r} waits already; offer each id once"
+            )
+        refused = self._reason_to_refuse(item, now)
+        if refused is not None:
+            return self._refused(item, refused, now)
+        if len(self._items) < self._policy.max_length:
+            self._push(item, now)
+            return Queued()
+        victim = self._victim_for(item)
+        if victim is None:
+            return self._refused(item, RefusedReason.QUEUE_FULL, now)
+        self._remove(victim, now)
+        refusal = self._refusal(victim, RefusedReason.DISPLACED, now)
+        self._push(item, now)
+        return Queued(displaced=(refusal,))
+
+    def take(self, now: Millis) -> QueueItem | None:
+        """Take the request that goes next, or ``None`` if nothing waits."""
+        self._sweep(now)
+        priority = self._next_class()
+        if priority is None:
+            return None
+        queue = self._classes[priority]
+        item = queue.pop()
+        del self._items[item.request_id]
+        self._drains[priority].taken(item.tokens, now, left=len(queue) > 0)
+        self._account(item)
+        return item
+
+    def expire(self, now: Millis) -> list[Refusal]:
+        """Take out the requests that can no longer meet their deadline."""
+        self._sweep(now)
+        late, self._late = self._late, []
+        return [self._refusal(item, RefusedReason.DEADLINE, now) for item in late]
+
+    def withdraw(self, request_id: str, now: Millis) -> QueueItem | None:
+        """Take out a request whose caller has gone; ``None`` if unknown."""
+        item = self._items.get(request_id)
+        if item is not None:
+            self._remove(item, now)
+        return item
+
+    def next_expiry(self) -> Millis | None:
+        """Return when :meth:`expire` should be called at the latest."""
+        starts = self._latest_starts
+        while starts and not self._waits(*starts[0]):
+            heappop(starts)
+        return starts[0][0] + 1 if starts else None
+
+    def expected_wait(self, item: QueueItem, now: Millis) -> float:
+        """Return the milliseconds ``item`` would wait if it were queued now."""
+        queue = self._classes[item.priority]
+        rate = self._drains[item.priority].rate(now)
+        if rate is None or not len(queue):
+            return 0.0
+        # In round robin an organisation waits for its own backlog and for as
+        # much of each other one's, whatever a flooding one has queued.
+        own = queue.tokens_of(item.organisation) + item.tokens
+        turns = queue.organisations + (not queue.tokens_of(item.organisation))
+        ahead = min(queue.tokens + item.tokens, own * turns)
+        return ahead / rate if rate > 0 else float("inf")
+
+    def _reason_to_refuse(self, item: QueueItem, now: Millis) -> RefusedReason | None:
+        queue = self._classes[item.priority]
+        if queue.length_of(item.organisation) >= self._policy.max_per_organisation:
+            return RefusedReason.ORGANISATION_FULL
+        if now + self.expected_wait(item, now) > item.latest_start:
+            return RefusedReason.DEADLINE
+        return None
+
+    def _victim_for(self, item: QueueItem) -> QueueItem | None:
+        for priority in reversed(Priority):
+            if priority < item.priority:
+                return None
+            queue = self._classes[priority]
+            longest = queue.longest()
+            if longest is None:
+                continue
+            own = queue.length_of(item.organisation)
+            if priority > item.priority or queue.length_of(longest) > own + 1:
+                return queue.newest_of(longest)
+        return None
+
+    def _next_class(self) -> Priority | None:
+        drafts = self._classes[Priority.DRAFT]
+        if not len(self._classes[Priority.CONFIRMATION]):
+            return Priority.DRAFT if len(drafts) else None
+        if not len(drafts):
+            return Priority.CONFIRMATION
+        owed = self._draft_credit >= drafts.head().tokens
+        return Priority.DRAFT if owed else Priority.CONFIRMATION
+
+    def _account(self, item: QueueItem) -> None:
+        # Without a floor a steady load of confirmations would keep drafts
+        # waiting for ever. Seen as drafts that only ever expire.
+        if not len(self._classes[Priority.DRAFT]):
+            self._draft_credit = 0.0
+        elif item.priority is Priority.DRAFT:
+            self._draft_credit = max(0.0, self._draft_credit - item.tokens)
+        else:
+            floor = self._policy.draft_floor
+            self._draft_credit += item.tokens * floor / (1.0 - floor)
+
+    def _push(self, item: QueueItem, now: Millis) -> None:
+        self._items[item.request_id] = item
+        self._classes[item.priority].push(item)
+        heappush(self._latest_starts, (item.latest_start, item.request_id))
+        self._drains[item.priority].waiting(now)
+
+    def _remove(self, item: QueueItem, now: Millis) -> None:
+        del self._items[item.request_id]
+        queue = self._classes[item.priority]
+        queue.remove(item)
+        if not len(queue):
+            self._drains[item.priority].emptied(now)
+
+    def _sweep(self, now: Millis) -> None:
+        while (at := self.next_expiry()) is not None and at <= now:
+            _, request_id = heappop(self._latest_starts)
+            item = self._items[request_id]
+            self._remove(item, now)
+            self._late.append(item)
+
+    def _waits(self, latest_start: Millis, request_id: str) -> bool:
+        item = self._items.get(request_id)
+        return item is not None and item.latest_start == latest_start
+
+    def _refusal(self, item: QueueItem, reason: RefusedReason, now: Millis) -> Refusal:
+        return Refusal(item, self._refused(item, reason, now))
+
+    def _refused(self, item: QueueItem, reason: RefusedReason, now: Millis) -> Refused:
+        rate = self._drains[item.priority].rate(now)
+        backlog = self._classes[item.priority].tokens
+        wait = backlog / rate if rate else 0.0
+        return Refused(reason, spread_retry(wait, item.draw))
--- /dev/null
+++ b/src/azurefold/core/admission/shares.py
@@ -0,0 +1,135 @@
+"""Deficit round robin over the organisations of one priority class.
+
+Shreedhar and Varghese, "Efficient fair queuing using deficit round robin",
+1996. The quantum is in tokens, so an organisation with long prompts gets no
+more work done than one with short ones.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from azurefold.core.admission.messages import QueueItem
+
+__all__ = ["ClassQueue"]
+
+
+@dataclass(slots=True)
+class _Share:
+    """What one organisation has waiting, and the tokens it may still take."""
+
+    items: OrderedDict[str, QueueItem] = field(default_factory=OrderedDict)
+    tokens: int = 0
+    deficit: int = 0
+
+
+class ClassQueue:
+    """The waiting requests of one priority class.
+
+    Parameters
+    ----------
+    quantum : int
+        Tokens an organisation may take in each round.
+    """
+
+    def __init__(self, quantum: int) -> None:
+        self._quantum = quantum
+        self._shares: OrderedDict[str, _Share] = OrderedDict()
+        self._length = 0
+        self._tokens = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that wait in all."""
+        return self._tokens
+
+    @property
+    def organisations(self) -> int:
+        """Organisations that have something waiting."""
+        return len(self._shares)
+
+    def length_of(self, organisation: str) -> int:
+        """Return how many requests of ``organisation`` wait."""
+        share = self._shares.get(organisation)
+        return len(share.items) if share else 0
+
+    def tokens_of(self, organisation: str) -> int:
+        """Return how many tokens of ``organisation`` wait."""
+        share = self._shares.get(organisation)
+        return share.tokens if share else 0
+
+    def longest(self) -> str | None:
+        """Return the organisation with most requests waiting."""
+        return max(self._shares, key=self.length_of, default=None)
+
+    def newest_of(self, organisation: str) -> QueueItem:
+        """Return the request of ``organisation`` that came last."""
+        return next(reversed(self._shares[organisation].items.values()))
+
+    def push(self, item: QueueItem) -> None:
+        """Add a request behind those of its organisation."""
+        share = self._shares.get(item.organisation)
+        if share is None:
+            share = _Share()
+            self._shares[item.organisation] = share
+        share.items[item.request_id] = item
+        share.tokens += item.tokens
+        self._length += 1
+        self._tokens += item.tokens
+
+    def remove(self, item: QueueItem) -> None:
+        """Take out a request wherever it stands."""
+        share = self._shares[item.organisation]
+        del share.items[item.request_id]
+        share.tokens -= item.tokens
+        self._length -= 1
+        self._tokens -= item.tokens
+        # A deficit must not be saved up while nothing waits, or an idle
+        # organisation could later take the whole line for itself.
+        if not share.items:
+            del self._shares[item.organisation]
+
+    def head(self) -> QueueItem | None:
+        """Return the request whose turn it is, which stays where it is."""
+        if not self._shares:
+            return None
+        for _ in range(len(self._shares)):
+            if (item := self._front_if_due()) is not None:
+                return item
+        self._skip_rounds()
+        while (item := self._front_if_due()) is None:
+            pass
+        return item
+
+    def pop(self) -> QueueItem | None:
+        """Take the request whose turn it is."""
+        item = self.head()
+        if item is None:
+            return None
+        self._shares[item.organisation].deficit -= item.tokens
+        self.remove(item)
+        return item
+
+    def _front_if_due(self) -> QueueItem | None:
+        organisation, share = next(iter(self._shares.items()))
+        item = next(iter(share.items.values()))
+        if share.deficit >= item.tokens:
+            return item
+        share.deficit += self._quantum
+        self._shares.move_to_end(organisation)
+        return None
+
+    def _skip_rounds(self) -> None:
+        # A request of many quanta would otherwise cost as many turns of the
+        # loop in head(); whole rounds that serve nobody are added at once.
+        rounds = min(
+            (next(iter(share.items.values())).tokens - share.deficit - 1)
+            // self._quantum
+            for share in self._shares.values()
+        )
+        if rounds <= 0:
+            return
+        for share in self._shares.values():
+            share.deficit += rounds * self._quantum
--- /dev/null
+++ b/src/azurefold/core/routing/choice.py
@@ -0,0 +1,120 @@
+"""Two random choices by expected wait.
+
+Of two endpoints drawn at random, and one that is hinted to hold the prompt's
+prefix, the one with the least expected wait is taken (Mitzenmacher, "The
+power of two choices in randomized load balancing", 2001).
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from azurefold.core.clock import Millis
+from azurefold.core.routing.endpoint import Endpoint
+from azurefold.core.routing.messages import RouteRequest
+
+__all__ = ["ChoicePolicy", "PoolMeans", "draw_two", "expected_wait"]
+
+
+@dataclass(frozen=True, slots=True)
+class ChoicePolicy:
+    """Weights of the expected wait.
+
+    Parameters
+    ----------
+    prefill : float
+        Milliseconds of prefill for one prompt token that is not cached.
+    sharing : float
+        Part of an answer's time that a full batch adds before any queue.
+    failure_penalty : int
+        Milliseconds added for an endpoint that fails always.
+    """
+
+    prefill: float = 0.1
+    sharing: float = 0.25
+    failure_penalty: Millis = 4_000
+
+
+@dataclass(slots=True)
+class PoolMeans:
+    """Means over the pool that stand in for what one endpoint has not shown.
+
+    Parameters
+    ----------
+    others : float
+        Requests of other nodes at an endpoint.
+    pace : float
+        Milliseconds between tokens.
+    tokens : float
+        Tokens of an answer.
+    """
+
+    others: float = 0.0
+    pace: float = 20.0
+    tokens: float = 100.0
+
+
+def expected_wait(
+    endpoint: Endpoint,
+    uncached_tokens: int,
+    failure_rate: float,
+    means: PoolMeans,
+    policy: ChoicePolicy,
+    now: Millis,
+) -> float:
+    """Return the milliseconds a request is expected to lose at ``endpoint``.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The candidate.
+    uncached_tokens : int
+        Prompt tokens that it would have to compute.
+    failure_rate : float
+        Smoothed share of failures, between 0 and 1.
+    means : PoolMeans
+        What to assume where the candidate has shown nothing yet.
+    policy : ChoicePolicy
+        The weights.
+    now : int
+        The present time.
+    """
+    pace = means.pace if endpoint.pace is None else endpoint.pace
+    answer = pace * means.tokens
+    fill = (endpoint.load(means.others, now) + 1.0) / endpoint.slots
+    queue = answer * max(0.0, fill - 1.0)
+    sharing = policy.sharing * answer * (1.0 + fill)
+    prefill = policy.prefill * uncached_tokens * pace / means.pace
+    # An endpoint that fails at once is always idle. Without the penalty it
+    # would draw in most of the traffic until it is ejected.
+    return queue + sharing + prefill + failure_rate * policy.failure_penalty
+
+
+def draw_two(
+    eligible: list[Endpoint], request: RouteRequest, draws: tuple[float, float]
+) -> Iterator[Endpoint]:
+    """Yield up to two endpoints with room, from two random places on.
+
+    Full or excluded ones are passed over to the next in line, so that room
+    anywhere is found.
+    """
+    first = _next_with_room(eligible, request, draws[0], None)
+    if first is None:
+        return
+    yield first
+    second = _next_with_room(eligible, request, draws[1], first)
+    if second is not None:
+        yield second
+
+
+def _next_with_room(
+    eligible: list[Endpoint], request: RouteRequest, draw: float, taken: Endpoint | None
+) -> Endpoint | None:
+    count = len(eligible)
+    start = int(draw * count)
+    for step in range(count):
+        candidate = eligible[(start + step) % count]
+        if candidate is taken or candidate.name in request.exclude:
+            continue
+        if candidate.has_room:
+            return candidate
+    return None
--- /dev/null
+++ b/src/azurefold/core/routing/endpoint.py
@@ -0,0 +1,137 @@
+"""What this node knows of one endpoint's load and speed."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from math import exp
+
+from azurefold.core.clock import Millis
+from azurefold.core.routing.concurrency import ConcurrencyLimit
+from azurefold.core.routing.messages import LoadReport, Prefix
+
+__all__ = ["Attempt", "Endpoint"]
+
+_HISTORY: Millis = 10_000
+_HISTORY_LENGTH = 512
+_REPORT_HORIZON: Millis = 3_000
+_PACE_SMOOTHING = 0.15
+_DEFAULT_SLOTS = 16
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt in flight."""
+
+    started: Millis
+    prefixes: tuple[Prefix, ...]
+    prefill: float
+    first_token: Millis | None = None
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """Own attempts, the last report and the speed of one endpoint.
+
+    Parameters
+    ----------
+    name : str
+        The endpoint's name.
+    concurrency : ConcurrencyLimit
+        How many requests this node keeps there.
+    """
+
+    name: str
+    concurrency: ConcurrencyLimit
+    leaving: bool = False
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    awaiting: dict[str, Millis] = field(default_factory=dict)
+    slots: int = _DEFAULT_SLOTS
+    others: float = 0.0
+    reported: Millis | None = None
+    pace: float | None = None
+    pace_samples: int = 0
+    last_progress: Millis = 0
+    _history: deque[tuple[Millis, int]] = field(
+        default_factory=lambda: deque(maxlen=_HISTORY_LENGTH)
+    )
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts of this node that have not ended."""
+        return len(self.attempts)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether this node may send one more."""
+        return len(self.attempts) < self.concurrency.limit
+
+    def start(self, attempt_id: str, attempt: Attempt) -> None:
+        """Add an attempt; a repeated one changes nothing."""
+        if attempt_id in self.attempts:
+            return
+        self.attempts[attempt_id] = attempt
+        self.awaiting[attempt_id] = attempt.started
+        self._remember(attempt.started)
+
+    def end(self, attempt_id: str, now: Millis) -> Attempt | None:
+        """Take an attempt out; ``None`` if it is not, or no longer, known."""
+        attempt = self.attempts.pop(attempt_id, None)
+        if attempt is None:
+            return None
+        self.awaiting.pop(attempt_id, None)
+        self._remember(now)
+        return attempt
+
+    def report(self, report: LoadReport, now: Millis) -> None:
+        """Take in a load report, which is old by ``report.age``."""
+        measured = now - report.age
+        # An older report may overtake a newer one on the way.
+        if self.reported is not None and measured < self.reported:
+            return
+        self.reported = measured
+        self.slots = max(1, report.slots)
+        # The report counts our own attempts as they were then. Adding our
+        # present ones without taking those out would count them twice.
+        self.others = max(0.0, float(report.in_flight - self._own_at(measured)))
+
+    def load(self, mean_others: float, now: Millis) -> float:
+        """Return the requests expected there now, from all nodes.
+
+        The older the report, the less it says of this endpoint in particular;
+        the estimate moves to the pool's mean. Without that, every node sends
+        to the endpoint that was idle some seconds ago.
+        """
+        if self.reported is None:
+            return len(self.attempts) + mean_others
+        trust = exp((self.reported - now) / _REPORT_HORIZON)
+        return len(self.attempts) + mean_others + trust * (self.others - mean_others)
+
+    def observe_pace(self, milliseconds_per_token: float) -> None:
+        """Learn the time between tokens from one answer."""
+        self.pace_samples += 1
+        if self.pace is None:
+            self.pace = milliseconds_per_token
+            return
+        self.pace += _PACE_SMOOTHING * (milliseconds_per_token - self.pace)
+
+    def forget_pace(self) -> None:
+        """Drop what is known of the speed, after an ejection."""
+        self.pace = None
+        self.pace_samples = 0
+
+    def silent_for(self, now: Millis) -> Millis:
+        """Return how long requests have waited without any progress."""
+        oldest = next(iter(self.awaiting.values()), None)
+        if oldest is None:
+            return 0
+        return now - max(oldest, self.last_progress)
+
+    def _remember(self, now: Millis) -> None:
+        self._history.append((now, len(self.attempts)))
+        while self._history and self._history[0][0] < now - _HISTORY:
+            self._history.popleft()
+
+    def _own_at(self, then: Millis) -> int:
+        for changed, count in reversed(self._history):
+            if changed <= then:
+                return count
+        return 0
--- /dev/null
+++ b/src/azurefold/core/routing/pool.py
@@ -0,0 +1,334 @@
+"""The endpoints of one service as one node sees them, and the choice among them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from statistics import median
+
+from azurefold.core.clock import Millis
+from azurefold.core.routing.choice import (
+    ChoicePolicy,
+    PoolMeans,
+    draw_two,
+    expected_wait,
+)
+from azurefold.core.routing.concurrency import ConcurrencyLimit, ConcurrencyPolicy
+from azurefold.core.routing.ejection import EjectionPolicy, Ejector
+from azurefold.core.routing.endpoint import Attempt, Endpoint
+from azurefold.core.routing.messages import (
+    Answered,
+    Cancelled,
+    Chosen,
+    Ejected,
+    EjectionCause,
+    Failed,
+    LoadReport,
+    NoneAvailable,
+    Outcome,
+    Refused,
+    RouteRequest,
+    TimedOut,
+    Unavailable,
+)
+from azurefold.core.routing.prefixes import PrefixHints
+
+__all__ = ["Pool", "PoolPolicy"]
+
+_ANSWER_SMOOTHING = 0.02
+_SHORTEST_RETRY: Millis = 100
+_LEAST_PACE = 0.01
+_NO_REQUEST = RouteRequest()
+
+
+@dataclass(frozen=True, slots=True)
+class PoolPolicy:
+    """The policies of a pool's parts."""
+
+    choice: ChoicePolicy = field(default_factory=ChoicePolicy)
+    concurrency: ConcurrencyPolicy = field(default_factory=ConcurrencyPolicy)
+    ejection: EjectionPolicy = field(default_factory=EjectionPolicy)
+
+
+class Pool:
+    """State and decisions of routing for one service on one node.
+
+    Parameters
+    ----------
+    policy : PoolPolicy, optional
+        The policies of its parts.
+    """
+
+    def __init__(self, policy: PoolPolicy | None = None) -> None:
+        self._policy = policy or PoolPolicy()
+        self._endpoints: dict[str, Endpoint] = {}
+        self._eligible: list[Endpoint] = []
+        self._ejector = Ejector(self._policy.ejection)
+        self._next_return: Millis | None = None
+        self._hints = PrefixHints()
+        self._means = PoolMeans()
+        self._others = 0.0
+
+    @property
+    def endpoints(self) -> tuple[str, ...]:
+        """All endpoints, also those leaving or ejected."""
+        return tuple(self._endpoints)
+
+    @property
+    def ejected(self) -> frozenset[str]:
+        """Endpoints left out for a while."""
+        return self._ejector.ejected
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts of this node that have not ended."""
+        return sum(endpoint.in_flight for endpoint in self._endpoints.values())
+
+    def limit(self, endpoint: str) -> int:
+        """Return how many requests this node keeps at ``endpoint``."""
+        return self._endpoints[endpoint].concurrency.limit
+
+    def set_endpoints(
+        self, names: Iterable[str], now: Millis, leaving: Iterable[str] = ()
+    ) -> None:
+        """Take in the present members.
+
+        An endpoint that was marked as leaving stays so until it has dropped
+        out of ``names`` or was readmitted, since the list of VMs lags.
+        """
+        names = frozenset(names)
+        for gone in self._endpoints.keys() - names:
+            del self._endpoints[gone]
+            self._ejector.forget(gone)
+        for name in sorted(names - self._endpoints.keys()):
+            limit = ConcurrencyLimit(self._policy.concurrency)
+            self._endpoints[name] = Endpoint(name, limit, last_progress=now)
+        self._others = sum(one.others for one in self._endpoints.values())
+        self._means.others = self._others / max(1, len(names))
+        for name in leaving:
+            if name in self._endpoints:
+                self._endpoints[name].leaving = True
+        self._refresh(now)
+
+    def mark_leaving(self, endpoint: str, now: Millis) -> None:
+        """Choose ``endpoint`` no more; its attempts in flight go on."""
+        known = self._endpoints.get(endpoint)
+        if known is not None:
+            known.leaving = True
+            self._refresh(now)
+
+    def readmit(self, endpoint: str, now: Millis) -> None:
+        """Choose ``endpoint`` again: a new incarnation of it has joined."""
+        known = self._endpoints.get(endpoint)
+        if known is not None:
+            known.leaving = False
+            self._refresh(now)
+
+    def choose(
+        self, request: RouteRequest, draws: tuple[float, float], now: Millis
+    ) -> Chosen | NoneAvailable:
+        """Return the endpoint for ``request``, or why there is none.
+
+        Parameters
+        ----------
+        request : RouteRequest
+            What the choice depends on.
+        draws : tuple of float
+            Two random numbers in [0, 1).
+        now : int
+            The present time.
+        """
+        if self._next_return is not None and now >= self._next_return:
+            self._refresh(now)
+        best: Chosen | None = None
+        least = float("inf")
+        for endpoint in self._candidates(request, draws, now):
+            cached = self._hints.cached_tokens(endpoint.name, request.prefixes, now)
+            wait = expected_wait(
+                endpoint,
+                max(0, request.prompt_tokens - cached),
+                self._ejector.failure_rate(endpoint.name),
+                self._means,
+                self._policy.choice,
+                now,
+            )
+            if wait < least:
+                least = wait
+                best = Chosen(endpoint.name, cached)
+        return best or self._none_available(request, draws[1])
+
+    def started(
+        self,
+        endpoint: str,
+        attempt_id: str,
+        now: Millis,
+        request: RouteRequest = _NO_REQUEST,
+    ) -> None:
+        """Note that an attempt was sent."""
+        known = self._endpoints.get(endpoint)
+        if known is None:
+            return
+        cached = self._hints.cached_tokens(endpoint, request.prefixes, now)
+        uncached = max(0, request.prompt_tokens - cached)
+        prefill = uncached * self._policy.choice.prefill
+        known.start(attempt_id, Attempt(now, request.prefixes, prefill))
+
+    def first_token(self, endpoint: str, attempt_id: str, now: Millis) -> None:
+        """Note that an attempt's answer has begun; a repeat changes nothing."""
+        known = self._endpoints.get(endpoint)
+        attempt = known.attempts.get(attempt_id) if known else None
+        if attempt is None or attempt.first_token is not None:
+            return
+        attempt.first_token = now
+        known.awaiting.pop(attempt_id, None)
+        known.last_progress = now
+        known.concurrency.observe_first_token(
+            now - attempt.started, attempt.prefill, known.in_flight, now
+        )
+        # It has just computed this prompt, which no cache event told yet.
+        for prefix in attempt.prefixes:
+            self._hints.cached(endpoint, prefix.hash, now)
+
+    def finished(
+        self, endpoint: str, attempt_id: str, outcome: Outcome, now: Millis
+    ) -> Ejected | None:
+        """Note how an attempt ended; a repeat changes nothing.
+
+        Returns
+        -------
+        Ejected or None
+            The ejection that this outcome led to.
+        """
+        known = self._endpoints.get(endpoint)
+        attempt = known.end(attempt_id, now) if known else None
+        if attempt is None:
+            return None
+        match outcome:
+            case Answered(tokens):
+                known.last_progress = now
+                self._learn_answer(known, attempt, tokens, now)
+                self._ejector.observe_success(endpoint)
+            case Failed() | TimedOut():
+                return self._learn_failure(known, now)
+            case Refused():
+                known.concurrency.observe_refusal(now)
+            case Cancelled():
+                pass
+        return None
+
+    def load_reported(self, endpoint: str, report: LoadReport, now: Millis) -> None:
+        """Take in a load report."""
+        known = self._endpoints.get(endpoint)
+        if known is None:
+            return
+        before = known.others
+        known.report(report, now)
+        self._others += known.others - before
+        self._means.others = self._others / len(self._endpoints)
+
+    def prefix_cached(self, endpoint: str, prefix_hash: int, now: Millis) -> None:
+        """Take in a cache event."""
+        if endpoint in self._endpoints:
+            self._hints.cached(endpoint, prefix_hash, now)
+
+    def prefix_evicted(self, endpoint: str, prefix_hash: int) -> None:
+        """Take in the event of an eviction."""
+        self._hints.evicted(endpoint, prefix_hash)
+
+    def tick(self, now: Millis) -> tuple[Ejected, ...]:
+        """Look for slow and stuck endpoints; call it about once a second."""
+        self._refresh(now)
+        usual = self._median_pace()
+        found = [self._judge(endpoint, usual, now) for endpoint in self._eligible]
+        ejected = tuple(one for one in found if one is not None)
+        self._refresh(now)
+        return ejected
+
+    def _candidates(
+        self, request: RouteRequest, draws: tuple[float, float], now: Millis
+    ) -> list[Endpoint]:
+        drawn = list(draw_two(self._eligible, request, draws))
+        holders = self._hints.holders(request.prefixes, now)
+        if not holders:
+            return drawn
+        holder = self._endpoints.get(holders[int(draws[1] * len(holders))])
+        if holder is not None and self._may_take(holder, request):
+            drawn.append(holder)
+        return drawn
+
+    def _may_take(self, endpoint: Endpoint, request: RouteRequest) -> bool:
+        if endpoint.leaving or endpoint.name in request.exclude:
+            return False
+        return endpoint.has_room and not self._ejector.is_ejected(endpoint.name)
+
+    def _none_available(self, request: RouteRequest, draw: float) -> NoneAvailable:
+        answer = self._means.pace * self._means.tokens
+        retry_after = int(_SHORTEST_RETRY + answer * (0.5 + draw))
+        return NoneAvailable(self._why_none(request), retry_after)
+
+    def _why_none(self, request: RouteRequest) -> Unavailable:
+        if not self._endpoints:
+            return Unavailable.NO_ENDPOINTS
+        if all(endpoint.leaving for endpoint in self._endpoints.values()):
+            return Unavailable.ALL_LEAVING
+        if all(endpoint.name in request.exclude for endpoint in self._eligible):
+            return Unavailable.ALL_EXCLUDED
+        return Unavailable.ALL_FULL
+
+    def _learn_answer(
+        self, endpoint: Endpoint, attempt: Attempt, tokens: int, now: Millis
+    ) -> None:
+        if attempt.first_token is None or tokens < 2:
+            return
+        pace = max(_LEAST_PACE, (now - attempt.first_token) / (tokens - 1))
+        endpoint.observe_pace(pace)
+        means = self._means
+        means.pace += _ANSWER_SMOOTHING * (pace - means.pace)
+        means.tokens += _ANSWER_SMOOTHING * (tokens - means.tokens)
+
+    def _learn_failure(self, endpoint: Endpoint, now: Millis) -> Ejected | None:
+        size = len(self._endpoints)
+        ejected = self._ejector.observe_failure(endpoint.name, size, now)
+        if ejected is not None:
+            self._after_ejection(endpoint)
+            self._refresh(now)
+        return ejected
+
+    def _judge(self, endpoint: Endpoint, usual: float, now: Millis) -> Ejected | None:
+        policy = self._policy.ejection
+        if endpoint.silent_for(now) >= policy.stuck_after:
+            cause = EjectionCause.STUCK
+        elif self._is_slow(endpoint, usual):
+            cause = EjectionCause.SLOW
+        else:
+            return None
+        size = len(self._endpoints)
+        ejected = self._ejector.eject(endpoint.name, cause, size, now)
+        if ejected is not None:
+            self._after_ejection(endpoint)
+        return ejected
+
+    def _median_pace(self) -> float:
+        paces = [one.pace for one in self._eligible if one.pace is not None]
+        return median(paces) if paces else self._means.pace
+
+    def _is_slow(self, endpoint: Endpoint, usual: float) -> bool:
+        policy = self._policy.ejection
+        if endpoint.pace is None or endpoint.pace_samples < policy.min_samples:
+            return False
+        return endpoint.pace > policy.slow_ratio * usual
+
+    def _after_ejection(self, endpoint: Endpoint) -> None:
+        # It comes back with one request at a time, and is judged by what it
+        # does then, not by what it did before.
+        endpoint.concurrency.restart()
+        endpoint.forget_pace()
+
+    def _refresh(self, now: Millis) -> None:
+        for name in self._ejector.returned(now):
+            self._endpoints[name].last_progress = now
+        ejected = self._ejector.ejected
+        self._eligible = [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if not endpoint.leaving and endpoint.name not in ejected
+        ]
+        self._next_return = self._ejector.next_return
