Accept, spread and follow configurations upward only

Cause: a revision number alone does not name a content. A store restored from an older copy gives numbers out a second time, a lost answer hides whose edit took effect, and a poller that is behind but calls itself fresh keeps all the others from looking. Heads therefore carry a random edit id and the chain of edits before it; each edit leaves a row of its own in the same transaction; freshness counts only for a mark that the hearer already holds. Ruled out: trusting a conflict after a lost answer (the repeat meets its own row); contents stored once before the first try (the property found a store restored in between: an accepted head whose contents nobody had, hence contents are stored before each try); writing over another line's lower head (it would take an accepted edit back, so that is an alarm for people).

--- /dev/null
+++ b/src/azurefold/core/configuration/sections.py
@@ -0,0 +1,116 @@
+"""Sections of a configuration, each stored under the hash of its content.
+
+A change touches one service or one organisation, so it sends one small section
+instead of the whole text. Organisations are spread over a fixed number of
+chunks by hash: at 8,200 of them a chunk holds 32, about 4 KB.
+"""
+
+import hashlib
+import json
+from collections.abc import Mapping
+from typing import Any
+
+__all__ = [
+    "N_CHUNKS",
+    "Sections",
+    "assemble",
+    "canonical_bytes",
+    "content_hash",
+    "split",
+]
+
+N_CHUNKS = 256
+"""Chunks of organisations. A different number re-sends all of them once."""
+
+_SERVICE = "service"
+_ORGANISATIONS = "organisations"
+
+Sections = dict[str, bytes]
+"""Canonical content of each section by its name."""
+
+
+def canonical_bytes(value: Any) -> bytes:
+    """Return the one spelling of plain JSON values.
+
+    Examples
+    --------
+    >>> canonical_bytes({"b": 1, "a": "é"}) == b'{"a":"\\xc3\\xa9","b":1}'
+    True
+    """
+    text = json.dumps(
+        value,
+        sort_keys=True,
+        separators=(",", ":"),
+        ensure_ascii=False,
+        allow_nan=False,
+    )
+    return text.encode("utf-8")
+
+
+def content_hash(data: bytes) -> str:
+    """Return the SHA-256 of ``data`` in hexadecimal digits."""
+    return hashlib.sha256(data).hexdigest()
+
+
+def split(raw: Mapping[str, Any], n_chunks: int = N_CHUNKS) -> Sections:
+    """Split plain JSON values of a configuration into sections.
+
+    Parameters
+    ----------
+    raw : mapping
+        With the keys ``services`` and ``organisations``, both by name.
+    n_chunks : int, default=256
+        Chunks over which the organisations are spread.
+
+    Returns
+    -------
+    dict of str to bytes
+        An empty chunk has no section.
+
+    Examples
+    --------
+    >>> sorted(split({"services": {"bookings": {}}, "organisations": {}}))
+    ['service/bookings']
+    """
+    sections = {
+        f"{_SERVICE}/{name}": canonical_bytes(service)
+        for name, service in raw["services"].items()
+    }
+    chunks: dict[int, dict[str, Any]] = {}
+    for name, organisation in raw["organisations"].items():
+        chunks.setdefault(_chunk_of(name, n_chunks), {})[name] = organisation
+    for number, chunk in chunks.items():
+        sections[f"{_ORGANISATIONS}/{number}"] = canonical_bytes(chunk)
+    return sections
+
+
+def assemble(sections: Mapping[str, bytes]) -> dict[str, Any]:
+    """Put sections together again.
+
+    Raises
+    ------
+    ValueError
+        If a section has an unknown name or is not JSON.
+
+    Examples
+    --------
+    >>> raw = {"services": {"a": {"x": 1}}, "organisations": {"o": {}}}
+    >>> assemble(split(raw)) == raw
+    True
+    """
+    services: dict[str, Any] = {}
+    organisations: dict[str, Any] = {}
+    for name, data in sections.items():
+        kind, _, rest = name.partition("/")
+        if kind == _SERVICE:
+            services[rest] = json.loads(data)
+        elif kind == _ORGANISATIONS:
+            organisations.update(json.loads(data))
+        else:
+            raise ValueError(f"no section of a configuration is named {name!r}")
+    return {"services": services, "organisations": organisations}
+
+
+def _chunk_of(name: str, n_chunks: int) -> int:
+    digest = hashlib.sha256(name.encode("utf-8")).digest()
+    return int.from_bytes(digest[:8], "big") % n_chunks
--- /dev/null
+++ b/src/azurefold/platform/configuration_store.py
@@ -0,0 +1,210 @@
+"""The accepted configuration in the platform's table and object store.
+
+Three kinds of rows, written in one transaction: the mark, which is small and is
+what pollers read; the head with all hashes; and one row for each edit, by which
+an operator whose answer was lost learns whose edit got the revision.
+"""
+
+from dataclasses import dataclass
+
+from azurefold.core.configuration.acceptance import (
+    Event,
+    Lost,
+    NotDone,
+    Refused,
+    TookEffect,
+)
+from azurefold.core.configuration.head import (
+    NO_HEAD,
+    Head,
+    Mark,
+    decode_head,
+    decode_mark,
+    encode,
+)
+from azurefold.core.configuration.messages import PlatformPolled, PollFailed
+from azurefold.core.configuration.sections import Sections
+from azurefold.platform.client import PlatformClient
+from azurefold.platform.messages import (
+    Condition,
+    Conflict,
+    Missing,
+    ObjectBytes,
+    Put,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+    Written,
+)
+
+__all__ = ["Base", "ConfigurationStore", "configuration_store"]
+
+_MARK = "configuration/mark"
+_HEAD = "configuration/head"
+_EDIT = "configuration/edit/"
+_EDITS_KEPT = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Base:
+    """What an edit builds upon.
+
+    Parameters
+    ----------
+    head : Head
+        The accepted head; ``NO_HEAD`` if there is none yet.
+    version : int or None
+        Version of the mark's row, the condition of the next write.
+    """
+
+    head: Head
+    version: int | None
+
+
+class ConfigurationStore:
+    """Reads and writes of the configuration's rows and objects.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        The platform's service.
+    """
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    def poll(self) -> PlatformPolled | PollFailed:
+        """Read the mark, for a follower."""
+        read = self._client.read([_MARK])
+        if isinstance(read, Unavailable):
+            return PollFailed()
+        row = read.rows.get(_MARK)
+        if row is None:
+            return PlatformPolled(None, None)
+        try:
+            return PlatformPolled(decode_mark(row.value), row.version)
+        except ValueError:
+            return PollFailed()
+
+    def read_base(self) -> Base | Unavailable:
+        """Read head and mark from one moment."""
+        read = self._client.read([_MARK, _HEAD])
+        if isinstance(read, Unavailable):
+            return read
+        if _MARK not in read.rows or _HEAD not in read.rows:
+            return Base(NO_HEAD, None)
+        try:
+            head = decode_head(read.rows[_HEAD].value)
+        except ValueError as error:
+            return Unavailable(f"the head's row is damaged: {error}")
+        return Base(head, read.rows[_MARK].version)
+
+    def read_sections(self, head: Head) -> Sections | Unavailable:
+        """Read the contents of all sections of ``head``."""
+        read = self.read_contents(tuple(head.sections.values()))
+        if isinstance(read, Unavailable):
+            return read
+        return {name: read[hashed] for name, hashed in head.sections.items()}
+
+    def read_contents(self, hashes: tuple[str, ...]) -> dict[str, bytes] | Unavailable:
+        """Read contents by their hashes."""
+        contents = {}
+        for hashed in hashes:
+            match self._client.get_object(hashed):
+                case ObjectBytes(data=data):
+                    contents[hashed] = data
+                case Missing():
+                    return Unavailable(f"no content is stored under {hashed}")
+                case Unavailable() as unavailable:
+                    return unavailable
+        return contents
+
+    def put_contents(self, contents: list[bytes]) -> Unavailable | None:
+        """Store contents, before any head that names them."""
+        for data in contents:
+            result = self._client.put_object(data)
+            if isinstance(result, Unavailable):
+                return result
+        return None
+
+    def submit(self, head: Head, version: int | None) -> Event:
+        """Try to make ``head`` the accepted one.
+
+        Parameters
+        ----------
+        head : Head
+            Its contents are stored already.
+        version : int or None
+            Version of the mark's row that it is built upon.
+        """
+        match self._client.write(_transaction(head, version)):
+            case Written():
+                return TookEffect()
+            case Conflict(rows=rows):
+                return self._refused(head, rows)
+            case Unknown():
+                return self._read_back(head)
+            case Unavailable(reason=reason):
+                return NotDone(reason)
+
+    def edit_of(self, revision: int) -> str | Unavailable:
+        """Return the id of the edit that got ``revision``, or ``""``."""
+        key = f"{_EDIT}{revision}"
+        read = self._client.read([key])
+        if isinstance(read, Unavailable):
+            return read
+        row = read.rows.get(key)
+        return row.value if row is not None else ""
+
+    def write_back(self, head: Head, sections: Sections, version: int | None) -> bool:
+        """Put ``head`` back over an older copy; return whether it took effect.
+
+        A lost answer counts as no effect: the next look tells.
+        """
+        if self.put_contents(list(sections.values())) is not None:
+            return False
+        return isinstance(self._client.write(_transaction(head, version)), Written)
+
+    def _read_back(self, head: Head) -> Event:
+        # An absent row proves nothing: a slow write may still land. The same
+        # transaction is then handed in again.
+        edit_id = self.edit_of(head.revision)
+        if edit_id == head.edit_id:
+            return TookEffect()
+        if isinstance(edit_id, Unavailable) or not edit_id:
+            return Lost()
+        polled = self.poll()
+        present = polled.mark if isinstance(polled, PlatformPolled) else None
+        return Refused(present, edit_id)
+
+    def _refused(self, head: Head, rows: dict[str, Row]) -> Event:
+        # Only a row that is there proves whose edit got the revision. If it
+        # cannot be read now, the write counts as doubtful and is tried again.
+        edit_id = self.edit_of(head.revision)
+        if isinstance(edit_id, Unavailable):
+            return Lost()
+        present = _mark_in(rows)
+        return Refused(present, edit_id)
+
+
+def configuration_store(client: PlatformClient) -> ConfigurationStore:
+    """Return the configuration's part of the platform."""
+    return ConfigurationStore(client)
+
+
+def _transaction(head: Head, version: int | None) -> Transaction:
+    puts = (
+        Put(_MARK, encode(head.mark)),
+        Put(_HEAD, encode(head)),
+        Put(f"{_EDIT}{head.revision}", head.edit_id),
+    )
+    pruned = (f"{_EDIT}{head.revision - _EDITS_KEPT}",)
+    return Transaction((Condition(_MARK, version),), puts, pruned)
+
+
+def _mark_in(rows: dict[str, Row]) -> Mark | None:
+    try:
+        return decode_mark(rows[_MARK].value)
+    except (KeyError, ValueError):
+        return None
