Decide membership: joined records, two homes, gossip with repair

The platform's list of VMs lags by a minute and its table may be down, so endpoints report themselves to two control processes (rendezvous hash), which pass changes on and repair what was missed. A record is a join-semilattice; leaving only rises within an incarnation, and silence is a counter, odd while taken for dead, so a home that hears an endpoint undoes another one's mistake without asking the endpoint. The list of VMs is kept apart from the records.

Ruled out: believing a declaration against heartbeats that arrive (the endpoint flaps), one home (one control's pause decides), putting loads into gossip (at 390 endpoints the changes alone would exceed 2 KB/s a node).

--- /dev/null
+++ b/src/azurefold/wire/messages.py
@@ -0,0 +1,168 @@
+"""Membership's messages as datagrams: compact arrays, read with care.
+
+The structs here are the border: they check types and ranges, and turn into
+the data classes of :mod:`azurefold.core.membership.messages` inside. Only
+controls and endpoints that hold a key get this far; what remains are faults
+of another version of the program.
+"""
+
+from typing import Annotated
+
+import msgspec
+
+from azurefold.core.membership import messages as core
+from azurefold.core.membership.endpoints import Endpoint, Role, State
+
+__all__ = ["MalformedError", "decode_message", "encode_message"]
+
+_Hash = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Port = Annotated[int, msgspec.Meta(ge=0, le=2**16 - 1)]
+_Text = Annotated[str, msgspec.Meta(max_length=255)]
+_Address = Annotated[str, msgspec.Meta(max_length=255, pattern=r"^[^\s:].*:\d{1,5}$")]
+_Rank = Annotated[int, msgspec.Meta(ge=-1, le=2**31)]
+_MAX_ENTRIES = 1_024
+
+
+class MalformedError(ValueError):
+    """Bytes that are no message; the receiver drops and counts them."""
+
+
+class _Wire(msgspec.Struct, array_like=True, frozen=True):
+    pass
+
+
+class _Record(_Wire):
+    name: _Text
+    incarnation: _Count
+    address: _Address
+    udp_port: _Port
+    role: Role
+    service: _Text
+    rank: _Rank
+    version: _Count
+    announced: State
+    load: _Count
+    departing: bool
+    silence: _Count
+
+
+class _Heartbeat(_Wire, tag=0):
+    version: _Count
+    announced: State
+    load: _Count
+    controls: _Hash
+    reply_wanted: bool
+
+
+class _Announcement(_Wire, tag=1):
+    record: _Record
+    controls: _Hash
+
+
+class _Probe(_Wire, tag=2):
+    pass
+
+
+class _Reply(_Wire, tag=3):
+    controls: Annotated[tuple[_Address, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
+    announcement_wanted: bool
+
+
+class _Records(_Wire, tag=4):
+    records: Annotated[tuple[_Record, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
+
+
+class _Digest(_Wire, tag=5):
+    buckets: Annotated[tuple[_Hash, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
+
+
+class _Summary(_Wire, tag=6):
+    bucket: _Hash
+    entries: Annotated[
+        tuple[tuple[_Hash, _Hash], ...], msgspec.Meta(max_length=_MAX_ENTRIES)
+    ]
+
+
+class _Want(_Wire, tag=7):
+    names: Annotated[tuple[_Hash, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
+
+
+_AnyWire = (
+    _Heartbeat | _Announcement | _Probe | _Reply | _Records | _Digest | _Summary | _Want
+)
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_AnyWire)
+
+
+def encode_message(message: core.Message) -> bytes:
+    """Return a message's payload, to be sealed."""
+    return _ENCODER.encode(_to_wire(message))
+
+
+def decode_message(payload: bytes) -> core.Message:
+    """Return the message that ``payload`` holds.
+
+    Raises
+    ------
+    MalformedError
+        For whatever is wrong with the bytes; nothing else is raised.
+    """
+    try:
+        return _from_wire(_DECODER.decode(payload))
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise MalformedError(str(error)) from error
+
+
+def _to_wire(message: core.Message) -> _AnyWire:
+    match message:
+        case core.Heartbeat(version, announced, load, controls, reply_wanted):
+            return _Heartbeat(version, announced, load, controls, reply_wanted)
+        case core.Announcement(record, controls):
+            return _Announcement(_record_to_wire(record), controls)
+        case core.Probe():
+            return _Probe()
+        case core.Reply(controls, announcement_wanted):
+            return _Reply(controls, announcement_wanted)
+        case core.Records(records):
+            return _Records(tuple(map(_record_to_wire, records)))
+        case core.Digest(buckets):
+            return _Digest(buckets)
+        case core.Summary(bucket, entries):
+            pairs = tuple((entry.name, entry.fingerprint) for entry in entries)
+            return _Summary(bucket, pairs)
+        case core.Want(names):
+            return _Want(names)
+
+
+def _from_wire(message: _AnyWire) -> core.Message:
+    match message:
+        case _Heartbeat():
+            return core.Heartbeat(*_values(message))
+        case _Announcement():
+            return core.Announcement(_record(message.record), message.controls)
+        case _Probe():
+            return core.Probe()
+        case _Reply():
+            return core.Reply(*_values(message))
+        case _Records():
+            return core.Records(tuple(map(_record, message.records)))
+        case _Digest():
+            return core.Digest(message.buckets)
+        case _Summary():
+            entries = tuple(core.SummaryEntry(*pair) for pair in message.entries)
+            return core.Summary(message.bucket, entries)
+        case _Want():
+            return core.Want(message.names)
+
+
+def _record_to_wire(record: Endpoint) -> _Record:
+    return _Record(*(getattr(record, name) for name in _Record.__struct_fields__))
+
+
+def _record(record: _Record) -> Endpoint:
+    return Endpoint(*_values(record))
+
+
+def _values(message: _Wire) -> tuple:
+    return msgspec.structs.astuple(message)
