Balance experts by shares first and small paying moves second

Cause: popularity drifts while all ranks wait for the slowest, and a full re-pack for each drift fetches nearly every weight again. Now replicas share an expert's load like water over their ranks, which fetches nothing, and single moves (replicate, swap, drop) follow only while the gain over the life of the drift exceeds their cost at the time of day.

Ruled out: new shares alone, and even shares.

--- /dev/null
+++ b/src/azurefold/core/balance/explain.py
@@ -0,0 +1,107 @@
+"""A proposal as text for operators."""
+
+import math
+from collections.abc import Iterator
+
+from azurefold.core.balance.moves import Drop, Move, Replicate, Swap, weight_loads
+from azurefold.core.balance.proposal import JudgedMove, LayerProposal, Proposal
+
+__all__ = ["explain"]
+
+_POPULAR_SHOWN = 8
+_RANKS_SHOWN = 8
+
+
+def explain(proposal: Proposal) -> str:
+    """Return popularity, load for each rank, moves taken and moves left, as text.
+
+    Parameters
+    ----------
+    proposal : Proposal
+        What was decided.
+    """
+    return "\n".join(_lines(proposal)) + "\n"
+
+
+def _lines(proposal: Proposal) -> Iterator[str]:
+    yield (
+        f"weight loads: {proposal.loads_used} of {proposal.loads_allowed} "
+        f"in this interval; {_price_now(proposal.move_factor)}"
+    )
+    for straggler in proposal.stragglers:
+        yield (
+            f"rank {straggler.rank} is slow as such: {straggler.slowdown:.2f} times "
+            f"the median time per token, since {straggler.since} ms"
+        )
+    for layer in proposal.layers:
+        yield ""
+        yield from _layer_lines(layer)
+
+
+def _price_now(factor: float) -> str:
+    if math.isinf(factor):
+        return "moves are forbidden at this time of day"
+    if factor == 1.0:
+        return "moves at their ordinary price"
+    return f"moves are {factor:g} times dearer at this time of day"
+
+
+def _layer_lines(layer: LayerProposal) -> Iterator[str]:
+    yield (
+        f"layer {layer.view.layer}: slowest rank {layer.excess_before:.1%} above the "
+        f"lower bound, {layer.excess_shared:.1%} with new shares alone, "
+        f"{layer.excess_after:.1%} as proposed"
+    )
+    yield f"  most popular: {_popular(layer)}"
+    yield f"  slowest ranks now: {_rank_times(layer)}"
+    if not layer.changed:
+        yield "  no new map"
+    elif not layer.taken:
+        yield "  new shares for the replicas, no weights to load"
+    for judged in layer.taken:
+        yield f"  take: {_judged(judged)}"
+    for judged in layer.not_taken:
+        yield f"  leave: {_judged(judged)}: {judged.reason.value}"
+
+
+def _popular(layer: LayerProposal) -> str:
+    rates = layer.view.rates
+    hosts = layer.view.assignment.placement.hosts
+    order = sorted(range(len(rates)), key=lambda expert: (-rates[expert], expert))
+    return ", ".join(
+        f"expert {expert} {rates[expert]:.0f} tokens/s on {len(hosts[expert])}"
+        for expert in order[:_POPULAR_SHOWN]
+    )
+
+
+def _rank_times(layer: LayerProposal) -> str:
+    speeds = layer.view.speeds
+    before = layer.view.assignment.rank_loads(layer.view.rates)
+    after = layer.assignment.rank_loads(layer.view.rates)
+    order = sorted(range(len(before)), key=lambda r: (-before[r] / speeds[r], r))
+    return ", ".join(
+        f"rank {rank} {before[rank]:.0f} -> {after[rank]:.0f} tokens/s"
+        for rank in order[:_RANKS_SHOWN]
+    )
+
+
+def _judged(judged: JudgedMove) -> str:
+    return (
+        f"{_move(judged.move)}, {weight_loads(judged.move)} weight loads, "
+        f"gain {judged.gain:.2f}, cost {judged.cost:.2f}"
+    )
+
+
+def _move(move: Move) -> str:
+    match move:
+        case Replicate(expert, rank, None):
+            return f"replicate expert {expert} to rank {rank}"
+        case Replicate(expert, rank, evicted):
+            return f"replicate expert {expert} to rank {rank} in place of {evicted}"
+        case Swap(expert, rank, other, other_rank):
+            return (
+                f"swap expert {expert} of rank {rank} "
+                f"with expert {other} of rank {other_rank}"
+            )
+        case Drop(expert, rank):
+            return f"drop the replica of expert {expert} on rank {rank}"
--- /dev/null
+++ b/src/azurefold/core/balance/policy.py
@@ -0,0 +1,113 @@
+"""What a service asks of the balance: weights, windows and limits."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from azurefold.core.clock import SECOND, Millis
+
+__all__ = ["DAY", "BalancePolicy", "MoveWindow", "Split", "move_factor"]
+
+DAY: Millis = 24 * 60 * 60 * SECOND
+_DEFAULT_DRIFT_LIFE: Millis = 30 * 60 * SECOND
+
+
+class Split(Enum):
+    """How the load of an expert is split over its replicas."""
+
+    EVEN = "even"
+    LEVEL = "level"
+
+
+@dataclass(frozen=True, slots=True)
+class MoveWindow:
+    """A part of the day in which moves cost more, such as booking hours.
+
+    Parameters
+    ----------
+    start, end : int
+        Milliseconds since midnight, local to the service; the end is excluded.
+        A window whose end is before its start goes over midnight.
+    factor : float
+        By how much moves are dearer; ``math.inf`` forbids them.
+    """
+
+    start: Millis
+    end: Millis
+    factor: float
+
+    def holds(self, time_of_day: Millis) -> bool:
+        """Return whether ``time_of_day`` lies within the window."""
+        if self.start <= self.end:
+            return self.start <= time_of_day < self.end
+        return time_of_day >= self.start or time_of_day < self.end
+
+
+@dataclass(frozen=True, slots=True)
+class BalancePolicy:
+    """Weights and limits of one service.
+
+    Parameters
+    ----------
+    skew_weight : float
+        Price of one second in which the slowest rank takes twice the ideal time.
+    move_weight : float
+        Price of loading one expert's weights into one slot.
+    windows : tuple of MoveWindow
+        When moves are dearer. Where windows overlap the dearest holds.
+    drift_life : int
+        Milliseconds for which a placement made now is expected to stay useful.
+    max_loads : int
+        Weight loads allowed in one interval, over all layers.
+    interval : int
+        Milliseconds between two decisions.
+    tolerated_excess : float
+        Excess of the slowest rank below which nothing is searched.
+    reshare_gain : float
+        Gain of excess from which new shares alone justify a new map.
+    split : Split
+        How replicas share an expert's load.
+    """
+
+    skew_weight: float
+    move_weight: float
+    windows: tuple[MoveWindow, ...] = ()
+    drift_life: Millis = _DEFAULT_DRIFT_LIFE
+    max_loads: int = 32
+    interval: Millis = 60 * SECOND
+    tolerated_excess: float = 0.01
+    reshare_gain: float = 0.01
+    split: Split = Split.LEVEL
+
+    def __post_init__(self) -> None:
+        """Refuse weights that would make every move, or none, worth while.
+
+        Raises
+        ------
+        ValueError
+            If a weight is negative, or the drift's life is not positive.
+        """
+        if self.skew_weight < 0 or self.move_weight < 0:
+            raise ValueError("skew_weight and move_weight must not be negative")
+        if self.drift_life <= 0:
+            raise ValueError(f"drift_life must be above 0 ms, not {self.drift_life}")
+        if any(window.factor < 1 for window in self.windows):
+            raise ValueError("the factor of a move window must be at least 1")
+
+    @property
+    def price_of_excess(self) -> float:
+        """Price of an excess of 1.0 that lasts for the life of the drift."""
+        return self.skew_weight * self.drift_life / SECOND
+
+
+def move_factor(policy: BalancePolicy, time_of_day: Millis) -> float:
+    """Return by how much moves are dearer at ``time_of_day``.
+
+    Examples
+    --------
+    >>> booking = MoveWindow(start=9 * 3_600_000, end=14 * 3_600_000, factor=20.0)
+    >>> policy = BalancePolicy(1.0, 8.0, windows=(booking,))
+    >>> move_factor(policy, 10 * 3_600_000), move_factor(policy, 15 * 3_600_000)
+    (20.0, 1.0)
+    """
+    factors = [w.factor for w in policy.windows if w.holds(time_of_day % DAY)]
+    return max(factors, default=1.0)
--- /dev/null
+++ b/tests/core/balance/test_bench_runs_at_tiny_size.py
@@ -0,0 +1,15 @@
+"""The benchmark works; its figures are no part of the verdict."""
+
+import json
+
+from bench import balance
+from bench.__main__ import render
+
+
+def test_balance_bench_runs_and_renders():
+    result = balance.run("tiny")
+    names = {row["balancer"] for row in result["rows"]}
+    assert {"never move", "interval re-pack", "threshold re-pack"} <= names
+    assert {target["met"] for target in result["targets"]} <= {"met", "not met"}
+    assert json.loads(json.dumps(result)) == result
+    assert "azurefold, Hinokuni" in render(result)
