Reckon service-level burn from cumulative counts

Cause: operators ask how fast the budget of an objective goes, when it ends and who is hit. Pure functions take cumulative counts by process, organisation and endpoint, and return burn over several windows, the budget left, its end at the rate of the last hour, and the worst organisations and endpoints. A count that falls is a restart and starts from zero; a source that a known process publishes for the first time stood at zero at the sample before.

What a process counted after its last sample before it died is lost, and of a process first met in mid-life what it had counted before.

--- /dev/null
+++ b/src/azurefold/core/objectives/burn.py
@@ -0,0 +1,235 @@
+"""Service-level burn: how fast budgets go, when they end, and who is hit worst."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from azurefold.core.clock import SECOND, Millis
+from azurefold.core.objectives.counts import NOTHING, Counts, History, Observed, Source
+from azurefold.core.objectives.objective import (
+    BURN_WINDOWS,
+    Objective,
+    budget_lasts,
+    budget_left,
+    burn_rate,
+)
+
+__all__ = ["BurnReport", "ObjectiveLog", "Offender", "WindowBurn", "burn_report"]
+
+_OFFENDERS_SHOWN = 5
+_STEADY_WINDOW: Millis = 60 * 60 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class WindowBurn:
+    """Burn within one window.
+
+    Parameters
+    ----------
+    window : int
+        Length in milliseconds.
+    observed : Observed
+        What happened, and how much of the window the samples cover.
+    rate : float or None
+        Burn rate; None when no request came.
+    """
+
+    window: Millis
+    observed: Observed
+    rate: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Offender:
+    """An organisation or endpoint that missed the objective most.
+
+    Parameters
+    ----------
+    name : str
+        Which one.
+    counts : Counts
+        Its requests.
+    rate : float
+        Its own burn rate.
+    share_of_bad : float
+        Its share of all bad requests.
+    """
+
+    name: str
+    counts: Counts
+    rate: float
+    share_of_bad: float
+
+
+@dataclass(frozen=True, slots=True)
+class BurnReport:
+    """All that is to be said of one objective of one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    objective : Objective
+        What is asked for.
+    windows : tuple of WindowBurn
+        Shortest first.
+    period : Observed
+        What happened in the objective's period.
+    budget_left : float
+        Share of the budget left, below 0 if overspent.
+    ends_in : int or None
+        Milliseconds until it ends at the rate of ``ends_window``; None if it
+        does not.
+    ends_window : int
+        The window whose rate is taken to go on.
+    worst_organisations, worst_endpoints : tuple of Offender
+        Those with most bad requests in the period, worst first.
+    """
+
+    service: str
+    objective: Objective
+    windows: tuple[WindowBurn, ...]
+    period: Observed
+    budget_left: float
+    ends_in: Millis | None
+    ends_window: Millis
+    worst_organisations: tuple[Offender, ...]
+    worst_endpoints: tuple[Offender, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Visits:
+    """When a process was sampled last, and the time before that."""
+
+    before: Millis | None
+    last: Millis
+
+
+@dataclass(slots=True)
+class ObjectiveLog:
+    """Samples of all sources for one objective of one service."""
+
+    service: str
+    objective: Objective
+    _histories: dict[Source, History] = field(default_factory=dict)
+    _visits: dict[str, _Visits] = field(default_factory=dict)
+
+    def add(self, source: Source, counts: Counts, now: Millis) -> None:
+        """Take in cumulative counts that ``source`` published.
+
+        A process publishes a source only from its first request on. Of a process
+        that was sampled before, a new source therefore stood at zero then. Without
+        that, the first requests of every organisation on every endpoint, perhaps
+        its only bad ones, would be missing from the report.
+
+        Parameters
+        ----------
+        source : Source
+            Whose counts.
+        counts : Counts
+            Since its process started.
+        now : int
+            When they were read, in milliseconds.
+        """
+        visits = self._visits.setdefault(source.process, _Visits(None, now))
+        if visits.last < now:
+            visits = self._visits[source.process] = _Visits(visits.last, now)
+        history = self._histories.get(source)
+        if history is None:
+            history = self._histories[source] = History()
+            if visits.before is not None:
+                history.add(NOTHING, visits.before)
+        history.add(counts, now)
+
+    def forget(self, now: Millis) -> None:
+        """Drop what is older than the objective's period."""
+        for history in self._histories.values():
+            history.forget(now - self.objective.period)
+
+    def over(self, window: Millis, now: Millis) -> dict[Source, Observed]:
+        """Return what happened within the window that ends ``now``, by source."""
+        return {
+            source: history.over(window, now)
+            for source, history in sorted(self._histories.items())
+        }
+
+
+def burn_report(
+    log: ObjectiveLog, now: Millis, windows: tuple[Millis, ...] = BURN_WINDOWS
+) -> BurnReport:
+    """Return the burn of one objective.
+
+    The end of the budget is reckoned at the rate of the shortest window that is
+    at least an hour long, or else of the longest: over five minutes a single
+    hiccup would foretell the end within the day.
+
+    Parameters
+    ----------
+    log : ObjectiveLog
+        The samples.
+    now : int
+        The present time in milliseconds.
+    windows : tuple of int
+        Lengths in milliseconds.
+
+    Raises
+    ------
+    ValueError
+        If there is no window.
+    """
+    if not windows:
+        raise ValueError("give at least one window to reckon a burn rate over")
+    objective = log.objective
+    burns = tuple(_window_burn(log, window, now) for window in sorted(windows))
+    by_source = log.over(objective.period, now)
+    period = _together(by_source)
+    left = budget_left(period.counts, objective)
+    steady = next((b for b in burns if b.window >= _STEADY_WINDOW), burns[-1])
+    return BurnReport(
+        service=log.service,
+        objective=objective,
+        windows=burns,
+        period=period,
+        budget_left=left,
+        ends_in=budget_lasts(left, steady.rate, objective),
+        ends_window=steady.window,
+        worst_organisations=_worst(by_source, objective, _organisation),
+        worst_endpoints=_worst(by_source, objective, _endpoint),
+    )
+
+
+def _window_burn(log: ObjectiveLog, window: Millis, now: Millis) -> WindowBurn:
+    observed = _together(log.over(window, now))
+    return WindowBurn(window, observed, burn_rate(observed.counts, log.objective))
+
+
+def _together(by_source: dict[Source, Observed]) -> Observed:
+    counts = sum((observed.counts for observed in by_source.values()), NOTHING)
+    covered = max((observed.covered for observed in by_source.values()), default=0)
+    return Observed(counts, covered)
+
+
+def _organisation(source: Source) -> str:
+    return source.organisation
+
+
+def _endpoint(source: Source) -> str:
+    return source.endpoint
+
+
+def _worst(
+    by_source: dict[Source, Observed],
+    objective: Objective,
+    name_of: Callable[[Source], str],
+) -> tuple[Offender, ...]:
+    by_name: dict[str, Counts] = {}
+    for source, observed in by_source.items():
+        name = name_of(source)
+        by_name[name] = by_name.get(name, NOTHING) + observed.counts
+    bad = sum(counts.bad for counts in by_name.values())
+    offenders = [
+        Offender(name, counts, rate, counts.bad / bad)
+        for name, counts in by_name.items()
+        if counts.bad and (rate := burn_rate(counts, objective)) is not None
+    ]
+    offenders.sort(key=lambda offender: (-offender.counts.bad, offender.name))
+    return tuple(offenders[:_OFFENDERS_SHOWN])
--- /dev/null
+++ b/src/azurefold/core/objectives/text.py
@@ -0,0 +1,84 @@
+"""Service-level burn as text for operators."""
+
+from collections.abc import Iterable, Iterator
+
+from azurefold.core.clock import SECOND, Millis
+from azurefold.core.objectives.burn import BurnReport, Offender, WindowBurn
+from azurefold.core.objectives.objective import Objective
+
+__all__ = ["duration", "render_burn"]
+
+_UNITS = ((86_400 * SECOND, "d"), (3_600 * SECOND, "h"), (60 * SECOND, "min"))
+
+
+def render_burn(reports: Iterable[BurnReport]) -> str:
+    """Return the reports as text, one block for each objective."""
+    blocks = ("\n".join(_lines(report)) for report in reports)
+    return "\n\n".join(blocks) + "\n"
+
+
+def _lines(report: BurnReport) -> Iterator[str]:
+    counts = report.period.counts
+    yield f"{report.service}: {_objective(report.objective)}"
+    for burn in report.windows:
+        yield f"  last {duration(burn.window)}: {_burn(burn)}"
+    yield (
+        f"  budget left: {report.budget_left:.1%} "
+        f"({counts.bad} bad of {counts.total} in {duration(report.period.covered)} "
+        f"of {duration(report.objective.period)})"
+    )
+    yield f"  {_end(report)}"
+    yield from _offenders("worst organisations", report.worst_organisations)
+    yield from _offenders("worst endpoints", report.worst_endpoints)
+
+
+def _objective(objective: Objective) -> str:
+    within = ""
+    if objective.threshold is not None:
+        within = f" within {objective.threshold} ms"
+    return f"{objective.kind.value}{within} for {objective.target:.4%}"
+
+
+def _burn(burn: WindowBurn) -> str:
+    if burn.rate is None:
+        return "no requests"
+    counts = burn.observed.counts
+    text = f"burn rate {burn.rate:.2f} ({counts.bad} bad of {counts.total})"
+    if burn.observed.covered < burn.window:
+        text += f", samples cover {duration(burn.observed.covered)} only"
+    return text
+
+
+def _end(report: BurnReport) -> str:
+    at_rate = f"at the rate of the last {duration(report.ends_window)}"
+    if report.ends_in is None:
+        return f"budget does not end {at_rate}"
+    if report.ends_in == 0:
+        return "budget is spent"
+    return f"budget ends in {duration(report.ends_in)} {at_rate}"
+
+
+def _offenders(title: str, offenders: tuple[Offender, ...]) -> Iterator[str]:
+    if not offenders:
+        return
+    yield f"  {title}:"
+    for offender in offenders:
+        yield (
+            f"    {offender.name}: {offender.counts.bad} bad of "
+            f"{offender.counts.total}, burn rate {offender.rate:.2f}, "
+            f"{offender.share_of_bad:.0%} of all bad"
+        )
+
+
+def duration(span: Millis) -> str:
+    """Return a span in its largest fitting unit.
+
+    Examples
+    --------
+    >>> duration(300_000), duration(5_400_000), duration(1_500)
+    ('5 min', '1.5 h', '1.5 s')
+    """
+    for unit, name in _UNITS:
+        if span >= unit:
+            return f"{span / unit:.3g} {name}"
+    return f"{span / SECOND:.3g} s"
