--- a/src/azurefold/agent/buffer.py
+++ b/src/azurefold/agent/buffer.py
@@ -36,6 +36,7 @@
     attempt_id: str
     status: int = 200
     content_type: str = "text/event-stream"
+    readers: int = 0
     _pieces: list[str] = field(default_factory=list)
     _offsets: list[int] = field(default_factory=list)
     _total: int = 0
@@ -87,6 +88,13 @@
         start : int
             Offset in characters.
         """
+        self.readers += 1
+        try:
+            yield from self._lines(start)
+        finally:
+            self.readers -= 1
+
+    def _lines(self, start: int) -> Iterator[bytes]:
         piece = self._piece_at(start)
         offset = start
         head_sent = False
@@ -116,7 +124,10 @@
         piece = len(self._pieces)
         while piece > 0 and self._offsets[piece - 1] >= start:
             piece -= 1
-        if piece > 0 and self._offsets[piece - 1] + len(self._pieces[piece - 1]) > start:
+        if (
+            piece > 0
+            and self._offsets[piece - 1] + len(self._pieces[piece - 1]) > start
+        ):
             piece -= 1
         return piece
 
--- a/src/azurefold/agent/endpoint.py
+++ b/src/azurefold/agent/endpoint.py
@@ -14,10 +14,10 @@
     "EndpointHead",
     "EndpointText",
     "ModelEngine",
-    "NeverSent",
-    "NoSuchStream",
+    "NeverSentError",
+    "NoSuchStreamError",
     "PlainService",
-    "StreamBroke",
+    "StreamBrokeError",
     "call_endpoint",
     "cancel_stream",
     "resume_stream",
@@ -31,15 +31,15 @@
 _JSON = "application/json"
 
 
-class NeverSent(Exception):
+class NeverSentError(Exception):
     """No connection was made, so the call was certainly not run."""
 
 
-class StreamBroke(Exception):
+class StreamBrokeError(Exception):
     """The connection broke or went silent after the call was sent."""
 
 
-class NoSuchStream(Exception):
+class NoSuchStreamError(Exception):
     """The engine does not know the stream, or keeps it no longer."""
 
 
@@ -118,9 +118,9 @@
 
     Raises
     ------
-    NeverSent
+    NeverSentError
         If no connection could be made.
-    StreamBroke
+    StreamBrokeError
         If the answer did not come whole.
     """
     match target:
@@ -137,19 +137,19 @@
 
     Raises
     ------
-    NoSuchStream
+    NoSuchStreamError
         If the engine does not have it.
-    StreamBroke
+    StreamBrokeError
         If the rest did not come whole.
     """
     client = fresh_client(engine.address, _CONNECT_TIMEOUT_MS, _READ_TIMEOUT_MS)
     try:
         response = client.get(f"/v1/streams/{attempt_id}?from={start}")
         if response.status_code == _NOT_FOUND:
-            raise NoSuchStream(attempt_id)
+            raise NoSuchStreamError(attempt_id)
         yield from _engine_events(response)
     except CONNECTION_ERRORS as error:
-        raise StreamBroke(str(error)) from error
+        raise StreamBrokeError(str(error)) from error
     finally:
         client.close()
 
@@ -177,7 +177,7 @@
         pool.return_socket(pool.get_socket())
     except CONNECTION_ERRORS as error:
         client.close()
-        raise NeverSent(str(error)) from error
+        raise NeverSentError(str(error)) from error
     return client
 
 
@@ -195,7 +195,7 @@
             return
         yield from _engine_events(response)
     except CONNECTION_ERRORS as error:
-        raise StreamBroke(str(error)) from error
+        raise StreamBrokeError(str(error)) from error
     finally:
         client.close()
 
@@ -205,7 +205,7 @@
     while True:
         line = response.readline(b"\n")
         if not line:
-            raise StreamBroke("the engine closed the stream before its end")
+            raise StreamBrokeError("the engine closed the stream before its end")
         if not line.startswith(_DATA):
             continue
         event = _decode_event(line[len(_DATA) :])
@@ -222,7 +222,7 @@
         response = client.post(call.path, body=call.body, headers=headers)
         yield from _whole_body(response)
     except CONNECTION_ERRORS as error:
-        raise StreamBroke(str(error)) from error
+        raise StreamBrokeError(str(error)) from error
     finally:
         client.close()
 
--- a/src/azurefold/agent/runner.py
+++ b/src/azurefold/agent/runner.py
@@ -12,10 +12,10 @@
     EndpointHead,
     EndpointText,
     ModelEngine,
-    NeverSent,
-    NoSuchStream,
+    NeverSentError,
+    NoSuchStreamError,
     PlainService,
-    StreamBroke,
+    StreamBrokeError,
     call_endpoint,
     cancel_stream,
     resume_stream,
@@ -57,6 +57,11 @@
     clock: Clock
     _buffers: dict[str, AnswerBuffer] = field(default_factory=dict)
 
+    @property
+    def readers(self) -> int:
+        """Entries that are reading an answer just now."""
+        return sum(buffer.readers for buffer in self._buffers.values())
+
     def dispatch(
         self,
         call: EndpointCall,
@@ -116,7 +121,7 @@
         stream = resume_stream(engine, attempt_id, 0)
         try:
             head = next(stream)
-        except (NoSuchStream, StreamBroke):
+        except (NoSuchStreamError, StreamBrokeError):
             return None
         if self.ledger.phase_of(attempt_id, organisation) is not None:
             return self._buffers.get(attempt_id)
@@ -132,7 +137,7 @@
     ) -> None:
         try:
             self._copy(stream, buffer)
-        except StreamBroke:
+        except StreamBrokeError:
             self._resume(engine, attempt_id, buffer)
         else:
             self._ended(buffer, Phase.DONE)
@@ -140,12 +145,10 @@
     def _run(self, call: EndpointCall, buffer: AnswerBuffer) -> None:
         try:
             self._copy(call_endpoint(self.target, call), buffer)
-        except NeverSent as error:
-            log_event(
-                _log, "endpoint_unreachable", attempt=call.attempt_id, why=error
-            )
+        except NeverSentError as error:
+            log_event(_log, "endpoint_unreachable", attempt=call.attempt_id, why=error)
             self._fail(buffer, "not_run")
-        except StreamBroke as error:
+        except StreamBrokeError as error:
             log_event(_log, "endpoint_broke", attempt=call.attempt_id, why=error)
             self._after_break(call, buffer)
         else:
@@ -165,9 +168,9 @@
             gevent.sleep(_RESUME_PAUSE_MS / _SECOND_MS)
             try:
                 self._copy(resume_stream(engine, attempt_id, buffer.total), buffer)
-            except StreamBroke:
+            except StreamBrokeError:
                 continue
-            except NoSuchStream:
+            except NoSuchStreamError:
                 break
             self._ended(buffer, Phase.DONE)
             return
@@ -179,7 +182,9 @@
                 case EndpointText(offset=offset, text=text):
                     new = text[max(0, buffer.total - offset) :]
                     if offset > buffer.total:
-                        raise StreamBroke("the endpoint skipped part of its answer")
+                        raise StreamBrokeError(
+                            "the endpoint skipped part of its answer"
+                        )
                     if new:
                         buffer.append(new)
                 case EndpointHead(status=status, content_type=content_type):
@@ -187,7 +192,7 @@
                     buffer.content_type = content_type
                 case EndpointEnd(total=total):
                     if total != buffer.total:
-                        raise StreamBroke("the endpoint's answer is not whole")
+                        raise StreamBrokeError("the endpoint's answer is not whole")
                     return
 
     def _ended(self, buffer: AnswerBuffer, phase: Phase) -> None:
--- a/src/azurefold/agent/service.py
+++ b/src/azurefold/agent/service.py
@@ -11,12 +11,13 @@
 from azurefold.agent.endpoint import ModelEngine, PlainService
 from azurefold.agent.heartbeats import Heartbeats, new_heartbeats
 from azurefold.agent.http_api import attempt_routes
+from azurefold.agent.leaving import leave_route
 from azurefold.agent.metrics import AgentMetrics, new_agent_metrics
-from azurefold.agent.orders import serve_orders
 from azurefold.agent.runner import Runner, new_runner
 from azurefold.border.settings import AgentSettings
 from azurefold.core.attempts.ledger import new_ledger
 from azurefold.core.clock import Millis
+from azurefold.core.membership.endpoints import State
 from azurefold.internal.admin_http import AdminViews, admin_server
 from azurefold.internal.clock import monotonic_clock, wall_clock
 from azurefold.internal.http_server import http_server
@@ -27,7 +28,6 @@
     ring_from_settings,
     stop_requested,
 )
-from azurefold.wire.grpc_service import Server, use_gevent
 
 __all__ = ["run_agent"]
 
@@ -37,7 +37,6 @@
 _TICK_MS: Millis = 1_000
 _POLL_MS: Millis = 50
 _DRAIN_TIMEOUT_MS: Millis = 120_000
-_GRACE_MS: Millis = 500
 _LINGER_MS: Millis = 1_000
 
 
@@ -48,7 +47,6 @@
     heartbeats: Heartbeats
     entries: WSGIServer
     admin: WSGIServer
-    orders: Server
 
 
 def run_agent(path: str) -> int:
@@ -61,7 +59,6 @@
     """
     settings = load_or_exit(path, AgentSettings)
     configure_logging(settings.endpoint)
-    use_gevent()
     stop = stop_requested()
     agent = _build(settings)
     agent.entries.start()
@@ -81,14 +78,13 @@
     ledger = new_ledger(str(identity.incarnation))
     runner = new_runner(ledger, _target(settings), monotonic_clock())
     metrics = new_agent_metrics(runner)
-    heartbeats = new_heartbeats(settings, identity, runner)
+    heartbeats = new_heartbeats(settings, identity, runner, metrics.rejected)
     return _Agent(
         settings=settings,
         runner=runner,
         heartbeats=heartbeats,
-        entries=_entries_server(settings, identity, runner, metrics),
+        entries=_entries_server(settings, identity, runner, heartbeats, metrics),
         admin=_admin(settings, identity, runner, metrics),
-        orders=serve_orders(settings, identity, runner, heartbeats, metrics),
     )
 
 
@@ -99,10 +95,15 @@
 
 
 def _entries_server(
-    settings: AgentSettings, identity: Identity, runner: Runner, metrics: AgentMetrics
+    settings: AgentSettings,
+    identity: Identity,
+    runner: Runner,
+    heartbeats: Heartbeats,
+    metrics: AgentMetrics,
 ) -> WSGIServer:
     app = falcon.App(middleware=[RequireSignature(identity, metrics.rejected)])
     attempt_routes(app, runner)
+    leave_route(app, identity, runner, heartbeats)
     return http_server(settings.http, app, "azurefold.agent")
 
 
@@ -135,7 +136,7 @@
     """Refuse new work, let what is in flight end and be read, then stop."""
     runner = agent.runner
     runner.ledger.leave()
-    agent.heartbeats.announce()
+    agent.heartbeats.announce(State.LEAVING)
     log_event(_log, "leaving", in_flight=runner.ledger.running)
     left = _DRAIN_TIMEOUT_MS
     while (runner.ledger.running or runner.readers) and left > 0:
@@ -145,11 +146,8 @@
     # over a new connection.
     gevent.sleep(_LINGER_MS / _SECOND_MS)
     cut_off = runner.ledger.running
-    agent.heartbeats.announce()
+    agent.heartbeats.announce(State.GONE)
     agent.entries.stop(timeout=1)
     agent.admin.stop(timeout=1)
-    agent.orders.stop(_GRACE_MS)
     log_event(_log, "stopped", cut_off=cut_off)
     return 1 if cut_off else 0
-
-
--- a/src/azurefold/border/settings.py
+++ b/src/azurefold/border/settings.py
@@ -74,6 +74,9 @@
     control: Address = Field(
         description=f"gRPC address of the control process beside it: {_ADDRESS}"
     )
+    control_name: Name = Field(
+        description="the name in the settings of the control process beside it"
+    )
     platform: _Addresses = Field(description=_PLATFORM)
     platform_timeout_ms: Milliseconds = Field(
         default=1_000, description="milliseconds for one request to the platform"
@@ -137,6 +140,9 @@
     )
     http: Address = Field(description=f"where entries come: {_ADDRESS}")
     grpc: Address = Field(description=f"where orders come: {_ADDRESS}")
+    udp: Address = Field(
+        description=f"where datagrams come, on the IP number of http: {_ADDRESS}"
+    )
     engine: Address = Field(description=f"the engine or plain service: {_ADDRESS}")
     engine_honours_fence: bool = Field(
         default=False, description="true if the engine refuses an old fence, or false"
--- /dev/null
+++ b/src/azurefold/control/configuration.py
@@ -0,0 +1,223 @@
+"""Follows the accepted configuration and passes it on to peers."""
+
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from azurefold.control.peers import Peers
+from azurefold.core.clock import Clock, Millis
+from azurefold.core.configuration.follower import Follower
+from azurefold.core.configuration.head import NO_HEAD, Head, Mark, decode_head, encode
+from azurefold.core.configuration.messages import (
+    Action,
+    Alarm,
+    Announce,
+    Apply,
+    FetchFailed,
+    FetchHead,
+    FetchSections,
+    HeadFetched,
+    MarkHeard,
+    MarkNews,
+    Peer,
+    Platform,
+    PollNow,
+    SectionsFetched,
+    Source,
+    Tick,
+    WriteBack,
+)
+from azurefold.core.configuration.messages import Event as FollowerEvent
+from azurefold.core.configuration.sections import assemble
+from azurefold.core.membership.messages import Send
+from azurefold.internal.logs import log_event
+from azurefold.platform.configuration_store import Base, ConfigurationStore
+from azurefold.platform.messages import Unavailable
+from azurefold.wire.grpc_caller import CallError
+from azurefold.wire.orders import (
+    METHOD_GET_HEAD,
+    METHOD_GET_SECTIONS,
+    GetHead,
+    GetSections,
+    HeadReply,
+    SectionsReply,
+)
+from azurefold.wire.seal import Opened
+
+__all__ = ["ConfigurationLoop"]
+
+_log = logging.getLogger("azurefold.control")
+
+_SECOND_MS = 1_000
+_TICK_MS: Millis = 200
+_FETCH_TIMEOUT_MS: Millis = 1_000
+_NEAR_FANOUT = 3
+_FAR_FANOUT = 1
+_GOSSIP_MS: Millis = 1_000
+
+
+@dataclass(slots=True)
+class ConfigurationLoop:
+    """Feeds the follower with events and carries out what it wants done."""
+
+    follower: Follower
+    store: ConfigurationStore
+    peers: Peers
+    clock: Clock
+    draw: random.Random
+    send: Callable[[list[Send]], None]
+    live: Callable[[], frozenset[str]]
+    changed: Event = field(default_factory=Event)
+    applied_at: Millis = 0
+    _raw: bytes = b""
+
+    @property
+    def revision(self) -> int:
+        """The revision in force here; 0 if there is none."""
+        return self.follower.head.revision
+
+    @property
+    def raw(self) -> bytes:
+        """The configuration in force as JSON."""
+        return self._raw
+
+    def run(self) -> None:
+        """Tick for ever; now and then tell some peers what is held here."""
+        told_at = self.clock.now()
+        while True:
+            gevent.sleep(_TICK_MS / _SECOND_MS)
+            now = self.clock.now()
+            self._handle(Tick(self.live(), self.draw.random()))
+            if now - told_at >= _GOSSIP_MS:
+                told_at = now
+                age = self.follower.age_ms(now)
+                self._announce(Announce(self.follower.head.mark, age))
+
+    def receive(self, news: MarkNews, sender: str) -> None:
+        """Take what a peer says of the head that it holds."""
+        self._handle(MarkHeard(news.mark, Peer(sender), news.age_ms))
+
+    def give_head(self, request: GetHead, sender: Opened) -> HeadReply:
+        """Answer a peer that asks for the head."""
+        head = self.follower.head
+        return HeadReply(encode(head) if head.revision else "")
+
+    def give_sections(self, request: GetSections, sender: Opened) -> SectionsReply:
+        """Answer a peer that asks for contents."""
+        return SectionsReply(self.follower.contents_of(request.hashes))
+
+    def _handle(self, event: FollowerEvent) -> None:
+        for action in self.follower.handle(event, self.clock.now()):
+            self._carry_out(action)
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case PollNow():
+                gevent.spawn(self._poll)
+            case FetchHead(source=source, mark=mark):
+                gevent.spawn(self._fetch_head, source, mark)
+            case FetchSections(source=source, hashes=hashes):
+                gevent.spawn(self._fetch_sections, source, hashes)
+            case Apply():
+                self._apply(action)
+            case Announce():
+                self._announce(action)
+            case Alarm(kind=kind, held=held, heard=heard):
+                log_event(
+                    _log,
+                    "configuration_alarm",
+                    logging.ERROR,
+                    kind=kind.name.lower(),
+                    held=held.revision,
+                    heard=heard.revision,
+                )
+            case WriteBack():
+                gevent.spawn(self._write_back, action)
+
+    def _poll(self) -> None:
+        self._handle(self.store.poll())
+
+    def _fetch_head(self, source: Source, mark: Mark) -> None:
+        head = self._head_from(source, mark)
+        if head is None:
+            self._handle(FetchFailed(source))
+        else:
+            self._handle(HeadFetched(head, source))
+
+    def _head_from(self, source: Source, mark: Mark) -> Head | None:
+        match source:
+            case Platform():
+                base = self.store.read_base()
+                return base.head if isinstance(base, Base) else None
+            case Peer(name=name):
+                reply = self._ask(
+                    name, METHOD_GET_HEAD, GetHead(mark.revision), HeadReply
+                )
+                return _parsed_head(reply)
+
+    def _fetch_sections(self, source: Source, hashes: tuple[str, ...]) -> None:
+        contents = self._contents_from(source, hashes)
+        if contents is None:
+            self._handle(FetchFailed(source))
+        else:
+            self._handle(SectionsFetched(contents, source))
+
+    def _contents_from(
+        self, source: Source, hashes: tuple[str, ...]
+    ) -> dict[str, bytes] | None:
+        match source:
+            case Platform():
+                read = self.store.read_contents(hashes)
+                return None if isinstance(read, Unavailable) else read
+            case Peer(name=name):
+                request = GetSections(hashes)
+                reply = self._ask(name, METHOD_GET_SECTIONS, request, SectionsReply)
+                return reply.contents if reply else None
+
+    def _ask(self, name: str, method: str, request: object, kind: type) -> object:
+        caller = self.peers.caller(name)
+        if caller is None:
+            return None
+        try:
+            return caller.call(method, request, kind, _FETCH_TIMEOUT_MS)
+        except CallError as error:
+            log_event(_log, "peer_failed", peer=name, why=error)
+            return None
+
+    def _apply(self, action: Apply) -> None:
+        self._raw = msgspec.json.encode(assemble(action.sections))
+        self.applied_at = self.clock.now()
+        log_event(_log, "revision_applied", revision=action.head.revision)
+        self.changed.set()
+        self.changed.clear()
+
+    def _announce(self, action: Announce) -> None:
+        if action.mark == NO_HEAD.mark:
+            return
+        news = MarkNews(action.mark, action.age_ms)
+        chosen = _some(self.draw, self.peers.near, _NEAR_FANOUT)
+        chosen += _some(self.draw, self.peers.far, _FAR_FANOUT)
+        self.send([Send(to, news) for to in chosen])
+
+    def _write_back(self, action: WriteBack) -> None:
+        done = self.store.write_back(action.head, action.sections, action.over_version)
+        log_event(_log, "written_back", revision=action.head.revision, took_effect=done)
+
+
+def _parsed_head(reply: HeadReply | None) -> Head | None:
+    if reply is None or not reply.head:
+        return None
+    try:
+        return decode_head(reply.head)
+    except ValueError as error:
+        log_event(_log, "bad_head", logging.ERROR, why=error)
+        return None
+
+
+def _some(draw: random.Random, of: list[str], most: int) -> list[str]:
+    return draw.sample(of, min(most, len(of)))
--- /dev/null
+++ b/src/azurefold/control/service.py
@@ -0,0 +1,229 @@
+"""Puts a control process together and runs it until it is told to stop."""
+
+import logging
+import random
+from dataclasses import dataclass
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from azurefold.border.settings import ControlSettings
+from azurefold.control.configuration import ConfigurationLoop
+from azurefold.control.drains import Drains
+from azurefold.control.membership import MembershipLoop
+from azurefold.control.metrics import ControlMetrics, new_control_metrics
+from azurefold.control.peers import new_peers
+from azurefold.control.watch import EntryWatch
+from azurefold.core.clock import Millis
+from azurefold.core.configuration.follower import FollowerPolicy, follower
+from azurefold.core.configuration.messages import MarkNews
+from azurefold.core.membership.directory import Directory
+from azurefold.core.membership.endpoints import Endpoint, Role, State
+from azurefold.core.membership.messages import Send, Source
+from azurefold.internal.admin_http import AdminViews, admin_server
+from azurefold.internal.clock import monotonic_clock, wall_clock
+from azurefold.internal.http_server import split_address
+from azurefold.internal.identity import Identity, process_identity
+from azurefold.internal.logs import configure_logging, log_event
+from azurefold.internal.process import (
+    load_or_exit,
+    ring_from_settings,
+    stop_requested,
+)
+from azurefold.platform.client import PlatformClient, platform_client
+from azurefold.platform.configuration_store import configuration_store
+from azurefold.wire.grpc_service import (
+    Server,
+    StreamHandler,
+    UnaryHandler,
+    serve,
+    use_gevent,
+)
+from azurefold.wire.messages import AnyMessage
+from azurefold.wire.orders import (
+    METHOD_DRAIN,
+    METHOD_GET_HEAD,
+    METHOD_GET_SECTIONS,
+    DrainRequest,
+    GetHead,
+    GetSections,
+)
+from azurefold.wire.snapshot import METHOD_WATCH, WatchRequest
+from azurefold.wire.udp import DatagramPort, datagram_port
+
+__all__ = ["run_control"]
+
+_log = logging.getLogger("azurefold.control")
+
+_VM_LIST_MS: Millis = 10_000
+_GRACE_MS: Millis = 500
+_WORKERS = 64
+
+
+@dataclass(slots=True)
+class _Control:
+    settings: ControlSettings
+    identity: Identity
+    platform: PlatformClient
+    membership: MembershipLoop
+    configuration: ConfigurationLoop
+    metrics: ControlMetrics
+    watch: EntryWatch
+    port: DatagramPort | None = None
+    stopping: bool = False
+
+    def send(self, sends: list[Send]) -> None:
+        """Send datagrams."""
+        self.port.send(sends)
+
+    def receive(self, message: AnyMessage, source: Source) -> list[Send]:
+        """Hand a datagram whose seal was good to whom it concerns."""
+        if isinstance(message, MarkNews):
+            self.configuration.receive(message, source.name)
+            return []
+        return self.membership.receive(message, source)
+
+
+def run_control(path: str) -> int:
+    """Take part in control with the settings in ``path`` until SIGTERM.
+
+    Returns
+    -------
+    int
+        0.
+    """
+    settings = load_or_exit(path, ControlSettings)
+    configure_logging(settings.name)
+    use_gevent()
+    stop = stop_requested()
+    control = _build(settings)
+    server = _serve_grpc(control)
+    admin = _admin(control)
+    control.port.start()
+    admin.start()
+    gevent.spawn(control.membership.run)
+    gevent.spawn(control.membership.watch_vms, control.platform, _VM_LIST_MS)
+    gevent.spawn(control.configuration.run)
+    log_event(_log, "started", name=settings.name, grpc=settings.grpc)
+    stop.wait()
+    return _stop(control, server, admin)
+
+
+def _build(settings: ControlSettings) -> _Control:
+    clock, wall = monotonic_clock(), wall_clock()
+    identity = process_identity(settings.name, ring_from_settings(settings.keys), wall)
+    draw = random.Random(identity.incarnation)
+    platform = platform_client(settings.platform, settings.platform_timeout_ms)
+    peers = new_peers(identity, settings.data_centre, settings.peers)
+    directory = Directory(_own(settings, identity), clock.now(), tuple(peers.near))
+    metrics = new_control_metrics()
+
+    def send(sends: list[Send]) -> None:
+        control.port.send(sends)
+
+    membership = MembershipLoop(directory, clock, draw, send)
+    policy = FollowerPolicy(poll_interval_ms=settings.poll_interval_ms)
+    configuration = ConfigurationLoop(
+        follower(settings.name, settings.data_centre, policy),
+        configuration_store(platform),
+        peers,
+        clock,
+        draw,
+        send,
+        membership.live_controls,
+    )
+    metrics.show(configuration, membership)
+    watch = EntryWatch(configuration, membership)
+    control = _Control(
+        settings, identity, platform, membership, configuration, metrics, watch
+    )
+    control.port = datagram_port(
+        settings.udp,
+        identity.ring,
+        identity.sealer,
+        control.receive,
+        lambda reason: metrics.rejected.labels(reason=str(reason)).inc(),
+        lambda reason: metrics.not_sent.labels(reason=str(reason)).inc(),
+        identity.guard,
+    )
+    return control
+
+
+def _own(settings: ControlSettings, identity: Identity) -> Endpoint:
+    return Endpoint(
+        name=settings.name,
+        incarnation=identity.incarnation,
+        address=settings.grpc,
+        udp_port=split_address(settings.udp)[1],
+        role=Role.CONTROL,
+        version=1,
+        announced=State.SERVING,
+    )
+
+
+def _serve_grpc(control: _Control) -> Server:
+    configuration = control.configuration
+    drains = Drains(control.identity, control.membership)
+    handlers = (
+        StreamHandler(METHOD_WATCH, WatchRequest, control.watch.handle),
+        UnaryHandler(METHOD_GET_HEAD, GetHead, configuration.give_head),
+        UnaryHandler(METHOD_GET_SECTIONS, GetSections, configuration.give_sections),
+        UnaryHandler(METHOD_DRAIN, DrainRequest, drains.handle),
+    )
+    return serve(
+        control.settings.grpc,
+        handlers,
+        control.identity.ring,
+        lambda reason: control.metrics.rejected.labels(reason=str(reason)).inc(),
+        sealer=control.identity.sealer,
+        guard=control.identity.guard,
+        clock=control.identity.wall,
+        workers=_WORKERS,
+    )
+
+
+def _admin(control: _Control) -> WSGIServer:
+    views = AdminViews(
+        registry=control.metrics.registry,
+        is_ready=lambda: control.configuration.revision > 0 and not control.stopping,
+        status=lambda: _status(control),
+    )
+    return admin_server(control.settings.metrics, views, "azurefold.control")
+
+
+def _status(control: _Control) -> dict[str, object]:
+    head = control.configuration.follower.head
+    alarms = control.configuration.follower.alarms
+    return {
+        "role": "control",
+        "name": control.settings.name,
+        "data_centre": control.settings.data_centre,
+        "revision": head.revision,
+        "edit_id": head.edit_id,
+        "alarms": sorted(alarm.kind.name.lower() for alarm in alarms),
+        "platform_age_ms": control.configuration.follower.age_ms(
+            control.membership.clock.now()
+        ),
+        "live_controls": sorted(control.membership.live_controls()),
+        "endpoints": [
+            {
+                "name": shown.record.name,
+                "service": shown.record.service,
+                "state": shown.state.name.lower(),
+                "load": shown.load,
+            }
+            for shown in control.membership.directory.snapshot()
+        ],
+    }
+
+
+def _stop(control: _Control, server: Server, admin: WSGIServer) -> int:
+    control.stopping = True
+    control.membership.directory.leave(control.membership.clock.now())
+    control.send(control.membership.directory.tick(control.membership.clock.now(), 0))
+    control.watch.close()
+    server.stop(_GRACE_MS)
+    admin.stop(timeout=1)
+    control.port.stop()
+    log_event(_log, "stopped", name=control.settings.name)
+    return 0
--- /dev/null
+++ b/src/azurefold/control/watch.py
@@ -0,0 +1,59 @@
+"""Tells the entry beside this process what changes."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import Event
+
+from azurefold.control.configuration import ConfigurationLoop
+from azurefold.control.membership import MembershipLoop
+from azurefold.core.clock import Millis
+from azurefold.wire.seal import Opened
+from azurefold.wire.snapshot import EndpointInfo, SnapshotUpdate, WatchRequest
+
+__all__ = ["EntryWatch"]
+
+_SECOND_MS = 1_000
+_STREAM_MS: Millis = 55_000
+_GATHER_MS: Millis = 50
+_LOOK_MS: Millis = 1_000
+
+
+@dataclass(slots=True)
+class EntryWatch:
+    """Yields updates while the entry listens.
+
+    Changes that come together are gathered for a moment: after a rack's
+    failure forty endpoints change within a second, and one message each would
+    cost forty times as much as one for all.
+    """
+
+    configuration: ConfigurationLoop
+    membership: MembershipLoop
+    _closed: Event = field(default_factory=Event)
+
+    def close(self) -> None:
+        """End all streams, so that the process can stop."""
+        self._closed.set()
+
+    def handle(self, request: WatchRequest, sender: Opened) -> Iterator[SnapshotUpdate]:
+        """Yield what is new, now and later."""
+        revision = request.revision
+        endpoints: list[EndpointInfo] | None = None
+        left = _STREAM_MS
+        while left > 0 and not self._closed.is_set():
+            present = self.membership.endpoints()
+            newer = self.configuration.revision > revision
+            if newer or present != endpoints:
+                revision = max(revision, self.configuration.revision)
+                raw = self.configuration.raw if newer else None
+                yield SnapshotUpdate(revision, raw, present)
+                endpoints = present
+            left -= _LOOK_MS
+            self._wait()
+
+    def _wait(self) -> None:
+        changes = (self.configuration.changed, self.membership.changed)
+        gevent.wait((*changes, self._closed), timeout=_LOOK_MS / _SECOND_MS, count=1)
+        gevent.sleep(_GATHER_MS / _SECOND_MS)
--- a/src/azurefold/core/attempts/ids.py
+++ b/src/azurefold/core/attempts/ids.py
@@ -4,14 +4,14 @@
 
 from azurefold.core.clock import Millis
 
-__all__ = ["AnswerId", "BadAnswerId", "attempt_id", "minted_at", "parse_answer_id"]
+__all__ = ["AnswerId", "BadAnswerIdError", "attempt_id", "minted_at", "parse_answer_id"]
 
 _SEPARATOR = "~"
 _PARTS = 4
 _TIME_DIGITS = 12
 
 
-class BadAnswerId(ValueError):
+class BadAnswerIdError(ValueError):
     """An answer id that was not given out by azurefold."""
 
 
@@ -84,13 +84,13 @@
 
     Raises
     ------
-    BadAnswerId
+    BadAnswerIdError
         If the text has another form.
     """
     parts = text.split(_SEPARATOR)
     well_formed = len(parts) == _PARTS and all(parts) and parts[3].isdecimal()
     if not well_formed or len(parts[3]) > 12:
-        raise BadAnswerId(
+        raise BadAnswerIdError(
             "send back the id of the last event as it came, "
             "in the form endpoint~incarnation~attempt~offset"
         )
--- a/src/azurefold/core/configuration/messages.py
+++ b/src/azurefold/core/configuration/messages.py
@@ -19,6 +19,7 @@
     "FetchSections",
     "HeadFetched",
     "MarkHeard",
+    "MarkNews",
     "Peer",
     "Platform",
     "PlatformPolled",
@@ -66,6 +67,21 @@
     age_ms: Millis | None
 
 
+@dataclass(frozen=True, slots=True)
+class MarkNews:
+    """What a process tells its peers of the head it has applied.
+
+    Parameters
+    ----------
+    mark : Mark
+    age_ms : int or None
+        As in :class:`MarkHeard`.
+    """
+
+    mark: Mark
+    age_ms: Millis | None
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformPolled:
     """The platform's table was read.
--- a/src/azurefold/entry/agents.py
+++ b/src/azurefold/entry/agents.py
@@ -21,13 +21,13 @@
     RefusedBody,
     SettledBody,
 )
-from azurefold.wire.frames import BadLine, Broken, Head, decode_line
+from azurefold.wire.frames import BadLineError, Broken, Head, decode_line
 
 __all__ = [
     "AgentAddress",
     "Agents",
     "AttemptCall",
-    "Lost",
+    "LostError",
     "NotTaken",
     "Opened",
     "new_agents",
@@ -101,7 +101,7 @@
     reason: str
 
 
-class Lost(Exception):
+class LostError(Exception):
     """The connection broke or went silent."""
 
 
@@ -117,7 +117,7 @@
 
         Raises
         ------
-        Lost
+        LostError
             If something was sent and no answer came.
         """
         path = f"/attempts/{call.attempt_id}"
@@ -144,7 +144,7 @@
 
         Raises
         ------
-        Lost
+        LostError
             If the agent does not answer.
         """
         path = f"/attempts/{attempt_id}?from={offset}"
@@ -160,7 +160,7 @@
 
         Raises
         ------
-        Lost
+        LostError
             If the agent does not answer.
         """
         path = f"/settle/{attempt_id}"
@@ -171,11 +171,11 @@
         try:
             response = client.post(path, headers=headers)
             if response.status_code != _OK:
-                raise Lost(f"status {response.status_code}")
+                raise LostError(f"status {response.status_code}")
             body = msgspec.json.decode(bytes(response.read()), type=SettledBody)
             return Settlement(body.state)
         except (*CONNECTION_ERRORS, msgspec.MsgspecError) as error:
-            raise Lost(str(error)) from error
+            raise LostError(str(error)) from error
         finally:
             client.close()
 
@@ -218,7 +218,7 @@
             if response.status_code != _OK:
                 return _not_taken(response)
         except CONNECTION_ERRORS as error:
-            raise Lost(str(error)) from error
+            raise LostError(str(error)) from error
         running = str(response.get(HEADER_RUNNING, "0"))
         return Opened(_lines(response, attempt_id), int(running))
 
@@ -228,7 +228,7 @@
     try:
         return NotTaken(msgspec.json.decode(data, type=RefusedBody).reason)
     except msgspec.MsgspecError as error:
-        raise Lost(f"status {response.status_code} without a reason") from error
+        raise LostError(f"status {response.status_code} without a reason") from error
 
 
 def _lines(response: object, attempt_id: str) -> Iterator[list[Line]]:
@@ -239,12 +239,12 @@
             while b"\n" in buffered:
                 raw.append(response.readline(b"\n"))
             if not raw[-1]:
-                raise Lost("the agent closed the stream before its end")
+                raise LostError("the agent closed the stream before its end")
             yield [decode_line(attempt_id, line) for line in raw if line != b"\n"]
         except CONNECTION_ERRORS as error:
-            raise Lost(str(error)) from error
-        except BadLine as error:
-            raise Lost(str(error)) from error
+            raise LostError(str(error)) from error
+        except BadLineError as error:
+            raise LostError(str(error)) from error
 
 
 def new_agents(identity: Identity) -> Agents:
--- a/src/azurefold/entry/http_api.py
+++ b/src/azurefold/entry/http_api.py
@@ -17,7 +17,7 @@
 
 from azurefold.core.admission.messages import Priority
 from azurefold.core.attempts.claims import claim_key, request_digest
-from azurefold.core.attempts.ids import AnswerId, BadAnswerId, parse_answer_id
+from azurefold.core.attempts.ids import AnswerId, BadAnswerIdError, parse_answer_id
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Clock, Millis
 from azurefold.entry.agents import Agents
@@ -31,7 +31,7 @@
 from azurefold.entry.metrics import EntryMetrics
 from azurefold.entry.relay import GivenUp, Part, Relay
 from azurefold.entry.requests import (
-    BadRequest,
+    BadRequestError,
     CallerRequest,
     estimated_tokens,
     parse_completion,
@@ -116,7 +116,7 @@
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         answer = _last_event_id(req)
         if answer is None:
-            raise BadRequest(
+            raise BadRequestError(
                 400, "no_last_event_id", "Send the last event's id as Last-Event-ID."
             )
         service = _service_of_endpoint(self.state, answer.endpoint)
@@ -134,12 +134,12 @@
     plain = _PlainCalls(state)
     app.add_route("/services/{name}", plain)
     app.add_route("/services/{name}/{path:path}", plain)
-    app.add_error_handler(BadRequest, _on_bad_request)
+    app.add_error_handler(BadRequestError, _on_bad_request)
     return app
 
 
 def _on_bad_request(
-    req: falcon.Request, resp: falcon.Response, error: BadRequest, params: dict
+    req: falcon.Request, resp: falcon.Response, error: BadRequestError, params: dict
 ) -> None:
     failure = Failure(Ran.NOT_RUN, error.reason, error.detail)
     _give_failure(resp, failure, error.status)
@@ -153,7 +153,7 @@
     with gevent.Timeout(limits.body_timeout_ms / _SECOND_MS, False):
         body = _read_up_to(req, largest + 1)
     if body is None:
-        raise BadRequest(408, "slow_body", "The body did not come in time.")
+        raise BadRequestError(408, "slow_body", "The body did not come in time.")
     if len(body) > largest:
         raise _too_large(largest)
     return body
@@ -168,7 +168,7 @@
         try:
             piece = req.env["wsgi.input"].read(wanted)
         except OSError as error:
-            raise BadRequest(400, "bad_body", "The body broke off.") from error
+            raise BadRequestError(400, "bad_body", "The body broke off.") from error
         if not piece:
             break
         pieces.append(piece)
@@ -176,8 +176,8 @@
     return b"".join(pieces)
 
 
-def _too_large(largest: int) -> BadRequest:
-    return BadRequest(
+def _too_large(largest: int) -> BadRequestError:
+    return BadRequestError(
         413, "body_too_large", f"Send a body of at most {largest} bytes."
     )
 
@@ -186,7 +186,9 @@
     service = state.services.find(name)
     if service is None or service.view.is_model is not is_model:
         kind = "model service" if is_model else "plain service"
-        raise BadRequest(404, "unknown_service", f"There is no {kind} of this name.")
+        raise BadRequestError(
+            404, "unknown_service", f"There is no {kind} of this name."
+        )
     return service
 
 
@@ -194,7 +196,9 @@
     for service in state.services.all():
         if endpoint in service.view.endpoints:
             return service
-    raise BadRequest(404, "unknown_answer", "No service has this answer's endpoint.")
+    raise BadRequestError(
+        404, "unknown_answer", "No service has this answer's endpoint."
+    )
 
 
 def _caller_request(
@@ -208,7 +212,7 @@
 ) -> CallerRequest:
     key = req.get_header("Idempotency-Key")
     if key is not None and not 0 < len(key) <= _MAX_KEY_LENGTH:
-        raise BadRequest(
+        raise BadRequestError(
             400, "bad_idempotency_key", f"Send a key of 1 to {_MAX_KEY_LENGTH} letters."
         )
     return CallerRequest(
@@ -229,11 +233,13 @@
 def _organisation(state: EntryState, req: falcon.Request) -> str:
     organisation = req.get_header("Azurefold-Organisation")
     if organisation is None:
-        raise BadRequest(
+        raise BadRequestError(
             401, "no_organisation", "Name your organisation in Azurefold-Organisation."
         )
     if organisation not in state.services.organisations:
-        raise BadRequest(403, "unknown_organisation", "This organisation is not known.")
+        raise BadRequestError(
+            403, "unknown_organisation", "This organisation is not known."
+        )
     return organisation
 
 
@@ -243,7 +249,7 @@
     if text is None:
         return default
     if text not in _PRIORITIES:
-        raise BadRequest(
+        raise BadRequestError(
             400, "bad_priority", f"Send one of {', '.join(_PRIORITIES)} as priority."
         )
     return max(default, _PRIORITIES[text])
@@ -254,7 +260,7 @@
     if text is None:
         return default
     if not text.isdecimal() or not 0 < int(text[:12]) <= _MAX_DEADLINE_MS:
-        raise BadRequest(
+        raise BadRequestError(
             400,
             "bad_timeout",
             f"Send a whole number from 1 to {_MAX_DEADLINE_MS} milliseconds.",
@@ -267,7 +273,7 @@
     if text is None:
         return default
     if text not in _TRUTHS:
-        raise BadRequest(
+        raise BadRequestError(
             400, "bad_idempotent", "Send true or false as Azurefold-Idempotent."
         )
     return _TRUTHS[text]
@@ -279,8 +285,8 @@
         return None
     try:
         return parse_answer_id(text)
-    except BadAnswerId as error:
-        raise BadRequest(400, "bad_last_event_id", str(error)) from error
+    except BadAnswerIdError as error:
+        raise BadRequestError(400, "bad_last_event_id", str(error)) from error
 
 
 def _answer(
@@ -377,5 +383,3 @@
     return Failure(
         Ran.NOT_RUN, "draining", "This entry is stopping; send it to another.", 1_000
     )
-
-
--- a/src/azurefold/entry/metrics.py
+++ b/src/azurefold/entry/metrics.py
@@ -38,9 +38,7 @@
         """Count a frame that was not passed on."""
         self.dropped_frames.labels(reason=reason).inc()
 
-    def observed(
-        self, request: CallerRequest, parts: Iterator[Part]
-    ) -> Iterator[Part]:
+    def observed(self, request: CallerRequest, parts: Iterator[Part]) -> Iterator[Part]:
         """Yield an answer's parts and note when they came and how it ended."""
         started = self.clock.now()
         last = None
--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -26,9 +26,7 @@
 from azurefold.core.attempts.frames import (
     Assembler,
     Dropped,
-    End,
     Finished,
-    Frame,
     Gap,
     Passed,
     Spoiled,
@@ -40,7 +38,6 @@
 from azurefold.core.routing.messages import (
     Answered,
     Cancelled,
-    Chosen,
     Failed,
     LoadReport,
     Outcome,
@@ -51,7 +48,7 @@
     AgentAddress,
     Agents,
     AttemptCall,
-    Lost,
+    LostError,
     NotTaken,
     Opened,
 )
@@ -117,7 +114,7 @@
 Part = Announced | AnswerHead | Text | Whole | GivenUp
 
 
-class _LostMidway(Exception):
+class _LostMidwayError(Exception):
     """The stream has to be taken up again from the next offset."""
 
 
@@ -280,7 +277,7 @@
         log_event(_log, "dispatch", attempt=attempt_id, endpoint=agent.endpoint)
         try:
             opened = self.agents.dispatch(agent, call)
-        except Lost as error:
+        except LostError as error:
             log_event(_log, "connection_lost", attempt=attempt_id, why=error)
             return ConnectionLost()
         if isinstance(opened, NotTaken):
@@ -301,7 +298,7 @@
             return self.agents.resume(
                 self._agent, self.attempt_id, self.request.organisation, offset
             )
-        except Lost:
+        except LostError:
             return ConnectionLost()
 
     def _no_text(self) -> Event:
@@ -319,7 +316,7 @@
             state = self.agents.settle(
                 self._agent, self.attempt_id, self.request.organisation
             )
-        except Lost:
+        except LostError:
             return AgentSilent()
         log_event(_log, "settled", attempt=self.attempt_id, state=state)
         return SettledAs(state)
@@ -338,10 +335,8 @@
                     event = yield from self._line(assembler, line)
                     if event is not None:
                         return event if isinstance(event, Event) else None
-        except (Lost, _LostMidway) as error:
-            log_event(
-                _log, "connection_lost", attempt=assembler.attempt_id, why=error
-            )
+        except (LostError, _LostMidwayError) as error:
+            log_event(_log, "connection_lost", attempt=assembler.attempt_id, why=error)
         return ConnectionLost()
 
     def _line(self, assembler: Assembler, line: object) -> Iterator[Part]:
@@ -358,7 +353,7 @@
             case Dropped(reason=reason):
                 self.on_drop(reason)
             case Gap():
-                raise _LostMidway("a part of the answer is missing")
+                raise _LostMidwayError("a part of the answer is missing")
             case Spoiled(detail=detail):
                 log_event(_log, "spoiled", attempt=assembler.attempt_id, why=detail)
                 return EndpointFailed(Ran.UNKNOWN)
--- a/src/azurefold/entry/requests.py
+++ b/src/azurefold/entry/requests.py
@@ -8,13 +8,13 @@
 from azurefold.core.attempts.ids import AnswerId
 from azurefold.core.clock import Millis
 
-__all__ = ["BadRequest", "CallerRequest", "CompletionBody", "parse_completion"]
+__all__ = ["BadRequestError", "CallerRequest", "CompletionBody", "parse_completion"]
 
 _CHARACTERS_PER_TOKEN = 4
 _MAX_TOKENS = 100_000
 
 
-class BadRequest(Exception):
+class BadRequestError(Exception):
     """A request that cannot be understood.
 
     Parameters
@@ -92,17 +92,17 @@
 
     Raises
     ------
-    BadRequest
+    BadRequestError
         If the body is not JSON of the expected form.
     """
     try:
         completion = _decode_completion(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise BadRequest(
+        raise BadRequestError(
             400, "bad_body", f"Send a JSON object with model and prompt: {error}."
         ) from error
     if not 0 < completion.max_tokens <= _MAX_TOKENS:
-        raise BadRequest(
+        raise BadRequestError(
             400, "bad_max_tokens", f"Send max_tokens between 1 and {_MAX_TOKENS}."
         )
     return completion
--- a/src/azurefold/entry/watcher.py
+++ b/src/azurefold/entry/watcher.py
@@ -13,7 +13,7 @@
 from azurefold.core.configuration.model import Priority as ServicePriority
 from azurefold.entry.services import EndpointView, Services, ServiceView
 from azurefold.internal.logs import log_event
-from azurefold.wire.grpc_caller import CallError, Caller
+from azurefold.wire.grpc_caller import Caller, CallError
 from azurefold.wire.snapshot import METHOD_WATCH, SnapshotUpdate, WatchRequest
 
 __all__ = ["Watcher"]
@@ -47,9 +47,7 @@
 
     def _watch(self) -> None:
         request = WatchRequest(self.services.revision)
-        updates = self.control.stream(
-            METHOD_WATCH, request, SnapshotUpdate, _STREAM_MS
-        )
+        updates = self.control.stream(METHOD_WATCH, request, SnapshotUpdate, _STREAM_MS)
         for update in updates:
             self._apply(update)
 
--- a/src/azurefold/internal/http_server.py
+++ b/src/azurefold/internal/http_server.py
@@ -69,7 +69,7 @@
         Shown in logs of errors.
     """
     logger = logging.getLogger(name)
-    server = WSGIServer(
+    return WSGIServer(
         split_address(address),
         application,
         handler_class=_Handler,
@@ -77,4 +77,3 @@
         error_log=logger,
         backlog=1_024,
     )
-    return server
--- a/src/azurefold/wire/frames.py
+++ b/src/azurefold/wire/frames.py
@@ -9,7 +9,7 @@
 from azurefold.core.attempts.frames import End, Frame
 
 __all__ = [
-    "BadLine",
+    "BadLineError",
     "Broken",
     "Head",
     "decode_line",
@@ -20,7 +20,7 @@
 ]
 
 
-class BadLine(ValueError):
+class BadLineError(ValueError):
     """A line that is no frame."""
 
 
@@ -94,13 +94,13 @@
 
     Raises
     ------
-    BadLine
+    BadLineError
         If the line is no frame.
     """
     try:
         message = _decode(line)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise BadLine(f"a line from an agent is no frame: {error}") from error
+        raise BadLineError(f"a line from an agent is no frame: {error}") from error
     match message:
         case _Text(offset=offset, text=text):
             return Frame(attempt_id, offset, text)
--- a/src/azurefold/wire/messages.py
+++ b/src/azurefold/wire/messages.py
@@ -10,10 +10,14 @@
 
 import msgspec
 
+from azurefold.core.configuration.head import Mark
+from azurefold.core.configuration.messages import MarkNews
 from azurefold.core.membership import messages as core
 from azurefold.core.membership.endpoints import Endpoint, Role, State
 
-__all__ = ["MalformedError", "decode_message", "encode_message"]
+__all__ = ["AnyMessage", "MalformedError", "decode_message", "encode_message"]
+
+AnyMessage = core.Message | MarkNews
 
 _Hash = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -88,19 +92,34 @@
     names: Annotated[tuple[_Hash, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
 
 
+class _MarkNews(_Wire, tag=8):
+    revision: _Count
+    edit_id: _Text
+    digest: _Text
+    age_ms: _Count | None
+
+
 _AnyWire = (
-    _Heartbeat | _Announcement | _Probe | _Reply | _Records | _Digest | _Summary | _Want
+    _Heartbeat
+    | _Announcement
+    | _Probe
+    | _Reply
+    | _Records
+    | _Digest
+    | _Summary
+    | _Want
+    | _MarkNews
 )
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(_AnyWire)
 
 
-def encode_message(message: core.Message) -> bytes:
+def encode_message(message: AnyMessage) -> bytes:
     """Return a message's payload, to be sealed."""
     return _ENCODER.encode(_to_wire(message))
 
 
-def decode_message(payload: bytes) -> core.Message:
+def decode_message(payload: bytes) -> AnyMessage:
     """Return the message that ``payload`` holds.
 
     Raises
@@ -114,7 +133,7 @@
         raise MalformedError(str(error)) from error
 
 
-def _to_wire(message: core.Message) -> _AnyWire:
+def _to_wire(message: AnyMessage) -> _AnyWire:
     match message:
         case core.Heartbeat(version, announced, load, controls, reply_wanted):
             return _Heartbeat(version, announced, load, controls, reply_wanted)
@@ -133,9 +152,11 @@
             return _Summary(bucket, pairs)
         case core.Want(names):
             return _Want(names)
+        case MarkNews(mark, age_ms):
+            return _MarkNews(mark.revision, mark.edit_id, mark.digest, age_ms)
 
 
-def _from_wire(message: _AnyWire) -> core.Message:
+def _from_wire(message: _AnyWire) -> AnyMessage:
     match message:
         case _Heartbeat():
             return core.Heartbeat(*_values(message))
@@ -154,6 +175,9 @@
             return core.Summary(message.bucket, entries)
         case _Want():
             return core.Want(message.names)
+        case _MarkNews():
+            mark = Mark(message.revision, message.edit_id, message.digest)
+            return MarkNews(mark, message.age_ms)
 
 
 def _record_to_wire(record: Endpoint) -> _Record:
--- a/src/azurefold/wire/udp.py
+++ b/src/azurefold/wire/udp.py
@@ -6,8 +6,13 @@
 from gevent import socket as gevent_socket
 from gevent.server import DatagramServer
 
-from azurefold.core.membership.messages import Message, Send, Source
-from azurefold.wire.messages import MalformedError, decode_message, encode_message
+from azurefold.core.membership.messages import Send, Source
+from azurefold.wire.messages import (
+    AnyMessage,
+    MalformedError,
+    decode_message,
+    encode_message,
+)
 from azurefold.wire.seal import (
     KeyRing,
     Reason,
@@ -20,7 +25,7 @@
 
 __all__ = ["DatagramPort", "SendFailure", "datagram_port"]
 
-OnMessage = Callable[[Message, Source], list[Send]]
+OnMessage = Callable[[AnyMessage, Source], list[Send]]
 OnReject = Callable[[Reason], None]
 
 
@@ -56,6 +61,7 @@
         self._on_send_failure = on_send_failure
         self._address = _address_text(server_socket.getsockname())
         self._server = DatagramServer(server_socket, self._receive)
+        self._open = True
 
     @property
     def address(self) -> str:
@@ -67,12 +73,15 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Close the port."""
+        """Close the port; what is sent from then on is dropped."""
+        self._open = False
         self._server.stop()
         self._server.close()
 
     def send(self, sends: list[Send]) -> None:
         """Seal and send datagrams; those that cannot be sent are counted."""
+        if not self._open:
+            return
         for each in sends:
             payload = encode_message(each.message)
             data = seal(payload, self._ring, self._sealer, audience=each.to)
--- a/src/azurefold_standins/engine.py
+++ b/src/azurefold_standins/engine.py
@@ -225,9 +225,7 @@
             case "hold_before":
                 return lockstep.hold_before(number, order.step, order.fence)
             case "use_from":
-                return lockstep.use_from(
-                    number, order.step, order.map_id, order.fence
-                )
+                return lockstep.use_from(number, order.step, order.map_id, order.fence)
             case "release":
                 return lockstep.release(number, order.fence)
         raise falcon.HTTPBadRequest(description=f"unknown order {order.kind!r}")
--- /dev/null
+++ b/src/azurefold_standins/operator.py
@@ -0,0 +1,89 @@
+"""An operator of a test site: accepts configurations and watches processes."""
+
+import json
+import uuid
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from geventhttpclient import HTTPClient
+
+from azurefold.border.configuration import parse_configuration
+from azurefold.core.configuration.acceptance import TookEffect
+from azurefold.core.configuration.head import next_head
+from azurefold.core.configuration.sections import content_hash, split
+from azurefold.internal.http_client import CONNECTION_ERRORS
+from azurefold.internal.http_server import split_address
+from azurefold.platform.client import platform_client
+from azurefold.platform.configuration_store import Base, configuration_store
+from azurefold_standins.processes import wait_until
+from azurefold_standins.site import Site
+
+__all__ = ["Page", "accept", "fetch", "status", "wait_ready"]
+
+_TIMEOUT_S = 10.0
+_TIMEOUT_MS = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """An answer to a plain GET; status 0 where none came."""
+
+    status: int
+    body: bytes = b""
+
+
+def fetch(address: str, path: str, method: str = "GET", body: bytes = b"") -> Page:
+    """Send one request to a process."""
+    host, port = split_address(address)
+    client = HTTPClient(
+        host, port, connection_timeout=_TIMEOUT_S, network_timeout=_TIMEOUT_S
+    )
+    try:
+        response = client.request(method, path, body)
+        return Page(response.status_code, bytes(response.read()))
+    except CONNECTION_ERRORS:
+        return Page(0)
+    finally:
+        client.close()
+
+
+def status(site: Site, name: str) -> dict:
+    """Return a process's ``/status``, empty where it does not answer."""
+    page = fetch(site.address(name, "metrics"), "/status")
+    return json.loads(page.body) if page.status == 200 else {}
+
+
+def accept(site: Site, configuration: dict) -> int:
+    """Have a configuration accepted, and return its revision."""
+    model = parse_configuration("site.jsonc", json.dumps(configuration))
+    contents = split(model.to_raw())
+    store = configuration_store(
+        platform_client(site.address("platform", "http"), _TIMEOUT_MS)
+    )
+    wait_until(lambda: isinstance(store.read_base(), Base), "the platform answers")
+    base = store.read_base()
+    if store.put_contents(list(contents.values())) is not None:
+        raise RuntimeError("the platform did not take the configuration")
+    hashes = {name: content_hash(data) for name, data in contents.items()}
+    head = next_head(base.head, uuid.uuid4().hex, hashes)
+    if not isinstance(store.submit(head, base.version), TookEffect):
+        raise RuntimeError("the configuration was not accepted")
+    return head.revision
+
+
+def wait_ready(site: Site, names: Iterable[str] = ()) -> None:
+    """Wait until entries know their configuration and all endpoints near them."""
+    for name in names or site.entries:
+        wait_until(lambda name=name: _is_ready(site, name), f"{name} is ready")
+
+
+def _is_ready(site: Site, name: str) -> bool:
+    shown = status(site, name)
+    known = {
+        endpoint
+        for service in shown.get("services", {}).values()
+        for endpoint in service["endpoints"]
+    }
+    near = site.data_centre_of(name)
+    wanted = {e.name for e in site.layout.endpoints if e.data_centre == near}
+    return wanted <= known and shown.get("revision", 0) > 0
--- a/tests/border/test_settings.py
+++ b/tests/border/test_settings.py
@@ -15,7 +15,7 @@
   "data_centre": "fukuoka-hall",
   "listen": "127.0.0.1:8080",
   "metrics": "127.0.0.1:9090",
-  "control": "[::1]:7000",
+  "control": "[::1]:7000", "control_name": "control-1",
   "platform": ["127.0.0.1:6000"],
   "keys": [{"id": "k1", "secret": "0123456789abcdef"}],
 }
@@ -94,6 +94,7 @@
   "endpoint": "drafts-0", "service": "recall-drafts", "rank": 0,
   "data_centre": "fukuoka-hall",
   "http": "127.0.0.1:1", "grpc": "127.0.0.1:2", "metrics": "127.0.0.1:3",
+  "udp": "127.0.0.1:9",
   "engine": "127.0.0.1:4", "keys": [{"id": "k", "secret": "0123456789abcdef"}],
   "controls": [{"name": "c", "udp": "127.0.0.1:5"}],
   "peers": [{"endpoint": "drafts-0", "grpc": "127.0.0.1:6"},
--- a/tests/core/attempts/test_at_most_once.py
+++ b/tests/core/attempts/test_at_most_once.py
@@ -3,11 +3,11 @@
 import pytest
 from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
+from tests.core.attempts.machine import AtMostOnce
 
 from azurefold.core.attempts.course import AgentSilent, Course
 from azurefold.core.attempts.ledger import Ledger, NotRun
 from azurefold.core.attempts.outcome import Ran
-from tests.core.attempts.machine import AtMostOnce
 
 THOROUGH = settings(max_examples=500, stateful_step_count=30)
 BITE = settings(
