--- a/src/azurefold/border/settings.py
+++ b/src/azurefold/border/settings.py
@@ -36,11 +36,12 @@
 _ADDRESS = 'an IP number with a port, "10.0.0.1:80"'
 _NAME = "a name in lower-case letters, digits, dots and dashes"
 _DATA_CENTRE = "the name of the data centre this runs in"
-_KEYS = "a list of keys; the first seals, all of them verify"
+_MOST_KEYS = 8
+_KEYS = "a list of one to eight keys; the first seals, all of them verify"
 _PLATFORM = f"a list of the platform's addresses, each {_ADDRESS}"
 
 _Addresses = Annotated[list[Address], Field(min_length=1)]
-_Keys = Annotated[list[Key], Field(min_length=1)]
+_Keys = Annotated[list[Key], Field(min_length=1, max_length=_MOST_KEYS)]
 
 
 class EntryLimits(BorderModel):
@@ -170,7 +171,9 @@
     controls: list[OperatorControl] = Field(
         default_factory=list, description="the control processes to ask for status"
     )
-    keys: list[Key] = Field(default_factory=list, description=_KEYS)
+    keys: Annotated[list[Key], Field(max_length=_MOST_KEYS)] = Field(
+        default_factory=list, description=f"{_KEYS}; needed for drain only"
+    )
 
 
 _Settings = TypeVar("_Settings", bound=BorderModel)
--- /dev/null
+++ b/src/azurefold/core/configuration/changes.py
@@ -0,0 +1,81 @@
+"""What differs between two configurations, in words for operators."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+__all__ = ["Change", "ChangeKind", "changed_names", "changes"]
+
+_ABSENT = object()
+
+
+class ChangeKind(StrEnum):
+    """What happened to a part."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One part that differs.
+
+    Parameters
+    ----------
+    kind : ChangeKind
+        What happened to it.
+    path : str
+        For example ``services.bookings.limits.timeout_ms``.
+    old, new : object
+        Plain JSON values; ``None`` where there is none.
+    """
+
+    kind: ChangeKind
+    path: str
+    old: Any = None
+    new: Any = None
+
+
+def changes(old: Any, new: Any) -> list[Change]:
+    """Return what turns ``old`` into ``new``, sorted by path.
+
+    Examples
+    --------
+    >>> changes({"a": {"x": 1}}, {"a": {"x": 2}})[0].path
+    'a.x'
+    """
+    return sorted(_walk((), old, new), key=lambda change: change.path)
+
+
+def changed_names(old: Mapping[str, Any], new: Mapping[str, Any]) -> tuple[str, ...]:
+    """Return services and organisations that differ.
+
+    Examples
+    --------
+    >>> old = {"services": {"a": 1}, "organisations": {}}
+    >>> changed_names(old, {"services": {}, "organisations": {"o": 2}})
+    ('organisations.o', 'services.a')
+    """
+    names = set()
+    for kind in ("services", "organisations"):
+        before, after = old.get(kind, {}), new.get(kind, {})
+        for name in before.keys() | after.keys():
+            if before.get(name, _ABSENT) != after.get(name, _ABSENT):
+                names.add(f"{kind}.{name}")
+    return tuple(sorted(names))
+
+
+def _walk(path: tuple[str, ...], old: Any, new: Any) -> Iterator[Change]:
+    where = ".".join(path)
+    if old is _ABSENT:
+        yield Change(ChangeKind.ADDED, where, new=new)
+    elif new is _ABSENT:
+        yield Change(ChangeKind.REMOVED, where, old=old)
+    elif isinstance(old, dict) and isinstance(new, dict):
+        for key in old.keys() | new.keys():
+            before, after = old.get(key, _ABSENT), new.get(key, _ABSENT)
+            yield from _walk((*path, key), before, after)
+    elif old != new:
+        yield Change(ChangeKind.CHANGED, where, old, new)
--- a/src/azurefold/core/configuration/head.py
+++ b/src/azurefold/core/configuration/head.py
@@ -124,8 +124,26 @@
     return 0 <= back < len(head.chain) and head.chain[back] == older.edit_id
 
 
-def next_head(base: Head, edit_id: str, sections: Mapping[str, str]) -> Head:
-    """Return the head that follows ``base``."""
+def next_head(
+    base: Head, edit_id: str, sections: Mapping[str, str], above: int = 0
+) -> Head:
+    """Return the head that follows ``base``.
+
+    Parameters
+    ----------
+    base : Head
+        What it is built upon.
+    edit_id : str
+        Random id of the edit.
+    sections : mapping of str to str
+        Content hash of each section by name.
+    above : int, default=0
+        A revision that processes hold already though the restored store does
+        not: the new one must be higher, or they would not take it.
+    """
+    if above > base.revision:
+        # Numbers are skipped, so places in the chain would name wrong edits.
+        return Head(above + 1, edit_id, dict(sections))
     chain = (base.edit_id, *base.chain) if base.revision else ()
     return Head(base.revision + 1, edit_id, dict(sections), chain[:LONGEST_CHAIN])
 
--- a/src/azurefold/platform/configuration_store.py
+++ b/src/azurefold/platform/configuration_store.py
@@ -5,8 +5,11 @@
 an operator whose answer was lost learns whose edit got the revision.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from azurefold.core.configuration.acceptance import (
     Event,
     Lost,
@@ -38,7 +41,7 @@
     Written,
 )
 
-__all__ = ["Base", "ConfigurationStore", "configuration_store"]
+__all__ = ["Base", "ConfigurationStore", "EditRecord", "configuration_store"]
 
 _MARK = "configuration/mark"
 _HEAD = "configuration/head"
@@ -46,6 +49,24 @@
 _EDITS_KEPT = 10_000
 
 
+class EditRecord(msgspec.Struct, frozen=True):
+    """What an edit leaves behind beside the head.
+
+    Parameters
+    ----------
+    edit_id : str
+        Its random id.
+    changed : tuple of str
+        Services and organisations that it changed.
+    author : str
+        Who made it, as they called themselves.
+    """
+
+    edit_id: str
+    changed: tuple[str, ...] = ()
+    author: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Base:
     """What an edit builds upon.
@@ -128,7 +149,9 @@
                 return result
         return None
 
-    def submit(self, head: Head, version: int | None) -> Event:
+    def submit(
+        self, head: Head, version: int | None, record: EditRecord | None = None
+    ) -> Event:
         """Try to make ``head`` the accepted one.
 
         Parameters
@@ -137,8 +160,11 @@
             Its contents are stored already.
         version : int or None
             Version of the mark's row that it is built upon.
+        record : EditRecord, optional
+            What to note of the edit for colleagues whose base it changes.
         """
-        match self._client.write(_transaction(head, version)):
+        record = record or EditRecord(head.edit_id)
+        match self._client.write(_transaction(head, version, record)):
             case Written():
                 return TookEffect()
             case Conflict(rows=rows):
@@ -150,12 +176,25 @@
 
     def edit_of(self, revision: int) -> str | Unavailable:
         """Return the id of the edit that got ``revision``, or ``""``."""
-        key = f"{_EDIT}{revision}"
-        read = self._client.read([key])
+        records = self.edits([revision])
+        if isinstance(records, Unavailable):
+            return records
+        return records[revision].edit_id if revision in records else ""
+
+    def edits(self, revisions: Sequence[int]) -> dict[int, EditRecord] | Unavailable:
+        """Read what is noted of the edits that made ``revisions``."""
+        read = self._client.read([_edit_key(revision) for revision in revisions])
         if isinstance(read, Unavailable):
             return read
-        row = read.rows.get(key)
-        return row.value if row is not None else ""
+        records = {}
+        for revision in revisions:
+            row = read.rows.get(_edit_key(revision))
+            if row is not None:
+                try:
+                    records[revision] = msgspec.json.decode(row.value, type=EditRecord)
+                except msgspec.MsgspecError as error:
+                    return Unavailable(f"the row of edit {revision}: {error}")
+        return records
 
     def write_back(self, head: Head, sections: Sections, version: int | None) -> bool:
         """Put ``head`` back over an older copy; return whether it took effect.
@@ -164,7 +203,9 @@
         """
         if self.put_contents(list(sections.values())) is not None:
             return False
-        return isinstance(self._client.write(_transaction(head, version)), Written)
+        record = EditRecord(head.edit_id)
+        written = self._client.write(_transaction(head, version, record))
+        return isinstance(written, Written)
 
     def _read_back(self, head: Head) -> Event:
         # An absent row proves nothing: a slow write may still land. The same
@@ -193,16 +234,20 @@
     return ConfigurationStore(client)
 
 
-def _transaction(head: Head, version: int | None) -> Transaction:
+def _transaction(head: Head, version: int | None, record: EditRecord) -> Transaction:
     puts = (
         Put(_MARK, encode(head.mark)),
         Put(_HEAD, encode(head)),
-        Put(f"{_EDIT}{head.revision}", head.edit_id),
+        Put(_edit_key(head.revision), msgspec.json.encode(record).decode()),
     )
-    pruned = (f"{_EDIT}{head.revision - _EDITS_KEPT}",)
+    pruned = (_edit_key(head.revision - _EDITS_KEPT),)
     return Transaction((Condition(_MARK, version),), puts, pruned)
 
 
+def _edit_key(revision: int) -> str:
+    return f"{_EDIT}{revision}"
+
+
 def _mark_in(rows: dict[str, Row]) -> Mark | None:
     try:
         return decode_mark(rows[_MARK].value)
--- a/src/azurefold_standins/platform.py
+++ b/src/azurefold_standins/platform.py
@@ -40,12 +40,15 @@
         How many answers to lose before all is well again; ``None``: no end.
     vm_lag_ms : int, default=0
         Age of the list of VMs that is shown.
+    writes_only : bool, default=False
+        Whether reads are spared from ``down`` and from the latency.
     """
 
     mode: Literal["ok", "down", "slow", "lose_answers"] = "ok"
     latency_ms: int = 0
     count: int | None = None
     vm_lag_ms: int = 0
+    writes_only: bool = False
 
 
 class _SnapshotName(msgspec.Struct):
@@ -58,7 +61,9 @@
     faults: Faults
     clock: object
 
-    def delay_or_refuse(self) -> None:
+    def delay_or_refuse(self, is_write: bool = False) -> None:
+        if self.faults.writes_only and not is_write:
+            return
         if self.faults.latency_ms:
             gevent.sleep(self.faults.latency_ms / 1_000)
         if self.faults.mode == "down":
@@ -85,7 +90,7 @@
         _write_rows(resp, self._state.store.read(keys))
 
     def on_post(self, req, resp):
-        self._state.delay_or_refuse()
+        self._state.delay_or_refuse(is_write=True)
         transaction = _decode(req, Transaction)
         result = self._state.store.write(transaction)
         if self._state.answer_is_lost():
@@ -120,7 +125,7 @@
         resp.data = data
 
     def on_put(self, req, resp, sha256):
-        self._state.delay_or_refuse()
+        self._state.delay_or_refuse(is_write=True)
         self._state.store.put_object(sha256, req.bounded_stream.read())
         if self._state.answer_is_lost():
             _cut(req)
