Keep the records of gone endpoints in a module of their own

It moves to tombstones.py with its reason beside it. Ruled out: moving the handling of messages away, which reads best beside the join. No change of behaviour: the 38 tests of membership pass as before.

--- a/src/azurefold/core/membership/directory.py
+++ b/src/azurefold/core/membership/directory.py
@@ -29,6 +29,7 @@
 )
 from azurefold.core.membership.responsibility import Responsibility
 from azurefold.core.membership.snapshot import Shown
+from azurefold.core.membership.tombstones import Tombstones
 from azurefold.core.membership.vm_list import ListedVm, VmList, record_from_vm
 from azurefold.core.membership.watches import Watches
 
@@ -61,7 +62,6 @@
         self._own_name = own.name
         self._records: dict[str, Endpoint] = {}
         self._loads: dict[str, int] = {}
-        self._gone_since: dict[str, Millis] = {}
         self._revision = 0
         self._controls = Controls(own.udp_address, seeds)
         self._watches = Watches(self._timing, now)
@@ -70,6 +70,7 @@
         )
         self._gossip = Gossip(self._records, self._controls, self._timing, now)
         self._vm_list = VmList()
+        self._tombstones = Tombstones(self._timing.forget_after)
         self._heartbeat_at = now
         self._merge(own, now)
 
@@ -156,7 +157,9 @@
             case Probe():
                 return [Send(source.origin, Announcement(self.own))]
             case Reply():
-                return self._on_reply(message, source)
+                if message.announcement_wanted:
+                    return [Send(source.origin, Announcement(self.own))]
+                return []
 
     def tick(self, now: Millis, draw: int) -> list[Send]:
         """Do what is due; call it each ``Timing.rumour`` ms.
@@ -217,11 +220,6 @@
             return []
         return [Send(source.origin, Reply(self._controls.addresses))]
 
-    def _on_reply(self, message: Reply, source: Source) -> list[Send]:
-        if message.announcement_wanted:
-            return [Send(source.origin, Announcement(self.own))]
-        return []
-
     def _on_records(self, message: Records, source: Source, now: Millis) -> list[Send]:
         newer = []
         for record in message.records:
@@ -231,7 +229,6 @@
         return self._gossip.send_records(newer, source.origin, now)
 
     def _merge(self, record: Endpoint, now: Millis) -> Endpoint | None:
-        """Join ``record`` into the directory and return what is held then."""
         known = self._records.get(record.name)
         if known is None and record.state is State.GONE:
             return None
@@ -255,21 +252,16 @@
             return replace(joined, silence=joined.silence + 1)
         return joined
 
-    def _has_evidence(
-        self, joined: Endpoint, known: Endpoint | None, now: Millis
-    ) -> bool:
-        if known is None or known.incarnation != joined.incarnation:
+    def _has_evidence(self, new: Endpoint, old: Endpoint | None, now: Millis) -> bool:
+        if old is None or old.incarnation != new.incarnation:
             return False
-        return self._watches.heard_lately(joined.name, now)
+        return self._watches.heard_lately(new.name, now)
 
-    def _note_silence(
-        self, known: Endpoint | None, joined: Endpoint, now: Millis
-    ) -> None:
-        if known is None:
+    def _note_silence(self, old: Endpoint | None, new: Endpoint, now: Millis) -> None:
+        if old is None:
             return
-        name = joined.name
-        revived = known.is_silent and not joined.is_silent
-        if joined.incarnation != known.incarnation:
+        name, revived = new.name, old.is_silent and not new.is_silent
+        if new.incarnation != old.incarnation:
             self._watches.forget(name)
             self._loads.pop(name, None)
         elif revived and not self._watches.heard_lately(name, now):
@@ -279,10 +271,7 @@
         self._records[joined.name] = joined
         self._gossip.spread(joined)
         self._revision += 1
-        if joined.state is State.GONE:
-            self._gone_since.setdefault(joined.name, now)
-        else:
-            self._gone_since.pop(joined.name, None)
+        self._tombstones.note(joined, now)
         self._responsibility.take(joined, self._records.values(), now)
 
     def _expire(self, now: Millis) -> list[Send]:
@@ -301,10 +290,7 @@
         return [Send(home, beat) for home in homes]
 
     def _forget_gone(self, now: Millis) -> None:
-        for name, since in list(self._gone_since.items()):
-            if now - since < self._timing.forget_after:
-                continue
-            del self._gone_since[name]
+        for name in self._tombstones.take_due(now):
             del self._records[name]
             self._loads.pop(name, None)
             self._watches.forget(name)
