--- /dev/null
+++ b/src/azurefold/core/groups/lead.py
@@ -0,0 +1,88 @@
+"""How far ahead of the present step a change is closed.
+
+The close must reach every rank before the step begins, and the open must follow
+before the ranks get there; otherwise the group waits. Too far ahead costs only a
+later change, so the lead errs on that side.
+"""
+
+from dataclasses import dataclass
+from math import ceil
+
+from azurefold.core.clock import Millis
+
+__all__ = ["LeadPolicy", "PaceEstimate", "lead_steps"]
+
+
+@dataclass(frozen=True, slots=True)
+class LeadPolicy:
+    """How the lead follows from what was measured.
+
+    Parameters
+    ----------
+    round_trips : float, default=2.0
+        Exchanges that must fit: the close with its replies and the open with
+        its way to the engines; the query before them is half over when the
+        step number that it brings is read.
+    margin : float, default=1.5
+        Factor on the slowest round trip measured, for the tail of the latency.
+    default_step : float, default=5.0
+        Milliseconds a step, until two reports have been compared.
+    longest : int, default=400
+        Steps; an upper bound if a measurement went astray.
+    """
+
+    round_trips: float = 2.0
+    margin: float = 1.5
+    default_step: float = 5.0
+    longest: int = 400
+
+
+def lead_steps(policy: LeadPolicy, round_trip: Millis, step_time: float) -> int:
+    """Return the number of steps between the last one reported and the change.
+
+    Parameters
+    ----------
+    policy : LeadPolicy
+        Margins.
+    round_trip : int
+        The slowest rank's query and reply, in milliseconds.
+    step_time : float
+        Milliseconds a step.
+
+    Examples
+    --------
+    >>> lead_steps(LeadPolicy(), round_trip=3, step_time=5.0)
+    4
+    >>> lead_steps(LeadPolicy(), round_trip=40, step_time=5.0)
+    31
+    """
+    until_open = policy.margin * (policy.round_trips + 0.5) * max(1, round_trip)
+    return min(policy.longest, 1 + ceil(until_open / step_time))
+
+
+@dataclass(frozen=True, slots=True)
+class PaceEstimate:
+    """The group's pace from the last two reports of its step.
+
+    Parameters
+    ----------
+    step, at : int
+        The last report and when it came, in milliseconds; -1 before the first.
+    step_time : float or None
+        Milliseconds a step, None until known.
+    """
+
+    step: int = -1
+    at: Millis = 0
+    step_time: float | None = None
+
+    def reported(self, step: int, now: Millis) -> "PaceEstimate":
+        """Return the estimate after a report that ``step`` is next.
+
+        A group that stood still tells nothing about its pace.
+        """
+        if self.step < 0:
+            return PaceEstimate(step, now, None)
+        if step <= self.step or now <= self.at:
+            return PaceEstimate(step, now, self.step_time)
+        return PaceEstimate(step, now, (now - self.at) / (step - self.step))
