--- a/bench/balance_policies.py
+++ b/bench/balance_policies.py
@@ -117,9 +117,11 @@
 
 
 def _at_threshold(situation: Situation) -> Sequence[Assignment]:
+    """Pack anew where loads, which is all this method looks at, are uneven."""
     result = []
+    equal = (1.0,) * len(situation.speeds)
     for rates, assignment in zip(situation.rates, situation.in_force, strict=True):
-        seen = excess(assignment.rank_loads(rates), situation.speeds)
+        seen = excess(assignment.rank_loads(rates), equal)
         over = seen > _REPACK_THRESHOLD
         result.append(_repack(rates, assignment) if over else assignment)
     return result
