--- a/tests/core/groups/machine.py
+++ b/tests/core/groups/machine.py
@@ -5,12 +5,13 @@
 from tests.core.groups.world import Kinds, World, make_world
 
 SIZE = 3
-RANKS = st.integers(0, SIZE - 1)
+STEPS = st.sampled_from([0, 3, 20])
 INDICES = st.integers(0, 40)
 CLOSE_TO_OPEN = [4, 5, 6]
 """Rounds after which the close, its replies or the open are under way."""
 MAPS = st.sampled_from(["m1", "m2", "m3"])
-CUT_OFF = st.sampled_from([(), (0,), (1,), (2,), (0, 1), (1, 2)])
+SOME_RANKS = st.sampled_from([(0,), (1,), (2,), (0, 1), (1, 2), (0, 1, 2)])
+CUT_OFF = st.just(()) | SOME_RANKS
 NETWORK_FAULTS = [World.deliver, World.crash_on, World.duplicate, World.drop]
 COORDINATOR_FAULTS = [
     World.kill_coordinators,
@@ -32,48 +33,57 @@
         honours = data.draw(self.engines)
         self.world = make_world(SIZE, honours_fence=honours, kinds=self.kinds)
 
-    @rule(map_id=MAPS, rounds=st.sampled_from(CLOSE_TO_OPEN), cut_off=CUT_OFF)
-    def change_a_quiet_group(self, map_id, rounds, cut_off):
+    @rule(
+        map_id=MAPS,
+        rounds=st.sampled_from(CLOSE_TO_OPEN),
+        cut_off=CUT_OFF,
+        steps=STEPS,
+    )
+    def change_a_quiet_group(self, map_id, rounds, cut_off, steps):
         self.world.settle()
         self.world.change(map_id)
         self.world.deliver_all(rounds)
         self.world.deliver_all(3, skip=cut_off)
+        self.world.group.advance(steps)
 
     @rule(map_id=MAPS, rounds=st.integers(0, 8))
     def change(self, map_id, rounds):
         self.world.change(map_id)
         self.world.deliver_all(rounds)
 
-    @rule(rounds=st.integers(1, 6), cut_off=CUT_OFF)
-    def deliver(self, rounds, cut_off):
+    @rule(rounds=st.integers(1, 6), cut_off=CUT_OFF, steps=STEPS)
+    def deliver(self, rounds, cut_off, steps):
         self.world.deliver_all(rounds, skip=cut_off)
+        self.world.group.advance(steps)
 
-    @rule(fault=st.sampled_from(NETWORK_FAULTS), index=INDICES)
-    def network_errs(self, fault, index):
+    @rule(fault=st.sampled_from(NETWORK_FAULTS), index=INDICES, steps=STEPS)
+    def network_errs(self, fault, index, steps):
         fault(self.world, index)
-
-    @rule(steps=st.sampled_from([1, 3, 20]))
-    def execute(self, steps):
         self.world.group.advance(steps)
 
-    @rule(by=st.sampled_from([60, 500, 1_100]))
-    def time_passes(self, by):
+    @rule(by=st.sampled_from([60, 500, 1_100]), steps=STEPS)
+    def time_passes(self, by, steps):
         self.world.tick(by)
+        self.world.group.advance(steps)
 
     @rule(fault=st.sampled_from(COORDINATOR_FAULTS))
     def coordinator_errs(self, fault):
         fault(self.world)
 
-    @rule(rounds=st.integers(0, 14))
-    def coordinator_sleeps_past_its_lease(self, rounds):
+    @rule(rounds=st.sampled_from([0, 4, 14]), cut_off=CUT_OFF, steps=STEPS)
+    def coordinator_sleeps_past_its_lease(self, rounds, cut_off, steps):
         self.world.pause()
         self.world.take_over()
         self.world.deliver_all(rounds)
         self.world.resume()
+        self.world.deliver_all(2, skip=cut_off)
+        self.world.group.advance(steps)
 
-    @rule(fault=st.sampled_from(RANK_FAULTS), rank=RANKS)
-    def rank_errs(self, fault, rank):
-        fault(self.world, rank)
+    @rule(fault=st.sampled_from(RANK_FAULTS), ranks=SOME_RANKS, steps=STEPS)
+    def ranks_err(self, fault, ranks, steps):
+        for rank in ranks:
+            fault(self.world, rank)
+        self.world.group.advance(steps)
 
     @invariant()
     def all_ranks_used_one_map(self):
