--- a/src/azurefold/core/groups/agent.py
+++ b/src/azurefold/core/groups/agent.py
@@ -12,34 +12,28 @@
 change; a restarted agent that finds such a trace counts itself as promised.
 """
 
-from dataclasses import replace
-
 from azurefold.core.clock import Millis
 from azurefold.core.groups import messages as msg
 from azurefold.core.groups.actions import (
     Action,
-    GroupTiming,
-    Order,
     SendToCoordinator,
-    SendToRank,
 )
 from azurefold.core.groups.closed import Closed, refusal_of
 from azurefold.core.groups.engine import (
     EngineOrder,
     EngineReply,
-    EngineState,
     HoldBefore,
-    PlanEntry,
     ReadState,
     StageMap,
     UseFrom,
 )
 from azurefold.core.groups.messages import Message, fence_of
+from azurefold.core.groups.termination import PeerTermination
 
 __all__ = ["RankAgent"]
 
 
-class RankAgent:
+class RankAgent(PeerTermination):
     """State machine of one rank's agent.
 
     One engine order is out at a time; what arrives meanwhile is dropped, because
@@ -54,30 +48,6 @@
         Waits of the protocol.
     """
 
-    def __init__(self, rank: int, size: int, timing: GroupTiming) -> None:
-        self._rank = rank
-        self._size = size
-        self._timing = timing
-        self._fence = 0
-        self._engine: EngineState | None = None
-        self._closed: Closed | None = None
-        self._pending: tuple[EngineOrder, Message | None] | None = None
-
-    @property
-    def fence(self) -> int:
-        """The highest fence of a coordinator that this agent has obeyed."""
-        return self._fence
-
-    @property
-    def closed(self) -> Closed | None:
-        """The undecided change that holds this rank, if any."""
-        return self._closed
-
-    @property
-    def engine(self) -> EngineState | None:
-        """The engine's state as last reported; None before the first report."""
-        return self._engine
-
     def start(self) -> list[Action]:
         """Read the engine; until it has answered, every message is dropped."""
         return self._order(ReadState(), None)
@@ -128,26 +98,6 @@
                 return self._after_use(cause, reply)
         return []
 
-    def tick(self, now: Millis) -> list[Action]:
-        """Ask the peers for the outcome when the coordinator stays silent."""
-        closed = self._closed
-        if closed is None or self._pending is not None or now < closed.ask_at:
-            return []
-        if not self._engine.plan:
-            # What happens: a replaced rank stands in for one that may have
-            # opened, promised or agreed to other changes, none of which it
-            # knows. Its word or a peer's could bring a map that the others have
-            # left since. Only a coordinator that knows this incarnation lets it
-            # in, so it neither asks nor answers.
-            return []
-        again = now + self._timing.retry_every
-        self._closed = replace(closed, may_open=False, ask_at=again)
-        return self._reopen_if_promised() or [
-            SendToRank(peer, msg.Ask(closed.number, closed.step, self._rank))
-            for peer in range(self._size)
-            if peer != self._rank and peer not in closed.promises
-        ]
-
     def _recover(self, now: Millis) -> list[Action]:
         """Take up what the engine still holds from this agent's predecessor."""
         engine = self._engine
@@ -219,61 +169,6 @@
             return [SendToCoordinator(fence_of(message.number), ended)]
         return self._reopen(closed, message)
 
-    def _on_ask(self, ask: msg.Ask) -> list[Action]:
-        engine, closed = self._engine, self._closed
-        entry = engine.entry_of(ask.number)
-        if entry is not None:
-            return [SendToRank(ask.sender, self._decided(entry))]
-        if not engine.plan:
-            return []
-        if closed is not None and closed.number == ask.number:
-            self._closed = replace(closed, may_open=False)
-            return [self._promised(ask)]
-        if engine.highest_number > ask.number:
-            return [self._promised(ask)]
-        if closed is not None:
-            return []
-        # What would go wrong without the hold: this rank promises, its agent
-        # restarts and forgets, a late *close* finds it willing, and the
-        # coordinator, now with every agreement, opens the change here while the
-        # peers have reopened. The hold leaves the change's number in the engine,
-        # so the successor knows.
-        return self._order(HoldBefore(ask.step, ask.number), ask)
-
-    def _after_join(
-        self, ask: msg.Ask, reply: EngineReply, now: Millis
-    ) -> list[Action]:
-        if not reply.accepted:
-            return []
-        self._closed = Closed(ask.number, ask.step, False, now)
-        return [self._promised(ask)]
-
-    def _on_promised(self, promise: msg.Promised) -> list[Action]:
-        closed = self._closed
-        if closed is None or closed.number != promise.number or closed.may_open:
-            return []
-        promises = {**closed.promises, promise.rank: promise.tail}
-        self._closed = replace(closed, promises=promises)
-        return self._reopen_if_promised()
-
-    def _reopen_if_promised(self) -> list[Action]:
-        closed, tail = self._closed, self._engine.tail
-        if not self._has_all_promises() or not closed.can_reopen(tail):
-            return []
-        return self._reopen(closed, msg.Promised(closed.number, self._rank, tail))
-
-    def _has_all_promises(self) -> bool:
-        return len(self._closed.promises) == self._size - 1
-
-    def _on_decided(self, decided: msg.Decided) -> list[Action]:
-        closed = self._closed
-        if closed is None or closed.number != decided.number:
-            return []
-        if not self._engine.plan or closed.step != decided.step:
-            return []
-        order = UseFrom(decided.step, decided.map_id, decided.number)
-        return self._order(order, decided)
-
     def _after_use(self, cause: Message, reply: EngineReply) -> list[Action]:
         if not reply.accepted:
             return []
@@ -287,25 +182,6 @@
                 return [SendToCoordinator(fence, msg.Ended(number, self._rank))]
         return []
 
-    def _reopen(self, closed: Closed, cause: Message) -> list[Action]:
-        """Put the old map in force again, as an entry with the change's number.
-
-        A mere release would leave no trace, and a restarted agent could then
-        agree to a late copy of the close and obey a late *open*.
-        """
-        old = self._engine.tail.map_id
-        return self._order(UseFrom(closed.step, old, closed.number), cause)
-
-    def _is_stale(self, fence: int) -> bool:
-        return fence < self._fence
-
-    def _is_overtaken(self, number: int) -> bool:
-        return number <= self._engine.highest_number
-
-    def _order(self, order: EngineOrder, cause: Message | None) -> list[Action]:
-        self._pending = (order, cause)
-        return [Order(order)]
-
     def _agreed(self, close: msg.Close) -> SendToCoordinator:
         step, incarnation = self._closed.step, self._engine.incarnation
         agreed = msg.CloseAgreed(close.number, self._rank, step, incarnation)
@@ -314,10 +190,3 @@
     def _refused(self, close: msg.Close, reason: str) -> SendToCoordinator:
         refusal = msg.CloseRefused(close.number, self._rank, reason)
         return SendToCoordinator(fence_of(close.number), refusal)
-
-    def _promised(self, ask: msg.Ask) -> SendToRank:
-        promise = msg.Promised(ask.number, self._rank, self._engine.tail)
-        return SendToRank(ask.sender, promise)
-
-    def _decided(self, entry: PlanEntry) -> msg.Decided:
-        return msg.Decided(entry.number, self._rank, entry.from_step, entry.map_id)
--- a/src/azurefold/core/groups/coordinator.py
+++ b/src/azurefold/core/groups/coordinator.py
@@ -201,8 +201,6 @@
             return self._give_up(now)
         if isinstance(reply, OpenRefused):
             return self._check(now)
-        if isinstance(reply, Status):
-            self._pace = self._pace.reported(reply.engine.next_step, now)
         self._replies[reply.rank] = reply
         return self._finish_phase(now) if self._is_complete() else []
 
@@ -225,6 +223,8 @@
 
     def _after_check(self, now: Millis) -> list[Action]:
         states = [self._replies[rank].engine for rank in range(self._size)]
+        reached = max(state.next_step for state in states)
+        self._pace = self._pace.reported(reached, now)
         if not is_healthy(states):
             map_id = recovery_map(states, self._fallback)
             return self._enter(Staging(map_id, recovery=True), now)
--- a/src/azurefold/core/groups/lead.py
+++ b/src/azurefold/core/groups/lead.py
@@ -60,16 +60,31 @@
     return min(policy.longest, 1 + ceil(until_open / step_time))
 
 
+FEWEST_STEPS = 8
+"""Steps between two reports for a pace to be read off them."""
+
+
 @dataclass(frozen=True, slots=True)
 class PaceEstimate:
-    """The group's pace from the last two reports of its step.
+    """The group's pace from reports of its step.
+
+    What would go wrong with reports close together: two of them straddle the
+    begin of a step, the pace looks a hundred times too fast, and the change is
+    closed hundreds of steps ahead. Hence the least distance.
 
     Parameters
     ----------
     step, at : int
-        The last report and when it came, in milliseconds; -1 before the first.
+        The report measured from and when it came, in milliseconds; -1 before
+        the first.
     step_time : float or None
         Milliseconds a step, None until known.
+
+    Examples
+    --------
+    >>> PaceEstimate().reported(10, now=0).reported(11, now=1).step_time
+    >>> PaceEstimate().reported(10, now=0).reported(30, now=100).step_time
+    5.0
     """
 
     step: int = -1
@@ -81,8 +96,8 @@
 
         A group that stood still tells nothing about its pace.
         """
-        if self.step < 0:
-            return PaceEstimate(step, now, None)
-        if step <= self.step or now <= self.at:
+        if self.step < 0 or step <= self.step:
             return PaceEstimate(step, now, self.step_time)
+        if step - self.step < FEWEST_STEPS or now <= self.at:
+            return self
         return PaceEstimate(step, now, (now - self.at) / (step - self.step))
--- a/tests/core/groups/world.py
+++ b/tests/core/groups/world.py
@@ -12,19 +12,10 @@
 )
 from azurefold.core.groups.agent import RankAgent
 from azurefold.core.groups.coordinator import Coordinator
-from azurefold.core.groups.engine import (
-    EngineOrder,
-    EngineReply,
-    EngineState,
-    HoldBefore,
-    PlanEntry,
-    StageMap,
-    UseFrom,
-)
 from azurefold.core.groups.lead import LeadPolicy
-from azurefold.core.groups.messages import Message
 from azurefold.core.groups.phases import ChangeInProgressError, Idle
-from azurefold_standins.lockstep import Agreed, LockstepGroup, lockstep_group
+from azurefold_standins.lockstep import LockstepGroup, lockstep_group
+from azurefold_standins.lockstep_orders import give_order
 
 TIMING = GroupTiming()
 STEP_TIME = 5
@@ -176,34 +167,6 @@
             self._perform(rank, self.agents[rank].answered(reply, self.now))
 
 
-def engine_state(group: LockstepGroup, rank: int) -> EngineState:
-    """Return the stand-in's state in the core's terms."""
-    state = group.state(rank)
-    plan = tuple(PlanEntry(e.from_step, e.map_id, e.fence) for e in state.plan)
-    return EngineState(
-        state.incarnation,
-        state.next_step,
-        plan,
-        state.hold,
-        state.hold_fence,
-        state.staged,
-    )
-
-
-def give_order(group: LockstepGroup, rank: int, order: EngineOrder) -> EngineReply:
-    """Carry ``order`` out on the stand-in."""
-    match order:
-        case StageMap(map_id):
-            outcome = group.stage(rank, map_id)
-        case HoldBefore(step, number):
-            outcome = group.hold_before(rank, step, number)
-        case UseFrom(step, map_id, number):
-            outcome = group.use_from(rank, step, map_id, number)
-        case _:
-            outcome = Agreed(group.next_step)
-    return EngineReply(isinstance(outcome, Agreed), engine_state(group, rank))
-
-
 def make_world(
     size: int = 3, *, honours_fence: bool = True, kinds: Kinds | None = None
 ) -> World:
@@ -218,12 +181,3 @@
     world.take_over()
     world.deliver_all(2)
     return world
-
-
-def messages_to_rank(world: World, kind: type[Message]) -> list[SendToRank]:
-    """Return the messages of ``kind`` that are under way to ranks."""
-    return [
-        envelope
-        for envelope in world.network
-        if isinstance(envelope, SendToRank) and isinstance(envelope.message, kind)
-    ]
