Retry a map change early and count its round trip from the first message

Repeats now start at 15 ms and double up to 500 ms, and the round trip counts from the first message.

--- a/bench/groups.py
+++ b/bench/groups.py
@@ -22,13 +22,15 @@
 from azurefold_standins.lockstep_orders import give_order
 
 UNIT_PER_MS = 100
-RETRY_MS = 50
+RETRY_MS = 15
 
 
 def timing_of(retry_ms: int) -> GroupTiming:
     """Return the protocol's waits in units of the simulation."""
     return GroupTiming(
-        retry_every=retry_ms * UNIT_PER_MS,
+        retry_first=retry_ms * UNIT_PER_MS,
+        retry_longest=500 * UNIT_PER_MS,
+        ask_every=200 * UNIT_PER_MS,
         close_timeout=400 * UNIT_PER_MS,
         patience=1_000 * UNIT_PER_MS,
         check_every=200 * UNIT_PER_MS,
@@ -187,7 +189,7 @@
         for name, naive in (("one step", none), ("short", half)):
             row = measure(ranks, slow, 5.0, changes, naive)
             rows.append({"lead": name, **row})
-        for retry_ms in (RETRY_MS, 15):
+        for retry_ms in (RETRY_MS, 50):
             row = measure(ranks, slow, 5.0, changes, policy, 0.01, retry_ms)
             rows.append({"lead": "measured", **row})
     return {"pause_of_a_map_change": rows}
--- a/src/azurefold/core/groups/actions.py
+++ b/src/azurefold/core/groups/actions.py
@@ -41,8 +41,14 @@
 
     Parameters
     ----------
-    retry_every : int, default=50
-        Between repeats of an unanswered message, in milliseconds.
+    retry_first : int, default=15
+        Before the first repeat of an unanswered message, in milliseconds. Short,
+        because a lost close makes the whole group wait. Doubled each time.
+    retry_longest : int, default=500
+        Between two repeats at most, so that neither a dead rank nor one that
+        loads weights for minutes costs the coordinator its processor time.
+    ask_every : int, default=200
+        Between two questions of a closed rank to its peers.
     close_timeout : int, default=400
         After which a change that is not agreed by all is given up.
     patience : int, default=1000
@@ -52,7 +58,9 @@
         Between two checks of an idle group.
     """
 
-    retry_every: Millis = 50
+    retry_first: Millis = 15
+    retry_longest: Millis = 500
+    ask_every: Millis = 200
     close_timeout: Millis = 400
     patience: Millis = 1_000
     check_every: Millis = 1_000
--- a/src/azurefold/core/groups/coordinator.py
+++ b/src/azurefold/core/groups/coordinator.py
@@ -96,7 +96,9 @@
         self._serial = 0
         self._phase: Phase = Idle(0)
         self._replies: dict[int, Message] = {}
-        self._sent_at: Millis = 0
+        self._entered_at: Millis = 0
+        self._retry_at: Millis = 0
+        self._retry_after: Millis = timing.retry_first
         self._target: str | None = None
         self._outcome: Outcome | None = None
         self._pace = PaceEstimate()
@@ -164,8 +166,7 @@
                 return self._give_up(now)
             case Opening(deadline=deadline) if now >= deadline:
                 return self._check(now)
-        retry_at = self._sent_at + self._timing.retry_every
-        return self._send(now) if now >= retry_at else []
+        return self._send(now) if now >= self._retry_at else []
 
     def _check(self, now: Millis) -> list[Action]:
         self._serial += 1
@@ -173,12 +174,15 @@
 
     def _enter(self, phase: Phase, now: Millis) -> list[Action]:
         self._phase = phase
+        self._entered_at = now
+        self._retry_after = self._timing.retry_first
         self._replies = {}
         return self._send(now)
 
     def _send(self, now: Millis) -> list[Action]:
         """Send the phase's message to every rank that has not replied."""
-        self._sent_at = now
+        self._retry_at = now + self._retry_after
+        self._retry_after = min(2 * self._retry_after, self._timing.retry_longest)
         missing = [rank for rank in range(self._size) if rank not in self._replies]
         return [SendToRank(rank, self._message_to(rank)) for rank in missing]
 
@@ -237,7 +241,10 @@
 
     def _step_ahead(self, states: list[EngineState], now: Millis) -> int:
         step_time = self._pace.step_time or self._lead.default_step
-        lead = lead_steps(self._lead, now - self._sent_at, step_time)
+        # Counted from the first message: a repeat may cross the reply to the one
+        # before it, and the round trip would look too short and the lead with it.
+        round_trip = now - self._entered_at
+        lead = lead_steps(self._lead, round_trip, step_time)
         step = max(state.next_step for state in states) + lead
         after_plan = max(state.tail.from_step for state in states) + 1
         return max(step, after_plan)
--- a/src/azurefold/core/groups/termination.py
+++ b/src/azurefold/core/groups/termination.py
@@ -32,7 +32,7 @@
             # left since. Only a coordinator that knows this incarnation lets it
             # in, so it neither asks nor answers.
             return []
-        again = now + self._timing.retry_every
+        again = now + self._timing.ask_every
         self._closed = replace(closed, may_open=False, ask_at=again)
         return self._reopen_if_promised() or [
             SendToRank(peer, msg.Ask(closed.number, closed.step, self._rank))
