Keep modules that patch the standard library out of the test process

Symptom: the whole test run stood still for ten minutes at 1.6% of a core. Cause: doctest collection imported the modules that start processes; they patch threads and sockets for gevent, long after the test process had started threads, and a gRPC test then waited for ever. Each folder's tests alone had passed. Ruled out: a slow test (each was fast alone), the machine (idle at the time).

--- a/src/azurefold_standins/plain.py
+++ b/src/azurefold_standins/plain.py
@@ -12,7 +12,6 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
-import hashlib  # noqa: E402
 import signal  # noqa: E402
 from dataclasses import dataclass, field  # noqa: E402
 
@@ -22,17 +21,13 @@
 from gevent.event import Event  # noqa: E402
 
 from azurefold.internal.http_server import http_server  # noqa: E402
+from azurefold_standins.text import confirmation  # noqa: E402
 
-__all__ = ["confirmation", "main"]
+__all__ = ["main"]
 
 _SECOND_MS = 1_000
 
 
-def confirmation(body: bytes) -> str:
-    """Return the reference that the service gives for a call."""
-    return hashlib.sha256(body).hexdigest()[:16]
-
-
 @dataclass(slots=True)
 class _Calls:
     latency_ms: int
--- a/src/azurefold_standins/text.py
+++ b/src/azurefold_standins/text.py
@@ -1,9 +1,9 @@
-"""The text that the stand-in engines generate, the same for the same prompt."""
+"""What the stand-ins answer: always the same to the same request."""
 
 import hashlib
 from functools import lru_cache
 
-__all__ = ["token", "whole_text"]
+__all__ = ["confirmation", "token", "whole_text"]
 
 _WORDS = (
     " lot", " 回収", " shelf", " αίτηση", " store", " アレルギー", " deed", " will",
@@ -25,3 +25,8 @@
 def whole_text(prompt: str, max_tokens: int) -> str:
     """Return the whole answer to ``prompt``."""
     return "".join(token(prompt, index) for index in range(max_tokens))
+
+
+def confirmation(body: bytes) -> str:
+    """Return the reference that a plain service gives for a call."""
+    return hashlib.sha256(body).hexdigest()[:16]
--- a/tests/processes/test_a_request_goes_from_end_to_end.py
+++ b/tests/processes/test_a_request_goes_from_end_to_end.py
@@ -5,8 +5,7 @@
 import pytest
 
 from azurefold_standins.operator import fetch
-from azurefold_standins.plain import confirmation
-from azurefold_standins.text import whole_text
+from azurefold_standins.text import confirmation, whole_text
 
 pytestmark = pytest.mark.scenario
 
