--- a/src/azurefold/commands/drain.py
+++ b/src/azurefold/commands/drain.py
@@ -5,7 +5,6 @@
 
 import gevent
 
-from azurefold.border.orders import DRAIN, DrainReply, DrainRequest
 from azurefold.border.settings import OperatorControl
 from azurefold.commands.reports import Exit, Report
 from azurefold.core.clock import Clock, Millis
@@ -13,6 +12,7 @@
 from azurefold.internal.identity import process_identity
 from azurefold.internal.process import ring_from_settings
 from azurefold.wire.grpc_caller import CallError, caller
+from azurefold.wire.orders import METHOD_DRAIN, DrainReply, DrainRequest
 
 __all__ = ["ControlCaller", "control_callers", "drain"]
 
@@ -82,7 +82,7 @@
     for each in callers:
         try:
             request = DrainRequest(endpoint)
-            reply = each.call(DRAIN, request, DrainReply, _CALL_TIMEOUT_MS)
+            reply = each.call(METHOD_DRAIN, request, DrainReply, _CALL_TIMEOUT_MS)
         except CallError as error:
             reasons.append(str(error))
             continue
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -3,11 +3,11 @@
 import json
 from pathlib import Path
 
-from azurefold.border.orders import DrainReply
 from azurefold.commands.drain import drain
 from azurefold.commands.reports import Exit
 from azurefold.core.clock import ManualTime, manual_clock
 from azurefold.core.configuration.head import Mark
+from azurefold.wire.orders import DrainReply
 
 
 def test_check_needs_no_platform_and_tells_all_findings(run, text, tmp_path):
--- a/tests/commands/test_drain_over_grpc.py
+++ b/tests/commands/test_drain_over_grpc.py
@@ -3,7 +3,6 @@
 import pytest
 
 from azurefold.border.fields import Key
-from azurefold.border.orders import DRAIN, DrainReply, DrainRequest
 from azurefold.border.settings import OperatorControl
 from azurefold.commands.drain import control_callers, drain
 from azurefold.commands.reports import Exit
@@ -12,6 +11,7 @@
 from azurefold.internal.identity import process_identity
 from azurefold.internal.process import ring_from_settings
 from azurefold.wire.grpc_service import UnaryHandler, serve
+from azurefold.wire.orders import METHOD_DRAIN, DrainReply, DrainRequest
 
 KEY = Key(id="k1", secret="0123456789abcdef0123456789abcdef")
 OTHER = Key(id="k1", secret="another-secret-another-secret-00")
@@ -27,7 +27,7 @@
         orders.append((request.endpoint, sender.sender))
         return DrainReply(True, True, 0)
 
-    handler = UnaryHandler(DRAIN, DrainRequest, handle)
+    handler = UnaryHandler(METHOD_DRAIN, DrainRequest, handle)
     refused = []
     server = serve(
         "127.0.0.1:0", [handler], ring, refused.append, sealer=identity.sealer
