Report an endpoint over real ports in a test

The parts were tested one by one; nothing pinned that seals, audience, codec, directory and presence fit together over real sockets. One endpoint now reports itself to one control on loopback and learns its list of controls. Ruled out: a scenario with processes here, which the scripted scenarios bring.

--- a/tests/wire/test_udp.py
+++ b/tests/wire/test_udp.py
@@ -6,7 +6,10 @@
 import pytest
 from gevent import socket
 
+from azurefold.core.membership.directory import Directory
+from azurefold.core.membership.endpoints import Endpoint, Role, State
 from azurefold.core.membership.messages import Probe, Reply, Send
+from azurefold.core.membership.presence import Presence
 from azurefold.wire.seal import Sealer, key_ring, seal
 from azurefold.wire.udp import SendFailure, datagram_port
 
@@ -90,3 +93,37 @@
 def test_a_wildcard_address_is_refused():
     with pytest.raises(ValueError, match="address that peers use"):
         datagram_port("0.0.0.0:0", RING, Sealer("a", 1), list, list)
+
+
+def _record(name, port, role):
+    number = int(port.address.rpartition(":")[2])
+    return Endpoint(name, 1, "127.0.0.1:1", number, role, announced=State.SERVING)
+
+
+def test_an_endpoint_reports_itself_over_real_ports(counts):
+    machines = {}
+    ports = {
+        name: datagram_port(
+            "127.0.0.1:0",
+            RING,
+            Sealer(name, 1),
+            lambda message, source, name=name: machines[name](message, source),
+            lambda reason: counts.update([reason.value]),
+        )
+        for name in ("control-1", "endpoint-1")
+    }
+    control, endpoint = ports.values()
+    directory = Directory(_record("control-1", control, Role.CONTROL), 0)
+    own = _record("endpoint-1", endpoint, Role.ENDPOINT)
+    presence = Presence(own, 0, seeds=(control.address,))
+    machines["control-1"] = lambda m, source: directory.receive(m, source, 0)
+    machines["endpoint-1"] = lambda m, source: presence.receive(m, source.origin, 0)
+    for port in ports.values():
+        port.start()
+    endpoint.send(presence.tick(0))
+    _wait_until(lambda: presence.controls)
+    assert directory.record("endpoint-1") == own
+    assert presence.controls == (control.address,)
+    assert not counts
+    for port in ports.values():
+        port.stop()
