Pass on changes instead of whole records, and tell lists when settled

At 39 controls and 390 endpoints a cut in halves of 60 s never came to one view within 180 s of healing, and cost a control 3,370 bytes a second on average while it lasted. Causes, from the bytes by type: whole records of 90 bytes sent eight times each; repair taking the budget from rumours that carry more; and the list of controls, 700 bytes, sent to endpoints with each step of the cut.

Now gossip carries changes of 21 bytes (whole records only on request), repair waits while there are rumours and somebody to tell, news already known is told less often unless urgent (controls, leaving), and endpoints are told a list of controls when it has been quiet for 2 s, by one home only.

--- a/src/azurefold/core/membership/buckets.py
+++ b/src/azurefold/core/membership/buckets.py
@@ -22,7 +22,7 @@
     """
 
     def __init__(self) -> None:
-        self._members: list[dict[int, tuple[str, int]]] = [{} for _ in range(BUCKETS)]
+        self._members: list[dict[int, int]] = [{} for _ in range(BUCKETS)]
         self._hashes = [0] * BUCKETS
 
     @property
@@ -37,7 +37,7 @@
             return
         hashed = name_hash(record.name)
         printed = fingerprint(record)
-        self._members[hashed % BUCKETS][hashed] = (record.name, printed)
+        self._members[hashed % BUCKETS][hashed] = printed
         self._hashes[hashed % BUCKETS] ^= printed
 
     def remove(self, name: str) -> None:
@@ -45,7 +45,7 @@
         hashed = name_hash(name)
         held = self._members[hashed % BUCKETS].pop(hashed, None)
         if held is not None:
-            self._hashes[hashed % BUCKETS] ^= held[1]
+            self._hashes[hashed % BUCKETS] ^= held
 
     def first_difference(self, hashes: tuple[int, ...], start: int) -> int | None:
         """Return the first bucket from ``start`` on that differs, or None."""
@@ -60,18 +60,19 @@
     def summary(self, bucket: int) -> Summary:
         """Return what is held in ``bucket``."""
         members = self._members[bucket]
-        entries = tuple(SummaryEntry(h, held[1]) for h, held in members.items())
+        entries = tuple(SummaryEntry(h, printed) for h, printed in members.items())
         return Summary(bucket, entries)
 
-    def name_of(self, hashed: int) -> str | None:
-        """Return the live endpoint's name with this hash, or None."""
-        held = self._members[hashed % BUCKETS].get(hashed)
-        return held[0] if held is not None else None
+    def compare(self, summary: Summary) -> tuple[list[int], list[int]]:
+        """Return name hashes that a peer lacks or holds differently, and mine.
 
-    def compare(self, summary: Summary) -> tuple[list[str], list[int]]:
-        """Return the names to send to a peer and the name hashes to ask for."""
+        Returns
+        -------
+        here, there : list of int
+            Live here, and live there, but not the same on the other side.
+        """
         theirs = {entry.name: entry.fingerprint for entry in summary.entries}
         mine = self._members[summary.bucket % BUCKETS]
-        send = [name for h, (name, p) in mine.items() if theirs.get(h) != p]
-        ask = [h for h, p in theirs.items() if h not in mine or mine[h][1] != p]
-        return send, ask
+        here = [h for h, p in mine.items() if theirs.get(h) != p]
+        there = [h for h, p in theirs.items() if mine.get(h) != p]
+        return here, there
--- a/src/azurefold/core/membership/controls.py
+++ b/src/azurefold/core/membership/controls.py
@@ -1,11 +1,14 @@
 """The control processes of the data centre, as one of them sees them."""
 
+from azurefold.core.clock import Millis
 from azurefold.core.membership.endpoints import Endpoint, Role, State
 from azurefold.core.membership.rendezvous import controls_digest, homes
 
 __all__ = ["Controls"]
 
 _DORMANT_EVERY = 8
+_SETTLE_AFTER: Millis = 2_000
+_SETTLE_WITHIN: Millis = 10_000
 
 
 class Controls:
@@ -28,15 +31,25 @@
         self._dormant: dict[str, str] = {}
         self._turn = 0
         self._refresh()
+        self._settled = self._addresses
+        self._digest = controls_digest(self._settled)
+        self._differs_since: Millis | None = None
+        self._quiet_since: Millis = 0
+        self._pending = self._addresses
 
     @property
     def addresses(self) -> tuple[str, ...]:
         """Datagram addresses of all live controls, this one among them."""
         return self._addresses
 
+    @property
+    def settled(self) -> tuple[str, ...]:
+        """The list to tell endpoints; see :meth:`settle`."""
+        return self._settled
+
     @property
     def digest(self) -> int:
-        """Digest of ``addresses``, as endpoints give it in heartbeats."""
+        """Digest of ``settled``, as endpoints give it in heartbeats."""
         return self._digest
 
     @property
@@ -62,6 +75,28 @@
             self._refresh()
         return changed
 
+    def settle(self, now: Millis) -> None:
+        """Take the live controls into the list that endpoints are told.
+
+        In a cut or a rack's failure many controls go within seconds. Were each
+        step told, every endpoint would be sent the whole list, the largest of
+        all messages, with every heartbeat. So it waits until there was no
+        change for 2 s, though for 10 s at most.
+        """
+        if self._addresses == self._settled:
+            self._differs_since = None
+            return
+        if self._differs_since is None:
+            self._differs_since = now
+        if self._addresses != self._pending:
+            self._pending = self._addresses
+            self._quiet_since = now
+        is_quiet = now - self._quiet_since >= _SETTLE_AFTER
+        if is_quiet or now - self._differs_since >= _SETTLE_WITHIN:
+            self._settled = self._addresses
+            self._digest = controls_digest(self._settled)
+            self._differs_since = None
+
     def _put_own(self, record: Endpoint) -> bool:
         # A control that leaves has to drop itself, as its peers do: were the
         # lists to differ, endpoints would be sent one or the other all along.
@@ -106,4 +141,3 @@
         self._peers = tuple(sorted(set(self._live.values())))
         own = {self._own} if self._own_serves else set()
         self._addresses = tuple(sorted(own.union(self._peers)))
-        self._digest = controls_digest(self._addresses)
--- a/src/azurefold/core/membership/directory.py
+++ b/src/azurefold/core/membership/directory.py
@@ -11,10 +11,11 @@
 from azurefold.core.clock import Millis
 from azurefold.core.membership.controls import Controls
 from azurefold.core.membership.endpoints import Endpoint, Role, State, join
-from azurefold.core.membership.gossip import Gossip
+from azurefold.core.membership.gossip import Gossip, changed
 from azurefold.core.membership.messages import (
     NO_LIST,
     Announcement,
+    Changes,
     Digest,
     Heartbeat,
     Message,
@@ -147,7 +148,9 @@
             case Announcement():
                 return self._on_announcement(message, source, now)
             case Records():
-                return self._on_records(message, source, now)
+                return self._take_all(message.records, source, now)
+            case Changes():
+                return self._on_changes(message, source, now)
             case Digest():
                 return self._gossip.on_digest(message, source.origin, now)
             case Summary():
@@ -171,6 +174,7 @@
         draw : int
             A freshly drawn number, not negative, that chooses the peer.
         """
+        self._controls.settle(now)
         sends = self._expire(now)
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + self._timing.heartbeat
@@ -192,10 +196,10 @@
         if current and known.incarnation == source.incarnation:
             self._loads[source.name] = beat.load
             self._take_version(known, beat, now)
-        stale_list = beat.controls != self._controls.digest
+        stale_list = beat.controls not in (NO_LIST, self._controls.digest)
         if current and not stale_list and not beat.reply_wanted:
             return []
-        controls = self._controls.addresses if stale_list else ()
+        controls = self._controls.settled if stale_list else ()
         return [Send(source.origin, Reply(controls, not current))]
 
     def _take_version(self, known: Endpoint, beat: Heartbeat, now: Millis) -> None:
@@ -218,15 +222,31 @@
         self._loads[record.name] = record.load
         if message.controls in (NO_LIST, self._controls.digest):
             return []
-        return [Send(source.origin, Reply(self._controls.addresses))]
-
-    def _on_records(self, message: Records, source: Source, now: Millis) -> list[Send]:
+        return [Send(source.origin, Reply(self._controls.settled))]
+
+    def _on_changes(self, message: Changes, source: Source, now: Millis) -> list[Send]:
+        records, unknown = [], []
+        for change in message.changes:
+            known = self._gossip.find(change.name)
+            if known is None or known.incarnation < change.incarnation:
+                unknown.append(change.name)
+            else:
+                records.append(changed(known, change))
+        asked = self._gossip.ask_for(unknown, source.origin, now)
+        return asked + self._take_all(records, source, now)
+
+    def _take_all(
+        self, records: Iterable[Endpoint], source: Source, now: Millis
+    ) -> list[Send]:
         newer = []
-        for record in message.records:
+        for record in records:
+            before = self._records.get(record.name)
             held = self._merge(record, now)
             if held is not None and held != record:
                 newer.append(held)
-        return self._gossip.send_records(newer, source.origin, now)
+            elif held == before:
+                self._gossip.heard_again(record.name)
+        return self._gossip.send_changes(newer, source.origin, now)
 
     def _merge(self, record: Endpoint, now: Millis) -> Endpoint | None:
         known = self._records.get(record.name)
@@ -285,7 +305,7 @@
 
     def _own_heartbeats(self) -> list[Send]:
         own = self.own
-        beat = Heartbeat(own.version, own.announced, own.load, self._controls.digest)
+        beat = Heartbeat(own.version, own.announced, own.load, NO_LIST)
         homes = self._controls.own_homes(own.name, self._timing.homes)
         return [Send(home, beat) for home in homes]
 
--- a/src/azurefold/core/membership/messages.py
+++ b/src/azurefold/core/membership/messages.py
@@ -7,6 +7,8 @@
 
 __all__ = [
     "Announcement",
+    "Change",
+    "Changes",
     "Digest",
     "Heartbeat",
     "Message",
@@ -40,7 +42,8 @@
     homes : int
         Control processes that each endpoint reports to.
     rumour_sends : int
-        How often each control passes one change on.
+        How often each control passes one change on; one that is not urgent is
+        passed on once less for each time that others tell it again.
     bytes_per_second, burst_bytes : int
         Of gossip sent. What exceeds them waits.
     ask_reply, shun_after, shun_for : int
@@ -60,7 +63,7 @@
     homes: int = 2
     rumour_sends: int = 8
     bytes_per_second: int = 500
-    burst_bytes: int = 6_000
+    burst_bytes: int = 16_000
     ask_reply: Millis = 12_000
     shun_after: Millis = 24_000
     shun_for: Millis = 60_000
@@ -78,7 +81,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """An endpoint lives. ``controls`` is its digest of the control list."""
+    """An endpoint lives.
+
+    ``controls`` is its digest of the control list, or 0 to be sent no list.
+    """
 
     version: int
     announced: State
@@ -127,6 +133,25 @@
     records: tuple[Endpoint, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What may change of a record within an incarnation; name by its hash."""
+
+    name: int
+    incarnation: int
+    version: int
+    announced: State
+    departing: bool
+    silence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes passed between controls, a fifth of the records' bytes."""
+
+    changes: tuple[Change, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Digest:
     """One hash for each bucket of the sender's directory."""
@@ -157,7 +182,17 @@
     names: tuple[int, ...]
 
 
-Message = Heartbeat | Announcement | Probe | Reply | Records | Digest | Summary | Want
+Message = (
+    Heartbeat
+    | Announcement
+    | Probe
+    | Reply
+    | Records
+    | Changes
+    | Digest
+    | Summary
+    | Want
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/core/membership/presence.py
+++ b/src/azurefold/core/membership/presence.py
@@ -5,6 +5,7 @@
 from azurefold.core.clock import Millis
 from azurefold.core.membership.endpoints import Endpoint, State
 from azurefold.core.membership.messages import (
+    NO_LIST,
     Announcement,
     Heartbeat,
     Message,
@@ -120,7 +121,12 @@
             self._beat_at = now + _REPEAT_AFTER
             return [self._announcement(target) for target in targets]
         self._beat_at = now + self._timing.heartbeat
-        return [self._heartbeat(target, now) for target in targets]
+        # One home is enough to learn of a change of the list, which is the
+        # largest of all messages; of the homes, take the one heard last.
+        lister = max(
+            targets, key=lambda target: self._homes[target].heard_at, default=None
+        )
+        return [self._heartbeat(t, now, t == lister) for t in targets]
 
     def _targets(self, now: Millis) -> tuple[str, ...]:
         usable = [c for c in self._controls if not self._is_shunned(c, now)]
@@ -149,13 +155,13 @@
         self._homes[control] = _Home(now, now + self._timing.shun_for)
         return True
 
-    def _heartbeat(self, target: str, now: Millis) -> Send:
+    def _heartbeat(self, target: str, now: Millis, asks_list: bool) -> Send:
         quiet_for = now - self._homes[target].heard_at
         beat = Heartbeat(
             version=self._own.version,
             announced=self._own.announced,
             load=self._load,
-            controls=controls_digest(self._controls),
+            controls=controls_digest(self._controls) if asks_list else NO_LIST,
             reply_wanted=quiet_for >= self._timing.ask_reply,
         )
         return Send(target, beat)
--- a/src/azurefold/core/membership/rumours.py
+++ b/src/azurefold/core/membership/rumours.py
@@ -67,27 +67,45 @@
     def __init__(self, sends: int) -> None:
         self._sends = sends
         self._left: dict[str, int] = {}
+        self._urgent: set[str] = set()
 
     def __bool__(self) -> bool:
         return bool(self._left)
 
-    def add(self, name: str) -> None:
-        """Pass the record of ``name`` on, counting anew."""
+    def add(self, name: str, urgent: bool) -> None:
+        """Pass the record of ``name`` on, counting anew.
+
+        Who is a control and who leaves is urgent: it goes first and the whole
+        number of times. While controls disagree on who is a control, they send
+        endpoints to and fro between their lists of homes.
+        """
         self._left[name] = self._sends
+        if urgent:
+            self._urgent.add(name)
 
     def discard(self, name: str) -> None:
         """Pass it on no more."""
         self._left.pop(name, None)
+        self._urgent.discard(name)
+
+    def next_names(self, count: int) -> list[str]:
+        """Return up to ``count`` names, the least often passed on first."""
+
+        def order(name: str) -> tuple[bool, int, str]:
+            return name not in self._urgent, -self._left[name], name
+
+        return sorted(self._left, key=order)[:count]
+
+    def heard_again(self, name: str) -> None:
+        """Note that a peer told what was known: the news has got about."""
+        if name not in self._urgent:
+            self.count_down([name])
 
-    def next_page(self, records: dict[str, Endpoint]) -> tuple[Endpoint, ...]:
-        """Return the records least often sent that fit one datagram."""
-        ordered = sorted(self._left, key=lambda name: (-self._left[name], name))
-        pages = page(records[name] for name in ordered if name in records)
-        return pages[0] if pages else ()
-
-    def mark_sent(self, sent: Iterable[Endpoint]) -> None:
-        """Note that these records were passed on once more."""
-        for record in sent:
-            self._left[record.name] -= 1
-            if self._left[record.name] <= 0:
-                del self._left[record.name]
+    def count_down(self, names: Iterable[str]) -> None:
+        """Note that these were passed on once more."""
+        for name in names:
+            left = self._left.get(name, 0) - 1
+            if left > 0:
+                self._left[name] = left
+            else:
+                self.discard(name)
--- a/src/azurefold/wire/messages.py
+++ b/src/azurefold/wire/messages.py
@@ -73,6 +73,19 @@
     records: Annotated[tuple[_Record, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
 
 
+class _Change(_Wire):
+    name: _Hash
+    incarnation: _Count
+    version: _Count
+    announced: State
+    departing: bool
+    silence: _Count
+
+
+class _Changes(_Wire, tag=8):
+    changes: Annotated[tuple[_Change, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
+
+
 class _Digest(_Wire, tag=5):
     buckets: Annotated[tuple[_Hash, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
 
@@ -89,7 +102,15 @@
 
 
 _AnyWire = (
-    _Heartbeat | _Announcement | _Probe | _Reply | _Records | _Digest | _Summary | _Want
+    _Heartbeat
+    | _Announcement
+    | _Probe
+    | _Reply
+    | _Records
+    | _Changes
+    | _Digest
+    | _Summary
+    | _Want
 )
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(_AnyWire)
@@ -126,6 +147,8 @@
             return _Reply(controls, announcement_wanted)
         case core.Records(records):
             return _Records(tuple(map(_record_to_wire, records)))
+        case core.Changes(changes):
+            return _Changes(tuple(_copy(change, _Change) for change in changes))
         case core.Digest(buckets):
             return _Digest(buckets)
         case core.Summary(bucket, entries):
@@ -147,6 +170,9 @@
             return core.Reply(*_values(message))
         case _Records():
             return core.Records(tuple(map(_record, message.records)))
+        case _Changes():
+            changes = (core.Change(*_values(change)) for change in message.changes)
+            return core.Changes(tuple(changes))
         case _Digest():
             return core.Digest(message.buckets)
         case _Summary():
@@ -157,7 +183,11 @@
 
 
 def _record_to_wire(record: Endpoint) -> _Record:
-    return _Record(*(getattr(record, name) for name in _Record.__struct_fields__))
+    return _copy(record, _Record)
+
+
+def _copy(source: object, wire: type[_Wire]) -> _Wire:
+    return wire(*(getattr(source, name) for name in wire.__struct_fields__))
 
 
 def _record(record: _Record) -> Endpoint:
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -33,6 +33,20 @@
     st.builds(core.Probe),
     st.builds(core.Reply, st.lists(ADDRESSES).map(tuple), st.booleans()),
     st.builds(core.Records, st.lists(RECORDS).map(tuple)),
+    st.builds(
+        core.Changes,
+        st.lists(
+            st.builds(
+                core.Change,
+                HASHES,
+                st.integers(0, 2**63 - 1),
+                st.integers(0, 2**20),
+                STATES,
+                st.booleans(),
+                st.integers(0, 9),
+            )
+        ).map(tuple),
+    ),
     st.builds(core.Digest, st.lists(HASHES).map(tuple)),
     st.builds(
         core.Summary,
