--- a/src/azurefold/core/membership/directory.py
+++ b/src/azurefold/core/membership/directory.py
@@ -10,8 +10,8 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.membership.controls import Controls
-from azurefold.core.membership.endpoints import Endpoint, Role, State, join
-from azurefold.core.membership.gossip import Gossip, changed
+from azurefold.core.membership.endpoints import Endpoint, State, join
+from azurefold.core.membership.gossip import Gossip
 from azurefold.core.membership.messages import (
     NO_LIST,
     Announcement,
@@ -29,7 +29,7 @@
     Want,
 )
 from azurefold.core.membership.responsibility import Responsibility
-from azurefold.core.membership.snapshot import Shown
+from azurefold.core.membership.snapshot import Shown, show
 from azurefold.core.membership.tombstones import Tombstones
 from azurefold.core.membership.vm_list import ListedVm, VmList, record_from_vm
 from azurefold.core.membership.watches import Watches
@@ -100,17 +100,7 @@
 
     def snapshot(self) -> tuple[Shown, ...]:
         """Return all endpoints as the entry process should take them."""
-        return tuple(
-            self._shown(record)
-            for record in self._records.values()
-            if record.role is Role.ENDPOINT
-        )
-
-    def _shown(self, record: Endpoint) -> Shown:
-        state = record.state
-        if state is State.SERVING and self._vm_list.says_leaving(record):
-            state = State.LEAVING
-        return Shown(record, state, self._loads.get(record.name, record.load))
+        return show(self._records.values(), self._vm_list, self._loads)
 
     def update_vms(self, vms: Iterable[ListedVm], now: Millis) -> None:
         """Take a newly read list of VMs; see :mod:`.vm_list`."""
@@ -157,11 +147,9 @@
                 return self._gossip.on_summary(message, source.origin, now)
             case Want():
                 return self._gossip.on_want(message, source.origin, now)
-            case Probe():
+            case Probe() | Reply(announcement_wanted=True):
                 return [Send(source.origin, Announcement(self.own))]
             case Reply():
-                if message.announcement_wanted:
-                    return [Send(source.origin, Announcement(self.own))]
                 return []
 
     def tick(self, now: Millis, draw: int) -> list[Send]:
@@ -225,13 +213,7 @@
         return [Send(source.origin, Reply(self._controls.settled))]
 
     def _on_changes(self, message: Changes, source: Source, now: Millis) -> list[Send]:
-        records, unknown = [], []
-        for change in message.changes:
-            known = self._gossip.find(change.name)
-            if known is None or known.incarnation < change.incarnation:
-                unknown.append(change.name)
-            else:
-                records.append(changed(known, change))
+        records, unknown = self._gossip.read(message)
         asked = self._gossip.ask_for(unknown, source.origin, now)
         return asked + self._take_all(records, source, now)
 
@@ -259,8 +241,9 @@
             joined = replace(joined, silence=joined.silence + 1)
         if joined == known:
             return joined
-        self._note_silence(known, joined, now)
-        self._put(known, joined, now)
+        if known is not None:
+            self._note_silence(known, joined, now)
+        self._put(joined, now)
         return joined
 
     def _refute_own(self, known: Endpoint | None, joined: Endpoint) -> Endpoint:
@@ -277,9 +260,7 @@
             return False
         return self._watches.heard_lately(new.name, now)
 
-    def _note_silence(self, old: Endpoint | None, new: Endpoint, now: Millis) -> None:
-        if old is None:
-            return
+    def _note_silence(self, old: Endpoint, new: Endpoint, now: Millis) -> None:
         name, revived = new.name, old.is_silent and not new.is_silent
         if new.incarnation != old.incarnation:
             self._watches.forget(name)
@@ -287,7 +268,7 @@
         elif revived and not self._watches.heard_lately(name, now):
             self._watches.others_hear(name)
 
-    def _put(self, known: Endpoint | None, joined: Endpoint, now: Millis) -> None:
+    def _put(self, joined: Endpoint, now: Millis) -> None:
         self._records[joined.name] = joined
         self._gossip.spread(joined)
         self._revision += 1
--- a/src/azurefold/core/membership/gossip.py
+++ b/src/azurefold/core/membership/gossip.py
@@ -31,7 +31,7 @@
     wire_size,
 )
 
-__all__ = ["Gossip", "changed"]
+__all__ = ["Gossip"]
 
 _SUMMARY_ENTRY_BYTES = 11
 _DIGEST_BYTES = 84
@@ -91,6 +91,17 @@
         name = self._names.get(hashed)
         return None if name is None else self._records[name]
 
+    def read(self, message: Changes) -> tuple[list[Endpoint], list[int]]:
+        """Return the records that a peer holds, and name hashes unknown here."""
+        records, unknown = [], []
+        for change in message.changes:
+            known = self.find(change.name)
+            if known is None or known.incarnation < change.incarnation:
+                unknown.append(change.name)
+            else:
+                records.append(_changed(known, change))
+        return records, unknown
+
     def heard_again(self, name: str) -> None:
         """Note that a peer passed on what is held here already."""
         self._rumours.heard_again(name)
@@ -207,7 +218,7 @@
     )
 
 
-def changed(known: Endpoint, change: Change) -> Endpoint:
+def _changed(known: Endpoint, change: Change) -> Endpoint:
     """Return the sender's record, as far as ``change`` tells it."""
     return replace(
         known,
--- a/src/azurefold/core/membership/vm_list.py
+++ b/src/azurefold/core/membership/vm_list.py
@@ -2,8 +2,8 @@
 
 The list lags, so it is never believed against a heartbeat. It may name an
 endpoint not heard of yet, keep new work from a VM that is about to leave, and
-shorten the wait for a silent one that it has dropped. It is kept apart from
-the records and never passed on, so that an old list cannot outlive itself.
+shorten the wait for a silent one that it has dropped. Of these only the first
+becomes a record, of incarnation 0, which any word from the endpoint replaces.
 """
 
 from collections.abc import Iterable
