--- a/src/azurefold/core/membership/directory.py
+++ b/src/azurefold/core/membership/directory.py
@@ -10,11 +10,12 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.membership.controls import Controls
-from azurefold.core.membership.endpoints import Endpoint, Role, State, join
+from azurefold.core.membership.endpoints import Endpoint, State, join
 from azurefold.core.membership.gossip import Gossip
 from azurefold.core.membership.messages import (
     NO_LIST,
     Announcement,
+    Changes,
     Digest,
     Heartbeat,
     Message,
@@ -28,7 +29,7 @@
     Want,
 )
 from azurefold.core.membership.responsibility import Responsibility
-from azurefold.core.membership.snapshot import Shown
+from azurefold.core.membership.snapshot import Shown, show
 from azurefold.core.membership.tombstones import Tombstones
 from azurefold.core.membership.vm_list import ListedVm, VmList, record_from_vm
 from azurefold.core.membership.watches import Watches
@@ -99,17 +100,7 @@
 
     def snapshot(self) -> tuple[Shown, ...]:
         """Return all endpoints as the entry process should take them."""
-        return tuple(
-            self._shown(record)
-            for record in self._records.values()
-            if record.role is Role.ENDPOINT
-        )
-
-    def _shown(self, record: Endpoint) -> Shown:
-        state = record.state
-        if state is State.SERVING and self._vm_list.says_leaving(record):
-            state = State.LEAVING
-        return Shown(record, state, self._loads.get(record.name, record.load))
+        return show(self._records.values(), self._vm_list, self._loads)
 
     def update_vms(self, vms: Iterable[ListedVm], now: Millis) -> None:
         """Take a newly read list of VMs; see :mod:`.vm_list`."""
@@ -147,18 +138,18 @@
             case Announcement():
                 return self._on_announcement(message, source, now)
             case Records():
-                return self._on_records(message, source, now)
+                return self._take_all(message.records, source, now)
+            case Changes():
+                return self._on_changes(message, source, now)
             case Digest():
                 return self._gossip.on_digest(message, source.origin, now)
             case Summary():
                 return self._gossip.on_summary(message, source.origin, now)
             case Want():
                 return self._gossip.on_want(message, source.origin, now)
-            case Probe():
+            case Probe() | Reply(announcement_wanted=True):
                 return [Send(source.origin, Announcement(self.own))]
             case Reply():
-                if message.announcement_wanted:
-                    return [Send(source.origin, Announcement(self.own))]
                 return []
 
     def tick(self, now: Millis, draw: int) -> list[Send]:
@@ -171,6 +162,7 @@
         draw : int
             A freshly drawn number, not negative, that chooses the peer.
         """
+        self._controls.settle(now)
         sends = self._expire(now)
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + self._timing.heartbeat
@@ -192,10 +184,10 @@
         if current and known.incarnation == source.incarnation:
             self._loads[source.name] = beat.load
             self._take_version(known, beat, now)
-        stale_list = beat.controls != self._controls.digest
+        stale_list = beat.controls not in (NO_LIST, self._controls.digest)
         if current and not stale_list and not beat.reply_wanted:
             return []
-        controls = self._controls.addresses if stale_list else ()
+        controls = self._controls.settled if stale_list else ()
         return [Send(source.origin, Reply(controls, not current))]
 
     def _take_version(self, known: Endpoint, beat: Heartbeat, now: Millis) -> None:
@@ -218,15 +210,25 @@
         self._loads[record.name] = record.load
         if message.controls in (NO_LIST, self._controls.digest):
             return []
-        return [Send(source.origin, Reply(self._controls.addresses))]
+        return [Send(source.origin, Reply(self._controls.settled))]
+
+    def _on_changes(self, message: Changes, source: Source, now: Millis) -> list[Send]:
+        records, unknown = self._gossip.read(message)
+        asked = self._gossip.ask_for(unknown, source.origin, now)
+        return asked + self._take_all(records, source, now)
 
-    def _on_records(self, message: Records, source: Source, now: Millis) -> list[Send]:
+    def _take_all(
+        self, records: Iterable[Endpoint], source: Source, now: Millis
+    ) -> list[Send]:
         newer = []
-        for record in message.records:
+        for record in records:
+            before = self._records.get(record.name)
             held = self._merge(record, now)
             if held is not None and held != record:
                 newer.append(held)
-        return self._gossip.send_records(newer, source.origin, now)
+            elif held == before:
+                self._gossip.heard_again(record.name)
+        return self._gossip.send_changes(newer, source.origin, now)
 
     def _merge(self, record: Endpoint, now: Millis) -> Endpoint | None:
         known = self._records.get(record.name)
@@ -239,8 +241,9 @@
             joined = replace(joined, silence=joined.silence + 1)
         if joined == known:
             return joined
-        self._note_silence(known, joined, now)
-        self._put(known, joined, now)
+        if known is not None:
+            self._note_silence(known, joined, now)
+        self._put(joined, now)
         return joined
 
     def _refute_own(self, known: Endpoint | None, joined: Endpoint) -> Endpoint:
@@ -257,9 +260,7 @@
             return False
         return self._watches.heard_lately(new.name, now)
 
-    def _note_silence(self, old: Endpoint | None, new: Endpoint, now: Millis) -> None:
-        if old is None:
-            return
+    def _note_silence(self, old: Endpoint, new: Endpoint, now: Millis) -> None:
         name, revived = new.name, old.is_silent and not new.is_silent
         if new.incarnation != old.incarnation:
             self._watches.forget(name)
@@ -267,7 +268,7 @@
         elif revived and not self._watches.heard_lately(name, now):
             self._watches.others_hear(name)
 
-    def _put(self, known: Endpoint | None, joined: Endpoint, now: Millis) -> None:
+    def _put(self, joined: Endpoint, now: Millis) -> None:
         self._records[joined.name] = joined
         self._gossip.spread(joined)
         self._revision += 1
@@ -285,7 +286,7 @@
 
     def _own_heartbeats(self) -> list[Send]:
         own = self.own
-        beat = Heartbeat(own.version, own.announced, own.load, self._controls.digest)
+        beat = Heartbeat(own.version, own.announced, own.load, NO_LIST)
         homes = self._controls.own_homes(own.name, self._timing.homes)
         return [Send(home, beat) for home in homes]
 
--- a/src/azurefold/wire/messages.py
+++ b/src/azurefold/wire/messages.py
@@ -77,6 +77,19 @@
     records: Annotated[tuple[_Record, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
 
 
+class _Change(_Wire):
+    name: _Hash
+    incarnation: _Count
+    version: _Count
+    announced: State
+    departing: bool
+    silence: _Count
+
+
+class _Changes(_Wire, tag=8):
+    changes: Annotated[tuple[_Change, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
+
+
 class _Digest(_Wire, tag=5):
     buckets: Annotated[tuple[_Hash, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
 
@@ -105,6 +118,7 @@
     | _Probe
     | _Reply
     | _Records
+    | _Changes
     | _Digest
     | _Summary
     | _Want
@@ -145,6 +159,8 @@
             return _Reply(controls, announcement_wanted)
         case core.Records(records):
             return _Records(tuple(map(_record_to_wire, records)))
+        case core.Changes(changes):
+            return _Changes(tuple(_copy(change, _Change) for change in changes))
         case core.Digest(buckets):
             return _Digest(buckets)
         case core.Summary(bucket, entries):
@@ -168,6 +184,9 @@
             return core.Reply(*_values(message))
         case _Records():
             return core.Records(tuple(map(_record, message.records)))
+        case _Changes():
+            changes = (core.Change(*_values(change)) for change in message.changes)
+            return core.Changes(tuple(changes))
         case _Digest():
             return core.Digest(message.buckets)
         case _Summary():
@@ -181,7 +200,11 @@
 
 
 def _record_to_wire(record: Endpoint) -> _Record:
-    return _Record(*(getattr(record, name) for name in _Record.__struct_fields__))
+    return _copy(record, _Record)
+
+
+def _copy(source: object, wire: type[_Wire]) -> _Wire:
+    return wire(*(getattr(source, name) for name in wire.__struct_fields__))
 
 
 def _record(record: _Record) -> Endpoint:
