--- a/src/azurefold/core/routing/endpoint.py
+++ b/src/azurefold/core/routing/endpoint.py
@@ -45,8 +45,10 @@
     concurrency: ConcurrencyLimit
     attempts: dict[str, Attempt] = field(default_factory=dict)
     awaiting: dict[str, Millis] = field(default_factory=dict)
-    nodes: int = 1
-    position: int = 0
+    share: int = _DEFAULT_SLOTS
+    counted_room: int = 0
+    counted_capacity: int = 0
+    is_counted: bool = False
     leaving: bool = False
     slots: int = _DEFAULT_SLOTS
     others: float = 0.0
@@ -54,6 +56,8 @@
     pace: float | None = None
     pace_samples: int = 0
     last_progress: Millis = 0
+    _nodes: int = 1
+    _position: int = 0
     _history: deque[tuple[Millis, int]] = field(
         default_factory=lambda: deque(maxlen=_HISTORY_LENGTH)
     )
@@ -76,16 +80,6 @@
         unused = self.slots - int(self.others) - self.share - _KEPT_FREE
         return min(self.concurrency.limit, self.share + max(0, unused // 2))
 
-    @property
-    def share(self) -> int:
-        """This node's share of the engine's slots.
-
-        What does not divide evenly goes to other nodes at each endpoint.
-        """
-        even, rest = divmod(self.slots, self.nodes)
-        place = (self.position + crc32(self.name.encode())) % self.nodes
-        return max(1, even + (place < rest))
-
     @property
     def room(self) -> int:
         """How many more this node may send."""
@@ -96,6 +90,17 @@
         """Whether this node may send one more."""
         return len(self.attempts) < self.capacity
 
+    def share_slots(self, nodes: int, position: int) -> None:
+        """Set this node's share of the slots among ``nodes`` nodes.
+
+        What does not divide evenly goes to other nodes at each endpoint.
+        """
+        self._nodes = nodes
+        self._position = position
+        even, rest = divmod(self.slots, nodes)
+        place = (position + crc32(self.name.encode())) % nodes
+        self.share = max(1, even + (place < rest))
+
     def start(self, attempt_id: str, attempt: Attempt) -> None:
         """Add an attempt; a repeated one changes nothing."""
         if attempt_id in self.attempts:
@@ -120,7 +125,9 @@
         if self.reported is not None and measured < self.reported:
             return
         self.reported = measured
-        self.slots = max(1, report.slots)
+        if report.slots != self.slots:
+            self.slots = max(1, report.slots)
+            self.share_slots(self._nodes, self._position)
         # The report counts our own attempts as they were then. Adding our
         # present ones without taking those out would count them twice.
         self.others = max(0.0, float(report.in_flight - self._own_at(measured)))
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -79,6 +79,8 @@
         self._others = 0.0
         self._nodes = 1
         self._position = 0
+        self._room = 0
+        self._capacity = 0
 
     @property
     def endpoints(self) -> tuple[str, ...]:
@@ -98,13 +100,12 @@
     @property
     def room(self) -> int:
         """Requests that the endpoints that may be chosen have room for."""
-        return sum(endpoint.room for endpoint in self._eligible)
+        return self._room
 
     @property
     def draft_room(self) -> int:
         """The room left when a part is kept free for confirmations."""
-        capacity = sum(endpoint.capacity for endpoint in self._eligible)
-        return self.room - ceil(self._policy.reserve * capacity)
+        return self._room - ceil(self._policy.reserve * self._capacity)
 
     def set_nodes(self, count: int, position: int = 0) -> None:
         """Take in how many nodes send to these endpoints.
@@ -119,8 +120,8 @@
         self._nodes = max(1, count)
         self._position = position
         for endpoint in self._endpoints.values():
-            endpoint.nodes = self._nodes
-            endpoint.position = position
+            endpoint.share_slots(self._nodes, position)
+            self._recount(endpoint)
 
     def limit(self, endpoint: str) -> int:
         """Return how many requests this node keeps at ``endpoint``."""
@@ -140,13 +141,9 @@
             self._ejector.forget(gone)
         for name in sorted(names - self._endpoints.keys()):
             limit = ConcurrencyLimit(self._policy.concurrency)
-            self._endpoints[name] = Endpoint(
-                name,
-                limit,
-                nodes=self._nodes,
-                position=self._position,
-                last_progress=now,
-            )
+            endpoint = Endpoint(name, limit, last_progress=now)
+            endpoint.share_slots(self._nodes, self._position)
+            self._endpoints[name] = endpoint
         self._others = sum(one.others for one in self._endpoints.values())
         self._means.others = self._others / max(1, len(names))
         for name in leaving:
@@ -216,6 +213,7 @@
         uncached = max(0, request.prompt_tokens - cached)
         prefill = uncached * self._policy.choice.prefill
         known.start(attempt_id, Attempt(now, request.prefixes, prefill))
+        self._recount(known)
 
     def first_token(self, endpoint: str, attempt_id: str, now: Millis) -> None:
         """Note that an attempt's answer has begun; a repeat changes nothing."""
@@ -229,6 +227,7 @@
         known.concurrency.observe_first_token(
             now - attempt.started, attempt.prefill, known.in_flight, now
         )
+        self._recount(known)
         # It has just computed this prompt, which no cache event told yet.
         for prefix in attempt.prefixes:
             self._hints.cached(endpoint, prefix.hash, now)
@@ -247,11 +246,18 @@
         attempt = known.end(attempt_id, now) if known else None
         if attempt is None:
             return None
+        ejected = self._learn_outcome(known, attempt, outcome, now)
+        self._recount(known)
+        return ejected
+
+    def _learn_outcome(
+        self, known: Endpoint, attempt: Attempt, outcome: Outcome, now: Millis
+    ) -> Ejected | None:
         match outcome:
             case Answered(tokens):
                 known.last_progress = now
                 self._learn_answer(known, attempt, tokens, now)
-                self._ejector.observe_success(endpoint)
+                self._ejector.observe_success(known.name)
             case Failed() | TimedOut():
                 return self._learn_failure(known, now)
             case Refused():
@@ -267,6 +273,7 @@
             return
         before = known.others
         known.report(report, now)
+        self._recount(known)
         self._others += known.others - before
         self._means.others = self._others / len(self._endpoints)
 
@@ -378,3 +385,25 @@
             if not endpoint.leaving and endpoint.name not in ejected
         ]
         self._next_return = self._ejector.next_return
+        self._count_all()
+
+    def _count_all(self) -> None:
+        self._room = self._capacity = 0
+        for endpoint in self._endpoints.values():
+            endpoint.is_counted = False
+        for endpoint in self._eligible:
+            endpoint.is_counted = True
+            endpoint.counted_room = endpoint.counted_capacity = 0
+            self._recount(endpoint)
+
+    def _recount(self, endpoint: Endpoint) -> None:
+        # The sums are kept up, not worked out for each request: with 390
+        # endpoints that would take longer than all the rest of the decision.
+        if not endpoint.is_counted:
+            return
+        room = endpoint.room
+        capacity = endpoint.capacity
+        self._room += room - endpoint.counted_room
+        self._capacity += capacity - endpoint.counted_capacity
+        endpoint.counted_room = room
+        endpoint.counted_capacity = capacity
--- a/tests/core/routing/test_pool_never_chooses_wrongly.py
+++ b/tests/core/routing/test_pool_never_chooses_wrongly.py
@@ -114,6 +114,12 @@
     def counts_each_attempt_once(self):
         assert self.pool.in_flight == len(self.attempts)
 
+    @invariant()
+    def sums_up_the_room(self):
+        eligible = self.members - self.leaving - self.pool.ejected
+        known = self.pool._endpoints
+        assert self.pool.room == sum(known[name].room for name in eligible)
+
     @invariant()
     def keeps_most_of_the_pool(self):
         # The share is of the pool at the time of ejection; members may go later.
