Take members and their sums out of the pool

Membership and sums are now a class of their own. Ruled out: a subclass, which would have left both jobs in one object.

--- /dev/null
+++ b/src/azurefold/core/routing/members.py
@@ -0,0 +1,91 @@
+"""The endpoints of a pool, those that may be chosen, and sums over them."""
+
+from collections.abc import Set
+
+from azurefold.core.clock import Millis
+from azurefold.core.routing.concurrency import ConcurrencyLimit, ConcurrencyPolicy
+from azurefold.core.routing.endpoint import Endpoint
+from azurefold.core.routing.messages import LoadReport
+
+__all__ = ["Members"]
+
+
+class Members:
+    """Endpoints by name, with sums that are kept up at each change.
+
+    Parameters
+    ----------
+    policy : ConcurrencyPolicy
+        For the limit of each new endpoint.
+    """
+
+    def __init__(self, policy: ConcurrencyPolicy) -> None:
+        self._policy = policy
+        self._others = 0.0
+        self._nodes = 1
+        self._position = 0
+        self.by_name: dict[str, Endpoint] = {}
+        self.eligible: list[Endpoint] = []
+        self.room = 0
+        self.capacity = 0
+
+    @property
+    def mean_others(self) -> float:
+        """Requests of other nodes at an endpoint, on average."""
+        return self._others / max(1, len(self.by_name))
+
+    def replace(self, names: frozenset[str], now: Millis) -> list[str]:
+        """Take in the present names; return those that are gone."""
+        gone = sorted(self.by_name.keys() - names)
+        for name in gone:
+            del self.by_name[name]
+        for name in sorted(names - self.by_name.keys()):
+            limit = ConcurrencyLimit(self._policy)
+            endpoint = Endpoint(name, limit, last_progress=now)
+            endpoint.share_slots(self._nodes, self._position)
+            self.by_name[name] = endpoint
+        self._others = sum(one.others for one in self.by_name.values())
+        return gone
+
+    def share_slots(self, nodes: int, position: int) -> None:
+        """Divide the slots of all endpoints between ``nodes`` nodes."""
+        self._nodes = max(1, nodes)
+        self._position = position
+        for endpoint in self.by_name.values():
+            endpoint.share_slots(self._nodes, position)
+            self.recount(endpoint)
+
+    def report(self, endpoint: Endpoint, report: LoadReport, now: Millis) -> None:
+        """Take in a load report."""
+        before = endpoint.others
+        endpoint.report(report, now)
+        self._others += endpoint.others - before
+        self.recount(endpoint)
+
+    def select(self, ejected: Set[str]) -> None:
+        """Work out anew which endpoints may be chosen."""
+        self.room = self.capacity = 0
+        for endpoint in self.by_name.values():
+            endpoint.is_counted = False
+        self.eligible = [
+            endpoint
+            for endpoint in self.by_name.values()
+            if not endpoint.leaving and endpoint.name not in ejected
+        ]
+        for endpoint in self.eligible:
+            endpoint.is_counted = True
+            endpoint.counted_room = endpoint.counted_capacity = 0
+            self.recount(endpoint)
+
+    def recount(self, endpoint: Endpoint) -> None:
+        """Bring the sums up to date after a change of ``endpoint``."""
+        # The sums are kept up, not worked out for each request: with 390
+        # endpoints that would take longer than all the rest of the decision.
+        if not endpoint.is_counted:
+            return
+        room = endpoint.room
+        capacity = endpoint.capacity
+        self.room += room - endpoint.counted_room
+        self.capacity += capacity - endpoint.counted_capacity
+        endpoint.counted_room = room
+        endpoint.counted_capacity = capacity
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -12,9 +12,10 @@
     draw_two,
     expected_wait,
 )
-from azurefold.core.routing.concurrency import ConcurrencyLimit, ConcurrencyPolicy
+from azurefold.core.routing.concurrency import ConcurrencyPolicy
 from azurefold.core.routing.ejection import EjectionPolicy, Ejector
 from azurefold.core.routing.endpoint import Attempt, Endpoint
+from azurefold.core.routing.members import Members
 from azurefold.core.routing.messages import (
     Answered,
     Cancelled,
@@ -70,22 +71,16 @@
 
     def __init__(self, policy: PoolPolicy | None = None) -> None:
         self._policy = policy or PoolPolicy()
-        self._endpoints: dict[str, Endpoint] = {}
-        self._eligible: list[Endpoint] = []
+        self._members = Members(self._policy.concurrency)
         self._ejector = Ejector(self._policy.ejection)
         self._next_return: Millis | None = None
         self._hints = PrefixHints()
         self._means = PoolMeans()
-        self._others = 0.0
-        self._nodes = 1
-        self._position = 0
-        self._room = 0
-        self._capacity = 0
 
     @property
     def endpoints(self) -> tuple[str, ...]:
         """All endpoints, also those leaving or ejected."""
-        return tuple(self._endpoints)
+        return tuple(self._members.by_name)
 
     @property
     def ejected(self) -> frozenset[str]:
@@ -95,17 +90,17 @@
     @property
     def in_flight(self) -> int:
         """Attempts of this node that have not ended."""
-        return sum(endpoint.in_flight for endpoint in self._endpoints.values())
+        return sum(endpoint.in_flight for endpoint in self._members.by_name.values())
 
     @property
     def room(self) -> int:
         """Requests that the endpoints that may be chosen have room for."""
-        return self._room
+        return self._members.room
 
     @property
     def draft_room(self) -> int:
         """The room left when a part is kept free for confirmations."""
-        return self._room - ceil(self._policy.reserve * self._capacity)
+        return self._members.room - ceil(self._policy.reserve * self._members.capacity)
 
     def set_nodes(self, count: int, position: int = 0) -> None:
         """Take in how many nodes send to these endpoints.
@@ -117,15 +112,11 @@
         position : int, default=0
             This node's place in their sorted list, from 0.
         """
-        self._nodes = max(1, count)
-        self._position = position
-        for endpoint in self._endpoints.values():
-            endpoint.share_slots(self._nodes, position)
-            self._recount(endpoint)
+        self._members.share_slots(count, position)
 
     def limit(self, endpoint: str) -> int:
         """Return how many requests this node keeps at ``endpoint``."""
-        return self._endpoints[endpoint].concurrency.limit
+        return self._members.by_name[endpoint].concurrency.limit
 
     def set_endpoints(
         self, names: Iterable[str], now: Millis, leaving: Iterable[str] = ()
@@ -135,32 +126,24 @@
         An endpoint that was marked as leaving stays so until it has dropped
         out of ``names`` or was readmitted, since the list of VMs lags.
         """
-        names = frozenset(names)
-        for gone in self._endpoints.keys() - names:
-            del self._endpoints[gone]
+        for gone in self._members.replace(frozenset(names), now):
             self._ejector.forget(gone)
-        for name in sorted(names - self._endpoints.keys()):
-            limit = ConcurrencyLimit(self._policy.concurrency)
-            endpoint = Endpoint(name, limit, last_progress=now)
-            endpoint.share_slots(self._nodes, self._position)
-            self._endpoints[name] = endpoint
-        self._others = sum(one.others for one in self._endpoints.values())
-        self._means.others = self._others / max(1, len(names))
+        self._means.others = self._members.mean_others
         for name in leaving:
-            if name in self._endpoints:
-                self._endpoints[name].leaving = True
+            if name in self._members.by_name:
+                self._members.by_name[name].leaving = True
         self._refresh(now)
 
     def mark_leaving(self, endpoint: str, now: Millis) -> None:
         """Choose ``endpoint`` no more; its attempts in flight go on."""
-        known = self._endpoints.get(endpoint)
+        known = self._members.by_name.get(endpoint)
         if known is not None:
             known.leaving = True
             self._refresh(now)
 
     def readmit(self, endpoint: str, now: Millis) -> None:
         """Choose ``endpoint`` again: a new incarnation of it has joined."""
-        known = self._endpoints.get(endpoint)
+        known = self._members.by_name.get(endpoint)
         if known is not None:
             known.leaving = False
             self._refresh(now)
@@ -206,18 +189,18 @@
         request: RouteRequest = _NO_REQUEST,
     ) -> None:
         """Note that an attempt was sent."""
-        known = self._endpoints.get(endpoint)
+        known = self._members.by_name.get(endpoint)
         if known is None:
             return
         cached = self._hints.cached_tokens(endpoint, request.prefixes, now)
         uncached = max(0, request.prompt_tokens - cached)
         prefill = uncached * self._policy.choice.prefill
         known.start(attempt_id, Attempt(now, request.prefixes, prefill))
-        self._recount(known)
+        self._members.recount(known)
 
     def first_token(self, endpoint: str, attempt_id: str, now: Millis) -> None:
         """Note that an attempt's answer has begun; a repeat changes nothing."""
-        known = self._endpoints.get(endpoint)
+        known = self._members.by_name.get(endpoint)
         attempt = known.attempts.get(attempt_id) if known else None
         if attempt is None or attempt.first_token is not None:
             return
@@ -227,7 +210,7 @@
         known.concurrency.observe_first_token(
             now - attempt.started, attempt.prefill, known.in_flight, now
         )
-        self._recount(known)
+        self._members.recount(known)
         # It has just computed this prompt, which no cache event told yet.
         for prefix in attempt.prefixes:
             self._hints.cached(endpoint, prefix.hash, now)
@@ -242,12 +225,12 @@
         Ejected or None
             The ejection that this outcome led to.
         """
-        known = self._endpoints.get(endpoint)
+        known = self._members.by_name.get(endpoint)
         attempt = known.end(attempt_id, now) if known else None
         if attempt is None:
             return None
         ejected = self._learn_outcome(known, attempt, outcome, now)
-        self._recount(known)
+        self._members.recount(known)
         return ejected
 
     def _learn_outcome(
@@ -268,18 +251,15 @@
 
     def load_reported(self, endpoint: str, report: LoadReport, now: Millis) -> None:
         """Take in a load report."""
-        known = self._endpoints.get(endpoint)
+        known = self._members.by_name.get(endpoint)
         if known is None:
             return
-        before = known.others
-        known.report(report, now)
-        self._recount(known)
-        self._others += known.others - before
-        self._means.others = self._others / len(self._endpoints)
+        self._members.report(known, report, now)
+        self._means.others = self._members.mean_others
 
     def prefix_cached(self, endpoint: str, prefix_hash: int, now: Millis) -> None:
         """Take in a cache event."""
-        if endpoint in self._endpoints:
+        if endpoint in self._members.by_name:
             self._hints.cached(endpoint, prefix_hash, now)
 
     def prefix_evicted(self, endpoint: str, prefix_hash: int) -> None:
@@ -290,7 +270,9 @@
         """Look for slow and stuck endpoints; call it about once a second."""
         self._refresh(now)
         usual = self._median_pace()
-        found = [self._judge(endpoint, usual, now) for endpoint in self._eligible]
+        found = [
+            self._judge(endpoint, usual, now) for endpoint in self._members.eligible
+        ]
         ejected = tuple(one for one in found if one is not None)
         self._refresh(now)
         return ejected
@@ -298,11 +280,11 @@
     def _candidates(
         self, request: RouteRequest, draws: tuple[float, float], now: Millis
     ) -> list[Endpoint]:
-        drawn = list(draw_two(self._eligible, request, draws))
+        drawn = list(draw_two(self._members.eligible, request, draws))
         holders = self._hints.holders(request.prefixes, now)
         if not holders:
             return drawn
-        holder = self._endpoints.get(holders[int(draws[1] * len(holders))])
+        holder = self._members.by_name.get(holders[int(draws[1] * len(holders))])
         if holder is not None and self._may_take(holder, request):
             drawn.append(holder)
         return drawn
@@ -318,11 +300,11 @@
         return NoneAvailable(self._why_none(request), retry_after)
 
     def _why_none(self, request: RouteRequest) -> Unavailable:
-        if not self._endpoints:
+        if not self._members.by_name:
             return Unavailable.NO_ENDPOINTS
-        if all(endpoint.leaving for endpoint in self._endpoints.values()):
+        if all(endpoint.leaving for endpoint in self._members.by_name.values()):
             return Unavailable.ALL_LEAVING
-        if all(endpoint.name in request.exclude for endpoint in self._eligible):
+        if all(endpoint.name in request.exclude for endpoint in self._members.eligible):
             return Unavailable.ALL_EXCLUDED
         return Unavailable.ALL_FULL
 
@@ -338,7 +320,7 @@
         means.tokens += _ANSWER_SMOOTHING * (tokens - means.tokens)
 
     def _learn_failure(self, endpoint: Endpoint, now: Millis) -> Ejected | None:
-        size = len(self._endpoints)
+        size = len(self._members.by_name)
         ejected = self._ejector.observe_failure(endpoint.name, size, now)
         if ejected is not None:
             self._after_ejection(endpoint)
@@ -353,14 +335,14 @@
             cause = EjectionCause.SLOW
         else:
             return None
-        size = len(self._endpoints)
+        size = len(self._members.by_name)
         ejected = self._ejector.eject(endpoint.name, cause, size, now)
         if ejected is not None:
             self._after_ejection(endpoint)
         return ejected
 
     def _median_pace(self) -> float:
-        paces = [one.pace for one in self._eligible if one.pace is not None]
+        paces = [one.pace for one in self._members.eligible if one.pace is not None]
         return median(paces) if paces else self._means.pace
 
     def _is_slow(self, endpoint: Endpoint, usual: float) -> bool:
@@ -377,33 +359,6 @@
 
     def _refresh(self, now: Millis) -> None:
         for name in self._ejector.returned(now):
-            self._endpoints[name].last_progress = now
-        ejected = self._ejector.ejected
-        self._eligible = [
-            endpoint
-            for endpoint in self._endpoints.values()
-            if not endpoint.leaving and endpoint.name not in ejected
-        ]
+            self._members.by_name[name].last_progress = now
+        self._members.select(self._ejector.ejected)
         self._next_return = self._ejector.next_return
-        self._count_all()
-
-    def _count_all(self) -> None:
-        self._room = self._capacity = 0
-        for endpoint in self._endpoints.values():
-            endpoint.is_counted = False
-        for endpoint in self._eligible:
-            endpoint.is_counted = True
-            endpoint.counted_room = endpoint.counted_capacity = 0
-            self._recount(endpoint)
-
-    def _recount(self, endpoint: Endpoint) -> None:
-        # The sums are kept up, not worked out for each request: with 390
-        # endpoints that would take longer than all the rest of the decision.
-        if not endpoint.is_counted:
-            return
-        room = endpoint.room
-        capacity = endpoint.capacity
-        self._room += room - endpoint.counted_room
-        self._capacity += capacity - endpoint.counted_capacity
-        endpoint.counted_room = room
-        endpoint.counted_capacity = capacity
--- a/tests/core/routing/test_pool_never_chooses_wrongly.py
+++ b/tests/core/routing/test_pool_never_chooses_wrongly.py
@@ -117,7 +117,7 @@
     @invariant()
     def sums_up_the_room(self):
         eligible = self.members - self.leaving - self.pool.ejected
-        known = self.pool._endpoints
+        known = self.pool._members.by_name
         assert self.pool.room == sum(known[name].room for name in eligible)
 
     @invariant()
