Judge health beside the pool and gather its policies

Judging slow and stuck endpoints, the policies and the reasons for no choice are now in modules of their own. Ruled out: splitting the facade's methods by event, which would scatter one state over files.

--- a/src/azurefold/core/routing/choice.py
+++ b/src/azurefold/core/routing/choice.py
@@ -15,6 +15,9 @@
 __all__ = ["ChoicePolicy", "PoolMeans", "draw_two", "expected_wait"]
 
 
+_ANSWER_SMOOTHING = 0.02
+
+
 @dataclass(frozen=True, slots=True)
 class ChoicePolicy:
     """Weights of the expected wait.
@@ -55,6 +58,11 @@
     pace: float = 20.0
     tokens: float = 100.0
 
+    def learn(self, pace: float, tokens: int) -> None:
+        """Learn from one answer."""
+        self.pace += _ANSWER_SMOOTHING * (pace - self.pace)
+        self.tokens += _ANSWER_SMOOTHING * (tokens - self.tokens)
+
 
 def expected_wait(
     endpoint: Endpoint,
--- a/src/azurefold/core/routing/members.py
+++ b/src/azurefold/core/routing/members.py
@@ -5,7 +5,7 @@
 from azurefold.core.clock import Millis
 from azurefold.core.routing.concurrency import ConcurrencyLimit, ConcurrencyPolicy
 from azurefold.core.routing.endpoint import Endpoint
-from azurefold.core.routing.messages import LoadReport
+from azurefold.core.routing.messages import LoadReport, Unavailable
 
 __all__ = ["Members"]
 
@@ -77,6 +77,16 @@
             endpoint.counted_room = endpoint.counted_capacity = 0
             self.recount(endpoint)
 
+    def why_none(self, exclude: Set[str]) -> Unavailable:
+        """Return why no endpoint outside ``exclude`` can be chosen."""
+        if not self.by_name:
+            return Unavailable.NO_ENDPOINTS
+        if all(endpoint.leaving for endpoint in self.by_name.values()):
+            return Unavailable.ALL_LEAVING
+        if all(endpoint.name in exclude for endpoint in self.eligible):
+            return Unavailable.ALL_EXCLUDED
+        return Unavailable.ALL_FULL
+
     def recount(self, endpoint: Endpoint) -> None:
         """Bring the sums up to date after a change of ``endpoint``."""
         # The sums are kept up, not worked out for each request: with 390
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -1,27 +1,23 @@
 """The endpoints of one service as one node sees them, and the choice among them."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from math import ceil
-from statistics import median
 
 from azurefold.core.clock import Millis
 from azurefold.core.routing.choice import (
-    ChoicePolicy,
     PoolMeans,
     draw_two,
     expected_wait,
 )
-from azurefold.core.routing.concurrency import ConcurrencyPolicy
-from azurefold.core.routing.ejection import EjectionPolicy, Ejector
+from azurefold.core.routing.ejection import Ejector
 from azurefold.core.routing.endpoint import Attempt, Endpoint
+from azurefold.core.routing.judging import cause_to_eject, median_pace
 from azurefold.core.routing.members import Members
 from azurefold.core.routing.messages import (
     Answered,
     Cancelled,
     Chosen,
     Ejected,
-    EjectionCause,
     Failed,
     LoadReport,
     NoneAvailable,
@@ -29,37 +25,17 @@
     Refused,
     RouteRequest,
     TimedOut,
-    Unavailable,
 )
+from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.prefixes import PrefixHints
 
 __all__ = ["Pool", "PoolPolicy"]
 
-_ANSWER_SMOOTHING = 0.02
 _SHORTEST_RETRY: Millis = 100
 _LEAST_PACE = 0.01
 _NO_REQUEST = RouteRequest()
 
 
-@dataclass(frozen=True, slots=True)
-class PoolPolicy:
-    """The policies of a pool's parts.
-
-    Parameters
-    ----------
-    choice, concurrency, ejection
-        The policies of the parts.
-    reserve : float
-        Share of the room kept free of drafts, so that a confirmation need
-        not wait for a slot while drafts overload the pool.
-    """
-
-    choice: ChoicePolicy = field(default_factory=ChoicePolicy)
-    concurrency: ConcurrencyPolicy = field(default_factory=ConcurrencyPolicy)
-    ejection: EjectionPolicy = field(default_factory=EjectionPolicy)
-    reserve: float = 0.06
-
-
 class Pool:
     """State and decisions of routing for one service on one node.
 
@@ -179,7 +155,11 @@
             if wait < least:
                 least = wait
                 best = Chosen(endpoint.name, cached)
-        return best or self._none_available(request, draws[1])
+        if best is not None:
+            return best
+        answer = self._means.pace * self._means.tokens
+        retry_after = int(_SHORTEST_RETRY + answer * (0.5 + draws[1]))
+        return NoneAvailable(self._members.why_none(request.exclude), retry_after)
 
     def started(
         self,
@@ -246,7 +226,7 @@
             case Refused():
                 known.concurrency.observe_refusal(now)
             case Cancelled():
-                pass
+                return None
         return None
 
     def load_reported(self, endpoint: str, report: LoadReport, now: Millis) -> None:
@@ -269,7 +249,7 @@
     def tick(self, now: Millis) -> tuple[Ejected, ...]:
         """Look for slow and stuck endpoints; call it about once a second."""
         self._refresh(now)
-        usual = self._median_pace()
+        usual = median_pace(self._members.eligible, self._means.pace)
         found = [
             self._judge(endpoint, usual, now) for endpoint in self._members.eligible
         ]
@@ -294,20 +274,6 @@
             return False
         return endpoint.has_room and not self._ejector.is_ejected(endpoint.name)
 
-    def _none_available(self, request: RouteRequest, draw: float) -> NoneAvailable:
-        answer = self._means.pace * self._means.tokens
-        retry_after = int(_SHORTEST_RETRY + answer * (0.5 + draw))
-        return NoneAvailable(self._why_none(request), retry_after)
-
-    def _why_none(self, request: RouteRequest) -> Unavailable:
-        if not self._members.by_name:
-            return Unavailable.NO_ENDPOINTS
-        if all(endpoint.leaving for endpoint in self._members.by_name.values()):
-            return Unavailable.ALL_LEAVING
-        if all(endpoint.name in request.exclude for endpoint in self._members.eligible):
-            return Unavailable.ALL_EXCLUDED
-        return Unavailable.ALL_FULL
-
     def _learn_answer(
         self, endpoint: Endpoint, attempt: Attempt, tokens: int, now: Millis
     ) -> None:
@@ -315,9 +281,7 @@
             return
         pace = max(_LEAST_PACE, (now - attempt.first_token) / (tokens - 1))
         endpoint.observe_pace(pace)
-        means = self._means
-        means.pace += _ANSWER_SMOOTHING * (pace - means.pace)
-        means.tokens += _ANSWER_SMOOTHING * (tokens - means.tokens)
+        self._means.learn(pace, tokens)
 
     def _learn_failure(self, endpoint: Endpoint, now: Millis) -> Ejected | None:
         size = len(self._members.by_name)
@@ -328,12 +292,8 @@
         return ejected
 
     def _judge(self, endpoint: Endpoint, usual: float, now: Millis) -> Ejected | None:
-        policy = self._policy.ejection
-        if endpoint.silent_for(now) >= policy.stuck_after:
-            cause = EjectionCause.STUCK
-        elif self._is_slow(endpoint, usual):
-            cause = EjectionCause.SLOW
-        else:
+        cause = cause_to_eject(endpoint, usual, self._policy.ejection, now)
+        if cause is None:
             return None
         size = len(self._members.by_name)
         ejected = self._ejector.eject(endpoint.name, cause, size, now)
@@ -341,16 +301,6 @@
             self._after_ejection(endpoint)
         return ejected
 
-    def _median_pace(self) -> float:
-        paces = [one.pace for one in self._members.eligible if one.pace is not None]
-        return median(paces) if paces else self._means.pace
-
-    def _is_slow(self, endpoint: Endpoint, usual: float) -> bool:
-        policy = self._policy.ejection
-        if endpoint.pace is None or endpoint.pace_samples < policy.min_samples:
-            return False
-        return endpoint.pace > policy.slow_ratio * usual
-
     def _after_ejection(self, endpoint: Endpoint) -> None:
         # It comes back with one request at a time, and is judged by what it
         # does then, not by what it did before.
