--- a/src/azurefold/core/routing/choice.py
+++ b/src/azurefold/core/routing/choice.py
@@ -15,6 +15,9 @@
 __all__ = ["ChoicePolicy", "PoolMeans", "draw_two", "expected_wait"]
 
 
+_ANSWER_SMOOTHING = 0.02
+
+
 @dataclass(frozen=True, slots=True)
 class ChoicePolicy:
     """Weights of the expected wait.
@@ -23,6 +26,8 @@
     ----------
     prefill : float
         Milliseconds of prefill for one prompt token that is not cached.
+    prefill_weight : float
+        How often a prefill counts, since the rest of the batch waits for it too.
     sharing : float
         Part of an answer's time that a full batch adds before any queue.
     failure_penalty : int
@@ -30,6 +35,7 @@
     """
 
     prefill: float = 0.1
+    prefill_weight: float = 4.0
     sharing: float = 0.25
     failure_penalty: Millis = 4_000
 
@@ -52,6 +58,11 @@
     pace: float = 20.0
     tokens: float = 100.0
 
+    def learn(self, pace: float, tokens: int) -> None:
+        """Learn from one answer."""
+        self.pace += _ANSWER_SMOOTHING * (pace - self.pace)
+        self.tokens += _ANSWER_SMOOTHING * (tokens - self.tokens)
+
 
 def expected_wait(
     endpoint: Endpoint,
@@ -84,6 +95,7 @@
     queue = answer * max(0.0, fill - 1.0)
     sharing = policy.sharing * answer * (1.0 + fill)
     prefill = policy.prefill * uncached_tokens * pace / means.pace
+    prefill *= policy.prefill_weight
     # An endpoint that fails at once is always idle. Without the penalty it
     # would draw in most of the traffic until it is ejected.
     return queue + sharing + prefill + failure_rate * policy.failure_penalty
--- a/src/azurefold/core/routing/endpoint.py
+++ b/src/azurefold/core/routing/endpoint.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from math import exp
+from zlib import crc32
 
 from azurefold.core.clock import Millis
 from azurefold.core.routing.concurrency import ConcurrencyLimit
@@ -15,6 +16,7 @@
 _REPORT_HORIZON: Millis = 3_000
 _PACE_SMOOTHING = 0.15
 _DEFAULT_SLOTS = 16
+_KEPT_FREE = 2
 
 
 @dataclass(slots=True)
@@ -41,15 +43,21 @@
 
     name: str
     concurrency: ConcurrencyLimit
-    leaving: bool = False
     attempts: dict[str, Attempt] = field(default_factory=dict)
     awaiting: dict[str, Millis] = field(default_factory=dict)
+    share: int = _DEFAULT_SLOTS
+    counted_room: int = 0
+    counted_capacity: int = 0
+    is_counted: bool = False
+    leaving: bool = False
     slots: int = _DEFAULT_SLOTS
     others: float = 0.0
     reported: Millis | None = None
     pace: float | None = None
     pace_samples: int = 0
     last_progress: Millis = 0
+    _nodes: int = 1
+    _position: int = 0
     _history: deque[tuple[Millis, int]] = field(
         default_factory=lambda: deque(maxlen=_HISTORY_LENGTH)
     )
@@ -59,10 +67,39 @@
         """Attempts of this node that have not ended."""
         return len(self.attempts)
 
+    @property
+    def capacity(self) -> int:
+        """How many attempts this node may keep in flight there.
+
+        Its share of the engine's slots, and half of what the other nodes
+        leave unused of theirs by the last report, but for two slots. Without
+        the share, a node would find no room beside busy others. If each took
+        all that seems unused, the nodes would together overfill the engine
+        while reports lag; seen as confirmations that wait in its queue.
+        """
+        unused = self.slots - int(self.others) - self.share - _KEPT_FREE
+        return min(self.concurrency.limit, self.share + max(0, unused // 2))
+
+    @property
+    def room(self) -> int:
+        """How many more this node may send."""
+        return max(0, self.capacity - len(self.attempts))
+
     @property
     def has_room(self) -> bool:
         """Whether this node may send one more."""
-        return len(self.attempts) < self.concurrency.limit
+        return len(self.attempts) < self.capacity
+
+    def share_slots(self, nodes: int, position: int) -> None:
+        """Set this node's share of the slots among ``nodes`` nodes.
+
+        What does not divide evenly goes to other nodes at each endpoint.
+        """
+        self._nodes = nodes
+        self._position = position
+        even, rest = divmod(self.slots, nodes)
+        place = (position + crc32(self.name.encode())) % nodes
+        self.share = max(1, even + (place < rest))
 
     def start(self, attempt_id: str, attempt: Attempt) -> None:
         """Add an attempt; a repeated one changes nothing."""
@@ -88,7 +125,9 @@
         if self.reported is not None and measured < self.reported:
             return
         self.reported = measured
-        self.slots = max(1, report.slots)
+        if report.slots != self.slots:
+            self.slots = max(1, report.slots)
+            self.share_slots(self._nodes, self._position)
         # The report counts our own attempts as they were then. Adding our
         # present ones without taking those out would count them twice.
         self.others = max(0.0, float(report.in_flight - self._own_at(measured)))
