--- a/src/azurefold/core/balance/policy.py
+++ b/src/azurefold/core/balance/policy.py
@@ -73,7 +73,7 @@
     windows: tuple[MoveWindow, ...] = ()
     drift_life: Millis = _DEFAULT_DRIFT_LIFE
     max_loads: int = 32
-    interval: Millis = 60 * SECOND
+    interval: Millis = 30 * SECOND
     tolerated_excess: float = 0.01
     reshare_gain: float = 0.01
     split: Split = Split.LEVEL
--- a/tests/core/balance/test_moves_are_taken_only_when_they_pay.py
+++ b/tests/core/balance/test_moves_are_taken_only_when_they_pay.py
@@ -79,3 +79,16 @@
 def test_negative_weights_are_refused(weights):
     with pytest.raises(ValueError, match="must not be negative"):
         BalancePolicy(*weights)
+
+
+def check_limit(view, limit, loads_left):
+    """One layer keeps to what is left of the interval's weight loads."""
+    decided = propose_layer(view, BalancePolicy(1.0, 1e-6), 0, loads_left)
+    loads = sum(weight_loads(judged.move) for judged in decided.taken)
+    assert loads <= limit
+
+
+def test_mutant_without_a_limit_of_loads_is_caught(hot_layer):
+    check_limit(hot_layer, limit=1, loads_left=1)
+    with pytest.raises(AssertionError):
+        check_limit(hot_layer, limit=1, loads_left=1_000)
