Take two moves together where neither gains alone

Cause: two experts that become equally hot on two ranks hold each other up. Relieving one leaves the other as slow, so each move alone gains nothing and the group stays slow for as long as they stay alike. When no single move pays, the decision now looks one move further from the one that lowers the number of tied ranks most, and takes both if together they pay. A test with two such experts fails without it. A move is now listed once in the explanation, with its last verdict, and a straggler with how long it has been slow.

Ruled out: a smoothed maximum as objective, which would pay for moves that do not lower the slowest rank.

--- a/src/azurefold/core/balance/candidates.py
+++ b/src/azurefold/core/balance/candidates.py
@@ -7,7 +7,7 @@
 from azurefold.core.balance.policy import Split
 from azurefold.core.balance.shares import RankLoads
 
-__all__ = ["candidates"]
+__all__ = ["candidates", "slow_count"]
 
 _SLOW_BAND = 0.003
 _FAST_RANKS = 4
@@ -51,6 +51,13 @@
             return moves
 
 
+def slow_count(state: RankLoads) -> int:
+    """Return how many ranks are as good as tied for the slowest."""
+    limit = state.slowest * (1.0 - _SLOW_BAND)
+    pairs = zip(state.totals, state.speeds, strict=True)
+    return sum(total / speed >= limit for total, speed in pairs)
+
+
 @dataclass(frozen=True, slots=True)
 class _View:
     """The state seen from its ranks."""
--- a/src/azurefold/core/balance/explain.py
+++ b/src/azurefold/core/balance/explain.py
@@ -5,6 +5,7 @@
 
 from azurefold.core.balance.moves import Drop, Move, Replicate, Swap, weight_loads
 from azurefold.core.balance.proposal import JudgedMove, LayerProposal, Proposal
+from azurefold.core.objectives.text import duration
 
 __all__ = ["explain"]
 
@@ -31,7 +32,7 @@
     for straggler in proposal.stragglers:
         yield (
             f"rank {straggler.rank} is slow as such: {straggler.slowdown:.2f} times "
-            f"the median time per token, since {straggler.since} ms"
+            f"the median time per token, found {duration(straggler.slow_for)} ago"
         )
     for layer in proposal.layers:
         yield ""
@@ -87,7 +88,7 @@
 
 def _judged(judged: JudgedMove) -> str:
     return (
-        f"{_move(judged.move)}, {weight_loads(judged.move)} weight loads, "
+        f"{_move(judged.move)}, weight loads {weight_loads(judged.move)}, "
         f"gain {judged.gain:.2f}, cost {judged.cost:.2f}"
     )
 
@@ -97,7 +98,9 @@
         case Replicate(expert, rank, None):
             return f"replicate expert {expert} to rank {rank}"
         case Replicate(expert, rank, evicted):
-            return f"replicate expert {expert} to rank {rank} in place of {evicted}"
+            return (
+                f"replicate expert {expert} to rank {rank} in place of expert {evicted}"
+            )
         case Swap(expert, rank, other, other_rank):
             return (
                 f"swap expert {expert} of rank {rank} "
--- a/src/azurefold/core/balance/search.py
+++ b/src/azurefold/core/balance/search.py
@@ -1,9 +1,10 @@
 """Decide which moves pay: small improvements in place of full re-packs."""
 
+import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from azurefold.core.balance.candidates import candidates
+from azurefold.core.balance.candidates import candidates, slow_count
 from azurefold.core.balance.moves import Move, apply_move, weight_loads
 from azurefold.core.balance.policy import BalancePolicy, Split, move_factor
 from azurefold.core.balance.proposal import (
@@ -123,7 +124,7 @@
         excess_shared=shared,
         excess_after=after,
         taken=tuple(search.taken),
-        not_taken=tuple(search.not_taken),
+        not_taken=search.left,
     )
 
 
@@ -166,6 +167,13 @@
     taken: list[JudgedMove] = field(default_factory=list)
     not_taken: list[JudgedMove] = field(default_factory=list)
 
+    @property
+    def left(self) -> tuple[JudgedMove, ...]:
+        """The moves tried and not taken, each with the verdict it got last."""
+        last = {judged.move: judged for judged in self.not_taken}
+        taken = {judged.move for judged in self.taken}
+        return tuple(j for move, j in last.items() if move not in taken)
+
     def run(self) -> None:
         """Take the best move of each round until none pays."""
         for _ in range(_MAX_ROUNDS):
@@ -175,33 +183,66 @@
                 return
 
     def _take_best(self) -> bool:
-        slots = self.view.assignment.placement.slots_per_rank
-        moves = candidates(self.state, slots, self.policy.split)
-        trials = [self._try(move) for move in moves]
+        trials = self._trials(self.state)
         paying = [trial for trial in trials if trial.judged.reason is Reason.PAYS]
         best = max(paying, key=_surplus, default=None)
-        for trial in trials:
-            if trial is not best:
-                self.not_taken.append(_second(trial.judged))
-        if best is None:
+        taken = [best] if best else self._paying_pair(trials)
+        self.not_taken += [_second(t.judged) for t in trials if t not in taken]
+        if not taken:
             return False
-        self.taken.append(best.judged)
-        self.loads_left -= weight_loads(best.judged.move)
-        self.state = best.state
+        self.taken += [trial.judged for trial in taken]
+        self.loads_left -= sum(weight_loads(trial.judged.move) for trial in taken)
+        self.state = taken[-1].state
         _split(self.state, self.policy.split)
         return True
 
-    def _try(self, move: Move) -> _Trial:
-        state = self.state.copy()
+    def _trials(self, start: RankLoads) -> list[_Trial]:
+        slots = self.view.assignment.placement.slots_per_rank
+        moves = candidates(start, slots, self.policy.split)
+        return [self._try(move, start) for move in moves]
+
+    def _try(self, move: Move, start: RankLoads) -> _Trial:
+        state = start.copy()
         apply_move(state, move)
         _split(state, self.policy.split, _TRIAL_SWEEPS)
         saved = self.state.excess - state.excess
         gain = self.policy.price_of_excess * saved
-        cost = _cost(self.policy, weight_loads(move), self.factor)
-        return _Trial(JudgedMove(move, gain, cost, self._judge(move, gain)), state)
-
-    def _judge(self, move: Move, gain: float) -> Reason:
         loads = weight_loads(move)
+        cost = _cost(self.policy, loads, self.factor)
+        return _Trial(JudgedMove(move, gain, cost, self._judge(loads, gain)), state)
+
+    def _paying_pair(self, trials: list[_Trial]) -> list[_Trial]:
+        """Return two moves that pay only together, or nothing.
+
+        What goes wrong without: two experts become equally hot on two ranks.
+        Relieving either leaves the other as slow, so neither move gains
+        anything, and the group stays slow for as long as they stay alike.
+        """
+        before = slow_count(self.state)
+        halves = [t for t in trials if slow_count(t.state) < before]
+        if not halves or math.isinf(self.factor):
+            return []
+        first = min(halves, key=lambda trial: slow_count(trial.state))
+        pairs = [self._pair(first, then) for then in self._trials(first.state)]
+        paying = [pair for pair in pairs if pair[0].judged.reason is Reason.PAYS]
+        return max(paying, key=lambda pair: _surplus(pair[0]), default=[])
+
+    def _pair(self, first: _Trial, then: _Trial) -> list[_Trial]:
+        """Judge two moves as one, their gain shared out by their weight loads."""
+        moves = (first.judged.move, then.judged.move)
+        loads = [weight_loads(move) for move in moves]
+        reason = self._judge(sum(loads), then.judged.gain)
+        if not all(loads):
+            return [_Trial(replace(then.judged, reason=Reason.NO_GAIN), then.state)]
+        gains = [then.judged.gain * part / sum(loads) for part in loads]
+        costs = [_cost(self.policy, part, self.factor) for part in loads]
+        states = (first.state, then.state)
+        return [
+            _Trial(JudgedMove(move, gain, cost, reason), state)
+            for move, gain, cost, state in zip(moves, gains, costs, states, strict=True)
+        ]
+
+    def _judge(self, loads: int, gain: float) -> Reason:
         if gain <= 0:
             return Reason.NO_GAIN
         if gain <= _cost(self.policy, loads, 1.0):
--- a/src/azurefold/core/balance/straggler.py
+++ b/src/azurefold/core/balance/straggler.py
@@ -43,13 +43,13 @@
         Which rank.
     slowdown : float
         Its time per token over the median of all ranks.
-    since : int
-        When it was found slow, in milliseconds.
+    slow_for : int
+        Milliseconds since it was found slow.
     """
 
     rank: int
     slowdown: float
-    since: Millis
+    slow_for: Millis
 
 
 def new_paces(n_ranks: int) -> tuple[RankPace, ...]:
@@ -127,10 +127,10 @@
     )
 
 
-def stragglers(paces: tuple[RankPace, ...]) -> tuple[Straggler, ...]:
-    """Return the ranks to report as slow."""
+def stragglers(paces: tuple[RankPace, ...], now: Millis) -> tuple[Straggler, ...]:
+    """Return the ranks to report as slow at ``now``."""
     return tuple(
-        Straggler(rank, pace.slowdown, pace.slow_since)
+        Straggler(rank, pace.slowdown, now - pace.slow_since)
         for rank, pace in enumerate(paces)
         if pace.slow_since is not None
     )
--- a/tests/core/balance/conftest.py
+++ b/tests/core/balance/conftest.py
@@ -3,7 +3,7 @@
 import pytest
 
 from azurefold.core.balance.packing import pack
-from azurefold.core.balance.placement import even_assignment
+from azurefold.core.balance.placement import Placement, even_assignment
 from azurefold.core.balance.policy import BalancePolicy, MoveWindow
 from azurefold.core.balance.proposal import LayerView
 
@@ -18,6 +18,14 @@
     return LayerView(0, rates, even_assignment(packed), (1.0,) * 4)
 
 
+@pytest.fixture
+def twin_layer():
+    """Six experts on six ranks with a free slot each; two are equally hot."""
+    placement = Placement(6, 2, tuple((expert,) for expert in range(6)))
+    rates = (60.0, 60.0, 10.0, 10.0, 10.0, 10.0)
+    return LayerView(0, rates, even_assignment(placement), (1.0,) * 6)
+
+
 @pytest.fixture
 def policy():
     return BalancePolicy(skew_weight=1.0, move_weight=1.0)
--- a/tests/core/balance/test_explain_tells_what_and_why.py
+++ b/tests/core/balance/test_explain_tells_what_and_why.py
@@ -24,6 +24,7 @@
     assert "moves are 1e+06 times dearer" in text
     assert "but not at the price of the present window" in text
     assert "rank 2 is slow as such: 1.50 times the median" in text
+    assert "found 1 min ago" in text
 
 
 def test_a_level_layer_gets_no_new_map(hot_layer, policy):
--- a/tests/core/balance/test_moves_are_taken_only_when_they_pay.py
+++ b/tests/core/balance/test_moves_are_taken_only_when_they_pay.py
@@ -7,7 +7,7 @@
 from azurefold.core.balance.moves import weight_loads
 from azurefold.core.balance.policy import BalancePolicy, MoveWindow, move_factor
 from azurefold.core.balance.proposal import Reason
-from azurefold.core.balance.search import propose, propose_layer
+from azurefold.core.balance.search import _Search, propose, propose_layer
 
 HOUR = 3_600_000
 
@@ -92,3 +92,22 @@
     check_limit(hot_layer, limit=1, loads_left=1)
     with pytest.raises(AssertionError):
         check_limit(hot_layer, limit=1, loads_left=1_000)
+
+
+def check_twins_are_relieved(view, policy):
+    decided = propose_layer(view, policy, 0, loads_left=8)
+    assert decided.excess_after < decided.excess_shared / 2
+    assert all(judged.gain > judged.cost for judged in decided.taken)
+
+
+def test_two_experts_equally_hot_are_relieved_together(twin_layer, policy, monkeypatch):
+    """Two slow ranks hold each other up.
+
+    Symptom: a group stays slow though ranks and slots are free. Sequence: two
+    experts on two ranks become equally hot. Cause: relieving one leaves the
+    other as slow, so neither move alone gains anything and none is taken.
+    """
+    check_twins_are_relieved(twin_layer, policy)
+    monkeypatch.setattr(_Search, "_paying_pair", lambda self, trials: [])
+    with pytest.raises(AssertionError):
+        check_twins_are_relieved(twin_layer, policy)
--- a/tests/core/balance/test_stragglers_get_less_load.py
+++ b/tests/core/balance/test_stragglers_get_less_load.py
@@ -43,8 +43,8 @@
     time when speeds differ.
     """
     paces = observed(SOUND, SLOW, SLOW, SLOW)
-    (found,) = stragglers(paces)
-    assert (found.rank, found.since) == (2, 3)
+    (found,) = stragglers(paces, now=10)
+    assert (found.rank, found.slow_for) == (2, 7)
     check_load_follows_speed(speeds(paces))
 
 
@@ -55,22 +55,22 @@
 
 def test_a_single_pause_changes_nothing():
     paces = observed(SOUND, SLOW, SOUND, SLOW, SLOW, SOUND)
-    assert stragglers(paces) == ()
+    assert stragglers(paces, now=10) == ()
     assert speeds(paces) == (1.0,) * 4
 
 
 def test_a_rank_that_recovers_is_trusted_again():
     paces = observed(SLOW, SLOW, SLOW, SOUND, SOUND)
-    assert len(stragglers(paces)) == 1
+    assert len(stragglers(paces, now=10)) == 1
     paces = observed(SLOW, SLOW, SLOW, SOUND, SOUND, SOUND)
-    assert stragglers(paces) == ()
+    assert stragglers(paces, now=10) == ()
 
 
 def test_a_busy_rank_is_no_straggler():
     paces = new_paces(4)
     for now in range(5):
         paces = observe_step(paces, [400, 100, 100, 100], [40, 10, 10, 10], now)
-    assert stragglers(paces) == ()
+    assert stragglers(paces, now=10) == ()
 
 
 def test_idle_ranks_are_not_judged():
