--- a/tests/core/balance/test_moves_are_taken_only_when_they_pay.py
+++ b/tests/core/balance/test_moves_are_taken_only_when_they_pay.py
@@ -7,7 +7,7 @@
 from azurefold.core.balance.moves import weight_loads
 from azurefold.core.balance.policy import BalancePolicy, MoveWindow, move_factor
 from azurefold.core.balance.proposal import Reason
-from azurefold.core.balance.search import propose, propose_layer
+from azurefold.core.balance.search import _Search, propose, propose_layer
 
 HOUR = 3_600_000
 
@@ -79,3 +79,35 @@
 def test_negative_weights_are_refused(weights):
     with pytest.raises(ValueError, match="must not be negative"):
         BalancePolicy(*weights)
+
+
+def check_limit(view, limit, loads_left):
+    """One layer keeps to what is left of the interval's weight loads."""
+    decided = propose_layer(view, BalancePolicy(1.0, 1e-6), 0, loads_left)
+    loads = sum(weight_loads(judged.move) for judged in decided.taken)
+    assert loads <= limit
+
+
+def test_mutant_without_a_limit_of_loads_is_caught(hot_layer):
+    check_limit(hot_layer, limit=1, loads_left=1)
+    with pytest.raises(AssertionError):
+        check_limit(hot_layer, limit=1, loads_left=1_000)
+
+
+def check_twins_are_relieved(view, policy):
+    decided = propose_layer(view, policy, 0, loads_left=8)
+    assert decided.excess_after < decided.excess_shared / 2
+    assert all(judged.gain > judged.cost for judged in decided.taken)
+
+
+def test_two_experts_equally_hot_are_relieved_together(twin_layer, policy, monkeypatch):
+    """Two slow ranks hold each other up.
+
+    Symptom: a group stays slow though ranks and slots are free. Sequence: two
+    experts on two ranks become equally hot. Cause: relieving one leaves the
+    other as slow, so neither move alone gains anything and none is taken.
+    """
+    check_twins_are_relieved(twin_layer, policy)
+    monkeypatch.setattr(_Search, "_paying_pair", lambda self, trials: [])
+    with pytest.raises(AssertionError):
+        check_twins_are_relieved(twin_layer, policy)
