Take the settings test as its owner wrote it

Cause: two changes met the new name of the control process in one test, one by expecting the finding, one by giving the name; both together expected a finding that is not there. Conclusion: one owner for each test file.

--- a/tests/border/test_settings.py
+++ b/tests/border/test_settings.py
@@ -53,7 +53,6 @@
 }"""
     places, told = refused(load_settings, write(text), EntrySettings)
     assert [(line, path) for line, _, path in places] == [
-        (1, "control_name"),
         (2, "name"),
         (3, "data_centre"),
         (4, "listen"),
