--- a/src/azurefold/wire/messages.py
+++ b/src/azurefold/wire/messages.py
@@ -86,7 +86,7 @@
     silence: _Count
 
 
-class _Changes(_Wire, tag=8):
+class _Changes(_Wire, tag=9):
     changes: Annotated[tuple[_Change, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
 
 
