--- a/src/azurefold/wire/messages.py
+++ b/src/azurefold/wire/messages.py
@@ -105,7 +105,7 @@
     names: Annotated[tuple[_Hash, ...], msgspec.Meta(max_length=_MAX_ENTRIES)]
 
 
-class _MarkNews(_Wire, tag=9):
+class _MarkNews(_Wire, tag=8):
     revision: _Count
     edit_id: _Text
     digest: _Text
