--- a/src/azurefold/core/routing/concurrency.py
+++ b/src/azurefold/core/routing/concurrency.py
@@ -49,6 +49,7 @@
 
     def __init__(self, policy: ConcurrencyPolicy) -> None:
         self._policy = policy
+        self._largest = policy.largest
         self._limit = float(policy.initial)
         self._base: float | None = None
         self._smoothed = 0.0
@@ -59,6 +60,14 @@
         """Requests this node may have in flight there."""
         return int(self._limit)
 
+    def set_largest(self, largest: int) -> None:
+        """Take in the operators' bound; a limit still untried begins there."""
+        if largest == self._largest:
+            return
+        self._largest = largest
+        untried = self._base is None and self._limit >= self._policy.initial
+        self._limit = float(largest) if untried else min(self._limit, float(largest))
+
     def observe_first_token(
         self, wait: Millis, prefill: float, in_flight: int, now: Millis
     ) -> None:
@@ -87,7 +96,7 @@
         if self._smoothed - self._base > self._policy.queue_target:
             self._decrease(wait, now)
         elif 2 * in_flight >= self._limit:
-            self._limit = min(self._policy.largest, self._limit + 1 / self._limit)
+            self._limit = min(self._largest, self._limit + 1 / self._limit)
 
     def observe_refusal(self, now: Millis) -> None:
         """Learn that the endpoint would not take a request."""
--- a/src/azurefold/core/routing/endpoint.py
+++ b/src/azurefold/core/routing/endpoint.py
@@ -101,6 +101,11 @@
         place = (position + crc32(self.name.encode())) % nodes
         self.share = max(1, even + (place < rest))
 
+    def set_slots(self, slots: int) -> None:
+        """Take in how many requests the engine runs in one batch."""
+        self.slots = slots
+        self.share_slots(self._nodes, self._position)
+
     def start(self, attempt_id: str, attempt: Attempt) -> None:
         """Add an attempt; a repeated one changes nothing."""
         if attempt_id in self.attempts:
@@ -125,9 +130,11 @@
         if self.reported is not None and measured < self.reported:
             return
         self.reported = measured
-        if report.slots != self.slots:
-            self.slots = max(1, report.slots)
-            self.share_slots(self._nodes, self._position)
+        # Agents count attempts but do not know the engine's slots. Taken for
+        # a number, their 0 would leave each node one slot; seen as an idle
+        # endpoint in front of a full queue.
+        if report.slots and report.slots != self.slots:
+            self.set_slots(report.slots)
         # The report counts our own attempts as they were then. Adding our
         # present ones without taking those out would count them twice.
         self.others = max(0.0, float(report.in_flight - self._own_at(measured)))
--- a/src/azurefold/core/routing/members.py
+++ b/src/azurefold/core/routing/members.py
@@ -24,6 +24,7 @@
         self._others = 0.0
         self._nodes = 1
         self._position = 0
+        self._slots: int | None = None
         self.by_name: dict[str, Endpoint] = {}
         self.eligible: list[Endpoint] = []
         self.room = 0
@@ -43,6 +44,7 @@
             limit = ConcurrencyLimit(self._policy)
             endpoint = Endpoint(name, limit, last_progress=now)
             endpoint.share_slots(self._nodes, self._position)
+            self._bound(endpoint)
             self.by_name[name] = endpoint
         self._others = sum(one.others for one in self.by_name.values())
         return gone
@@ -55,6 +57,13 @@
             endpoint.share_slots(self._nodes, position)
             self.recount(endpoint)
 
+    def set_slots(self, slots: int) -> None:
+        """Take in the operators' bound on the requests at each endpoint."""
+        self._slots = slots
+        for endpoint in self.by_name.values():
+            self._bound(endpoint)
+            self.recount(endpoint)
+
     def report(self, endpoint: Endpoint, report: LoadReport, now: Millis) -> None:
         """Take in a load report."""
         before = endpoint.others
@@ -99,3 +108,8 @@
         self.capacity += capacity - endpoint.counted_capacity
         endpoint.counted_room = room
         endpoint.counted_capacity = capacity
+
+    def _bound(self, endpoint: Endpoint) -> None:
+        if self._slots is not None:
+            endpoint.set_slots(self._slots)
+            endpoint.concurrency.set_largest(self._slots)
--- a/src/azurefold/core/routing/messages.py
+++ b/src/azurefold/core/routing/messages.py
@@ -92,7 +92,7 @@
     in_flight : int
         Requests running or waiting in the engine, from all nodes.
     slots : int
-        Requests the engine runs in one batch.
+        Requests the engine runs in one batch; 0 if the report does not say.
     age : int, default=0
         Milliseconds between the measurement and its arrival here.
     """
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -90,6 +90,10 @@
         """
         self._members.share_slots(count, position)
 
+    def set_slots(self, slots: int) -> None:
+        """Take in how many requests each endpoint may have from all nodes."""
+        self._members.set_slots(slots)
+
     def limit(self, endpoint: str) -> int:
         """Return how many requests this node keeps at ``endpoint``."""
         return self._members.by_name[endpoint].concurrency.limit
--- a/src/azurefold/entry/watcher.py
+++ b/src/azurefold/entry/watcher.py
@@ -74,6 +74,9 @@
         views = [_view(service) for service in configuration.services.values()]
         organisations = frozenset(configuration.organisations)
         self.services.apply_services(revision, views, organisations)
+        for service in configuration.services.values():
+            pool = self.services.find(service.name).admission.pool
+            pool.set_slots(service.limits.concurrency)
         log_event(_log, "revision_applied", revision=revision)
 
 
