Let data centres use and find each other's endpoints

Cause: an entry knew the endpoints of its own data centre only. Ruled out: gossip across data centres (a control process would hold 3,900 records instead of 390); addresses in answer ids (callers would choose whom an entry connects to). Now a control process asks others for their list, by digest, only while a service has no endpoint here, and looks single endpoints up on demand.

--- a/src/azurefold/control/peers.py
+++ b/src/azurefold/control/peers.py
@@ -29,6 +29,15 @@
         """Datagram addresses of peers in other data centres."""
         return self._udp(lambda peer: peer.data_centre != self.data_centre)
 
+    @property
+    def far_data_centres(self) -> dict[str, list[str]]:
+        """Names of the peers in each other data centre."""
+        found: dict[str, list[str]] = {}
+        for peer in self._peers.values():
+            if peer.data_centre != self.data_centre:
+                found.setdefault(peer.data_centre, []).append(peer.name)
+        return found
+
     def caller(self, name: str) -> Caller | None:
         """Return a caller of a peer, or None if its address is not known."""
         peer = self._peers.get(name)
--- a/src/azurefold/control/service.py
+++ b/src/azurefold/control/service.py
@@ -10,6 +10,7 @@
 from azurefold.border.settings import ControlSettings
 from azurefold.control.configuration import ConfigurationLoop
 from azurefold.control.drains import Drains
+from azurefold.control.far import FarEndpoints
 from azurefold.control.membership import MembershipLoop
 from azurefold.control.metrics import ControlMetrics, new_control_metrics
 from azurefold.control.peers import new_peers
@@ -48,7 +49,14 @@
     GetHead,
     GetSections,
 )
-from azurefold.wire.snapshot import METHOD_WATCH, WatchRequest
+from azurefold.wire.snapshot import (
+    METHOD_GET_ENDPOINTS,
+    METHOD_LOCATE,
+    METHOD_WATCH,
+    GetEndpoints,
+    LocateRequest,
+    WatchRequest,
+)
 from azurefold.wire.udp import DatagramPort, datagram_port
 
 __all__ = ["run_control"]
@@ -104,6 +112,7 @@
     gevent.spawn(control.membership.run)
     gevent.spawn(control.membership.watch_vms, control.platform, _VM_LIST_MS)
     gevent.spawn(control.configuration.run)
+    gevent.spawn(control.watch.far.run)
     log_event(_log, "started", name=settings.name, grpc=settings.grpc)
     stop.wait()
     return _stop(control, server, admin)
@@ -133,7 +142,8 @@
         membership.live_controls,
     )
     metrics.show(configuration, membership)
-    watch = EntryWatch(configuration, membership)
+    far = FarEndpoints(peers, membership, configuration, draw)
+    watch = EntryWatch(configuration, membership, far)
     control = _Control(
         settings, identity, platform, membership, configuration, metrics, watch
     )
@@ -164,10 +174,13 @@
 def _serve_grpc(control: _Control) -> Server:
     configuration = control.configuration
     drains = Drains(control.identity, control.membership)
+    far = control.watch.far
     handlers = (
         StreamHandler(METHOD_WATCH, WatchRequest, control.watch.handle),
         UnaryHandler(METHOD_GET_HEAD, GetHead, configuration.give_head),
         UnaryHandler(METHOD_GET_SECTIONS, GetSections, configuration.give_sections),
+        UnaryHandler(METHOD_GET_ENDPOINTS, GetEndpoints, far.give_endpoints),
+        UnaryHandler(METHOD_LOCATE, LocateRequest, far.locate),
         UnaryHandler(METHOD_DRAIN, DrainRequest, drains.handle),
     )
     return serve(
--- a/src/azurefold/control/watch.py
+++ b/src/azurefold/control/watch.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from azurefold.control.configuration import ConfigurationLoop
+from azurefold.control.far import FarEndpoints
 from azurefold.control.membership import MembershipLoop
 from azurefold.core.clock import Millis
 from azurefold.wire.seal import Opened
@@ -31,6 +32,7 @@
 
     configuration: ConfigurationLoop
     membership: MembershipLoop
+    far: FarEndpoints
     _closed: Event = field(default_factory=Event)
 
     def close(self) -> None:
@@ -43,7 +45,7 @@
         endpoints: list[EndpointInfo] | None = None
         left = _STREAM_MS
         while left > 0 and not self._closed.is_set():
-            present = self.membership.endpoints()
+            present = self.membership.endpoints() + self.far.endpoints
             newer = self.configuration.revision > revision
             if newer or present != endpoints:
                 revision = max(revision, self.configuration.revision)
--- a/src/azurefold/entry/service.py
+++ b/src/azurefold/entry/service.py
@@ -10,6 +10,7 @@
 from azurefold.core.clock import Millis
 from azurefold.entry.agents import new_agents
 from azurefold.entry.claims import new_claim_writer
+from azurefold.entry.far import new_far_lookup
 from azurefold.entry.http_api import EntryLimits, EntryState, entry_app
 from azurefold.entry.metrics import new_entry_metrics
 from azurefold.entry.services import new_services
@@ -89,6 +90,7 @@
     control = caller(
         settings.control, ring, identity.sealer, recipient=settings.control_name
     )
+    state.services.ask_far = new_far_lookup(control, clock)
     gevent.spawn(Watcher(control, state.services).run)
     views = AdminViews(
         registry=state.metrics.registry,
--- a/src/azurefold/entry/services.py
+++ b/src/azurefold/entry/services.py
@@ -1,5 +1,6 @@
 """What an entry knows: the configuration in force and the agents' addresses."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from azurefold.core.admission.messages import Priority
@@ -39,12 +40,21 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointView:
-    """An endpoint as the control process knows it."""
+    """An endpoint as the control process knows it.
+
+    Parameters
+    ----------
+    name, incarnation, address : str
+    leaving : bool
+    far : bool
+        Whether it is in another data centre.
+    """
 
     name: str
     incarnation: str
     address: str
     leaving: bool
+    far: bool = False
 
 
 @dataclass(slots=True)
@@ -65,6 +75,7 @@
 
     clock: Clock
     seed: int
+    ask_far: Callable[[str], EndpointView | None] = lambda endpoint: None
     revision: int = 0
     organisations: frozenset[str] = frozenset()
     _services: dict[str, Service] = field(default_factory=dict)
@@ -84,8 +95,12 @@
         return list(self._services.values())
 
     def locate(self, endpoint: str) -> AgentAddress | None:
-        """Return where an endpoint's agent listens."""
-        view = self._endpoints.get(endpoint)
+        """Return where an endpoint's agent listens.
+
+        One that this entry does not know is asked for: an answer may be kept
+        in another data centre, and its caller comes back through any entry.
+        """
+        view = self._endpoints.get(endpoint) or self.ask_far(endpoint)
         if view is None:
             return None
         return AgentAddress(view.name, view.incarnation, view.address)
@@ -131,11 +146,23 @@
     def _set_members(self) -> None:
         now = self.clock.now()
         for service in self._services.values():
-            present = [e for e in service.view.endpoints if e in self._endpoints]
+            present = self._usable(service.view.endpoints)
             leaving = [e for e in present if self._endpoints[e].leaving]
             service.admission.pool.set_endpoints(present, now, leaving)
             service.admission.pump()
 
+    def _usable(self, names: tuple[str, ...]) -> list[str]:
+        """Return the endpoints near this entry, or far ones if there is none.
+
+        Far ones stay out otherwise: a data centre that is cut off must not be
+        what requests here wait for while endpoints near by are free.
+        """
+        known = [name for name in names if name in self._endpoints]
+        near = [name for name in known if not self._endpoints[name].far]
+        if any(not self._endpoints[name].leaving for name in near):
+            return near
+        return known
+
     def _readmit(self, view: EndpointView) -> None:
         if view.leaving:
             return
--- a/src/azurefold/entry/watcher.py
+++ b/src/azurefold/entry/watcher.py
@@ -14,9 +14,14 @@
 from azurefold.entry.services import EndpointView, Services, ServiceView
 from azurefold.internal.logs import log_event
 from azurefold.wire.grpc_caller import Caller, CallError
-from azurefold.wire.snapshot import METHOD_WATCH, SnapshotUpdate, WatchRequest
+from azurefold.wire.snapshot import (
+    METHOD_WATCH,
+    EndpointInfo,
+    SnapshotUpdate,
+    WatchRequest,
+)
 
-__all__ = ["Watcher"]
+__all__ = ["Watcher", "endpoint_view"]
 
 _log = logging.getLogger("azurefold.entry")
 
@@ -55,11 +60,7 @@
         if update.configuration is not None:
             self._apply_configuration(update.revision, update.configuration)
         if update.endpoints is not None:
-            views = [
-                EndpointView(e.name, str(e.incarnation), e.address, e.leaving)
-                for e in update.endpoints
-            ]
-            self.services.apply_endpoints(views)
+            self.services.apply_endpoints([endpoint_view(e) for e in update.endpoints])
 
     def _apply_configuration(self, revision: int, data: bytes) -> None:
         if revision <= self.services.revision:
@@ -77,6 +78,13 @@
         log_event(_log, "revision_applied", revision=revision)
 
 
+def endpoint_view(info: EndpointInfo) -> EndpointView:
+    """Return what a control process tells of an endpoint, as the entry sees it."""
+    return EndpointView(
+        info.name, str(info.incarnation), info.address, info.leaving, info.far
+    )
+
+
 def _view(service: Service) -> ServiceView:
     return ServiceView(
         name=service.name,
--- a/src/azurefold/wire/snapshot.py
+++ b/src/azurefold/wire/snapshot.py
@@ -2,9 +2,22 @@
 
 import msgspec
 
-__all__ = ["METHOD_WATCH", "EndpointInfo", "SnapshotUpdate", "WatchRequest"]
+__all__ = [
+    "METHOD_GET_ENDPOINTS",
+    "METHOD_LOCATE",
+    "METHOD_WATCH",
+    "EndpointInfo",
+    "EndpointsReply",
+    "GetEndpoints",
+    "LocateReply",
+    "LocateRequest",
+    "SnapshotUpdate",
+    "WatchRequest",
+]
 
 METHOD_WATCH = "Watch"
+METHOD_GET_ENDPOINTS = "GetEndpoints"
+METHOD_LOCATE = "Locate"
 
 
 class WatchRequest(msgspec.Struct, frozen=True):
@@ -20,12 +33,23 @@
 
 
 class EndpointInfo(msgspec.Struct, frozen=True, array_like=True):
-    """An endpoint that is there, serving or leaving."""
+    """An endpoint that is there, serving or leaving.
+
+    Parameters
+    ----------
+    name : str
+    incarnation : int
+    address : str
+    leaving : bool
+    far : bool
+        Whether it is in another data centre.
+    """
 
     name: str
     incarnation: int
     address: str
     leaving: bool
+    far: bool = False
 
 
 class SnapshotUpdate(msgspec.Struct, frozen=True):
@@ -43,3 +67,34 @@
     revision: int
     configuration: bytes | None = None
     endpoints: list[EndpointInfo] | None = None
+
+
+class GetEndpoints(msgspec.Struct, frozen=True):
+    """Ask a control process of another data centre for its endpoints.
+
+    Parameters
+    ----------
+    digest : int
+        Of the list that the asker has; 0 if it has none.
+    """
+
+    digest: int = 0
+
+
+class EndpointsReply(msgspec.Struct, frozen=True):
+    """The endpoints of a data centre, or None if the asker has the same list."""
+
+    digest: int
+    endpoints: list[EndpointInfo] | None = None
+
+
+class LocateRequest(msgspec.Struct, frozen=True):
+    """Ask where an endpoint is that the entry does not know."""
+
+    endpoint: str
+
+
+class LocateReply(msgspec.Struct, frozen=True):
+    """Where the endpoint is, or None if nobody who could be asked knows it."""
+
+    endpoint: EndpointInfo | None = None
