End a request at its deadline though its endpoint goes on

Symptom: a caller waited as long as the endpoint did. Cause: the entry looked at the deadline before dispatch only; afterwards the agent's signs of life kept the stream open. Ruled out: the agent cutting it off, since another caller may have resumed the same answer with a later deadline.

--- a/src/azurefold/core/attempts/course.py
+++ b/src/azurefold/core/attempts/course.py
@@ -17,6 +17,7 @@
     "AskAgent",
     "ConnectionLost",
     "Course",
+    "DeadlinePassed",
     "DispatchAgain",
     "EndpointFailed",
     "Event",
@@ -88,6 +89,11 @@
     ran: Ran
 
 
+@dataclass(frozen=True, slots=True)
+class DeadlinePassed:
+    """The caller's deadline came while the endpoint was still at it."""
+
+
 @dataclass(frozen=True, slots=True)
 class NoTextLeft:
     """The agent no longer has the text to go on from."""
@@ -99,6 +105,7 @@
     | SettledAs
     | AgentSilent
     | EndpointFailed
+    | DeadlinePassed
     | NoTextLeft
 )
 
@@ -172,6 +179,8 @@
                 return self._not_run("endpoint_unreachable", may_retry)
             case EndpointFailed():
                 return self._unknown("endpoint_failed", may_retry)
+            case DeadlinePassed():
+                return self._unknown("deadline_passed", _never)
             case NoTextLeft():
                 return self._unknown("answer_not_kept", may_retry)
 
@@ -231,5 +240,9 @@
         return DispatchAgain()
 
 
+def _never() -> bool:
+    return False
+
+
 def _fail(ran: Ran, reason: str, detail: str) -> Fail:
     return Fail(Failure(ran, reason, detail, _RETRY_AFTER_MS))
--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -13,6 +13,7 @@
     AskAgent,
     ConnectionLost,
     Course,
+    DeadlinePassed,
     DispatchAgain,
     EndpointFailed,
     Event,
@@ -330,6 +331,12 @@
         yield Announced(self._answer_id(assembler.next_offset))
         try:
             for lines in opened.lines:
+                # Signs of life come each second, so a request that an
+                # endpoint keeps waiting ends here soon after its deadline.
+                # Without this its caller would wait for as long as the
+                # endpoint does: for ever, where a group's steps stand still.
+                if self.clock.now() >= self.request.deadline:
+                    return DeadlinePassed()
                 self._course.heard()
                 for line in lines:
                     event = yield from self._line(assembler, line)
--- a/tests/processes/test_a_request_goes_from_end_to_end.py
+++ b/tests/processes/test_a_request_goes_from_end_to_end.py
@@ -93,3 +93,18 @@
     assert refused.status == 401
     page = fetch(site.address("agent-drafts-0", "metrics"), "/metrics")
     assert b'azurefold_agent_rejected_total{reason="malformed"} 1.0' in page.body
+
+
+def test_a_request_ends_at_its_deadline_though_the_endpoint_goes_on(site, client):
+    # Symptom: a caller waits for ever. Sequence: the group's steps become very
+    # slow, the request's deadline passes while signs of life still come.
+    # Cause: signs of life say that the agent is there, not that it is in time.
+    slow = site.address("engine-drafts-0", "http")
+    fetch(slow, "/slowdown?ms=5000", "POST")
+    try:
+        answer = client.complete("lot 11", 40, Azurefold_Timeout_Ms="1500")
+    finally:
+        fetch(slow, "/slowdown?ms=0", "POST")
+    assert answer.status == 502
+    assert answer.json["error"]["reason"] == "deadline_passed"
+    assert answer.ran in ("ran", "unknown")
