Send many answers on one channel and end what nobody reads

An entry now opens a channel to each agent, on which lines of all its attempts go, each with its number. A channel that breaks or goes silent loses its attempts, which are resumed one by one over new connections as before; without a channel a dispatch streams by itself as before. Histograms of times take no lock any more. An engine ends a cancelled stream like a whole one; a cancelled attempt is now marked broken. Streams of engines that nobody reads for 30 s are cancelled, calls of plain services never.

--- a/src/azurefold/agent/buffer.py
+++ b/src/azurefold/agent/buffer.py
@@ -5,22 +5,30 @@
 
 from gevent.event import Event
 
+from azurefold.agent.channels import Channel
 from azurefold.core.attempts.frames import text_digest
-from azurefold.core.clock import Millis
 from azurefold.wire.frames import (
     encode_broken,
     encode_end,
     encode_frame,
     encode_head,
+    number_line,
 )
 
 __all__ = ["AnswerBuffer"]
 
-_SECOND_MS = 1_000
-_KEEPALIVE_MS: Millis = 1_000
 _BLANK_LINE = b"\n"
 
 
+@dataclass(frozen=True, slots=True)
+class _Follower:
+    channel: Channel
+    number: int
+
+    def put(self, line: bytes) -> None:
+        self.channel.put(number_line(self.number, line))
+
+
 @dataclass(slots=True)
 class AnswerBuffer:
     """Text that arrives at its own pace and is read from any offset.
@@ -36,14 +44,21 @@
     attempt_id: str
     status: int = 200
     content_type: str = "text/event-stream"
-    readers: int = 0
+    _readers: int = 0
+    _followers: list[_Follower] = field(default_factory=list)
     _pieces: list[str] = field(default_factory=list)
     _offsets: list[int] = field(default_factory=list)
     _total: int = 0
+    _total_at_beat: int = -1
     _broken: str | None = None
     _ended: bool = False
     _changed: Event = field(default_factory=Event)
 
+    @property
+    def readers(self) -> int:
+        """Entries that are reading the answer just now."""
+        return self._readers + len(self._followers)
+
     @property
     def total(self) -> int:
         """Characters so far."""
@@ -61,21 +76,55 @@
 
     def append(self, text: str) -> None:
         """Add text at the end."""
+        offset = self._total
         self._pieces.append(text)
-        self._offsets.append(self._total)
-        self._total += len(text)
-        self._wake()
+        self._offsets.append(offset)
+        self._total = offset + len(text)
+        if self._followers:
+            if offset == 0:
+                self._tell(self._head())
+            self._tell(encode_frame(offset, text))
+        if self._readers:
+            self._changed.set()
 
     def finish(self) -> None:
         """Mark the answer whole."""
-        self._ended = True
-        self._wake()
+        self._end()
 
     def spoil(self, reason: str) -> None:
         """Mark the answer as one that cannot be finished."""
         self._broken = reason
-        self._ended = True
-        self._wake()
+        self._end()
+
+    def follow(self, channel: Channel, number: int) -> None:
+        """Send the whole answer on a channel, as it comes.
+
+        Parameters
+        ----------
+        channel : Channel
+        number : int
+            What the channel's entry calls the attempt.
+        """
+        follower = _Follower(channel, number)
+        if self._pieces or self._ended:
+            follower.put(self._head())
+        if self._pieces:
+            follower.put(encode_frame(0, self.text))
+        if self._ended:
+            follower.put(self._last_line())
+        else:
+            self._followers.append(follower)
+
+    def leave(self, channel: Channel) -> None:
+        """Send nothing more on a channel."""
+        self._followers = [one for one in self._followers if one.channel != channel]
+
+    def keep_alive(self) -> None:
+        """Wake readers where nothing came since the last call, once a second."""
+        self._followers = [one for one in self._followers if not one.channel.closed]
+        if self._readers and self._total_at_beat == self._total:
+            self._changed.set()
+        self._total_at_beat = self._total
 
     def lines(self, start: int) -> Iterator[bytes]:
         """Yield the lines of the answer from an offset, until it ends.
@@ -88,11 +137,24 @@
         start : int
             Offset in characters.
         """
-        self.readers += 1
+        self._readers += 1
         try:
             yield from self._lines(start)
         finally:
-            self.readers -= 1
+            self._readers -= 1
+
+    def _end(self) -> None:
+        self._ended = True
+        if self._followers:
+            if not self._pieces:
+                self._tell(self._head())
+            self._tell(self._last_line())
+            self._followers = []
+        self._changed.set()
+
+    def _tell(self, line: bytes) -> None:
+        for follower in self._followers:
+            follower.put(line)
 
     def _lines(self, start: int) -> Iterator[bytes]:
         piece = self._piece_at(start)
@@ -101,7 +163,7 @@
         while True:
             if not head_sent and (piece < len(self._pieces) or self._ended):
                 head_sent = True
-                yield encode_head(self.status, self.content_type)
+                yield self._head()
             elif piece < len(self._pieces):
                 text = self._text_from(piece, offset)
                 piece = len(self._pieces)
@@ -110,15 +172,11 @@
             elif self._ended:
                 yield self._last_line()
                 return
-            elif not self._wait():
-                yield _BLANK_LINE
-
-    def _wait(self) -> bool:
-        self._changed.clear()
-        return self._changed.wait(_KEEPALIVE_MS / _SECOND_MS)
-
-    def _wake(self) -> None:
-        self._changed.set()
+            else:
+                self._changed.clear()
+                self._changed.wait()
+                if piece == len(self._pieces) and not self._ended:
+                    yield _BLANK_LINE
 
     def _piece_at(self, start: int) -> int:
         piece = len(self._pieces)
@@ -138,6 +196,9 @@
             text = "".join(self._pieces[piece:])
         return text[offset - self._offsets[piece] :]
 
+    def _head(self) -> bytes:
+        return encode_head(self.status, self.content_type)
+
     def _last_line(self) -> bytes:
         if self._broken is not None:
             return encode_broken(self._broken)
--- a/src/azurefold/agent/endpoint.py
+++ b/src/azurefold/agent/endpoint.py
@@ -6,7 +6,12 @@
 import msgspec
 
 from azurefold.core.clock import Millis
-from azurefold.internal.http_client import CONNECTION_ERRORS, fresh_client, http_client
+from azurefold.internal.http_client import (
+    CONNECTION_ERRORS,
+    fresh_client,
+    http_client,
+    lines_at_once,
+)
 
 __all__ = [
     "EndpointCall",
@@ -202,17 +207,16 @@
 
 def _engine_events(response: object) -> Iterator:
     yield EndpointHead(_OK, "text/event-stream")
-    while True:
-        line = response.readline(b"\n")
-        if not line:
-            raise StreamBrokeError("the engine closed the stream before its end")
-        if not line.startswith(_DATA):
-            continue
-        event = _decode_event(line[len(_DATA) :])
-        if event.done:
-            yield EndpointEnd(event.total)
-            return
-        yield EndpointText(event.offset, event.text)
+    while lines := lines_at_once(response):
+        for line in lines:
+            if not line.startswith(_DATA):
+                continue
+            event = _decode_event(line[len(_DATA) :])
+            if event.done:
+                yield EndpointEnd(event.total)
+                return
+            yield EndpointText(event.offset, event.text)
+    raise StreamBrokeError("the engine closed the stream before its end")
 
 
 def _call_plain(address: str, call: EndpointCall) -> Iterator:
--- a/src/azurefold/agent/http_api.py
+++ b/src/azurefold/agent/http_api.py
@@ -5,6 +5,10 @@
 ``GET /attempts/{id}``    Resume from ``?from=OFFSET``; streams lines.
 ``POST /settle/{id}``     Did it run? Final once answered.
 ``DELETE /attempts/{id}`` Nobody wants the answer any more.
+``GET /channels/{id}``    Opens a channel, on which a dispatch that names it
+                          has its answer sent beside others.
+``DELETE ...``            The same with ``/{attempt}`` behind it: that answer
+                          goes there no more.
 ========================  ===================================================
 """
 
@@ -28,6 +32,7 @@
     RefusedBody,
     SettledBody,
 )
+from azurefold.wire.frames import HEADER_CHANNEL
 
 __all__ = ["attempt_routes"]
 
@@ -73,7 +78,7 @@
             case NotStarted(reason=reason):
                 _refuse(resp, falcon.HTTP_409, reason)
             case Attached(buffer=buffer):
-                self._stream(resp, buffer, 0)
+                self._give(req, resp, buffer)
 
     def on_get(self, req: falcon.Request, resp: falcon.Response, attempt_id: str):
         organisation = req.get_header(HEADER_ORGANISATION) or ""
@@ -93,6 +98,16 @@
             self.runner.cancel(attempt_id)
         resp.status = falcon.HTTP_204
 
+    def _give(self, req: falcon.Request, resp: falcon.Response, buffer: AnswerBuffer):
+        channel_id, _, number = (req.get_header(HEADER_CHANNEL) or "").partition("/")
+        channel = self.runner.channels.find(channel_id)
+        if channel is None or not number.isdecimal():
+            self._stream(resp, buffer, 0)
+            return
+        buffer.follow(channel, int(number))
+        resp.status = falcon.HTTP_202
+        resp.set_header(HEADER_RUNNING, str(self.runner.ledger.running))
+
     def _stream(self, resp: falcon.Response, buffer: AnswerBuffer, start: int):
         resp.content_type = _LINES
         resp.set_header(HEADER_RUNNING, str(self.runner.ledger.running))
@@ -123,7 +138,33 @@
         resp.data = msgspec.json.encode(body)
 
 
+@dataclass(slots=True)
+class _Channel:
+    runner: Runner
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response, channel_id: str):
+        resp.content_type = _LINES
+        resp.stream = self.runner.channels.open(channel_id).lines()
+
+
+@dataclass(slots=True)
+class _Followed:
+    runner: Runner
+
+    def on_delete(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        channel_id: str,
+        attempt_id: str,
+    ):
+        self.runner.unfollow(attempt_id, channel_id)
+        resp.status = falcon.HTTP_204
+
+
 def attempt_routes(app: falcon.App, runner: Runner) -> None:
     """Add the routes for attempts to an application."""
     app.add_route("/attempts/{attempt_id}", _Attempt(runner))
     app.add_route("/settle/{attempt_id}", _Settle(runner))
+    app.add_route("/channels/{channel_id}", _Channel(runner))
+    app.add_route("/channels/{channel_id}/{attempt_id}", _Followed(runner))
--- a/src/azurefold/agent/runner.py
+++ b/src/azurefold/agent/runner.py
@@ -6,6 +6,7 @@
 import gevent
 
 from azurefold.agent.buffer import AnswerBuffer
+from azurefold.agent.channels import Channels
 from azurefold.agent.endpoint import (
     EndpointCall,
     EndpointEnd,
@@ -30,6 +31,9 @@
 
 _RESUMES = 3
 _RESUME_PAUSE_MS: Millis = 100
+# A caller that lost its connection comes back within seconds, or not at all.
+_UNREAD_MS: Millis = 30_000
+_CANCELLED = "cancelled"
 _SECOND_MS = 1_000
 
 
@@ -55,12 +59,16 @@
     ledger: Ledger
     target: ModelEngine | PlainService
     clock: Clock
+    channels: Channels = field(default_factory=Channels)
     _buffers: dict[str, AnswerBuffer] = field(default_factory=dict)
+    _unread_since: dict[str, Millis] = field(default_factory=dict)
+    _cancelled: set[str] = field(default_factory=set)
 
     @property
     def readers(self) -> int:
         """Entries that are reading an answer just now."""
-        return sum(buffer.readers for buffer in self._buffers.values())
+        readers = sum(buffer.readers for buffer in self._buffers.values())
+        return readers + self.channels.pending
 
     def dispatch(
         self,
@@ -100,6 +108,22 @@
             return None
         return self._adopt(self.target, attempt_id, organisation)
 
+    def unfollow(self, attempt_id: str, channel_id: str) -> None:
+        """Send an attempt's answer no more on a channel."""
+        buffer = self._buffers.get(attempt_id)
+        channel = self.channels.find(channel_id)
+        if buffer is not None and channel is not None:
+            buffer.leave(channel)
+
+    def tick(self) -> None:
+        """Look after answers and those who read them; call it each second."""
+        self.channels.keep_alive()
+        for attempt_id, buffer in list(self._buffers.items()):
+            if not buffer.ended:
+                buffer.keep_alive()
+                self._cancel_if_unread(attempt_id, buffer)
+        self.forget_old()
+
     def forget_old(self) -> None:
         """Free answers that nobody may ask for any more."""
         now = self.clock.now()
@@ -110,11 +134,24 @@
     def cancel(self, attempt_id: str) -> None:
         """Stop a running attempt whose answer nobody wants any more."""
         buffer = self._buffers.get(attempt_id)
-        if buffer is None or buffer.ended:
+        if buffer is None or buffer.ended or attempt_id in self._cancelled:
             return
+        # A plain service's call may have taken effect, and its answer is the
+        # only word of it; a key that comes again still has to find it.
         if isinstance(self.target, ModelEngine):
+            self._cancelled.add(attempt_id)
+            log_event(_log, "attempt_cancelled", attempt=attempt_id)
             gevent.spawn(cancel_stream, self.target, attempt_id)
 
+    def _cancel_if_unread(self, attempt_id: str, buffer: AnswerBuffer) -> None:
+        if buffer.readers:
+            self._unread_since.pop(attempt_id, None)
+            return
+        now = self.clock.now()
+        since = self._unread_since.setdefault(attempt_id, now)
+        if now - since >= _UNREAD_MS:
+            self.cancel(attempt_id)
+
     def _adopt(
         self, engine: ModelEngine, attempt_id: str, organisation: str
     ) -> AnswerBuffer | None:
@@ -196,6 +233,12 @@
                     return
 
     def _ended(self, buffer: AnswerBuffer, phase: Phase) -> None:
+        # An engine ends a cancelled stream like a whole one. Passed on as
+        # such, somebody who resumes it would take a part for the whole.
+        if buffer.attempt_id in self._cancelled:
+            self._fail(buffer, _CANCELLED)
+            return
+        self._unread_since.pop(buffer.attempt_id, None)
         self.ledger.ended(buffer.attempt_id, phase, self.clock.now())
         buffer.finish()
         log_event(
@@ -203,6 +246,8 @@
         )
 
     def _fail(self, buffer: AnswerBuffer, reason: str) -> None:
+        self._unread_since.pop(buffer.attempt_id, None)
+        self._cancelled.discard(buffer.attempt_id)
         self.ledger.ended(buffer.attempt_id, Phase.FAILED, self.clock.now())
         buffer.spoil(reason)
         log_event(_log, "attempt_failed", attempt=buffer.attempt_id, ran=reason)
--- a/src/azurefold/agent/service.py
+++ b/src/azurefold/agent/service.py
@@ -129,7 +129,7 @@
 def _tick_for_ever(runner: Runner) -> None:
     while True:
         gevent.sleep(_TICK_MS / _SECOND_MS)
-        runner.forget_old()
+        runner.tick()
 
 
 def _leave(agent: _Agent) -> int:
--- a/src/azurefold/entry/agents.py
+++ b/src/azurefold/entry/agents.py
@@ -1,14 +1,17 @@
 """What an entry asks of the agents in front of endpoints."""
 
-from collections.abc import Iterator
+import secrets
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+import gevent
 import msgspec
 from geventhttpclient import HTTPClient
 
 from azurefold.core.attempts.course import Settlement
-from azurefold.core.attempts.frames import End, Frame
-from azurefold.core.clock import Millis
+from azurefold.core.clock import Clock, Millis
+from azurefold.entry.channels import Channel, Followed
+from azurefold.entry.lines import Line, LostError, decoded_lines, raw_lines
 from azurefold.internal.http_client import CONNECTION_ERRORS, fresh_client, http_client
 from azurefold.internal.identity import Identity
 from azurefold.wire.attempts import (
@@ -21,7 +24,7 @@
     RefusedBody,
     SettledBody,
 )
-from azurefold.wire.frames import BadLineError, Broken, Head, decode_line
+from azurefold.wire.frames import HEADER_CHANNEL
 
 __all__ = [
     "AgentAddress",
@@ -40,10 +43,11 @@
 _SILENT_AFTER_MS: Millis = 3_500
 _ASK_TIMEOUT_MS: Millis = 1_500
 _OK = 200
-_NOT_FOUND = 404
-_UNAUTHORIZED = 401
+_ACCEPTED = 202
 
-Line = Frame | End | Broken | Head
+
+def _nothing_to_close() -> None:
+    """Leave a connection to be closed with its response."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,10 +92,13 @@
         is a sign of life.
     running : int
         Attempts in flight at the endpoint, itself included.
+    close : callable
+        To be called when the lines are read no longer.
     """
 
     lines: Iterator[list[Line]]
     running: int
+    close: Callable[[], None] = _nothing_to_close
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,16 +108,24 @@
     reason: str
 
 
-class LostError(Exception):
-    """The connection broke or went silent."""
-
-
 @dataclass(slots=True)
 class Agents:
-    """Connections of one entry to all agents it knows."""
+    """Connections of one entry to all agents it knows.
+
+    Parameters
+    ----------
+    identity : Identity
+    clock : Clock
+    on_drop : callable
+        Called with a reason for each line that nobody waits for.
+    """
 
     identity: Identity
+    clock: Clock
+    on_drop: Callable[[str], None]
     _clients: dict[str, HTTPClient] = field(default_factory=dict)
+    _channels: dict[str, Channel] = field(default_factory=dict)
+    _opening: set[str] = field(default_factory=set)
 
     def dispatch(self, agent: AgentAddress, call: AttemptCall) -> Opened | NotTaken:
         """Send an attempt to its agent.
@@ -135,7 +150,22 @@
             connections.return_socket(connections.get_socket())
         except CONNECTION_ERRORS:
             return NotTaken("agent_unreachable")
-        return self._open(client, "POST", path, call.attempt_id, headers, call.body)
+        channel = self._channel(agent)
+        followed = channel.follow(call.attempt_id) if channel else None
+        if followed is not None:
+            headers[HEADER_CHANNEL] = f"{channel.id}/{followed.number}"
+        try:
+            response = self._ask(client, "POST", path, headers, call.body)
+            if response.status_code == _ACCEPTED:
+                response.read()
+                return self._opened_on_channel(agent, channel, followed, response)
+            if followed is not None:
+                channel.leave(followed)
+            return _opened(response, call.attempt_id)
+        except CONNECTION_ERRORS as error:
+            if followed is not None:
+                channel.leave(followed)
+            raise LostError(str(error)) from error
 
     def resume(
         self, agent: AgentAddress, attempt_id: str, organisation: str, offset: int
@@ -151,7 +181,11 @@
         headers = self.identity.headers("GET", path, b"", agent.endpoint)
         headers[HEADER_ORGANISATION] = organisation
         client = fresh_client(agent.address, _CONNECT_TIMEOUT_MS, _SILENT_AFTER_MS)
-        return self._open(client, "GET", path, attempt_id, headers, b"")
+        try:
+            response = self._ask(client, "GET", path, headers, b"")
+            return _opened(response, attempt_id)
+        except CONNECTION_ERRORS as error:
+            raise LostError(str(error)) from error
 
     def settle(
         self, agent: AgentAddress, attempt_id: str, organisation: str
@@ -204,23 +238,74 @@
             self._clients[address] = client
         return client
 
-    def _open(
+    def _ask(
         self,
         client: HTTPClient,
         method: str,
         path: str,
-        attempt_id: str,
         headers: dict[str, str],
         body: bytes,
-    ) -> Opened | NotTaken:
+    ) -> object:
+        return client.request(method, path, body=body, headers=headers)
+
+    def _channel(self, agent: AgentAddress) -> Channel | None:
+        """Return the channel from an agent, or have one opened for later."""
+        address = agent.address
+        channel = self._channels.get(address)
+        if channel is None and address not in self._opening:
+            self._opening.add(address)
+            gevent.spawn(self._run_channel, agent)
+        return channel
+
+    def _run_channel(self, agent: AgentAddress) -> None:
+        channel = Channel(secrets.token_hex(8), self.clock, self.on_drop)
+        path = f"/channels/{channel.id}"
+        headers = self.identity.headers("GET", path, b"", agent.endpoint)
+        client = fresh_client(agent.address, _CONNECT_TIMEOUT_MS, _SILENT_AFTER_MS)
         try:
-            response = client.request(method, path, body=body, headers=headers)
-            if response.status_code != _OK:
-                return _not_taken(response)
-        except CONNECTION_ERRORS as error:
-            raise LostError(str(error)) from error
-        running = str(response.get(HEADER_RUNNING, "0"))
-        return Opened(_lines(response, attempt_id), int(running))
+            response = self._ask(client, "GET", path, headers, b"")
+            if response.status_code == _OK:
+                self._channels[agent.address] = channel
+                channel.run(raw_lines(response))
+        except CONNECTION_ERRORS:
+            return
+        finally:
+            self._opening.discard(agent.address)
+            self._channels.pop(agent.address, None)
+            client.close()
+
+    def _opened_on_channel(
+        self,
+        agent: AgentAddress,
+        channel: Channel,
+        followed: Followed,
+        response: object,
+    ) -> Opened:
+        def close() -> None:
+            channel.leave(followed)
+            if not followed.ended:
+                gevent.spawn(self._unfollow, agent, channel.id, followed.attempt_id)
+
+        return Opened(followed.lines(), _running(response), close)
+
+    def _unfollow(self, agent: AgentAddress, channel_id: str, attempt_id: str) -> None:
+        # Lost, it costs the agent only lines that are dropped here.
+        path = f"/channels/{channel_id}/{attempt_id}"
+        headers = self.identity.headers("DELETE", path, b"", agent.endpoint)
+        try:
+            self._ask(self._client(agent.address), "DELETE", path, headers, b"").read()
+        except CONNECTION_ERRORS:
+            return
+
+
+def _opened(response: object, attempt_id: str) -> Opened | NotTaken:
+    if response.status_code != _OK:
+        return _not_taken(response)
+    return Opened(decoded_lines(response, attempt_id), _running(response))
+
+
+def _running(response: object) -> int:
+    return int(str(response.get(HEADER_RUNNING, "0")))
 
 
 def _not_taken(response: object) -> NotTaken:
@@ -231,22 +316,8 @@
         raise LostError(f"status {response.status_code} without a reason") from error
 
 
-def _lines(response: object, attempt_id: str) -> Iterator[list[Line]]:
-    while True:
-        try:
-            raw = [response.readline(b"\n")]
-            buffered = response._body_buffer
-            while b"\n" in buffered:
-                raw.append(response.readline(b"\n"))
-            if not raw[-1]:
-                raise LostError("the agent closed the stream before its end")
-            yield [decode_line(attempt_id, line) for line in raw if line != b"\n"]
-        except CONNECTION_ERRORS as error:
-            raise LostError(str(error)) from error
-        except BadLineError as error:
-            raise LostError(str(error)) from error
-
-
-def new_agents(identity: Identity) -> Agents:
+def new_agents(
+    identity: Identity, clock: Clock, on_drop: Callable[[str], None]
+) -> Agents:
     """Return connections to agents for one entry."""
-    return Agents(identity)
+    return Agents(identity, clock, on_drop)
--- a/src/azurefold/entry/metrics.py
+++ b/src/azurefold/entry/metrics.py
@@ -3,17 +3,17 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from azurefold.core.clock import Clock
+from azurefold.entry.histogram import ServiceHistogram
 from azurefold.entry.relay import GivenUp, Part, Text, Whole
 from azurefold.entry.requests import CallerRequest
 
 __all__ = ["EntryMetrics", "new_entry_metrics"]
 
-_SECOND_MS = 1_000
-_FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.25, 0.5, 0.8, 1.1, 1.5, 2.5, 5.0, 10.0)
-_BETWEEN_BUCKETS = (0.01, 0.02, 0.035, 0.05, 0.07, 0.1, 0.2, 0.5, 1.0)
+_FIRST_TOKEN_MS = (50, 100, 250, 500, 800, 1_100, 1_500, 2_500, 5_000, 10_000)
+_BETWEEN_MS = (10, 20, 35, 50, 70, 100, 200, 500, 1_000)
 
 
 @dataclass(slots=True)
@@ -27,8 +27,8 @@
     clock: Clock
     registry: CollectorRegistry
     answers: Counter
-    first_token: Histogram
-    between_tokens: Histogram
+    first_token: ServiceHistogram
+    between_tokens: ServiceHistogram
     dropped_frames: Counter
     organisation_answers: Counter
     waiting: Gauge
@@ -43,16 +43,16 @@
         started = self.clock.now()
         last = None
         result = "abandoned"
-        first_token = self.first_token.labels(service=request.service)
-        between = self.between_tokens.labels(service=request.service)
+        first_token = self.first_token.of(request.service)
+        between = self.between_tokens.of(request.service)
         try:
             for part in parts:
                 if isinstance(part, Text):
                     now = self.clock.now()
                     if last is None:
-                        first_token.observe((now - started) / _SECOND_MS)
+                        first_token.observe(now - started)
                     else:
-                        between.observe((now - last) / _SECOND_MS)
+                        between.observe(now - last)
                     last = now
                 elif isinstance(part, Whole):
                     result = "answered"
@@ -70,6 +70,18 @@
 def new_entry_metrics(clock: Clock) -> EntryMetrics:
     """Return an entry's metrics in a registry of their own."""
     registry = CollectorRegistry()
+    first_token = ServiceHistogram(
+        "azurefold_entry_first_token_seconds",
+        "From the request to the first text",
+        _FIRST_TOKEN_MS,
+    )
+    between_tokens = ServiceHistogram(
+        "azurefold_entry_between_tokens_seconds",
+        "Between two texts of one answer",
+        _BETWEEN_MS,
+    )
+    registry.register(first_token)
+    registry.register(between_tokens)
     return EntryMetrics(
         clock=clock,
         registry=registry,
@@ -79,20 +91,8 @@
             ["service", "result"],
             registry=registry,
         ),
-        first_token=Histogram(
-            "azurefold_entry_first_token_seconds",
-            "From the request to the first text",
-            ["service"],
-            buckets=_FIRST_TOKEN_BUCKETS,
-            registry=registry,
-        ),
-        between_tokens=Histogram(
-            "azurefold_entry_between_tokens_seconds",
-            "Between two texts of one answer",
-            ["service"],
-            buckets=_BETWEEN_BUCKETS,
-            registry=registry,
-        ),
+        first_token=first_token,
+        between_tokens=between_tokens,
         dropped_frames=Counter(
             "azurefold_entry_dropped_frames",
             "Frames not passed on to a caller",
--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -49,11 +49,11 @@
     AgentAddress,
     Agents,
     AttemptCall,
-    LostError,
     NotTaken,
     Opened,
 )
 from azurefold.entry.claims import ClaimTaker
+from azurefold.entry.lines import LostError
 from azurefold.entry.requests import CallerRequest
 from azurefold.internal.logs import log_event
 from azurefold.wire.frames import Broken, Head
@@ -72,6 +72,7 @@
 _MAX_ATTEMPTS = 4
 _FOLLOW_TRIES = 5
 _FOLLOW_PAUSE_MS: Millis = 60
+_RESUME_PAUSE_MS: Millis = 100
 _SECOND_MS = 1_000
 
 
@@ -115,6 +116,10 @@
 Part = Announced | AnswerHead | Text | Whole | GivenUp
 
 
+def _sleep(milliseconds: Millis) -> None:
+    gevent.sleep(milliseconds / _SECOND_MS)
+
+
 class _LostMidwayError(Exception):
     """The stream has to be taken up again from the next offset."""
 
@@ -137,6 +142,8 @@
         Since the Unix epoch.
     claim : ClaimTaker or None
         For non-idempotent requests with a key.
+    pause : callable
+        Waits for some milliseconds.
     on_drop : callable
         Called with the reason of each frame that is not passed on.
     """
@@ -149,11 +156,13 @@
     wall: Clock
     on_drop: Callable[[str], None]
     claim: ClaimTaker | None = None
+    pause: Callable[[Millis], None] = _sleep
     _course: Course = field(init=False)
     _agent: AgentAddress | None = None
     _assembler: Assembler | None = None
     _tried: set[str] = field(default_factory=set)
     _attempts: int = 0
+    _resumed_at: int = -1
     _open: bool = False
     _first_text: bool = False
 
@@ -255,7 +264,7 @@
             opened = self._try_resume(0)
             if not isinstance(opened, NotTaken):
                 return opened
-            gevent.sleep(_FOLLOW_PAUSE_MS / _SECOND_MS)
+            self.pause(_FOLLOW_PAUSE_MS)
         return self._no_text()
 
     def _truthful(self, failure: Failure) -> Follow | Failure:
@@ -287,6 +296,14 @@
         return opened
 
     def _resume(self, offset: int) -> Opened | Event:
+        # Where an agent answers questions while its streams always break,
+        # asking and resuming would go round without end; seen as an entry
+        # that uses a whole core for a request long past its deadline.
+        if self.clock.now() >= self.request.deadline:
+            return DeadlinePassed()
+        if offset == self._resumed_at:
+            self.pause(_RESUME_PAUSE_MS)
+        self._resumed_at = offset
         opened = self._try_resume(offset)
         if isinstance(opened, NotTaken):
             return self._no_text()
@@ -328,8 +345,8 @@
             self._agent.endpoint, LoadReport(opened.running, 0), self.clock.now()
         )
         assembler = self._assembler
-        yield Announced(self._answer_id(assembler.next_offset))
         try:
+            yield Announced(self._answer_id(assembler.next_offset))
             for lines in opened.lines:
                 # Signs of life come each second, so a request that an
                 # endpoint keeps waiting ends here soon after its deadline.
@@ -344,6 +361,8 @@
                         return event if isinstance(event, Event) else None
         except (LostError, _LostMidwayError) as error:
             log_event(_log, "connection_lost", attempt=assembler.attempt_id, why=error)
+        finally:
+            opened.close()
         return ConnectionLost()
 
     def _line(self, assembler: Assembler, line: object) -> Iterator[Part]:
--- a/src/azurefold/entry/service.py
+++ b/src/azurefold/entry/service.py
@@ -78,11 +78,12 @@
     )
     claims.start()
     limits = settings.limits
+    metrics = new_entry_metrics(clock)
     state = EntryState(
         services=new_services(clock, seed=identity.incarnation),
-        agents=new_agents(identity),
+        agents=new_agents(identity, clock, metrics.dropped),
         claims=claims,
-        metrics=new_entry_metrics(clock),
+        metrics=metrics,
         clock=clock,
         wall=wall,
         limits=EntryLimits(limits.max_body_bytes, limits.body_timeout_ms),
--- a/src/azurefold/internal/http_client.py
+++ b/src/azurefold/internal/http_client.py
@@ -5,13 +5,13 @@
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import HTTPParseError
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from azurefold.core.clock import Millis
 from azurefold.internal.http_server import split_address
 from azurefold.internal.stream_socket import StreamSocket
 
-__all__ = ["CONNECTION_ERRORS", "fresh_client", "http_client"]
+__all__ = ["CONNECTION_ERRORS", "fresh_client", "http_client", "lines_at_once"]
 
 CONNECTION_ERRORS = (OSError, gevent.socket.timeout, HTTPParseError)
 """What a broken, refused or silent connection raises."""
@@ -53,6 +53,26 @@
     return client
 
 
+def lines_at_once(response: HTTPSocketResponse) -> list[bytes]:
+    """Wait for a line of a body and return all whole lines that are there.
+
+    Returns
+    -------
+    list of bytes
+        With their ends; empty where the body has ended.
+    """
+    first = bytes(response.readline(b"\n"))
+    # What has come with it is taken out of the response's buffer at once;
+    # line by line, each would move all the rest to the front.
+    buffered = response._body_buffer
+    end = buffered.rfind(b"\n") + 1
+    if not end:
+        return [first] if first else []
+    more = bytes(buffered[:end])
+    del buffered[:end]
+    return [first, *more.splitlines(keepends=True)]
+
+
 def fresh_client(
     address: str, connect_timeout_ms: Millis, read_timeout_ms: Millis
 ) -> HTTPClient:
--- a/src/azurefold/wire/frames.py
+++ b/src/azurefold/wire/frames.py
@@ -1,7 +1,9 @@
 """Lines in which an agent streams an answer to an entry.
 
 One JSON array a line. A line carries all text that is there when it is
-written: one message a token would cost more than the answer itself.
+written: one message a token would cost more than the answer itself. On a
+channel, which carries the lines of many attempts, each begins with the number
+that the entry has given to its attempt.
 """
 
 import msgspec
@@ -9,6 +11,7 @@
 from azurefold.core.attempts.frames import End, Frame
 
 __all__ = [
+    "HEADER_CHANNEL",
     "BadLineError",
     "Broken",
     "Head",
@@ -17,8 +20,13 @@
     "encode_end",
     "encode_frame",
     "encode_head",
+    "number_line",
+    "split_number",
 ]
 
+HEADER_CHANNEL = "Azurefold-Channel"
+"""Asks an agent to send an attempt's lines on a channel: ``ID/NUMBER``."""
+
 
 class BadLineError(ValueError):
     """A line that is no frame."""
@@ -108,3 +116,34 @@
             return End(attempt_id, total, digest)
         case _:
             return message
+
+
+def number_line(number: int, line: bytes) -> bytes:
+    r"""Return an attempt's line as it goes on a channel.
+
+    Examples
+    --------
+    >>> number_line(7, b'["f",3,"a"]\n')
+    b'7 ["f",3,"a"]\n'
+    """
+    return b"%d %b" % (number, line)
+
+
+def split_number(line: bytes) -> tuple[int, bytes]:
+    r"""Return the number of a channel's line, and the attempt's own line.
+
+    Raises
+    ------
+    BadLineError
+        If it has no number.
+
+    Examples
+    --------
+    >>> split_number(b'7 ["f",3,"a"]\n')
+    (7, b'["f",3,"a"]\n')
+    """
+    number, _, rest = line.partition(b" ")
+    try:
+        return int(number), rest
+    except ValueError as error:
+        raise BadLineError("a channel's line has no number") from error
