Put the decisions in force at the entry and show them at /metrics

In force now: room that drafts leave to confirmations, slots that operators allow, keys of organisations (401), limits of requests and tokens a second (429 with a spread Retry-After), weights of organisations in the queue, prefixes of prompts as hints, retries counted against the budget. Found by the new tests: a confirmation that came while drafts waited got no free place until something ended; with one slot in all, drafts would have starved; a request that waited for an endpoint did not count as in flight, so a stop could cut it off; a refusal while draining did not look up the caller's key.

--- a/src/azurefold/agent/channels.py
+++ b/src/azurefold/agent/channels.py
@@ -75,6 +75,9 @@
 
     _by_id: dict[str, Channel] = field(default_factory=dict)
 
+    def __len__(self) -> int:
+        return sum(not channel.closed for channel in self._by_id.values())
+
     @property
     def pending(self) -> int:
         """Channels with something that has not been written yet."""
--- a/src/azurefold/agent/metrics.py
+++ b/src/azurefold/agent/metrics.py
@@ -1,10 +1,17 @@
 """What an agent counts."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from prometheus_client import CollectorRegistry, Counter, Gauge
+from prometheus_client.metrics_core import (
+    GaugeMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
 
 from azurefold.agent.runner import Runner
+from azurefold.internal.families import counter_family
 
 __all__ = ["AgentMetrics", "new_agent_metrics"]
 
@@ -19,6 +26,32 @@
     leaving: Gauge
 
 
+class _AttemptsCollector(Collector):
+    """What became of attempts, read from the runner when it is asked for."""
+
+    def __init__(self, runner: Runner) -> None:
+        self._runner = runner
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics as the library's registry wants them."""
+        seen = self._runner.seen
+        yield counter_family(
+            "azurefold_agent_attempts", "Dispatches", "result", seen.attempts
+        )
+        yield counter_family(
+            "azurefold_agent_ended", "Attempts that have ended", "phase", seen.ended
+        )
+        streams = {"resumed": seen.resumes, "cancelled": seen.cancelled}
+        yield counter_family(
+            "azurefold_agent_streams", "Orders about engine streams", "order", streams
+        )
+        channels = GaugeMetricFamily(
+            "azurefold_agent_channels", "Entries that follow attempts on a channel"
+        )
+        channels.add_metric([], len(self._runner.channels))
+        yield channels
+
+
 def new_agent_metrics(runner: Runner) -> AgentMetrics:
     """Return an agent's metrics in a registry of their own."""
     registry = CollectorRegistry()
@@ -37,6 +70,7 @@
             "azurefold_agent_leaving", "1 once new work is refused", registry=registry
         ),
     )
+    registry.register(_AttemptsCollector(runner))
     metrics.running.set_function(lambda: runner.ledger.running)
     metrics.leaving.set_function(lambda: float(runner.ledger.leaving))
     return metrics
--- a/src/azurefold/agent/runner.py
+++ b/src/azurefold/agent/runner.py
@@ -1,6 +1,7 @@
 """Runs attempts at the endpoint and keeps their answers."""
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
 
 import gevent
@@ -25,7 +26,7 @@
 from azurefold.core.clock import Clock, Millis
 from azurefold.internal.logs import log_event
 
-__all__ = ["Attached", "NotStarted", "Runner", "new_runner"]
+__all__ = ["Attached", "NotStarted", "Runner", "Seen", "new_runner"]
 
 _log = logging.getLogger("azurefold.agent")
 
@@ -52,6 +53,26 @@
     reason: str
 
 
+@dataclass(slots=True)
+class Seen:
+    """What has happened at one agent, for its metrics.
+
+    Parameters
+    ----------
+    attempts : Counter of str
+        Dispatches by what became of them.
+    ended : Counter of str
+        Attempts by the phase they ended in.
+    resumes, cancelled : int
+        Streams taken up again at the engine, and streams stopped.
+    """
+
+    attempts: Counter[str] = field(default_factory=Counter)
+    ended: Counter[str] = field(default_factory=Counter)
+    resumes: int = 0
+    cancelled: int = 0
+
+
 @dataclass(slots=True)
 class Runner:
     """Attempts of one agent, from dispatch to the end of their answers."""
@@ -60,6 +81,7 @@
     target: ModelEngine | PlainService
     clock: Clock
     channels: Channels = field(default_factory=Channels)
+    seen: Seen = field(default_factory=Seen)
     _buffers: dict[str, AnswerBuffer] = field(default_factory=dict)
     _unread_since: dict[str, Millis] = field(default_factory=dict)
     _cancelled: set[str] = field(default_factory=set)
@@ -85,15 +107,18 @@
         match decision:
             case Refused(reason=reason):
                 log_event(_log, "attempt_refused", attempt=attempt_id, reason=reason)
+                self.seen.attempts[str(reason)] += 1
                 return NotStarted(str(reason))
             case Known():
                 buffer = self._buffers.get(attempt_id) or _freed(attempt_id)
+                self.seen.attempts["attached"] += 1
                 return Attached(buffer, new=False)
             case Accepted():
                 buffer = AnswerBuffer(attempt_id)
                 self._buffers[attempt_id] = buffer
                 gevent.spawn(self._run, call, buffer)
                 log_event(_log, "attempt_started", attempt=attempt_id)
+                self.seen.attempts["started"] += 1
                 return Attached(buffer, new=True)
 
     def find(self, attempt_id: str, organisation: str) -> AnswerBuffer | None:
@@ -140,6 +165,7 @@
         # only word of it; a key that comes again still has to find it.
         if isinstance(self.target, ModelEngine):
             self._cancelled.add(attempt_id)
+            self.seen.cancelled += 1
             log_event(_log, "attempt_cancelled", attempt=attempt_id)
             gevent.spawn(cancel_stream, self.target, attempt_id)
 
@@ -203,6 +229,7 @@
     ) -> None:
         for _ in range(_RESUMES):
             gevent.sleep(_RESUME_PAUSE_MS / _SECOND_MS)
+            self.seen.resumes += 1
             try:
                 self._copy(resume_stream(engine, attempt_id, buffer.total), buffer)
             except StreamBrokeError:
@@ -239,6 +266,7 @@
             self._fail(buffer, _CANCELLED)
             return
         self._unread_since.pop(buffer.attempt_id, None)
+        self.seen.ended[str(phase)] += 1
         self.ledger.ended(buffer.attempt_id, phase, self.clock.now())
         buffer.finish()
         log_event(
@@ -248,6 +276,7 @@
     def _fail(self, buffer: AnswerBuffer, reason: str) -> None:
         self._unread_since.pop(buffer.attempt_id, None)
         self._cancelled.discard(buffer.attempt_id)
+        self.seen.ended[str(Phase.FAILED)] += 1
         self.ledger.ended(buffer.attempt_id, Phase.FAILED, self.clock.now())
         buffer.spoil(reason)
         log_event(_log, "attempt_failed", attempt=buffer.attempt_id, ran=reason)
--- a/src/azurefold/core/admission/queue.py
+++ b/src/azurefold/core/admission/queue.py
@@ -5,6 +5,7 @@
 refused at once, with the time at which coming back is worth while.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from heapq import heappop, heappush
 
@@ -72,6 +73,11 @@
     def __len__(self) -> int:
         return len(self._items)
 
+    def set_shares(self, shares: Mapping[str, float]) -> None:
+        """Take in organisations' weights; one that is not named has 1."""
+        for queue in self._classes.values():
+            queue.set_shares(shares)
+
     def length_of(self, priority: Priority) -> int:
         """Return how many requests of a class wait."""
         return len(self._classes[priority])
@@ -153,8 +159,9 @@
         # In round robin an organisation waits for its own backlog and for as
         # much of each other one's, whatever a flooding one has queued.
         own = queue.tokens_of(item.organisation) + item.tokens
-        turns = queue.organisations + (not queue.tokens_of(item.organisation))
-        ahead = min(queue.tokens + item.tokens, own * turns)
+        weight = queue.weight_of(item.organisation)
+        others = queue.weight - weight * bool(queue.tokens_of(item.organisation))
+        ahead = min(queue.tokens + item.tokens, own * (others + weight) / weight)
         return ahead / rate if rate > 0 else float("inf")
 
     def _reason_to_refuse(self, item: QueueItem, now: Millis) -> RefusedReason | None:
--- a/src/azurefold/core/admission/shares.py
+++ b/src/azurefold/core/admission/shares.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from azurefold.core.admission.messages import QueueItem
@@ -33,6 +34,7 @@
 
     def __init__(self, quantum: int) -> None:
         self._quantum = quantum
+        self._quanta: dict[str, int] = {}
         self._shares: OrderedDict[str, _Share] = OrderedDict()
         self._length = 0
         self._tokens = 0
@@ -40,6 +42,21 @@
     def __len__(self) -> int:
         return self._length
 
+    def set_shares(self, shares: Mapping[str, float]) -> None:
+        """Take in organisations' weights; one that is not named has 1."""
+        self._quanta = {
+            name: max(1, int(self._quantum * share)) for name, share in shares.items()
+        }
+
+    def weight_of(self, organisation: str) -> float:
+        """Return an organisation's weight."""
+        return self._quantum_of(organisation) / self._quantum
+
+    @property
+    def weight(self) -> float:
+        """The weights of all organisations that have something waiting."""
+        return sum(self.weight_of(organisation) for organisation in self._shares)
+
     @property
     def tokens(self) -> int:
         """Tokens that wait in all."""
@@ -117,7 +134,7 @@
         item = next(iter(share.items.values()))
         if share.deficit >= item.tokens:
             return item
-        share.deficit += self._quantum
+        share.deficit += self._quantum_of(organisation)
         self._shares.move_to_end(organisation)
         return None
 
@@ -126,10 +143,13 @@
         # loop in head(); whole rounds that serve nobody are added at once.
         rounds = min(
             (next(iter(share.items.values())).tokens - share.deficit - 1)
-            // self._quantum
-            for share in self._shares.values()
+            // self._quantum_of(organisation)
+            for organisation, share in self._shares.items()
         )
         if rounds <= 0:
             return
-        for share in self._shares.values():
-            share.deficit += rounds * self._quantum
+        for organisation, share in self._shares.items():
+            share.deficit += rounds * self._quantum_of(organisation)
+
+    def _quantum_of(self, organisation: str) -> int:
+        return self._quanta.get(organisation, self._quantum)
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -76,7 +76,10 @@
     @property
     def draft_room(self) -> int:
         """The room left when a part is kept free for confirmations."""
-        return self._members.room - ceil(self._policy.reserve * self._members.capacity)
+        capacity = self._members.capacity
+        kept = min(ceil(self._policy.reserve * capacity), capacity - 1)
+        # Of a single place none is kept, or drafts would wait there for ever.
+        return self._members.room - max(0, kept)
 
     def set_nodes(self, count: int, position: int = 0) -> None:
         """Take in how many nodes send to these endpoints.
--- a/src/azurefold/core/routing/retries.py
+++ b/src/azurefold/core/routing/retries.py
@@ -53,12 +53,15 @@
         self._decay(now)
         self._requests += 1.0
 
+    def left(self, now: Millis) -> float:
+        """Return how many retries the budget would pay for now."""
+        self._decay(now)
+        idle = self._policy.allowance * self._policy.window / 1_000
+        return max(0.0, self._policy.share * self._requests + idle - self._retries)
+
     def try_retry(self, now: Millis) -> bool:
         """Take one retry out of the budget, if it has one left."""
-        self._decay(now)
-        policy = self._policy
-        idle = policy.allowance * policy.window / 1_000
-        if self._retries + 1.0 > policy.share * self._requests + idle:
+        if self.left(now) < 1.0:
             return False
         self._retries += 1.0
         return True
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -1,6 +1,7 @@
 """Admission of requests to one service: a fair queue before a pool of endpoints."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from gevent.event import AsyncResult
@@ -11,14 +12,19 @@
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.routing.messages import (
     Chosen,
+    Ejected,
     NoneAvailable,
+    Outcome,
     RouteRequest,
     Unavailable,
 )
 from azurefold.core.routing.pool import Pool
 from azurefold.core.routing.retries import RetryBudget
+from azurefold.entry.histogram import Counts
 
-__all__ = ["Admission", "Ticket", "new_admission"]
+__all__ = ["Admission", "Seen", "Ticket", "new_admission"]
+
+_WAITS_MS = (0, 5, 20, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
 
 _NO_REQUEST = RouteRequest()
 _REFUSED_DETAIL = "The request was not run; come back after the time in Retry-After."
@@ -48,12 +54,37 @@
     route: RouteRequest = _NO_REQUEST
 
 
+def _waits() -> dict[Priority, Counts]:
+    return {priority: Counts(_WAITS_MS) for priority in Priority}
+
+
+@dataclass(slots=True)
+class Seen:
+    """What has happened to one service's requests, for its metrics.
+
+    Parameters
+    ----------
+    waits : dict of Priority to Counts
+        Times in the queue of those that got an endpoint.
+    refusals, ejections : Counter of str
+        By reason and by cause.
+    retries : Counter of str
+        Further attempts that were made, or denied for want of budget.
+    """
+
+    waits: dict[Priority, Counts] = field(default_factory=_waits)
+    refusals: Counter[str] = field(default_factory=Counter)
+    ejections: Counter[str] = field(default_factory=Counter)
+    retries: Counter[str] = field(default_factory=Counter)
+
+
 @dataclass(slots=True)
 class Admission:
     """The queue, the pool and the retry budget of one service."""
 
     clock: Clock
     draw: random.Random
+    seen: Seen = field(default_factory=Seen)
     pool: Pool = field(default_factory=Pool)
     queue: FairQueue = field(default_factory=FairQueue)
     retries: RetryBudget = field(default_factory=RetryBudget)
@@ -72,37 +103,73 @@
         """
         now = self.clock.now()
         self.retries.request_started(now)
-        if not self._waiting:
-            chosen = self._choose(ticket.route, now)
-            if isinstance(chosen, Chosen):
-                return self._granted(ticket, chosen)
-            if chosen.reason is not Unavailable.ALL_FULL:
-                return _failure(chosen.reason.value, chosen.retry_after_ms)
-        return self._wait(ticket, now)
+        answer = None if self._waiting else self._straight_through(ticket, now)
+        if answer is None:
+            answer = self._wait(ticket, now)
+        if isinstance(answer, Failure):
+            self.seen.refusals[answer.reason] += 1
+        else:
+            self.seen.waits[ticket.priority].observe(self.clock.now() - now)
+        return answer
 
     def retry(self, ticket: Ticket) -> Chosen | Failure:
         """Choose an endpoint for another attempt at once, past the queue."""
         chosen = self._choose(ticket.route, self.clock.now())
         if isinstance(chosen, Chosen):
             return self._granted(ticket, chosen)
+        self.seen.refusals[chosen.reason.value] += 1
         return _failure(chosen.reason.value, chosen.retry_after_ms)
 
+    def try_retry(self) -> bool:
+        """Take one retry out of the budget, if it has one left."""
+        allowed = self.retries.try_retry(self.clock.now())
+        self.seen.retries["made" if allowed else "denied"] += 1
+        return allowed
+
+    def finished(self, endpoint: str, attempt_id: str, outcome: Outcome) -> None:
+        """Note how an attempt ended, and hand on its place."""
+        now = self.clock.now()
+        ejected = self.pool.finished(endpoint, attempt_id, outcome, now)
+        if ejected is not None:
+            self._count_ejection(ejected)
+        self.pump()
+
     def pump(self) -> None:
         """Hand free endpoints to those who wait, and answer who waited in vain."""
         now = self.clock.now()
         for refusal in self.queue.expire(now):
             self._answer_refusal(refusal)
-        while self._waiting and isinstance(self._choose(_NO_REQUEST, now), Chosen):
-            item = self.queue.take(now)
+        # The last room is left to confirmations: a draft that took it would
+        # make the next one wait for as long as the draft runs.
+        while self._waiting and self.pool.room > 0:
+            item = self.queue.take(now, drafts=self.pool.draft_room > 0)
             if item is None:
                 return
             self._grant_waiting(item, now)
 
     def tick(self) -> None:
         """Look for slow and stuck endpoints; call it about once a second."""
-        self.pool.tick(self.clock.now())
+        for ejected in self.pool.tick(self.clock.now()):
+            self._count_ejection(ejected)
         self.pump()
 
+    def _count_ejection(self, ejected: Ejected) -> None:
+        self.seen.ejections[ejected.cause.value] += 1
+
+    def _straight_through(self, ticket: Ticket, now: Millis) -> Chosen | Failure | None:
+        """Return an endpoint while nobody waits; None if the ticket has to."""
+        if ticket.priority is Priority.DRAFT and self._kept_free():
+            return None
+        chosen = self._choose(ticket.route, now)
+        if isinstance(chosen, Chosen):
+            return self._granted(ticket, chosen)
+        if chosen.reason is not Unavailable.ALL_FULL:
+            return _failure(chosen.reason.value, chosen.retry_after_ms)
+        return None
+
+    def _kept_free(self) -> bool:
+        return self.pool.room > 0 and self.pool.draft_room <= 0
+
     def _wait(self, ticket: Ticket, now: Millis) -> Chosen | Failure:
         item = QueueItem(
             ticket.request_id,
@@ -119,6 +186,8 @@
             self._answer_refusal(refusal)
         result = AsyncResult()
         self._waiting[ticket.request_id] = (ticket, result)
+        # Room that drafts must leave is free for a confirmation at once.
+        self.pump()
         try:
             return result.get()
         finally:
--- a/src/azurefold/entry/claims.py
+++ b/src/azurefold/entry/claims.py
@@ -1,6 +1,7 @@
 """Claims of callers' keys, written to the platform's table in batches."""
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 import gevent
@@ -40,6 +41,7 @@
 _SECOND_MS = 1_000
 _RETRY_AFTER_MS: Millis = 2_000
 _WRITERS = 4
+_RESULTS = {Mine: "taken", Follow: "followed", KeyReused: "reused"}
 _KEY_UNCHECKED = (
     "This call was not run. Whether an earlier one with the same "
     "Idempotency-Key was run cannot be looked up now; come back later."
@@ -63,6 +65,7 @@
     """
 
     platform: PlatformClient
+    results: Counter[str] = field(default_factory=Counter)
     _wishes: list[_Wish] = field(default_factory=list)
     _some: Event = field(default_factory=Event)
 
@@ -192,9 +195,11 @@
         own = Claim(attempt_id, endpoint, incarnation, self.request)
         row = self.writer.write(self.key, own, self._version)
         if isinstance(row, Unavailable):
+            self.writer.results["unavailable"] += 1
             return _unavailable(row.reason)
         self._version = row.version
         decision = decide_claim(own, msgspec.json.decode(row.value, type=Claim))
+        self.writer.results[_RESULTS[type(decision)]] += 1
         if isinstance(decision, KeyReused):
             return _reused()
         return decision
--- a/src/azurefold/entry/histogram.py
+++ b/src/azurefold/entry/histogram.py
@@ -12,7 +12,7 @@
 from prometheus_client.metrics_core import HistogramMetricFamily
 from prometheus_client.registry import Collector
 
-__all__ = ["Counts", "ServiceHistogram"]
+__all__ = ["Counts", "ServiceHistogram", "add_counts"]
 
 _SECOND_MS = 1_000
 
@@ -73,10 +73,17 @@
             self._name, self._documentation, labels=["service"]
         )
         for service, counts in self._services.items():
-            family.add_metric([service], _buckets(counts), counts.total_ms / _SECOND_MS)
+            add_counts(family, [service], counts)
         yield family
 
 
+def add_counts(
+    family: HistogramMetricFamily, labels: list[str], counts: Counts
+) -> None:
+    """Add counts to a metric that is being shown."""
+    family.add_metric(labels, _buckets(counts), counts.total_ms / _SECOND_MS)
+
+
 def _buckets(counts: Counts) -> list[tuple[str, float]]:
     bounds = [str(bound / _SECOND_MS) for bound in counts.bounds]
     return list(zip([*bounds, "+Inf"], accumulate(counts.numbers), strict=True))
--- a/src/azurefold/entry/http_api.py
+++ b/src/azurefold/entry/http_api.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import chain
 
 import falcon
@@ -20,6 +20,7 @@
 from azurefold.core.attempts.ids import AnswerId, BadAnswerIdError, parse_answer_id
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Clock, Millis
+from azurefold.core.routing.prompt import prompt_prefixes
 from azurefold.entry.agents import Agents
 from azurefold.entry.answers import (
     collect,
@@ -29,6 +30,7 @@
 )
 from azurefold.entry.claims import ClaimTaker, ClaimWriter
 from azurefold.entry.metrics import EntryMetrics
+from azurefold.entry.organisations import LIMITED, Organisations
 from azurefold.entry.relay import GivenUp, Part, Relay
 from azurefold.entry.requests import (
     BadRequestError,
@@ -68,6 +70,7 @@
     """What the callers' interface works with."""
 
     services: Services
+    organisations: Organisations
     agents: Agents
     claims: ClaimWriter
     metrics: EntryMetrics
@@ -90,6 +93,11 @@
         request = _caller_request(
             self.state, req, service, "/v1/completions", body, tokens, completion.stream
         )
+        request = replace(
+            request,
+            prefixes=prompt_prefixes(completion.prompt),
+            prompt_tokens=estimated_tokens(completion.prompt.encode()),
+        )
         _answer(self.state, service, request, resp)
 
 
@@ -134,15 +142,16 @@
     plain = _PlainCalls(state)
     app.add_route("/services/{name}", plain)
     app.add_route("/services/{name}/{path:path}", plain)
-    app.add_error_handler(BadRequestError, _on_bad_request)
-    return app
 
+    def on_bad_request(
+        req: falcon.Request, resp: falcon.Response, error: BadRequestError, params: dict
+    ) -> None:
+        state.metrics.bad_requests.labels(reason=error.reason).inc()
+        failure = Failure(Ran.NOT_RUN, error.reason, error.detail)
+        _give_failure(resp, failure, error.status)
 
-def _on_bad_request(
-    req: falcon.Request, resp: falcon.Response, error: BadRequestError, params: dict
-) -> None:
-    failure = Failure(Ran.NOT_RUN, error.reason, error.detail)
-    _give_failure(resp, failure, error.status)
+    app.add_error_handler(BadRequestError, on_bad_request)
+    return app
 
 
 def _read_body(req: falcon.Request, limits: EntryLimits) -> bytes:
@@ -240,6 +249,7 @@
         raise BadRequestError(
             403, "unknown_organisation", "This organisation is not known."
         )
+    state.organisations.check_key(organisation, req.get_header("Authorization"))
     return organisation
 
 
@@ -292,31 +302,52 @@
 def _answer(
     state: EntryState, service: Service, request: CallerRequest, resp: falcon.Response
 ) -> None:
-    if state.draining:
-        _give_failure(resp, _draining())
-        return
     parts = state.metrics.observed(request, _parts(state, service, request))
-    first = next(parts)
-    if isinstance(first, GivenUp):
-        _give_failure(resp, first.failure)
-    elif request.stream:
-        resp.content_type = _EVENTS
-        resp.set_header("Cache-Control", "no-store")
-        resp.stream = _counted(state, server_sent_events(chain([first], parts), parts))
-    else:
-        state.in_flight += 1
-        try:
+    # Counted from before the first part: a request that still waits for an
+    # endpoint is in flight too, and a stop must not cut it off.
+    in_flight = _InFlight(state)
+    try:
+        first = next(parts)
+        if request.stream and not isinstance(first, GivenUp):
+            resp.content_type = _EVENTS
+            resp.set_header("Cache-Control", "no-store")
+            events = server_sent_events(chain([first], parts), parts)
+            resp.stream = in_flight.until_end_of(events)
+        elif isinstance(first, GivenUp):
+            _give_failure(resp, first.failure)
+        else:
             _give_whole(request, resp, chain([first], parts))
-        finally:
-            state.in_flight -= 1
+    finally:
+        in_flight.end_unless_streaming()
 
 
-def _counted(state: EntryState, events: Iterator[bytes]) -> Iterator[bytes]:
-    state.in_flight += 1
-    try:
-        yield from events
-    finally:
-        state.in_flight -= 1
+class _InFlight:
+    """One request in the entry's count of those in flight."""
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+        self._events: Iterator[bytes] | None = None
+        state.in_flight += 1
+
+    def until_end_of(self, events: Iterator[bytes]) -> "_InFlight":
+        """Count the request until the server has closed this stream."""
+        self._events = events
+        return self
+
+    def end_unless_streaming(self) -> None:
+        """Count the request no more if its answer is complete."""
+        if self._events is None:
+            self._state.in_flight -= 1
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._events
+
+    def close(self) -> None:
+        """Count the request no more; the server calls it once for each answer."""
+        # A generator that was never begun runs no cleanup of its own when it
+        # is closed, so that the count would stay up for good.
+        self._state.in_flight -= 1
+        self._events.close()
 
 
 def _parts(
@@ -329,8 +360,9 @@
         state.services.locate,
         state.clock,
         state.wall,
-        state.metrics.dropped,
+        state.metrics,
         _claim_taker(state, request),
+        lambda: _refusal(state, request),
     )
     answer = request.resume_from
     if answer is None:
@@ -338,6 +370,12 @@
     return relay.attach(answer)
 
 
+def _refusal(state: EntryState, request: CallerRequest) -> Failure | None:
+    if state.draining:
+        return _draining()
+    return state.organisations.admit(request.organisation, request.tokens)
+
+
 def _claim_taker(state: EntryState, request: CallerRequest) -> ClaimTaker | None:
     if request.idempotent or request.idempotency_key is None:
         return None
@@ -376,6 +414,8 @@
 def _status_of(failure: Failure) -> int:
     if failure.reason == "key_reused":
         return 422
+    if failure.reason == LIMITED:
+        return 429
     return 503 if failure.ran is Ran.NOT_RUN else 502
 
 
--- a/src/azurefold/entry/metrics.py
+++ b/src/azurefold/entry/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from prometheus_client import CollectorRegistry, Counter, Gauge
+from prometheus_client import CollectorRegistry, Counter
 
 from azurefold.core.clock import Clock
 from azurefold.entry.histogram import ServiceHistogram
@@ -31,13 +31,22 @@
     between_tokens: ServiceHistogram
     dropped_frames: Counter
     organisation_answers: Counter
-    waiting: Gauge
-    endpoints: Gauge
+    connections_lost: Counter
+    settles: Counter
+    bad_requests: Counter
 
     def dropped(self, reason: str) -> None:
         """Count a frame that was not passed on."""
         self.dropped_frames.labels(reason=reason).inc()
 
+    def lost(self, service: str) -> None:
+        """Count a connection that was lost with an attempt on it."""
+        self.connections_lost.labels(service=service).inc()
+
+    def settled(self, service: str, state: str) -> None:
+        """Count an agent's answer to what became of an attempt."""
+        self.settles.labels(service=service, state=state).inc()
+
     def observed(self, request: CallerRequest, parts: Iterator[Part]) -> Iterator[Part]:
         """Yield an answer's parts and note when they came and how it ended."""
         started = self.clock.now()
@@ -105,16 +114,22 @@
             ["organisation", "result"],
             registry=registry,
         ),
-        waiting=Gauge(
-            "azurefold_entry_waiting",
-            "Requests that wait for an endpoint",
+        connections_lost=Counter(
+            "azurefold_entry_connections_lost",
+            "Connections to agents that broke or went silent with an attempt on them",
             ["service"],
             registry=registry,
         ),
-        endpoints=Gauge(
-            "azurefold_entry_endpoints",
-            "Endpoints that requests may go to",
-            ["service"],
+        settles=Counter(
+            "azurefold_entry_settles",
+            "What agents said became of attempts",
+            ["service", "state"],
+            registry=registry,
+        ),
+        bad_requests=Counter(
+            "azurefold_entry_bad_requests",
+            "Requests that could not be understood",
+            ["reason"],
             registry=registry,
         ),
     )
--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 import gevent
 
@@ -39,10 +40,12 @@
 from azurefold.core.routing.messages import (
     Answered,
     Cancelled,
+    Chosen,
     Failed,
     LoadReport,
     Outcome,
     Refused,
+    RouteRequest,
 )
 from azurefold.entry.admission import Admission, Ticket
 from azurefold.entry.agents import (
@@ -62,6 +65,7 @@
     "Announced",
     "AnswerHead",
     "GivenUp",
+    "Observer",
     "Relay",
     "Text",
     "Whole",
@@ -120,6 +124,23 @@
     gevent.sleep(milliseconds / _SECOND_MS)
 
 
+def _admit_all() -> None:
+    """Let a request pass."""
+
+
+class Observer(Protocol):
+    """What counts the turns that requests take."""
+
+    def dropped(self, reason: str) -> None:
+        """Count a frame that was not passed on."""
+
+    def lost(self, service: str) -> None:
+        """Count a connection that was lost with an attempt on it."""
+
+    def settled(self, service: str, state: str) -> None:
+        """Count an agent's answer to what became of an attempt."""
+
+
 class _LostMidwayError(Exception):
     """The stream has to be taken up again from the next offset."""
 
@@ -142,10 +163,12 @@
         Since the Unix epoch.
     claim : ClaimTaker or None
         For non-idempotent requests with a key.
+    admit : callable
+        Returns why the request may not be run now, or None.
     pause : callable
         Waits for some milliseconds.
-    on_drop : callable
-        Called with the reason of each frame that is not passed on.
+    observer : Observer
+        Told of what is worth counting.
     """
 
     request: CallerRequest
@@ -154,8 +177,9 @@
     locate: Callable[[str], AgentAddress | None]
     clock: Clock
     wall: Clock
-    on_drop: Callable[[str], None]
+    observer: Observer
     claim: ClaimTaker | None = None
+    admit: Callable[[], Failure | None] = _admit_all
     pause: Callable[[Millis], None] = _sleep
     _course: Course = field(init=False)
     _agent: AgentAddress | None = None
@@ -225,9 +249,7 @@
         self._report(Failed())
         attempt_id = new_attempt_id(self.wall.now(), secrets.token_hex(10))
         ticket = self._ticket(attempt_id)
-        retrying = self._attempts > 0
-        acquire = self.admission.retry if retrying else self.admission.acquire
-        chosen = acquire(ticket)
+        chosen = self._acquire(ticket)
         if isinstance(chosen, Failure):
             return chosen
         self._attempts += 1
@@ -244,6 +266,11 @@
             return claimed
         return self._send(self._agent, attempt_id)
 
+    def _acquire(self, ticket: Ticket) -> Chosen | Failure:
+        if self._attempts > 0:
+            return self.admission.retry(ticket)
+        return self.admit() or self.admission.acquire(ticket)
+
     def _take_claim(
         self, agent: AgentAddress, attempt_id: str
     ) -> Mine | Follow | Failure:
@@ -288,7 +315,7 @@
         try:
             opened = self.agents.dispatch(agent, call)
         except LostError as error:
-            log_event(_log, "connection_lost", attempt=attempt_id, why=error)
+            self._note_loss(attempt_id, error)
             return ConnectionLost()
         if isinstance(opened, NotTaken):
             log_event(_log, "not_taken", attempt=attempt_id, reason=opened.reason)
@@ -336,6 +363,7 @@
             )
         except LostError:
             return AgentSilent()
+        self.observer.settled(self.request.service, state)
         log_event(_log, "settled", attempt=self.attempt_id, state=state)
         return SettledAs(state)
 
@@ -360,7 +388,7 @@
                     if event is not None:
                         return event if isinstance(event, Event) else None
         except (LostError, _LostMidwayError) as error:
-            log_event(_log, "connection_lost", attempt=assembler.attempt_id, why=error)
+            self._note_loss(assembler.attempt_id, error)
         finally:
             opened.close()
         return ConnectionLost()
@@ -377,7 +405,7 @@
                 self._note_text(assembler)
                 yield Text(text, assembler.next_offset)
             case Dropped(reason=reason):
-                self.on_drop(reason)
+                self.observer.dropped(reason)
             case Gap():
                 raise _LostMidwayError("a part of the answer is missing")
             case Spoiled(detail=detail):
@@ -397,12 +425,16 @@
                 self._agent.endpoint, assembler.attempt_id, self.clock.now()
             )
 
+    def _note_loss(self, attempt_id: str, error: Exception) -> None:
+        self.observer.lost(self.request.service)
+        log_event(_log, "connection_lost", attempt=attempt_id, why=error)
+
     def _may_retry(self) -> bool:
         if self._attempts >= _MAX_ATTEMPTS or self._course.passed > 0:
             return False
         if self.clock.now() >= self.request.deadline or self._attempts == 0:
             return False
-        return self.admission.retries.try_retry(self.clock.now())
+        return self.admission.try_retry()
 
     def _ticket(self, attempt_id: str) -> Ticket:
         request = self.request
@@ -412,6 +444,7 @@
             request.priority,
             request.tokens,
             request.deadline,
+            RouteRequest(request.prefixes, request.prompt_tokens),
         )
         if not self._tried:
             return ticket
@@ -422,11 +455,7 @@
         if not self._open:
             return
         self._open = False
-        now = self.clock.now()
-        self.admission.pool.finished(
-            self._agent.endpoint, self.attempt_id, outcome, now
-        )
-        self.admission.pump()
+        self.admission.finished(self._agent.endpoint, self.attempt_id, outcome)
 
     def _answer_id(self, offset: int) -> AnswerId:
         agent = self._agent
--- a/src/azurefold/entry/requests.py
+++ b/src/azurefold/entry/requests.py
@@ -7,6 +7,7 @@
 from azurefold.core.admission.messages import Priority
 from azurefold.core.attempts.ids import AnswerId
 from azurefold.core.clock import Millis
+from azurefold.core.routing.messages import Prefix
 
 __all__ = ["BadRequestError", "CallerRequest", "CompletionBody", "parse_completion"]
 
@@ -69,6 +70,10 @@
     idempotency_key : str or None
     resume_from : AnswerId or None
         From ``Last-Event-ID``.
+    prefixes : tuple of Prefix
+        Of the prompt, that an endpoint may have cached.
+    prompt_tokens : int
+        Estimate of the prompt's part of ``tokens``.
     """
 
     organisation: str
@@ -82,6 +87,8 @@
     idempotent: bool
     idempotency_key: str | None = None
     resume_from: AnswerId | None = None
+    prefixes: tuple[Prefix, ...] = ()
+    prompt_tokens: int = 0
 
 
 _decode_completion = msgspec.json.Decoder(CompletionBody).decode
--- a/src/azurefold/entry/service.py
+++ b/src/azurefold/entry/service.py
@@ -10,9 +10,11 @@
 from azurefold.core.clock import Millis
 from azurefold.entry.agents import new_agents
 from azurefold.entry.claims import new_claim_writer
+from azurefold.entry.decisions import DecisionsCollector
 from azurefold.entry.far import new_far_lookup
 from azurefold.entry.http_api import EntryLimits, EntryState, entry_app
 from azurefold.entry.metrics import new_entry_metrics
+from azurefold.entry.organisations import new_organisations
 from azurefold.entry.services import new_services
 from azurefold.entry.watcher import Watcher
 from azurefold.internal.admin_http import AdminViews, admin_server
@@ -81,6 +83,7 @@
     metrics = new_entry_metrics(clock)
     state = EntryState(
         services=new_services(clock, seed=identity.incarnation),
+        organisations=new_organisations(clock, identity.incarnation, settings.name),
         agents=new_agents(identity, clock, metrics.dropped),
         claims=claims,
         metrics=metrics,
@@ -92,12 +95,13 @@
         settings.control, ring, identity.sealer, recipient=settings.control_name
     )
     state.services.ask_far = new_far_lookup(control, clock)
-    gevent.spawn(Watcher(control, state.services).run)
+    gevent.spawn(Watcher(control, state.services, state.organisations).run)
     views = AdminViews(
         registry=state.metrics.registry,
         is_ready=lambda: state.services.ready and not state.draining,
         status=lambda: _status(settings, state),
     )
+    metrics.registry.register(DecisionsCollector(state))
     return _Entry(
         settings=settings,
         identity=identity,
@@ -111,11 +115,7 @@
     while True:
         gevent.sleep(_TICK_MS / _SECOND_MS)
         state.services.tick()
-        for service in state.services.all():
-            name, admission = service.view.name, service.admission
-            state.metrics.waiting.labels(service=name).set(admission.waiting)
-            usable = len(admission.pool.endpoints) - len(admission.pool.ejected)
-            state.metrics.endpoints.labels(service=name).set(usable)
+        state.organisations.tick()
 
 
 def _status(settings: EntrySettings, state: EntryState) -> dict[str, object]:
--- a/src/azurefold/entry/watcher.py
+++ b/src/azurefold/entry/watcher.py
@@ -11,6 +11,7 @@
 from azurefold.core.clock import Millis
 from azurefold.core.configuration.model import Kind, Service
 from azurefold.core.configuration.model import Priority as ServicePriority
+from azurefold.entry.organisations import Organisations
 from azurefold.entry.services import EndpointView, Services, ServiceView
 from azurefold.internal.logs import log_event
 from azurefold.wire.grpc_caller import Caller, CallError
@@ -40,6 +41,7 @@
 
     control: Caller
     services: Services
+    organisations: Organisations
 
     def run(self) -> None:
         """Watch for ever; a lost control process changes nothing."""
@@ -75,9 +77,12 @@
         views = [_view(service) for service in configuration.services.values()]
         organisations = frozenset(configuration.organisations)
         self.services.apply_services(revision, views, organisations)
+        self.organisations.apply(configuration.organisations)
+        shares = {one.name: one.share for one in configuration.organisations.values()}
         for service in configuration.services.values():
-            pool = self.services.find(service.name).admission.pool
-            pool.set_slots(service.limits.concurrency)
+            admission = self.services.find(service.name).admission
+            admission.pool.set_slots(service.limits.concurrency)
+            admission.queue.set_shares(shares)
         log_event(_log, "revision_applied", revision=revision)
 
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -73,6 +73,27 @@
         self.closed += 1
 
 
+@dataclass
+class Counts:
+    """Keeps what a relay counts."""
+
+    drops: list = field(default_factory=list)
+    losses: int = 0
+    states: list = field(default_factory=list)
+
+    def dropped(self, reason):
+        """Keep a reason."""
+        self.drops.append(str(reason))
+
+    def lost(self, service):
+        """Count a connection."""
+        self.losses += 1
+
+    def settled(self, service, state):
+        """Keep an agent's answer."""
+        self.states.append(str(state))
+
+
 def request(**changes):
     """Return a caller's request for a draft."""
     fields = {
@@ -112,7 +133,7 @@
         locate=lambda name: AgentAddress(name, INCARNATION, f"{name}:1"),
         clock=time.clock,
         wall=time.clock,
-        on_drop=more.pop("on_drop", lambda reason: None),
+        observer=more.pop("observer", Counts()),
         pause=time.pause,
         **more,
     )
--- a/tests/entry/test_answers_come_whole_or_end_in_an_error.py
+++ b/tests/entry/test_answers_come_whole_or_end_in_an_error.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from tests.entry.conftest import FakeAgents, ManualClock, make_relay, request
+from tests.entry.conftest import Counts, FakeAgents, ManualClock, make_relay, request
 
 from azurefold.core.attempts.frames import Assembler, End, Frame, Passed, text_digest
 from azurefold.core.attempts.outcome import Ran
@@ -150,9 +150,9 @@
 
 
 def test_frames_that_are_not_passed_on_are_counted():
-    seen = []
-    run([([5], [("foreign", 1), ("doubled", 2)], 0)], on_drop=seen.append)
-    assert sorted(map(str, seen)) == ["duplicate", "foreign"]
+    counts = Counts()
+    run([([5], [("foreign", 1), ("doubled", 2)], 0)], observer=counts)
+    assert sorted(counts.drops) == ["duplicate", "foreign"]
 
 
 def test_a_caller_who_goes_away_leaves_connection_and_slot():
