Read scripted scenarios and run them against real processes

Scenarios of failure need many processes and exact faults, and a test in plain code hides its sequence behind plumbing. A small language (lark grammar, one step a line, errors with file, line and column) names the sequence and what must hold. A TCP relay between processes cuts, delays and silences links; nothing is closed by its faults.

Cause for the new agent setting http_bind: entries learn an agent's address from its own reports, so nothing could stand between the two. Ruled out: rewriting datagrams on their way, since their seals cover the address they are meant for; for the same reason UDP goes past the relay.

--- a/src/azurefold/agent/service.py
+++ b/src/azurefold/agent/service.py
@@ -104,7 +104,8 @@
     app = falcon.App(middleware=[RequireSignature(identity, metrics.rejected)])
     attempt_routes(app, runner)
     leave_route(app, identity, runner, heartbeats)
-    return http_server(settings.http, app, "azurefold.agent")
+    address = settings.http_bind or settings.http
+    return http_server(address, app, "azurefold.agent")
 
 
 def _admin(
--- a/src/azurefold/border/settings.py
+++ b/src/azurefold/border/settings.py
@@ -140,6 +140,11 @@
         default=None, description="the rank in its group, counted from 0"
     )
     http: Address = Field(description=f"where entries come: {_ADDRESS}")
+    http_bind: Address | None = Field(
+        default=None,
+        description=f"what to bind if http is reached through another address: "
+        f"{_ADDRESS}",
+    )
     grpc: Address = Field(description=f"where orders come: {_ADDRESS}")
     udp: Address = Field(
         description=f"where datagrams come, on the IP number of http: {_ADDRESS}"
--- /dev/null
+++ b/src/azurefold_standins/scenario/__init__.py
@@ -0,0 +1,1 @@
+"""A small test language: scripted scenarios against real processes."""
--- a/src/azurefold_standins/site.py
+++ b/src/azurefold_standins/site.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from azurefold_standins.layout import Endpoint, Layout
 from azurefold_standins.processes import Process, Processes
 
 __all__ = ["Endpoint", "Layout", "Site", "new_site"]
@@ -22,47 +23,6 @@
 _KEY = {"id": "k1", "secret": "a key for sites on loopback only"}
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """An endpoint of a site.
-
-    Parameters
-    ----------
-    name, service, data_centre : str
-    group : str or None
-        The group of ranks it belongs to; None for a plain service.
-    rank : int or None
-    """
-
-    name: str
-    service: str
-    data_centre: str
-    group: str | None = None
-    rank: int | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Layout:
-    """What a site consists of.
-
-    Parameters
-    ----------
-    data_centres : dict of str to int
-        How many entry VMs each data centre has.
-    endpoints : tuple of Endpoint
-    step_ms, latency_ms : int
-        Of the model engines and of the plain services.
-    honours_fence : bool
-        Whether engines refuse old fencing numbers.
-    """
-
-    data_centres: dict[str, int]
-    endpoints: tuple[Endpoint, ...]
-    step_ms: int = 5
-    latency_ms: int = 20
-    honours_fence: bool = True
-
-
 @dataclass(slots=True)
 class Site:
     """Addresses, settings files and processes of a site."""
@@ -71,6 +31,7 @@
     folder: Path
     processes: Processes
     addresses: dict[str, dict[str, str]] = field(default_factory=dict)
+    links: dict[str, tuple[str, str]] = field(default_factory=dict)
     _ips: Iterator[str] = field(default_factory=lambda: _fresh_ips())
 
     @property
@@ -101,6 +62,15 @@
         ip = next(self._ips)
         self.addresses[name] = {port: f"{ip}:{_free_port(ip)}" for port in ports}
 
+    def via(self, link: str, target: str) -> str:
+        """Return the address at which ``target`` is reached over a link."""
+        if not self.layout.relayed:
+            return target
+        if link not in self.links:
+            ip = target.rpartition(":")[0]
+            self.links[link] = (f"{ip}:{_free_port(ip)}", target)
+        return self.links[link][0]
+
     def write(self, name: str, content: dict) -> str:
         """Write a settings file and return its path."""
         path = self.folder / f"{name}.jsonc"
@@ -125,6 +95,8 @@
     for endpoint in layout.endpoints:
         _add_agent(site, endpoint)
     _write_operator(site)
+    if layout.relayed:
+        _add_relay(site)
     return site
 
 
@@ -157,6 +129,19 @@
     site.add("platform", "azurefold_standins.platform", "--host", host, "--port", port)
 
 
+def _add_relay(site: Site) -> None:
+    """Add the relay; last, when all links are known."""
+    site.place("relay", "http")
+    links = site.write("relay-links", site.links)
+    address = site.address("relay", "http")
+    arguments = ("--address", address, "--links", links)
+    site.add("relay", "azurefold_standins.relay", *arguments)
+
+
+def _platform_of(site: Site, data_centre: str) -> str:
+    return site.via(f"platform@{data_centre}", site.address("platform", "http"))
+
+
 def _add_endpoints(site: Site) -> None:
     groups: dict[str, list[Endpoint]] = {}
     for endpoint in site.layout.endpoints:
@@ -185,25 +170,33 @@
         )
 
 
+def _peer_grpc(site: Site, peer: str, data_centre: str) -> str:
+    address = site.address(peer, "grpc")
+    if site.data_centre_of(peer) == data_centre:
+        return address
+    return site.via(f"{peer}@{data_centre}", address)
+
+
 def _add_control(site: Site, name: str) -> None:
     own = site.addresses[name]
+    data_centre = site.data_centre_of(name)
     peers = [
         {
             "name": other,
             "data_centre": site.data_centre_of(other),
             "udp": site.address(other, "udp"),
-            "grpc": site.address(other, "grpc"),
+            "grpc": _peer_grpc(site, other, data_centre),
         }
         for other in site.controls
         if other != name
     ]
     settings = {
         "name": name,
-        "data_centre": site.data_centre_of(name),
+        "data_centre": data_centre,
         "grpc": own["grpc"],
         "udp": own["udp"],
         "metrics": own["metrics"],
-        "platform": [site.address("platform", "http")],
+        "platform": [_platform_of(site, data_centre)],
         "peers": peers,
         "keys": [_KEY],
     }
@@ -212,31 +205,32 @@
 
 def _add_entry(site: Site, name: str) -> None:
     control = name.replace("entry-", "control-", 1)
+    data_centre = site.data_centre_of(name)
     settings = {
         "name": name,
-        "data_centre": site.data_centre_of(name),
+        "data_centre": data_centre,
         "listen": site.address(name, "listen"),
         "metrics": site.address(name, "metrics"),
         "control": site.address(control, "grpc"),
         "control_name": control,
-        "platform": [site.address("platform", "http")],
+        "platform": [_platform_of(site, data_centre)],
         "keys": [_KEY],
     }
     site.add(name, "azurefold.entry", site.write(name, settings))
 
 
 def _add_agent(site: Site, endpoint: Endpoint) -> None:
-    name = f"agent-{endpoint.name}"
+    name, engine = f"agent-{endpoint.name}", f"engine-{endpoint.name}"
     own = site.addresses[name]
     settings = {
         "endpoint": endpoint.name,
         "data_centre": endpoint.data_centre,
         "service": endpoint.service,
-        "http": own["http"],
+        "http": site.via(name, own["http"]),
         "grpc": own["grpc"],
         "udp": own["udp"],
         "metrics": own["metrics"],
-        "engine": site.address(f"engine-{endpoint.name}", "http"),
+        "engine": site.via(engine, site.address(engine, "http")),
         "engine_honours_fence": site.layout.honours_fence,
         "controls": [
             {"name": control, "udp": site.address(control, "udp")}
@@ -245,6 +239,8 @@
         ],
         "keys": [_KEY],
     }
+    if site.layout.relayed:
+        settings["http_bind"] = own["http"]
     if endpoint.group is not None:
         settings |= {"group": endpoint.group, "rank": endpoint.rank}
         settings["peers"] = _rank_peers(site, endpoint)
