--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -153,6 +153,7 @@
     _assembler: Assembler | None = None
     _tried: set[str] = field(default_factory=set)
     _attempts: int = 0
+    _sent: bool = False
     _open: bool = False
     _first_text: bool = False
 
@@ -215,8 +216,7 @@
         self._report(Failed())
         attempt_id = new_attempt_id(self.wall.now(), secrets.token_hex(10))
         ticket = self._ticket(attempt_id)
-        retrying = self._attempts > 0
-        acquire = self.admission.retry if retrying else self.admission.acquire
+        acquire = self.admission.retry if self._sent else self.admission.acquire
         chosen = acquire(ticket)
         if isinstance(chosen, Failure):
             return chosen
@@ -224,8 +224,8 @@
         self._open = True
         self._assembler = Assembler(attempt_id)
         self._agent = self.locate(chosen.endpoint)
-        self._tried.add(chosen.endpoint)
         if self._agent is None:
+            self._tried.add(chosen.endpoint)
             self._agent = AgentAddress(chosen.endpoint, "", "")
             return NotDispatched("endpoint_unknown")
         claimed = self._take_claim(self._agent, attempt_id)
@@ -274,6 +274,8 @@
             request.deadline - self.clock.now(),
             int(request.priority),
         )
+        self._sent = True
+        self._tried.add(agent.endpoint)
         log_event(_log, "dispatch", attempt=attempt_id, endpoint=agent.endpoint)
         try:
             opened = self.agents.dispatch(agent, call)
@@ -376,7 +378,10 @@
             return False
         if self.clock.now() >= self.request.deadline or self._attempts == 0:
             return False
-        return self.admission.retries.try_retry(self.clock.now())
+        # Taking over a key whose claim was never dispatched is no retry: this
+        # call has sent nothing yet. Charged to the budget, the repeats that
+        # come after an outage would be refused although all is well again.
+        return not self._sent or self.admission.retries.try_retry(self.clock.now())
 
     def _ticket(self, attempt_id: str) -> Ticket:
         request = self.request
--- a/src/azurefold_standins/scenario/callers.py
+++ b/src/azurefold_standins/scenario/callers.py
@@ -85,7 +85,11 @@
         return ended and self.text == self.expected
 
     def read(self, addresses: list[str]) -> None:
-        """Read it to its end, resuming at the next entry when it breaks."""
+        """Read it to its end, resuming at the next entry when it breaks.
+
+        An error with an id before it is not the end either: the endpoint may
+        still have the answer, so its caller comes back a while.
+        """
         for number in range(_RESUMES):
             caller = Client(addresses[min(number, len(addresses) - 1)], _ORGANISATION)
             if number:
@@ -109,7 +113,7 @@
                 self.pieces.append(event.text)
             elif event.kind in ("done", "error"):
                 self.end = event
-                return True
+                return event.kind == "done" or not self.last_event_id
         return False
 
 
--- a/src/azurefold_standins/scenario/checks.py
+++ b/src/azurefold_standins/scenario/checks.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "check_at_most_once",
+    "check_none_resumed",
     "check_not_run_is_true",
     "check_refused",
     "check_some_outcome",
@@ -88,6 +89,13 @@
     assert any(draft.resumes for draft in callers.drafts), "no draft was resumed"
 
 
+def check_none_resumed(callers: Callers) -> None:
+    """No caller's stream broke."""
+    assert callers.drafts, "no drafts were sent"
+    resumed = [draft.prompt for draft in callers.drafts if draft.resumes]
+    assert not resumed, f"these broke and were resumed: {resumed}"
+
+
 def _check_draft(draft: Draft, or_explained: bool) -> None:
     assert draft.end is not None, f"the draft never ended: {draft.prompt}"
     if or_explained and draft.end.kind == "error":
--- a/src/azurefold_standins/scenario/expectations.py
+++ b/src/azurefold_standins/scenario/expectations.py
@@ -11,6 +11,7 @@
     "InForceAt",
     "NoNewWork",
     "NoStepBack",
+    "NoneResumed",
     "NotRunIsTrue",
     "OperatorsToldTruth",
     "Outcome",
@@ -65,6 +66,11 @@
     """At least one draft was taken up again by its caller."""
 
 
+@dataclass(frozen=True, slots=True)
+class NoneResumed:
+    """No caller noticed anything: each draft came in one go."""
+
+
 @dataclass(frozen=True, slots=True)
 class InForce:
     """The accepted revision is in force; None: in all data centres."""
--- a/src/azurefold_standins/scenario/parser.py
+++ b/src/azurefold_standins/scenario/parser.py
@@ -232,6 +232,9 @@
     def some_resumed(self, parts):
         return expectations.SomeResumed()
 
+    def none_resumed(self, parts):
+        return expectations.NoneResumed()
+
     def in_force(self, parts):
         return expectations.InForce(*parts)
 
--- a/src/azurefold_standins/scenario/runner.py
+++ b/src/azurefold_standins/scenario/runner.py
@@ -114,6 +114,8 @@
                 checks.check_some_outcome(callers, outcome)
             case expectations.SomeResumed():
                 checks.check_some_resumed(callers)
+            case expectations.NoneResumed():
+                checks.check_none_resumed(callers)
             case expectations.InForce(data_centre=data_centre):
                 world.wait_in_force(data_centre)
             case expectations.InForceAt(process=process):
