Tell callers apart what is known of the key and of this call

Cause: with the platform down a keyed call was told 'unknown' and nothing more, though this call certainly had not run; 'not_run' alone would be untrue of a key that an earlier call had used. Both are now said: ran=unknown, this_call=not_run. Ruled out: remembering keys at the entry, which forgets them with the VM.

--- a/src/azurefold/core/attempts/outcome.py
+++ b/src/azurefold/core/attempts/outcome.py
@@ -30,9 +30,13 @@
         A sentence for people that says what to do.
     retry_after_ms : int or None
         When to come back, or None where coming back does not help.
+    this_call : Ran or None
+        Where ``ran`` speaks for a key that earlier calls may have used: what
+        is known of this call alone.
     """
 
     ran: Ran
     reason: str
     detail: str
     retry_after_ms: Millis | None = None
+    this_call: Ran | None = None
--- a/src/azurefold/entry/answers.py
+++ b/src/azurefold/entry/answers.py
@@ -38,6 +38,7 @@
     reason: str
     detail: str
     retry_after_ms: int | None = None
+    this_call: str | None = None
 
 
 class _Error(msgspec.Struct):
@@ -89,7 +90,11 @@
 def error_json(failure: Failure) -> bytes:
     """Return the machine-readable body of an error."""
     body = _ErrorBody(
-        str(failure.ran), failure.reason, failure.detail, failure.retry_after_ms
+        str(failure.ran),
+        failure.reason,
+        failure.detail,
+        failure.retry_after_ms,
+        str(failure.this_call) if failure.this_call else None,
     )
     return _encode(_Error(body))
 
--- a/src/azurefold/entry/claims.py
+++ b/src/azurefold/entry/claims.py
@@ -210,7 +210,12 @@
             return failure
         found = self.writer.platform.read([self.key])
         if isinstance(found, Unavailable):
-            return replace(failure, ran=Ran.UNKNOWN, detail=_KEY_UNCHECKED)
+            return replace(
+                failure,
+                ran=Ran.UNKNOWN,
+                detail=_KEY_UNCHECKED,
+                this_call=Ran.NOT_RUN,
+            )
         row = found.rows.get(self.key)
         if row is None:
             return failure
--- a/tests/processes/test_storm_at_tiny_size.py
+++ b/tests/processes/test_storm_at_tiny_size.py
@@ -1,7 +1,6 @@
 """The storm of repeats works at its smallest size."""
 
 import pytest
-
 from bench.storm import run
 
 pytestmark = pytest.mark.scenario
