Report the burn of service levels from entries' metrics

Entries do not publish answers by endpoint, so the worst endpoints are told only where azurefold_entry_endpoint_answers exists.

--- a/src/azurefold/core/objectives/burn.py
+++ b/src/azurefold/core/objectives/burn.py
@@ -130,9 +130,8 @@
         now : int
             When they were read, in milliseconds.
         """
-        visits = self._visits.setdefault(source.process, _Visits(None, now))
-        if visits.last < now:
-            visits = self._visits[source.process] = _Visits(visits.last, now)
+        self.visit(source.process, now)
+        visits = self._visits[source.process]
         history = self._histories.get(source)
         if history is None:
             history = self._histories[source] = History()
@@ -140,6 +139,20 @@
                 history.add(NOTHING, visits.before)
         history.add(counts, now)
 
+    def visit(self, process: str, now: Millis) -> None:
+        """Note that a process was sampled, even if it publishes no source yet.
+
+        Parameters
+        ----------
+        process : str
+            Which one.
+        now : int
+            When, in milliseconds, in the order of time.
+        """
+        visits = self._visits.setdefault(process, _Visits(None, now))
+        if visits.last < now:
+            self._visits[process] = _Visits(visits.last, now)
+
     def forget(self, now: Millis) -> None:
         """Drop what is older than the objective's period."""
         for history in self._histories.values():
@@ -229,7 +242,7 @@
     offenders = [
         Offender(name, counts, rate, counts.bad / bad)
         for name, counts in by_name.items()
-        if counts.bad and (rate := burn_rate(counts, objective)) is not None
+        if name and counts.bad and (rate := burn_rate(counts, objective)) is not None
     ]
     offenders.sort(key=lambda offender: (-offender.counts.bad, offender.name))
     return tuple(offenders[:_OFFENDERS_SHOWN])
--- a/src/azurefold/core/objectives/counts.py
+++ b/src/azurefold/core/objectives/counts.py
@@ -60,9 +60,9 @@
     process : str
         The process that published them.
     organisation : str
-        Whose requests they are.
+        Whose requests they are; empty where the process does not tell.
     endpoint : str
-        Which endpoint answered.
+        Which endpoint answered; empty where the process does not tell.
     """
 
     process: str
