Measure how long what was restarted takes to know what it needs

Cause: nothing said how long a restarted entry, control process or agent is of no use, what a returning data centre costs, or what all nodes restarting at once ask of the platform.

Ruled out: a simulated cluster; the real state machines with a heap of events and a platform that counts reads do.

--- /dev/null
+++ b/bench/recovery_virtual.py
@@ -0,0 +1,202 @@
+"""Recovery of membership and of configuration followers, in virtual time."""
+
+import statistics
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from azurefold.core.clock import SECOND, Millis
+from azurefold.core.configuration.follower import FollowerPolicy
+from bench.membership_network import VirtualNetwork, started, view
+from bench.recovery_followers import Followers
+
+LIMIT: Millis = 180 * SECOND
+
+_WARM_UP: Millis = 20 * SECOND
+_EDITS_PER_DAY = 12_000
+_DAY: Millis = 86_400 * SECOND
+_SPREAD_FIRST_LOOK = FollowerPolicy(poll_interval_ms=10_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """What one run covers."""
+
+    data_centres: int
+    controls: int
+    endpoints: int
+    sections: tuple[int, ...]
+    cut: Millis
+    cut_controls: int
+    trials: int
+
+
+class _CountingNetwork(VirtualNetwork):
+    """Counts what each address receives."""
+
+    def __init__(self, **settings) -> None:
+        super().__init__(**settings)
+        self.received: dict[str, int] = {}
+
+    def deliver(self, datagram) -> None:
+        """Hand over one datagram and count it."""
+        self.received[datagram.to] = self.received.get(datagram.to, 0) + 1
+        super().deliver(datagram)
+
+
+def membership(size: Size) -> list[dict]:
+    """Return what a restart costs in a data centre's membership."""
+    return [
+        _restarted_control(size),
+        _restarted_endpoint(size),
+        _cold_start(size),
+    ]
+
+
+def _warm(size: Size) -> _CountingNetwork:
+    network = started(size.controls, size.endpoints, make=_CountingNetwork)
+    network.run(_WARM_UP)
+    return network
+
+
+def _restarted_control(size: Size) -> dict:
+    network = _warm(size)
+    network.remove(network.controls()[0].record.udp_address)
+    address = network.add_control(0)
+    network.received.clear()
+    machine = network.nodes[address].machine
+    truth = {name: seen[0] for name, seen in network.truth().items()}
+
+    def knows() -> bool:
+        seen = {name: known[0] for name, known in view(machine).items()}
+        return seen == truth
+
+    took = network.run_until(knows, LIMIT)
+    return _row("a control", took, network.received.get(address, 0))
+
+
+def _restarted_endpoint(size: Size) -> dict:
+    network = _warm(size)
+    network.remove(network.endpoints()[0].record.udp_address)
+    address = network.add_endpoint(0)
+    network.received.clear()
+    record = network.nodes[address].record
+
+    def known() -> bool:
+        return all(
+            view(node.machine).get(record.name, (0,))[0] == record.incarnation
+            for node in network.controls()
+        )
+
+    took = network.run_until(known, LIMIT)
+    return _row("an endpoint, at all controls", took, network.received.get(address, 0))
+
+
+def _cold_start(size: Size) -> dict:
+    network = _CountingNetwork()
+    for number in range(size.controls):
+        network.add_control(number)
+    for number in range(size.endpoints):
+        network.add_endpoint(number)
+    names = {node.record.name for node in network.controls()}
+
+    def know_each_other() -> bool:
+        return all(names <= view(node.machine).keys() for node in network.controls())
+
+    peers = network.run_until(know_each_other, LIMIT)
+    rest = network.run_until(network.agree, LIMIT)
+    total = None if peers is None or rest is None else peers + rest
+    mean = statistics.mean(
+        network.received.get(node.record.udp_address, 0) for node in network.controls()
+    )
+    row = _row("all at once, until all controls agree", total, round(mean))
+    return row | {"controls_know_each_other_ms": peers}
+
+
+def _row(what: str, took: Millis | None, received: int) -> dict:
+    return {"restarted": what, "knows_ms": took, "datagrams_received": received}
+
+
+def herd(size: Size, alone_ms: Millis) -> list[dict]:
+    """Restart all control processes at once."""
+    policies = {
+        "as it is": None,
+        "trial: first look spread over 10 s": _SPREAD_FIRST_LOOK,
+    }
+    rows = []
+    for n_sections in size.sections:
+        for way, policy in policies.items():
+            fleet = _fleet(size, n_sections, alone_ms, policy)
+            fleet.start()
+            took = fleet.run_until(fleet.all_hold_the_head, LIMIT)
+            row = {"nodes": len(fleet.nodes), "sections": n_sections, "way": way}
+            rows.append(row | {"all_hold_ms": took} | fleet.reads())
+    return rows
+
+
+def _fleet(
+    size: Size, sections: int, alone_ms: Millis, policy: FollowerPolicy | None = None
+) -> Followers:
+    return Followers(
+        size.data_centres, size.controls, sections, alone_ms, policy=policy
+    )
+
+
+def restarts(size: Size, alone_ms: Millis) -> list[dict]:
+    """Restart one control process, and one data centre of many."""
+    rows = []
+    for platform_up in (True, False):
+        for what in ("one control", "one data centre"):
+            fleet = _fleet(size, size.sections[-1], alone_ms)
+            # Built up by one data centre first: this is not the herd's figure.
+            fleet.start_one("control-0-0", 0)
+            fleet.run(5 * SECOND)
+            fleet.start()
+            fleet.run_until(fleet.all_hold_the_head, LIMIT)
+            fleet.platform.up = platform_up
+            fleet.run(_WARM_UP)
+            rows.append(_restart(fleet, what, platform_up))
+    return rows
+
+
+def _restart(fleet: Followers, what: str, platform_up: bool) -> dict:
+    since = fleet.now
+    if what == "one control":
+        fleet.start_one("control-0-0", 0)
+    else:
+        fleet.start(0)
+    took = fleet.run_until(lambda: fleet.all_hold_the_head(0), LIMIT)
+    received = _mean(
+        node.received for node in fleet.nodes.values() if node.started_at >= since
+    )
+    row = {"restarted": what, "platform_up": platform_up, "knows_ms": took}
+    return row | {"messages_received_each": received} | fleet.reads(since)
+
+
+def _mean(values: Iterable[float]) -> float:
+    return round(statistics.mean(values), 1)
+
+
+def cut(size: Size, alone_ms: Millis) -> dict:
+    """Cut a data centre from platform and peers, and link it again."""
+    fleet = Followers(3, size.cut_controls, size.sections[0], alone_ms)
+    fleet.start()
+    fleet.run_until(fleet.all_hold_the_head, LIMIT)
+    fleet.cut = {0}
+    edits = 0
+    every = _DAY // _EDITS_PER_DAY
+    while edits * every < size.cut:
+        edits += 1
+        fleet.platform.edit(edits, size.sections[0])
+        fleet.run(every)
+    held = {node.machine.head.revision for node in fleet.nodes.values()}
+    fleet.cut = set()
+    since = fleet.now
+    took = fleet.run_until(fleet.all_hold_the_head, LIMIT)
+    alarms = sum(len(node.machine.alarms) for node in fleet.nodes.values())
+    return {
+        "cut_s": size.cut / SECOND,
+        "edits_meanwhile": edits,
+        "revisions_held_at_healing": sorted(held),
+        "all_hold_after_ms": took,
+        "alarms": alarms,
+    } | fleet.reads(since)
