Change expert maps between real processes, under a lease in the table

Cause: the protocol that changes a group's map had run in memory only, and no process coordinated groups. Now agents of ranks serve its messages over sealed gRPC (answers go back in the same call) and give their engine orders over HTTP; control processes compete for one lease row a group, whose number is the fence, and drive the coordinator under it. A rank's record carries its gRPC port, so that control finds it. Agents of plain services import no gRPC. Ruled out: a term by wall clock (clocks differ between VMs); counting the term from the answer (a mutant in the tests shows two holders); a call for each answer (twice the calls at half a millisecond of CPU).

--- a/src/azurefold/agent/heartbeats.py
+++ b/src/azurefold/agent/heartbeats.py
@@ -83,6 +83,7 @@
         udp_port=split_address(settings.udp)[1],
         service=settings.service,
         rank=NO_RANK if settings.rank is None else settings.rank,
+        orders_port=0 if settings.group is None else split_address(settings.grpc)[1],
     )
     seeds = tuple(control.udp for control in settings.controls)
     heartbeats = Heartbeats(Presence(own, runner.clock.now(), seeds), runner)
--- a/src/azurefold/agent/service.py
+++ b/src/azurefold/agent/service.py
@@ -2,6 +2,7 @@
 
 import logging
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import falcon
 import gevent
@@ -29,6 +30,9 @@
     stop_requested,
 )
 
+if TYPE_CHECKING:
+    from azurefold.agent.expert_maps import ExpertMaps
+
 __all__ = ["run_agent"]
 
 _log = logging.getLogger("azurefold.agent")
@@ -47,6 +51,7 @@
     heartbeats: Heartbeats
     entries: WSGIServer
     admin: WSGIServer
+    maps: "ExpertMaps | None"
 
 
 def run_agent(path: str) -> int:
@@ -65,6 +70,8 @@
     agent.admin.start()
     gevent.spawn(agent.heartbeats.run)
     gevent.spawn(_tick_for_ever, agent.runner)
+    if agent.maps is not None:
+        gevent.spawn(agent.maps.run)
     log_event(_log, "started", endpoint=settings.endpoint, http=settings.http)
     stop.wait()
     return _leave(agent)
@@ -79,12 +86,28 @@
     runner = new_runner(ledger, _target(settings), monotonic_clock())
     metrics = new_agent_metrics(runner)
     heartbeats = new_heartbeats(settings, identity, runner, metrics.rejected)
+    maps = _expert_maps(settings, identity, runner, metrics)
     return _Agent(
         settings=settings,
         runner=runner,
         heartbeats=heartbeats,
         entries=_entries_server(settings, identity, runner, heartbeats, metrics),
-        admin=_admin(settings, identity, runner, metrics),
+        admin=_admin(settings, identity, runner, metrics, maps),
+        maps=maps,
+    )
+
+
+def _expert_maps(
+    settings: AgentSettings, identity: Identity, runner: Runner, metrics: AgentMetrics
+) -> "ExpertMaps | None":
+    if settings.group is None:
+        return None
+    # Imported here, as the agents of plain services have no use for gRPC and
+    # would pay its memory on each of their small slots.
+    from azurefold.agent.expert_maps import new_expert_maps
+
+    return new_expert_maps(
+        settings, identity, runner.clock, metrics.registry, metrics.rejected
     )
 
 
@@ -108,7 +131,11 @@
 
 
 def _admin(
-    settings: AgentSettings, identity: Identity, runner: Runner, metrics: AgentMetrics
+    settings: AgentSettings,
+    identity: Identity,
+    runner: Runner,
+    metrics: AgentMetrics,
+    maps: "ExpertMaps | None",
 ) -> WSGIServer:
     views = AdminViews(
         registry=metrics.registry,
@@ -121,6 +148,7 @@
             "incarnation": identity.incarnation,
             "leaving": runner.ledger.leaving,
             "in_flight": runner.ledger.running,
+            "expert_maps": None if maps is None else maps.status(),
         },
     )
     return admin_server(settings.metrics, views, "azurefold.agent")
@@ -147,6 +175,8 @@
     gevent.sleep(_LINGER_MS / _SECOND_MS)
     cut_off = runner.ledger.running
     agent.heartbeats.announce(State.GONE)
+    if agent.maps is not None:
+        agent.maps.stop()
     agent.entries.stop(timeout=1)
     agent.admin.stop(timeout=1)
     log_event(_log, "stopped", cut_off=cut_off)
--- a/src/azurefold/border/settings.py
+++ b/src/azurefold/border/settings.py
@@ -140,7 +140,9 @@
         default=None, description="the rank in its group, counted from 0"
     )
     http: Address = Field(description=f"where entries come: {_ADDRESS}")
-    grpc: Address = Field(description=f"where orders come: {_ADDRESS}")
+    grpc: Address = Field(
+        description=f"where a rank's orders come, on the IP number of http: {_ADDRESS}"
+    )
     udp: Address = Field(
         description=f"where datagrams come, on the IP number of http: {_ADDRESS}"
     )
@@ -152,7 +154,8 @@
         description="the control processes of this data centre"
     )
     peers: list[PeerAgent] = Field(
-        default_factory=list, description="agents of the other ranks of the group"
+        default_factory=list,
+        description="agents of the other ranks of the group, in the order of ranks",
     )
 
 
--- a/src/azurefold/control/service.py
+++ b/src/azurefold/control/service.py
@@ -11,6 +11,7 @@
 from azurefold.control.configuration import ConfigurationLoop
 from azurefold.control.drains import Drains
 from azurefold.control.far import FarEndpoints
+from azurefold.control.groups import Groups, new_groups
 from azurefold.control.membership import MembershipLoop
 from azurefold.control.metrics import ControlMetrics, new_control_metrics
 from azurefold.control.peers import new_peers
@@ -33,6 +34,7 @@
 )
 from azurefold.platform.client import PlatformClient, platform_client
 from azurefold.platform.configuration_store import configuration_store
+from azurefold.wire.group_messages import METHOD_CHANGE_MAP, ChangeMap
 from azurefold.wire.grpc_service import (
     Server,
     StreamHandler,
@@ -77,6 +79,7 @@
     configuration: ConfigurationLoop
     metrics: ControlMetrics
     watch: EntryWatch
+    groups: Groups
     port: DatagramPort | None = None
     stopping: bool = False
 
@@ -113,6 +116,7 @@
     gevent.spawn(control.membership.watch_vms, control.platform, _VM_LIST_MS)
     gevent.spawn(control.configuration.run)
     gevent.spawn(control.watch.far.run)
+    gevent.spawn(control.groups.run)
     log_event(_log, "started", name=settings.name, grpc=settings.grpc)
     stop.wait()
     return _stop(control, server, admin)
@@ -143,9 +147,15 @@
     )
     metrics.show(configuration, membership)
     far = FarEndpoints(peers, membership, configuration, draw)
-    watch = EntryWatch(configuration, membership, far)
     control = _Control(
-        settings, identity, platform, membership, configuration, metrics, watch
+        settings=settings,
+        identity=identity,
+        platform=platform,
+        membership=membership,
+        configuration=configuration,
+        metrics=metrics,
+        watch=EntryWatch(configuration, membership, far),
+        groups=new_groups(identity, membership, configuration, platform),
     )
     control.port = datagram_port(
         settings.udp,
@@ -182,6 +192,7 @@
         UnaryHandler(METHOD_GET_ENDPOINTS, GetEndpoints, far.give_endpoints),
         UnaryHandler(METHOD_LOCATE, LocateRequest, far.locate),
         UnaryHandler(METHOD_DRAIN, DrainRequest, drains.handle),
+        UnaryHandler(METHOD_CHANGE_MAP, ChangeMap, control.groups.change_map),
     )
     return serve(
         control.settings.grpc,
@@ -218,6 +229,7 @@
             control.membership.clock.now()
         ),
         "live_controls": sorted(control.membership.live_controls()),
+        "groups": control.groups.status(),
         "endpoints": [
             {
                 "name": shown.record.name,
@@ -235,6 +247,7 @@
     control.membership.directory.leave(control.membership.clock.now())
     control.send(control.membership.directory.tick(control.membership.clock.now(), 0))
     control.watch.close()
+    control.groups.stop()
     server.stop(_GRACE_MS)
     admin.stop(timeout=1)
     control.port.stop()
--- a/src/azurefold/core/groups/coordinator.py
+++ b/src/azurefold/core/groups/coordinator.py
@@ -101,6 +101,8 @@
         self._retry_after: Millis = timing.retry_first
         self._target: str | None = None
         self._outcome: Outcome | None = None
+        self._settled = 0
+        self._in_force: str | None = None
         self._pace = PaceEstimate()
 
     @property
@@ -118,6 +120,16 @@
         """How the last change or recovery ended; None before the first."""
         return self._outcome
 
+    @property
+    def settled(self) -> int:
+        """How many changes and recoveries have ended."""
+        return self._settled
+
+    @property
+    def in_force(self) -> str | None:
+        """The map that all ranks were last known to plan for; None if unknown."""
+        return self._in_force
+
     def start(self, now: Millis) -> list[Action]:
         """Ask every rank, which thereby refuses coordinators before this one."""
         return self._check(now)
@@ -232,6 +244,7 @@
         if not is_healthy(states):
             map_id = recovery_map(states, self._fallback)
             return self._enter(Staging(map_id, recovery=True), now)
+        self._in_force = states[0].tail.map_id
         if self._target is None:
             self._phase = Idle(now + self._timing.check_every)
             return []
@@ -281,11 +294,13 @@
         maps = {reply.map_id for reply in self._replies.values()}
         if maps != {opening.map_id}:
             return self._settle(Outcome.REOPENED, now)
+        self._in_force = opening.map_id
         done = Outcome.RECOVERED if opening.recovery else Outcome.OPENED
         return self._settle(done, now)
 
     def _settle(self, outcome: Outcome, now: Millis) -> list[Action]:
         self._outcome = outcome
+        self._settled += 1
         self._target = None
         self._phase = Idle(now + self._timing.check_every)
         return []
--- a/src/azurefold/core/membership/endpoints.py
+++ b/src/azurefold/core/membership/endpoints.py
@@ -64,6 +64,8 @@
     silence : int
         Odd while control processes take it for dead. Raised by one by the
         control that misses its heartbeats, and by the one that hears it again.
+    orders_port : int
+        Port for gRPC on the same IP number; 0 where none is served.
     """
 
     name: str
@@ -78,6 +80,7 @@
     load: int = 0
     departing: bool = False
     silence: int = 0
+    orders_port: int = 0
 
     @property
     def is_silent(self) -> bool:
@@ -108,6 +111,14 @@
         host = self.address.rpartition(":")[0]
         return f"{host}:{self.udp_port}"
 
+    @property
+    def orders_address(self) -> str | None:
+        """IP number and port for gRPC, None where none is served."""
+        if not self.orders_port:
+            return None
+        host = self.address.rpartition(":")[0]
+        return f"{host}:{self.orders_port}"
+
 
 def join(one: Endpoint, other: Endpoint) -> Endpoint:
     """Return the least record that is at least both of two of one endpoint.
@@ -146,6 +157,7 @@
         record.role,
         record.service,
         record.rank,
+        record.orders_port,
     )
 
 
--- /dev/null
+++ b/src/azurefold/platform/lease_table.py
@@ -0,0 +1,76 @@
+"""The leases on groups, as rows of the platform's table."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from azurefold.core.groups.lease import (
+    LeaseRow,
+    Lost,
+    NotWritten,
+    Seen,
+    Took,
+    Unsure,
+    WriteLease,
+    WriteOutcome,
+)
+from azurefold.platform.client import PlatformClient
+from azurefold.platform.messages import (
+    Condition,
+    Conflict,
+    Put,
+    Row,
+    Rows,
+    Transaction,
+    Unavailable,
+    Written,
+)
+
+__all__ = ["LeaseTable"]
+
+_PREFIX = "group-lease/"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTable:
+    """Reads and writes the row of each group."""
+
+    client: PlatformClient
+
+    def read(self, group: str) -> Seen | None:
+        """Return the group's row; None if the platform gave no answer."""
+        read = self.client.read([_key(group)])
+        if isinstance(read, Rows):
+            return _seen(read.rows.get(_key(group)))
+        return None
+
+    def write(self, group: str, write: WriteLease) -> WriteOutcome:
+        """Carry ``write`` out, and say what became of it."""
+        key = _key(group)
+        value = msgspec.json.encode(write.row).decode()
+        condition = Condition(key, write.over_version)
+        written = self.client.write(Transaction((condition,), (Put(key, value),)))
+        match written:
+            case Written(versions):
+                return Took(versions[key])
+            case Conflict(rows):
+                seen = _seen(rows.get(key))
+                return Unsure() if seen is None else Lost(seen)
+            case Unavailable():
+                return NotWritten()
+        return Unsure()
+
+
+def _key(group: str) -> str:
+    return _PREFIX + group
+
+
+def _seen(row: Row | None) -> Seen | None:
+    if row is None:
+        return Seen()
+    try:
+        return Seen(msgspec.json.decode(row.value, type=LeaseRow), row.version)
+    except msgspec.MsgspecError:
+        # Overwritten, a row that a newer version of the program understands
+        # would let two coordinators in. Nobody coordinates until it is mended.
+        return None
--- a/src/azurefold/wire/messages.py
+++ b/src/azurefold/wire/messages.py
@@ -49,6 +49,7 @@
     load: _Count
     departing: bool
     silence: _Count
+    orders_port: _Port = 0
 
 
 class _Heartbeat(_Wire, tag=0):
--- a/src/azurefold_standins/engine.py
+++ b/src/azurefold_standins/engine.py
@@ -11,7 +11,9 @@
 ``GET /load``                 Requests running and waiting.
 ``GET /journal``              Everything that ran, for tests to compare.
 ``GET|POST /rank``            The rank's state; orders on maps and steps.
+``POST /replace``             Puts a fresh rank in this one's place.
 ``GET /steps``                The map each rank used in each step.
+``GET /waits``                For how many step times each step was held up.
 ============================  ==============================================
 """
 
@@ -30,11 +32,11 @@
 from gevent.event import Event  # noqa: E402
 
 from azurefold.internal.http_server import http_server  # noqa: E402
-from azurefold_standins.lockstep import (  # noqa: E402
-    Agreed,
-    LockstepGroup,
-    Outcome,
-    lockstep_group,
+from azurefold_standins.lockstep import LockstepGroup, lockstep_group  # noqa: E402
+from azurefold_standins.lockstep_orders import (  # noqa: E402
+    decode_order,
+    engine_state,
+    give_order,
 )
 from azurefold_standins.text import token  # noqa: E402
 
@@ -51,15 +53,6 @@
     max_tokens: int = 64
 
 
-class Order(msgspec.Struct):
-    """An order on maps or steps."""
-
-    kind: str
-    fence: int = 0
-    step: int = 0
-    map_id: str = ""
-
-
 @dataclass(slots=True)
 class Stream:
     """One request at a rank."""
@@ -137,16 +130,19 @@
     ranks: list[Rank]
     lockstep: LockstepGroup
     step_ms: int
-    history_kept: int = 0
+    waits: dict[int, int] = field(default_factory=dict)
 
     def run(self) -> None:
         """Take a step every ``step_ms``, for as long as all ranks permit it."""
         while True:
             slowest = max(rank.slowdown_ms for rank in self.ranks)
             gevent.sleep((self.step_ms + slowest) / _SECOND_MS)
+            step = self.lockstep.next_step
             if self.lockstep.advance(1):
                 for rank in self.ranks:
                     rank.step()
+            else:
+                self.waits[step] = self.waits.get(step, 0) + 1
 
 
 def _event(content: dict) -> bytes:
@@ -205,38 +201,30 @@
         resp.data = msgspec.json.encode([(one.step, one.maps) for one in steps])
 
     def on_get_rank(self, req, resp):
-        state = self.group.lockstep.state(self.rank.number)
+        state = engine_state(self.group.lockstep, self.rank.number)
         resp.data = msgspec.json.encode(state)
 
     def on_post_rank(self, req, resp):
-        order = msgspec.json.decode(req.bounded_stream.read(), type=Order)
-        outcome = self._obey(order)
-        resp.status = falcon.HTTP_200 if isinstance(outcome, Agreed) else "409"
-        resp.data = msgspec.json.encode(outcome)
+        order = decode_order(req.bounded_stream.read())
+        reply = give_order(self.group.lockstep, self.rank.number, order)
+        resp.data = msgspec.json.encode(reply)
+
+    def on_get_waits(self, req, resp):
+        resp.data = msgspec.json.encode(list(self.group.waits.items()))
+
+    def on_post_replace(self, req, resp):
+        self.group.lockstep.replace(self.rank.number)
 
     def on_post_slowdown(self, req, resp):
         self.rank.slowdown_ms = int(req.get_param("ms", required=True))
 
-    def _obey(self, order: Order) -> Outcome:
-        lockstep, number = self.group.lockstep, self.rank.number
-        match order.kind:
-            case "stage":
-                return lockstep.stage(number, order.map_id)
-            case "hold_before":
-                return lockstep.hold_before(number, order.step, order.fence)
-            case "use_from":
-                return lockstep.use_from(number, order.step, order.map_id, order.fence)
-            case "release":
-                return lockstep.release(number, order.fence)
-        raise falcon.HTTPBadRequest(description=f"unknown order {order.kind!r}")
-
 
 def _rank_app(rank: Rank, group: Group) -> falcon.App:
     app = falcon.App()
     views = _Views(rank, group)
     app.add_route("/v1/completions", _Completions(rank))
     app.add_route("/v1/streams/{request_id}", _Streams(rank))
-    for name in ("load", "journal", "steps", "rank", "slowdown"):
+    for name in ("load", "journal", "steps", "waits", "rank", "replace", "slowdown"):
         app.add_route(f"/{name}", views, suffix=name)
     return app
 
--- a/src/azurefold_standins/lockstep_orders.py
+++ b/src/azurefold_standins/lockstep_orders.py
@@ -1,17 +1,34 @@
 """The stand-in group behind the orders that an agent gives its engine."""
 
+import msgspec
+
 from azurefold.core.groups.engine import (
     EngineOrder,
     EngineReply,
     EngineState,
     HoldBefore,
     PlanEntry,
+    ReadState,
     StageMap,
     UseFrom,
 )
 from azurefold_standins.lockstep import Agreed, LockstepGroup
 
-__all__ = ["engine_state", "give_order"]
+__all__ = ["decode_order", "engine_state", "give_order"]
+
+_ORDERS = {kind.__name__: kind for kind in (ReadState, StageMap, HoldBefore, UseFrom)}
+
+
+def decode_order(body: bytes) -> EngineOrder:
+    """Return the order that an agent sent.
+
+    Examples
+    --------
+    >>> decode_order(b'{"order": "HoldBefore", "step": 4, "number": 9}')
+    HoldBefore(step=4, number=9)
+    """
+    fields = msgspec.json.decode(body)
+    return msgspec.convert(fields, type=_ORDERS[fields.pop("order")])
 
 
 def engine_state(group: LockstepGroup, rank: int) -> EngineState:
