--- a/src/azurefold/border/settings.py
+++ b/src/azurefold/border/settings.py
@@ -145,7 +145,9 @@
         description=f"what to bind if http is reached through another address: "
         f"{_ADDRESS}",
     )
-    grpc: Address = Field(description=f"where orders come: {_ADDRESS}")
+    grpc: Address = Field(
+        description=f"where a rank's orders come, on the IP number of http: {_ADDRESS}"
+    )
     udp: Address = Field(
         description=f"where datagrams come, on the IP number of http: {_ADDRESS}"
     )
@@ -157,7 +159,8 @@
         description="the control processes of this data centre"
     )
     peers: list[PeerAgent] = Field(
-        default_factory=list, description="agents of the other ranks of the group"
+        default_factory=list,
+        description="agents of the other ranks of the group, in the order of ranks",
     )
 
 
