Give up a gRPC connection on which a call timed out

A new scenario silences the connections between data centres, one of which is cut from the platform.

Cause: a channel keeps its connection until it is closed, and nothing closes one that something in between has forgotten. Ruled out: the gossip (the mark had been heard, datagrams passed) and the follower (it asked again each second, over the same connection). Ruled out as a mend: keepalive pings, which only notice while idle channels are pinged too, and that costs each node bytes for every peer it ever called. Now a call that times out closes its channel, and channels share no connections.

--- a/src/azurefold/wire/grpc_caller.py
+++ b/src/azurefold/wire/grpc_caller.py
@@ -28,6 +28,9 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 2_000),
+    # By default channels to one address share a connection, and a new channel
+    # would get the very connection that an old one was given up for.
+    ("grpc.use_local_subchannel_pool", 1),
 )
 
 Response = TypeVar("Response")
@@ -81,7 +84,7 @@
         self._sealer = sealer
         self._recipient = recipient
         self._clock = clock
-        self._channel = grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
+        self._channel = self._connect()
 
     @property
     def address(self) -> str:
@@ -104,11 +107,14 @@
         """
         body = msgspec.msgpack.encode(request)
         value = self._sign(method, body)
-        remote = self._channel.unary_unary(_path(method))
+        channel = self._channel
+        remote = channel.unary_unary(_path(method))
         metadata = ((METADATA_KEY, value),)
         try:
             data = remote(body, timeout=timeout_ms / SECOND, metadata=metadata)
         except grpc.RpcError as error:
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                self._give_up(channel)
             raise self._call_error(method, error) from error
         return self._open(method, data, response_type, value, 0)
 
@@ -143,6 +149,20 @@
         """Close the connection."""
         self._channel.close()
 
+    def _connect(self) -> grpc.Channel:
+        return grpc.insecure_channel(self._address, options=_CHANNEL_OPTIONS)
+
+    def _give_up(self, channel: grpc.Channel) -> None:
+        # A channel keeps its connection until it is closed. If something
+        # between the two ends has lost track of that one, every later call
+        # times out too, though the other process is well and new connections
+        # work: one sees a peer that never answers again until a restart. So
+        # the next call goes over a new connection. A peer that was merely
+        # slow costs one handshake.
+        if channel is self._channel:
+            self._channel = self._connect()
+            channel.close()
+
     def _sign(self, method: str, body: bytes) -> str:
         parts = RequestParts("GRPC", method, body, self._recipient)
         return sign_request(parts, self._ring, self._sealer, self._clock.now())
--- a/src/azurefold_standins/scenario/parser.py
+++ b/src/azurefold_standins/scenario/parser.py
@@ -190,6 +190,9 @@
     def silence(self, parts):
         return steps.Silence(*parts)
 
+    def silence_between(self, parts):
+        return steps.SilenceBetween(*parts)
+
     def delay(self, parts):
         return steps.Delay(*parts)
 
--- a/src/azurefold_standins/scenario/runner.py
+++ b/src/azurefold_standins/scenario/runner.py
@@ -96,6 +96,9 @@
             case steps.Silence(link=link):
                 for each in world.links_to(link):
                     world.silence(each)
+            case steps.SilenceBetween(data_centre=data_centre, other=other):
+                for each in world.links_between(data_centre, other):
+                    world.silence(each)
             case _:
                 self._check(step)
 
--- a/src/azurefold_standins/scenario/steps.py
+++ b/src/azurefold_standins/scenario/steps.py
@@ -30,6 +30,7 @@
     "Signal",
     "SignalKind",
     "Silence",
+    "SilenceBetween",
     "Step",
     "WaitAnswers",
     "WaitEntries",
@@ -212,6 +213,14 @@
     link: str
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceBetween:
+    """Let the open connections between two data centres go silent for good."""
+
+    data_centre: str
+    other: str
+
+
 @dataclass(frozen=True, slots=True)
 class Delay:
     """Hold up what goes over a link."""
--- a/src/azurefold_standins/scenario/world.py
+++ b/src/azurefold_standins/scenario/world.py
@@ -75,15 +75,21 @@
             raise RuntimeError(f"the platform's stand-in refused {path}: {page.body}")
 
     def cut(self, data_centre: str, other: str) -> None:
-        """Refuse and silence all links between two data centres."""
+        """Refuse and silence all links from a data centre to another."""
+        for name in self.links_between(data_centre, other):
+            self.set_faults(name, LinkFaults(cut=True))
+
+    def links_between(self, data_centre: str, other: str) -> list[str]:
+        """Return the links between two data centres, or to the platform."""
         if other == "platform":
-            self.set_faults(f"platform@{data_centre}", LinkFaults(cut=True))
-            return
+            return [f"platform@{data_centre}"]
+        found = []
         for name in self.site.links:
             peer, _, near = name.partition("@")
             far = peer.removeprefix("control-").rpartition("-")[0]
             if {near, far} == {data_centre, other}:
-                self.set_faults(name, LinkFaults(cut=True))
+                found.append(name)
+        return found
 
     def links_to(self, target: str) -> list[str]:
         """Return the links that lead to a process."""
