--- a/src/azurefold_standins/scenario/callers.py
+++ b/src/azurefold_standins/scenario/callers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from azurefold_standins.client import Answer, Client, StreamEvent
+from azurefold_standins.scenario.steps import Drafts
 from azurefold_standins.text import confirmation, whole_text
 
 __all__ = ["Booking", "Callers", "Draft"]
@@ -59,10 +60,13 @@
     ----------
     prompt : str
     tokens : int
+    tries : int
+        How often its caller asks, the first time included.
     """
 
     prompt: str
     tokens: int
+    tries: int = 1
     pieces: list[str] = field(default_factory=list)
     last_event_id: str = ""
     end: StreamEvent | None = None
@@ -90,7 +94,7 @@
         An error with an id before it is not the end either: the endpoint may
         still have the answer, so its caller comes back a while.
         """
-        for number in range(_RESUMES):
+        for number in range(self.tries):
             caller = Client(addresses[min(number, len(addresses) - 1)], _ORGANISATION)
             if number:
                 time.sleep(_RESUME_PAUSE_S)
@@ -158,11 +162,13 @@
                 if booking.key is not None:
                     self._send(booking, entry)
 
-    def draft(self, count: int, tokens: int, entries: tuple[str, ...]) -> None:
+    def draft(self, step: Drafts) -> None:
         """Begin to read drafts."""
-        addresses = [self.address(entry) for entry in entries]
-        for _ in range(count):
-            draft = Draft(f"{self.name} lot {len(self.drafts)}", tokens)
+        addresses = [self.address(entry) for entry in step.entries]
+        tries = _RESUMES if step.resuming else 1
+        for _ in range(step.count):
+            prompt = f"{self.name} lot {len(self.drafts)}"
+            draft = Draft(prompt, step.tokens, tries)
             self.drafts.append(draft)
             thread = threading.Thread(target=draft.read, args=(addresses,), daemon=True)
             thread.start()
--- a/src/azurefold_standins/scenario/checks.py
+++ b/src/azurefold_standins/scenario/checks.py
@@ -13,6 +13,7 @@
     "check_none_resumed",
     "check_not_run_is_true",
     "check_refused",
+    "check_some_error",
     "check_some_outcome",
     "check_some_resumed",
     "check_whole",
@@ -84,6 +85,12 @@
     assert told[outcome], f"nobody was told {outcome}: {told}"
 
 
+def check_some_error(callers: Callers) -> None:
+    """A caller's stream could not be finished, and said so."""
+    ends = [draft.end.kind for draft in callers.drafts if draft.end is not None]
+    assert "error" in ends, f"all ended well: {ends}"
+
+
 def check_some_resumed(callers: Callers) -> None:
     """A caller's stream broke and was taken up again."""
     assert any(draft.resumes for draft in callers.drafts), "no draft was resumed"
--- a/src/azurefold_standins/scenario/expectations.py
+++ b/src/azurefold_standins/scenario/expectations.py
@@ -16,6 +16,7 @@
     "OperatorsToldTruth",
     "Outcome",
     "Refused",
+    "SomeError",
     "SomeOutcome",
     "SomeResumed",
     "Whole",
@@ -61,6 +62,11 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class SomeError:
+    """At least one draft ended in an explicit error."""
+
+
 @dataclass(frozen=True, slots=True)
 class SomeResumed:
     """At least one draft was taken up again by its caller."""
--- a/src/azurefold_standins/scenario/parser.py
+++ b/src/azurefold_standins/scenario/parser.py
@@ -1,5 +1,6 @@
 """Reads scenarios: one step a line, errors with their places."""
 
+from dataclasses import replace
 from functools import cache
 from importlib import resources
 
@@ -140,6 +141,9 @@
         begin, count, tokens, entries = parts
         return steps.Drafts(count, tokens, entries, begin == "begin")
 
+    def drafts_once(self, parts):
+        return replace(self.drafts(parts), resuming=False)
+
     def repeat_keys(self, parts):
         begin, entries = parts
         return steps.RepeatKeys(entries, begin != "repeat")
@@ -235,6 +239,9 @@
     def some_resumed(self, parts):
         return expectations.SomeResumed()
 
+    def some_error(self, parts):
+        return expectations.SomeError()
+
     def none_resumed(self, parts):
         return expectations.NoneResumed()
 
--- a/src/azurefold_standins/scenario/runner.py
+++ b/src/azurefold_standins/scenario/runner.py
@@ -117,6 +117,8 @@
                 checks.check_some_outcome(callers, outcome)
             case expectations.SomeResumed():
                 checks.check_some_resumed(callers)
+            case expectations.SomeError():
+                checks.check_some_error(callers)
             case expectations.NoneResumed():
                 checks.check_none_resumed(callers)
             case expectations.InForce(data_centre=data_centre):
@@ -146,8 +148,8 @@
             case steps.Bookings(count=count, with_keys=with_keys, entries=entries):
                 service = self.world.plain_services[0]
                 self.callers.book(service, count, with_keys, entries)
-            case steps.Drafts(count=count, tokens=tokens, entries=entries):
-                self.callers.draft(count, tokens, entries)
+            case steps.Drafts():
+                self.callers.draft(step)
             case steps.RepeatKeys(entries=entries):
                 self.callers.repeat(entries)
         if not step.background:
--- a/src/azurefold_standins/scenario/steps.py
+++ b/src/azurefold_standins/scenario/steps.py
@@ -139,6 +139,7 @@
     tokens: int
     entries: tuple[str, ...]
     background: bool
+    resuming: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold_standins/scenario/world.py
+++ b/src/azurefold_standins/scenario/world.py
@@ -115,7 +115,7 @@
 
     def send_signal(self, kind: steps.SignalKind, name: str) -> None:
         """Kill, pause, resume, start or stop a process."""
-        process = self.site.processes[name]
+        process = self.site.processes[self._process_of(name)]
         match kind:
             case steps.SignalKind.KILL:
                 process.kill()
@@ -173,6 +173,13 @@
             raise RuntimeError(f"no journal from {endpoint}")
         return json.loads(page.body)
 
+    def _process_of(self, name: str) -> str:
+        # One process holds all ranks of a group.
+        for endpoint in self.site.layout.endpoints:
+            if name == f"engine-{endpoint.name}" and endpoint.group is not None:
+                return f"group-{endpoint.group}"
+        return name
+
     def _bring_back(self, agent: str) -> None:
         shown = status(self.site, agent)
         if shown.get("leaving"):
--- a/tests/scenarios/test_checks_bite.py
+++ b/tests/scenarios/test_checks_bite.py
@@ -61,6 +61,7 @@
         lambda: checks.check_whole(callers(Answer(200, b"{}")), False, True),
         lambda: checks.check_some_outcome(callers(NOT_RUN), Outcome.UNKNOWN),
         lambda: checks.check_some_resumed(callers(drafts=[draft()])),
+        lambda: checks.check_some_error(callers(drafts=[draft()])),
         lambda: checks.check_none_resumed(callers(drafts=[draft(resumes=1)])),
     ],
 )
