--- a/src/azurefold/border/settings.py
+++ b/src/azurefold/border/settings.py
@@ -143,6 +143,11 @@
     grpc: Address = Field(
         description=f"where a rank's orders come, on the IP number of http: {_ADDRESS}"
     )
+    http_bind: Address | None = Field(
+        default=None,
+        description=f"what to bind if http is reached through another address: "
+        f"{_ADDRESS}",
+    )
     udp: Address = Field(
         description=f"where datagrams come, on the IP number of http: {_ADDRESS}"
     )
