Leave a gRPC connection that gives no answer

Cause: its gRPC connections had gone silent in the cut and stayed open; every call timed out on them. Conclusion: a call without an answer condemns its connection, not the peer.

--- a/src/azurefold/wire/grpc_caller.py
+++ b/src/azurefold/wire/grpc_caller.py
@@ -26,6 +26,9 @@
 _CHANNEL_OPTIONS = (
     *GRPC_OPTIONS,
     ("grpc.enable_http_proxy", 0),
+    # Channels to one address would else share a connection, and a new channel
+    # would get the silent one that it was made to replace.
+    ("grpc.use_local_subchannel_pool", 1),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 2_000),
 )
@@ -81,7 +84,7 @@
         self._sealer = sealer
         self._recipient = recipient
         self._clock = clock
-        self._channel = grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
+        self._channel = _new_channel(address)
 
     @property
     def address(self) -> str:
@@ -109,7 +112,10 @@
         try:
             data = remote(body, timeout=timeout_ms / SECOND, metadata=metadata)
         except grpc.RpcError as error:
-            raise self._call_error(method, error) from error
+            failed = self._call_error(method, error)
+            if failed.failure is CallFailure.TIMEOUT:
+                self._replace_channel()
+            raise failed from error
         return self._open(method, data, response_type, value, 0)
 
     def stream(
@@ -143,6 +149,13 @@
         """Close the connection."""
         self._channel.close()
 
+    def _replace_channel(self) -> None:
+        # A call without an answer condemns the connection. One that something
+        # on the way has lost track of stays open and silent for good, and with
+        # it every later call would time out, while a new one works at once.
+        silent, self._channel = self._channel, _new_channel(self._address)
+        silent.close()
+
     def _sign(self, method: str, body: bytes) -> str:
         parts = RequestParts("GRPC", method, body, self._recipient)
         return sign_request(parts, self._ring, self._sealer, self._clock.now())
@@ -175,6 +188,10 @@
         return CallError(method, self._address, _failure(error.code()), detail)
 
 
+def _new_channel(address: str) -> grpc.Channel:
+    return grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
+
+
 def _failure(code: grpc.StatusCode) -> CallFailure:
     match code:
         case grpc.StatusCode.UNAVAILABLE:
