Learn of leaving from the endpoint's own refusal

Symptom: with the control process beside an entry killed, an endpoint drained elsewhere was chosen again and again, and bookings were refused as leaving although another endpoint was free (scenarios drain-unheard-of-by-an-entry and agents-stop-with-work-in-flight, both failing under load). Cause: the refusal was not remembered, and each retry after it was charged to the retry budget, which ten refusals of twenty use up. Ruled out: a larger budget, which would let real failures be retried too often. Now a refusal for leaving takes the endpoint out of the pool, and a retry after old news (leaving, another incarnation) is free. A connection without an answer takes its whole pool with it, as the others were probably lost track of too.

--- a/src/azurefold/entry/agents.py
+++ b/src/azurefold/entry/agents.py
@@ -135,7 +135,11 @@
             connections.return_socket(connections.get_socket())
         except CONNECTION_ERRORS:
             return NotTaken("agent_unreachable")
-        return self._open(client, "POST", path, call.attempt_id, headers, call.body)
+        try:
+            return self._open(client, "POST", path, call.attempt_id, headers, call.body)
+        except LostError:
+            self._condemn(agent.address, client)
+            raise
 
     def resume(
         self, agent: AgentAddress, attempt_id: str, organisation: str, offset: int
@@ -204,6 +208,14 @@
             self._clients[address] = client
         return client
 
+    def _condemn(self, address: str, client: HTTPClient) -> None:
+        # What lost track of one kept-alive connection has probably lost the
+        # others of the same time. Left in the pool, each would cost one more
+        # request the wait until it counts as silent.
+        if self._clients.get(address) is client:
+            del self._clients[address]
+            client.close()
+
     def _open(
         self,
         client: HTTPClient,
--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -34,6 +34,7 @@
 )
 from azurefold.core.attempts.ids import AnswerId
 from azurefold.core.attempts.ids import attempt_id as new_attempt_id
+from azurefold.core.attempts.ledger import Refusal
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.routing.messages import (
@@ -211,7 +212,7 @@
                 event = opened
             if _certainly_not_run(event):
                 self._report(Refused())
-            step = self._course.next(event, self._may_retry)
+            step = self._course.next(event, lambda event=event: self._may_retry(event))
 
     def _dispatch(self) -> Opened | Follow | Failure | Event:
         self._report(Failed())
@@ -285,6 +286,7 @@
             return ConnectionLost()
         if isinstance(opened, NotTaken):
             log_event(_log, "not_taken", attempt=attempt_id, reason=opened.reason)
+            self._learn_from(opened.reason)
             return NotDispatched(opened.reason)
         return opened
 
@@ -380,7 +382,15 @@
                 self._agent.endpoint, assembler.attempt_id, self.clock.now()
             )
 
-    def _may_retry(self) -> bool:
+    def _learn_from(self, reason: str) -> None:
+        # The agent knows first that its endpoint leaves. An entry that no
+        # control process tells would else send it every other request and
+        # spend its retry budget on the refusals.
+        if reason == Refusal.LEAVING:
+            now = self.clock.now()
+            self.admission.pool.mark_leaving(self._agent.endpoint, now)
+
+    def _may_retry(self, event: Event) -> bool:
         if self._attempts >= _MAX_ATTEMPTS or self._course.passed > 0:
             return False
         if self.clock.now() >= self.request.deadline or self._attempts == 0:
@@ -388,7 +398,11 @@
         # Taking over a key whose claim was never dispatched is no retry: this
         # call has sent nothing yet. Charged to the budget, the repeats that
         # come after an outage would be refused although all is well again.
-        return not self._sent or self.admission.retries.try_retry(self.clock.now())
+        # A refusal for old news costs the endpoint next to nothing, and the
+        # news is learnt by it; there is nothing that a budget must protect.
+        if not self._sent or _was_old_news(event):
+            return True
+        return self.admission.retries.try_retry(self.clock.now())
 
     def _ticket(self, attempt_id: str) -> Ticket:
         request = self.request
@@ -419,6 +433,14 @@
         return AnswerId(agent.endpoint, agent.incarnation, self.attempt_id, offset)
 
 
+def _was_old_news(event: Event) -> bool:
+    match event:
+        case NotDispatched(reason=reason):
+            return reason in (Refusal.LEAVING, Refusal.WRONG_INCARNATION)
+        case _:
+            return False
+
+
 def _certainly_not_run(event: Event) -> bool:
     match event:
         case NotDispatched() | SettledAs(state=Settlement.NOT_RUN):
