--- a/src/azurefold/entry/agents.py
+++ b/src/azurefold/entry/agents.py
@@ -39,6 +39,9 @@
 # connection, though new ones may well work.
 _SILENT_AFTER_MS: Millis = 3_500
 _ASK_TIMEOUT_MS: Millis = 1_500
+# Far above what one endpoint runs: a request that waits for a place in a pool
+# that is closed meanwhile would wait for ever.
+_AT_ONCE = 8_192
 _OK = 200
 _NOT_FOUND = 404
 _UNAUTHORIZED = 401
@@ -140,6 +143,10 @@
         except LostError:
             self._condemn(agent.address, client)
             raise
+        except RuntimeError:
+            # The pool was condemned between connecting and sending, for
+            # another request; the library says so before it sends anything.
+            return NotTaken("agent_unreachable")
 
     def resume(
         self, agent: AgentAddress, attempt_id: str, organisation: str, offset: int
@@ -204,7 +211,9 @@
     def _client(self, address: str) -> HTTPClient:
         client = self._clients.get(address)
         if client is None:
-            client = http_client(address, _CONNECT_TIMEOUT_MS, _SILENT_AFTER_MS, 512)
+            client = http_client(
+                address, _CONNECT_TIMEOUT_MS, _SILENT_AFTER_MS, _AT_ONCE
+            )
             self._clients[address] = client
         return client
 
--- a/src/azurefold/wire/grpc_caller.py
+++ b/src/azurefold/wire/grpc_caller.py
@@ -26,11 +26,11 @@
 _CHANNEL_OPTIONS = (
     *GRPC_OPTIONS,
     ("grpc.enable_http_proxy", 0),
-    # Channels to one address would else share a connection, and a new channel
-    # would get the silent one that it was made to replace.
-    ("grpc.use_local_subchannel_pool", 1),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 2_000),
+    # By default channels to one address share a connection, and a new channel
+    # would get the very connection that an old one was given up for.
+    ("grpc.use_local_subchannel_pool", 1),
 )
 
 Response = TypeVar("Response")
@@ -84,7 +84,7 @@
         self._sealer = sealer
         self._recipient = recipient
         self._clock = clock
-        self._channel = _new_channel(address)
+        self._channel = self._connect()
 
     @property
     def address(self) -> str:
@@ -107,15 +107,15 @@
         """
         body = msgspec.msgpack.encode(request)
         value = self._sign(method, body)
-        remote = self._channel.unary_unary(_path(method))
+        channel = self._channel
+        remote = channel.unary_unary(_path(method))
         metadata = ((METADATA_KEY, value),)
         try:
             data = remote(body, timeout=timeout_ms / SECOND, metadata=metadata)
         except grpc.RpcError as error:
-            failed = self._call_error(method, error)
-            if failed.failure is CallFailure.TIMEOUT:
-                self._replace_channel()
-            raise failed from error
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                self._give_up(channel)
+            raise self._call_error(method, error) from error
         return self._open(method, data, response_type, value, 0)
 
     def stream(
@@ -149,12 +149,19 @@
         """Close the connection."""
         self._channel.close()
 
-    def _replace_channel(self) -> None:
-        # A call without an answer condemns the connection. One that something
-        # on the way has lost track of stays open and silent for good, and with
-        # it every later call would time out, while a new one works at once.
-        silent, self._channel = self._channel, _new_channel(self._address)
-        silent.close()
+    def _connect(self) -> grpc.Channel:
+        return grpc.insecure_channel(self._address, options=_CHANNEL_OPTIONS)
+
+    def _give_up(self, channel: grpc.Channel) -> None:
+        # A channel keeps its connection until it is closed. If something
+        # between the two ends has lost track of that one, every later call
+        # times out too, though the other process is well and new connections
+        # work: one sees a peer that never answers again until a restart. So
+        # the next call goes over a new connection. A peer that was merely
+        # slow costs one handshake.
+        if channel is self._channel:
+            self._channel = self._connect()
+            channel.close()
 
     def _sign(self, method: str, body: bytes) -> str:
         parts = RequestParts("GRPC", method, body, self._recipient)
@@ -188,10 +195,6 @@
         return CallError(method, self._address, _failure(error.code()), detail)
 
 
-def _new_channel(address: str) -> grpc.Channel:
-    return grpc.insecure_channel(address, options=_CHANNEL_OPTIONS)
-
-
 def _failure(code: grpc.StatusCode) -> CallFailure:
     match code:
         case grpc.StatusCode.UNAVAILABLE:
