--- a/src/azurefold_standins/engine.py
+++ b/src/azurefold_standins/engine.py
@@ -11,6 +11,7 @@
 ``GET /load``                 Requests running and waiting.
 ``GET /journal``              Everything that ran, for tests to compare.
 ``GET|POST /rank``            The rank's state; orders on maps and steps.
+``POST /order_delay``         Is late with each order of one kind.
 ``POST /replace``             Puts a fresh rank in this one's place.
 ``GET /steps``                The map each rank used in each step.
 ``GET /waits``                For how many step times each step was held up.
@@ -105,6 +106,7 @@
     streams: dict[str, Stream] = field(default_factory=dict)
     runs: list[dict] = field(default_factory=list)
     slowdown_ms: int = 0
+    order_delays: dict[str, int] = field(default_factory=dict)
 
     def add(self, stream: Stream) -> None:
         """Queue a request."""
@@ -206,12 +208,18 @@
 
     def on_post_rank(self, req, resp):
         order = decode_order(req.bounded_stream.read())
+        delay = self.rank.order_delays.get(type(order).__name__, 0)
+        gevent.sleep(delay / _SECOND_MS)
         reply = give_order(self.group.lockstep, self.rank.number, order)
         resp.data = msgspec.json.encode(reply)
 
     def on_get_waits(self, req, resp):
         resp.data = msgspec.json.encode(list(self.group.waits.items()))
 
+    def on_post_order_delay(self, req, resp):
+        delay = req.get_param_as_int("ms", required=True)
+        self.rank.order_delays[req.get_param("order", required=True)] = delay
+
     def on_post_replace(self, req, resp):
         self.group.lockstep.replace(self.rank.number)
 
@@ -224,7 +232,16 @@
     views = _Views(rank, group)
     app.add_route("/v1/completions", _Completions(rank))
     app.add_route("/v1/streams/{request_id}", _Streams(rank))
-    for name in ("load", "journal", "steps", "waits", "rank", "replace", "slowdown"):
+    for name in (
+        "load",
+        "journal",
+        "steps",
+        "waits",
+        "rank",
+        "order_delay",
+        "replace",
+        "slowdown",
+    ):
         app.add_route(f"/{name}", views, suffix=name)
     return app
 
