Let maps follow the popularity that ranks report, and explain why

Cause: the balance decision had no input from real engines, and a map had no content on the wire. Now engines report tokens by expert, work and own compute time; agents pass that on and give their engines the content of a map, whose id is its hash, before it is staged. The holder of a group's lease reads the reports every 5 s, decides every 30 s with the service's weights and orders the change. 'azurefold rebalance GROUP' asks for a decision at once, '--explain' for its reasons only. Ruled out: an own table of maps (engines report the one in use, so nothing has to be kept beside them); deciding on the first reading (counts since the engine's start say nothing of a rate). Mutants of the protocol against real processes, tried on a scratch copy: agents that compare no fences fail the test of the paused coordinator; ranks that do not ask each other fail that of the killed one.

--- a/src/azurefold/agent/expert_maps.py
+++ b/src/azurefold/agent/expert_maps.py
@@ -30,6 +30,14 @@
 from azurefold.core.groups.messages import Ask, Message
 from azurefold.internal.identity import Identity
 from azurefold.internal.logs import log_event
+from azurefold.wire.group_maps import (
+    METHOD_GET_EXPERTS,
+    METHOD_PUT_MAP,
+    ExpertsReply,
+    GetExperts,
+    PutMap,
+    PutMapReply,
+)
 from azurefold.wire.group_messages import (
     METHOD_RANK_MESSAGE,
     RankMessage,
@@ -109,6 +117,27 @@
             return RankReply()
         return RankReply(tuple(envelope(each) for each in self._receive(message)))
 
+    def give_experts(self, request: GetExperts, sender: Opened) -> ExpertsReply:
+        """Return what the engine reports of its experts."""
+        if (request.group, request.rank) != (self.group, self.rank):
+            return ExpertsReply()
+        try:
+            return ExpertsReply(self.engine.experts())
+        except EngineFailedError as error:
+            log_event(_log, "no_report", logging.WARNING, why=error)
+            return ExpertsReply()
+
+    def put_map(self, request: PutMap, sender: Opened) -> PutMapReply:
+        """Pass the content of a map on to the engine; it is not in use yet."""
+        if (request.group, request.rank) != (self.group, self.rank):
+            return PutMapReply(False)
+        try:
+            self.engine.put_map(request.content)
+        except EngineFailedError as error:
+            log_event(_log, "map_not_stored", logging.WARNING, why=error)
+            return PutMapReply(False)
+        return PutMapReply(True)
+
     def stop(self) -> None:
         """Take no more messages; the engine goes on by its plan."""
         self.server.stop(_GRACE_MS)
@@ -235,7 +264,11 @@
     )
     maps.server = serve(
         settings.grpc,
-        (UnaryHandler(METHOD_RANK_MESSAGE, RankMessage, maps.handle),),
+        (
+            UnaryHandler(METHOD_RANK_MESSAGE, RankMessage, maps.handle),
+            UnaryHandler(METHOD_GET_EXPERTS, GetExperts, maps.give_experts),
+            UnaryHandler(METHOD_PUT_MAP, PutMap, maps.put_map),
+        ),
         identity.ring,
         lambda reason: rejected.labels(reason=str(reason)).inc(),
         sealer=identity.sealer,
--- a/src/azurefold/agent/expert_maps_engine.py
+++ b/src/azurefold/agent/expert_maps_engine.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import TypeVar
 
 import gevent
 import msgspec
@@ -9,12 +10,22 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.groups.engine import EngineOrder, EngineReply
+from azurefold.core.groups.popularity import RankReport
 from azurefold.internal.http_client import CONNECTION_ERRORS, http_client
+from azurefold.wire.group_maps import map_id_of
 
 __all__ = ["EngineFailedError", "RankEngine", "rank_engine"]
 
 _TIMEOUT_MS: Millis = 5_000
 _SECOND_MS = 1_000
+_CONNECTIONS = 2
+"""One for orders and one for reports, so that neither waits for the other."""
+
+_Answer = TypeVar("_Answer")
+
+
+class _Stored(msgspec.Struct):
+    map_id: str
 
 
 class EngineFailedError(Exception):
@@ -37,13 +48,38 @@
         """
         name = type(order).__name__
         body = msgspec.json.encode({"order": name, **msgspec.to_builtins(order)})
+        return self._ask("POST", "/rank", body, EngineReply)
+
+    def experts(self) -> RankReport:
+        """Return what the engine reports of its experts.
+
+        Raises
+        ------
+        EngineFailedError
+            If there was no report, or one not understood.
+        """
+        return self._ask("GET", "/experts", b"", RankReport)
+
+    def put_map(self, content: bytes) -> None:
+        """Give the engine the content of a map.
+
+        Raises
+        ------
+        EngineFailedError
+            If it did not confirm the map's id.
+        """
+        stored = self._ask("POST", "/maps", content, _Stored)
+        if stored.map_id != map_id_of(content):
+            raise EngineFailedError(f"stored as {stored.map_id}")
+
+    def _ask(self, method: str, path: str, body: bytes, kind: type[_Answer]) -> _Answer:
         try:
             with gevent.Timeout(_TIMEOUT_MS / _SECOND_MS):
-                response = self.client.post("/rank", body=body)
+                response = self.client.request(method, path, body)
                 answer = bytes(response.read())
             if response.status_code != HTTPStatus.OK:
                 raise EngineFailedError(f"status {response.status_code}")
-            return msgspec.json.decode(answer, type=EngineReply)
+            return msgspec.json.decode(answer, type=kind)
         except gevent.Timeout as timeout:
             raise EngineFailedError(f"no answer in {_TIMEOUT_MS} ms") from timeout
         except (*CONNECTION_ERRORS, msgspec.MsgspecError) as error:
@@ -52,4 +88,6 @@
 
 def rank_engine(address: str) -> RankEngine:
     """Return the engine at ``address``."""
-    return RankEngine(http_client(address, _TIMEOUT_MS, _TIMEOUT_MS, concurrency=1))
+    return RankEngine(
+        http_client(address, _TIMEOUT_MS, _TIMEOUT_MS, concurrency=_CONNECTIONS)
+    )
--- a/src/azurefold/commands/operator.py
+++ b/src/azurefold/commands/operator.py
@@ -19,6 +19,7 @@
 from azurefold.commands.drain import control_callers
 from azurefold.commands.drain import drain as drain_endpoint
 from azurefold.commands.fleet import Fleet, fleet
+from azurefold.commands.rebalance import rebalance as rebalance_group
 from azurefold.commands.reports import Exit, Report, render_json
 from azurefold.commands.status import outcome as tell_outcome
 from azurefold.commands.status import status as tell_status
@@ -115,6 +116,16 @@
         say = _nothing if json else _say
         _finish(lambda: _drain(endpoint, _load(settings), timeout_ms, say), json)
 
+    def rebalance(
+        self,
+        group: str,
+        explain: bool = False,
+        settings: str = _SETTINGS,
+        json: bool = False,
+    ) -> None:
+        """Decide on a group's expert map now; --explain changes nothing."""
+        _finish(lambda: _rebalance(group, _load(settings), explain), json)
+
 
 def main() -> None:
     """Run the command line."""
@@ -199,6 +210,11 @@
     return drain_endpoint(str(endpoint), callers, clock, say, clock.now() + timeout_ms)
 
 
+def _rebalance(group: str, settings: OperatorSettings, explain_only: bool) -> Report:
+    callers = control_callers(settings.controls, settings.keys)
+    return rebalance_group(str(group), callers, explain_only)
+
+
 def _speaker(as_json: bool) -> Callable[[str], None]:
     return _say_json if as_json else _say
 
--- a/src/azurefold/control/groups.py
+++ b/src/azurefold/control/groups.py
@@ -5,11 +5,14 @@
 
 import gevent
 import msgspec
+from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from azurefold.border.configuration import configuration_from_raw
 from azurefold.control.configuration import ConfigurationLoop
+from azurefold.control.groups_balance import GroupBalance, policy_from
 from azurefold.control.groups_lead import GroupLead
 from azurefold.control.membership import MembershipLoop
+from azurefold.core.balance.policy import BalancePolicy
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.configuration.model import Configuration, Group
 from azurefold.core.groups.lease import Lease, LeaseTiming
@@ -17,6 +20,7 @@
 from azurefold.internal.logs import log_event
 from azurefold.platform.client import PlatformClient
 from azurefold.platform.lease_table import LeaseTable
+from azurefold.wire.group_maps import Rebalance, RebalanceReply
 from azurefold.wire.group_messages import ChangeMap, ChangeMapReply
 from azurefold.wire.grpc_caller import Caller, caller
 from azurefold.wire.seal import Opened
@@ -29,6 +33,12 @@
 _LOOK_MS: Millis = 250
 
 
+@dataclass(frozen=True, slots=True)
+class _Configured:
+    group: Group
+    policy: BalancePolicy
+
+
 @dataclass(slots=True)
 class Groups:
     """One :class:`GroupLead` for each group of this data centre."""
@@ -38,10 +48,17 @@
     configuration: ConfigurationLoop
     table: LeaseTable
     clock: Clock
+    ended: Counter
     leads: dict[str, GroupLead] = field(default_factory=dict)
+    balances: dict[str, GroupBalance] = field(default_factory=dict)
     _callers: dict[tuple[str, str], Caller] = field(default_factory=dict)
     _revision: int = 0
-    _configured: tuple[Group, ...] = ()
+    _configured: tuple[_Configured, ...] = ()
+
+    @property
+    def held(self) -> int:
+        """How many leases this process holds."""
+        return sum(lead.fence is not None for lead in self.leads.values())
 
     def run(self) -> None:
         """Follow the configuration and the directory for ever."""
@@ -52,16 +69,20 @@
     def look(self) -> None:
         """Take up groups that are new here and give up those that are not there."""
         self._read_configuration()
-        wanted = {
-            group.name: group for group in self._configured if self._is_near(group)
-        }
-        for name, lead in list(self.leads.items()):
-            if wanted.get(name) != lead.group:
-                del self.leads[name]
-                lead.stop()
-        for name, group in wanted.items():
+        wanted = {one.group.name: one for one in self._configured if self._is_near(one)}
+        for name in [name for name in self.leads if not self._is_kept(wanted, name)]:
+            self.balances.pop(name)
+            self.leads.pop(name).stop()
+        for name, one in wanted.items():
             if name not in self.leads:
-                self.leads[name] = self._start(group)
+                self._start(one)
+
+    def _is_kept(self, wanted: dict[str, _Configured], name: str) -> bool:
+        one = wanted.get(name)
+        if one is None:
+            return False
+        balance = self.balances[name]
+        return (balance.lead.group, balance.policy) == (one.group, one.policy)
 
     def change_map(self, request: ChangeMap, sender: Opened) -> ChangeMapReply:
         """Begin a change that an operator orders."""
@@ -70,6 +91,13 @@
             return ChangeMapReply(False, detail="no such group in this data centre")
         return lead.change(request.map_id)
 
+    def rebalance(self, request: Rebalance, sender: Opened) -> RebalanceReply:
+        """Decide on a group's map as an operator asks."""
+        balance = self.balances.get(request.group)
+        if balance is None:
+            return RebalanceReply(False, detail="no such group in this data centre")
+        return balance.rebalance(request.explain_only)
+
     def status(self) -> dict:
         """Return the state of all groups here, by name."""
         return {name: lead.status() for name, lead in self.leads.items()}
@@ -78,20 +106,24 @@
         """Give all leases up."""
         gevent.joinall([gevent.spawn(lead.stop) for lead in self.leads.values()])
 
-    def _start(self, group: Group) -> GroupLead:
+    def _start(self, one: _Configured) -> None:
         holder = f"{self.identity.name}/{self.identity.incarnation}"
         lease = Lease(holder, LeaseTiming())
-        lead = GroupLead(group, lease, self.table, self.clock, self._caller_of)
-        gevent.spawn(lead.run_lease)
-        gevent.spawn(lead.run_coordinator)
-        return lead
+        lead = GroupLead(
+            one.group, lease, self.table, self.clock, self._caller_of, self.ended
+        )
+        balance = GroupBalance(lead, one.policy, self.identity.wall)
+        self.leads[one.group.name] = lead
+        self.balances[one.group.name] = balance
+        for run in (lead.run_lease, lead.run_coordinator, balance.run):
+            gevent.spawn(run)
 
-    def _is_near(self, group: Group) -> bool:
+    def _is_near(self, one: _Configured) -> bool:
         # The directory holds this data centre only. A control process elsewhere
         # would reach the ranks more slowly, and not at all during a cut.
         return any(
             self.membership.directory.record(endpoint) is not None
-            for endpoint in group.endpoints
+            for endpoint in one.group.endpoints
         )
 
     def _read_configuration(self) -> None:
@@ -116,9 +148,11 @@
         return self._callers[key]
 
 
-def _groups_of(configuration: Configuration) -> tuple[Group, ...]:
+def _groups_of(configuration: Configuration) -> tuple[_Configured, ...]:
     return tuple(
-        group for service in configuration.services.values() for group in service.groups
+        _Configured(group, policy_from(service.balance))
+        for service in configuration.services.values()
+        for group in service.groups
     )
 
 
@@ -127,7 +161,19 @@
     membership: MembershipLoop,
     configuration: ConfigurationLoop,
     platform: PlatformClient,
+    registry: CollectorRegistry,
 ) -> Groups:
     """Return the coordination of groups of one control process."""
     table = LeaseTable(platform)
-    return Groups(identity, membership, configuration, table, membership.clock)
+    ended = Counter(
+        "azurefold_control_map_changes",
+        "Changes of expert maps that ended here",
+        ["group", "outcome"],
+        registry=registry,
+    )
+    groups = Groups(identity, membership, configuration, table, membership.clock, ended)
+    leases = Gauge(
+        "azurefold_control_group_leases", "Leases on groups held", registry=registry
+    )
+    leases.set_function(lambda: groups.held)
+    return groups
--- a/src/azurefold/control/groups_lead.py
+++ b/src/azurefold/control/groups_lead.py
@@ -6,6 +6,7 @@
 
 import gevent
 import msgspec
+from prometheus_client import Counter
 
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.configuration.model import Group
@@ -57,6 +58,8 @@
         Monotonic.
     caller_of : callable
         Returns a caller of an endpoint's agent, None if its address is unknown.
+    ended : Counter
+        Changes ended, by group and outcome.
     """
 
     group: Group
@@ -64,12 +67,13 @@
     table: LeaseTable
     clock: Clock
     caller_of: Callable[[str], Caller | None]
+    ended: Counter
     coordinator: Coordinator | None = None
     outcomes: dict[Outcome, int] = field(default_factory=dict)
     deposed: int = 0
     _target: str | None = None
     _settled: int = 0
-    _stopped: bool = False
+    stopped: bool = False
 
     @property
     def fence(self) -> int | None:
@@ -84,7 +88,7 @@
 
     def run_lease(self) -> None:
         """Compete for the lease, or renew it, for ever."""
-        while not self._stopped:
+        while not self.stopped:
             action = self.lease.tick(self.clock.now())
             if action is not None:
                 self._ask_table(action)
@@ -92,7 +96,7 @@
 
     def run_coordinator(self) -> None:
         """Drive the coordinator for ever, as long as the lease is held."""
-        while not self._stopped:
+        while not self.stopped:
             self.step()
             gevent.sleep(self._tick_ms() / _SECOND_MS)
 
@@ -125,7 +129,7 @@
 
     def stop(self) -> None:
         """Give the lease up, so that another process follows at once."""
-        self._stopped = True
+        self.stopped = True
         write = self.lease.release(self.clock.now())
         self.coordinator = None
         if write is not None:
@@ -215,6 +219,7 @@
         self._settled = coordinator.settled
         outcome = coordinator.outcome
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        self.ended.labels(group=self.group.name, outcome=outcome.value).inc()
         log_event(
             _log,
             "change_ended",
--- a/src/azurefold/control/service.py
+++ b/src/azurefold/control/service.py
@@ -34,6 +34,7 @@
 )
 from azurefold.platform.client import PlatformClient, platform_client
 from azurefold.platform.configuration_store import configuration_store
+from azurefold.wire.group_maps import METHOD_REBALANCE, Rebalance
 from azurefold.wire.group_messages import METHOD_CHANGE_MAP, ChangeMap
 from azurefold.wire.grpc_service import (
     Server,
@@ -155,7 +156,9 @@
         configuration=configuration,
         metrics=metrics,
         watch=EntryWatch(configuration, membership, far),
-        groups=new_groups(identity, membership, configuration, platform),
+        groups=new_groups(
+            identity, membership, configuration, platform, metrics.registry
+        ),
     )
     control.port = datagram_port(
         settings.udp,
@@ -193,6 +196,7 @@
         UnaryHandler(METHOD_LOCATE, LocateRequest, far.locate),
         UnaryHandler(METHOD_DRAIN, DrainRequest, drains.handle),
         UnaryHandler(METHOD_CHANGE_MAP, ChangeMap, control.groups.change_map),
+        UnaryHandler(METHOD_REBALANCE, Rebalance, control.groups.rebalance),
     )
     return serve(
         control.settings.grpc,
--- a/src/azurefold_standins/engine.py
+++ b/src/azurefold_standins/engine.py
@@ -14,6 +14,8 @@
 ``POST /order_delay``         Is late with each order of one kind.
 ``POST /replace``             Puts a fresh rank in this one's place.
 ``GET /steps``                The map each rank used in each step.
+``GET /experts``              Tokens counted for each expert; the map in use.
+``POST /maps``                The content of a map, before it is staged.
 ``GET /waits``                For how many step times each step was held up.
 ============================  ==============================================
 """
@@ -33,6 +35,7 @@
 from gevent.event import Event  # noqa: E402
 
 from azurefold.internal.http_server import http_server  # noqa: E402
+from azurefold_standins.experts import Experts, new_experts  # noqa: E402
 from azurefold_standins.lockstep import LockstepGroup, lockstep_group  # noqa: E402
 from azurefold_standins.lockstep_orders import (  # noqa: E402
     decode_order,
@@ -115,14 +118,15 @@
         self.waiting.append(stream)
         self.waiting.sort(key=lambda one: one.priority)
 
-    def step(self) -> None:
-        """Generate one token for each running request."""
+    def step(self) -> list[Stream]:
+        """Generate one token for each running request and return these."""
         while self.waiting and len(self.running) < self.max_batch:
             self.running.append(self.waiting.pop(0))
-        for stream in self.running:
-            if not stream.cancelled:
-                stream.step()
+        stepped = [stream for stream in self.running if not stream.cancelled]
+        for stream in stepped:
+            stream.step()
         self.running = [s for s in self.running if not (s.done or s.cancelled)]
+        return stepped
 
 
 @dataclass(slots=True)
@@ -132,6 +136,7 @@
     ranks: list[Rank]
     lockstep: LockstepGroup
     step_ms: int
+    experts: Experts
     waits: dict[int, int] = field(default_factory=dict)
 
     def run(self) -> None:
@@ -141,11 +146,18 @@
             gevent.sleep((self.step_ms + slowest) / _SECOND_MS)
             step = self.lockstep.next_step
             if self.lockstep.advance(1):
-                for rank in self.ranks:
-                    rank.step()
+                self._compute()
             else:
                 self.waits[step] = self.waits.get(step, 0) + 1
 
+    def _compute(self) -> None:
+        self.experts.use(self.lockstep.history[-1].maps[0])
+        slowness = [1 + rank.slowdown_ms / self.step_ms for rank in self.ranks]
+        for rank in self.ranks:
+            for stream in rank.step():
+                prompt, index = stream.ask.prompt, len(stream.pieces)
+                self.experts.count(rank.number, prompt, index, slowness)
+
 
 def _event(content: dict) -> bytes:
     return b"data: " + msgspec.json.encode(content) + b"\n\n"
@@ -213,6 +225,13 @@
         reply = give_order(self.group.lockstep, self.rank.number, order)
         resp.data = msgspec.json.encode(reply)
 
+    def on_get_experts(self, req, resp):
+        resp.data = msgspec.json.encode(self.group.experts.report(self.rank.number))
+
+    def on_post_maps(self, req, resp):
+        map_id = self.group.experts.put_map(req.bounded_stream.read())
+        resp.data = msgspec.json.encode({"map_id": map_id})
+
     def on_get_waits(self, req, resp):
         resp.data = msgspec.json.encode(list(self.group.waits.items()))
 
@@ -241,6 +260,8 @@
         "order_delay",
         "replace",
         "slowdown",
+        "experts",
+        "maps",
     ):
         app.add_route(f"/{name}", views, suffix=name)
     return app
@@ -252,12 +273,16 @@
     parser.add_argument("--addresses", required=True, help="one ip:port a rank")
     parser.add_argument("--step-ms", type=int, default=5)
     parser.add_argument("--max-batch", type=int, default=64)
+    parser.add_argument("--layers", type=int, default=2)
+    parser.add_argument("--experts", type=int, default=16, help="in each layer")
     parser.add_argument("--ignore-fence", action="store_true")
     arguments = parser.parse_args()
     addresses = arguments.addresses.split(",")
     ranks = [Rank(number, arguments.max_batch) for number in range(len(addresses))]
     lockstep = lockstep_group(len(ranks), honours_fence=not arguments.ignore_fence)
-    group = Group(ranks, lockstep, arguments.step_ms)
+    slots = arguments.experts // len(ranks) + 2
+    experts = new_experts(len(ranks), arguments.layers, arguments.experts, slots)
+    group = Group(ranks, lockstep, arguments.step_ms, experts)
     servers = [
         http_server(address, _rank_app(rank, group), "engine")
         for address, rank in zip(addresses, ranks, strict=True)
--- a/src/azurefold_standins/rank_group.py
+++ b/src/azurefold_standins/rank_group.py
@@ -1,12 +1,14 @@
 """One group of a test site: orders changes and looks at all its ranks."""
 
 import json
+import uuid
 from dataclasses import dataclass
 
 from azurefold.border.settings import OperatorSettings, load_settings
 from azurefold.commands.drain import control_callers
 from azurefold.core.groups.messages import Message
 from azurefold.internal.clock import wall_clock
+from azurefold.internal.http_client import http_client
 from azurefold.internal.identity import process_identity
 from azurefold.internal.process import ring_from_settings
 from azurefold.wire.group_messages import (
@@ -27,6 +29,7 @@
 __all__ = ["RankGroup", "group_configuration", "group_layout", "rank_group"]
 
 _TIMEOUT_MS = 2_000
+_GENERATE_MS = 60_000
 
 
 @dataclass(slots=True)
@@ -59,6 +62,20 @@
         """Return the steps held up and for how many step times."""
         return dict(json.loads(fetch(self.engine(0), "/waits").body))
 
+    def generate(self, rank: int, prompt: str, tokens: int) -> None:
+        """Let a rank's engine answer a request, as its agent would."""
+        client = http_client(self.engine(rank), _TIMEOUT_MS, _GENERATE_MS)
+        body = json.dumps({"prompt": prompt, "max_tokens": tokens})
+        headers = {"Request-Id": uuid.uuid4().hex}
+        try:
+            client.post("/v1/completions", body=body, headers=headers).read()
+        finally:
+            client.close()
+
+    def experts(self, rank: int) -> dict:
+        """Return what a rank's engine reports of its experts."""
+        return json.loads(fetch(self.engine(rank), "/experts").body)
+
     def late_with(self, rank: int, order: str, delay_ms: int) -> None:
         """Let a rank's engine be late with one kind of order; 0 ends it."""
         path = f"/order_delay?order={order}&ms={delay_ms}"
--- a/tests/groups/test_maps_change_between_processes.py
+++ b/tests/groups/test_maps_change_between_processes.py
@@ -94,6 +94,7 @@
     assert group.steps()[-1][1] == [map_id] * 4
 
 
+@pytest.mark.parametrize("group", [True], indirect=True, ids=["fenced"])
 def test_ranks_end_a_change_whose_coordinator_was_killed(group, map_id):
     """Symptom: a group that stands still until somebody restarts it.
 
