--- a/src/azurefold_standins/engine.py
+++ b/src/azurefold_standins/engine.py
@@ -11,8 +11,11 @@
 ``GET /load``                 Requests running and waiting.
 ``GET /journal``              Everything that ran, for tests to compare.
 ``GET|POST /rank``            The rank's state; orders on maps and steps.
+``POST /order_delay``         Is late with each order of one kind.
 ``POST /replace``             Puts a fresh rank in this one's place.
 ``GET /steps``                The map each rank used in each step.
+``GET /experts``              Tokens counted for each expert; the map in use.
+``POST /maps``                The content of a map, before it is staged.
 ``GET /waits``                For how many step times each step was held up.
 ============================  ==============================================
 """
@@ -32,6 +35,7 @@
 from gevent.event import Event  # noqa: E402
 
 from azurefold.internal.http_server import http_server  # noqa: E402
+from azurefold_standins.experts import Experts, new_experts  # noqa: E402
 from azurefold_standins.lockstep import LockstepGroup, lockstep_group  # noqa: E402
 from azurefold_standins.lockstep_orders import (  # noqa: E402
     decode_order,
@@ -105,6 +109,7 @@
     streams: dict[str, Stream] = field(default_factory=dict)
     runs: list[dict] = field(default_factory=list)
     slowdown_ms: int = 0
+    order_delays: dict[str, int] = field(default_factory=dict)
 
     def add(self, stream: Stream) -> None:
         """Queue a request."""
@@ -113,14 +118,15 @@
         self.waiting.append(stream)
         self.waiting.sort(key=lambda one: one.priority)
 
-    def step(self) -> None:
-        """Generate one token for each running request."""
+    def step(self) -> list[Stream]:
+        """Generate one token for each running request and return these."""
         while self.waiting and len(self.running) < self.max_batch:
             self.running.append(self.waiting.pop(0))
-        for stream in self.running:
-            if not stream.cancelled:
-                stream.step()
+        stepped = [stream for stream in self.running if not stream.cancelled]
+        for stream in stepped:
+            stream.step()
         self.running = [s for s in self.running if not (s.done or s.cancelled)]
+        return stepped
 
 
 @dataclass(slots=True)
@@ -130,6 +136,7 @@
     ranks: list[Rank]
     lockstep: LockstepGroup
     step_ms: int
+    experts: Experts
     waits: dict[int, int] = field(default_factory=dict)
 
     def run(self) -> None:
@@ -139,11 +146,18 @@
             gevent.sleep((self.step_ms + slowest) / _SECOND_MS)
             step = self.lockstep.next_step
             if self.lockstep.advance(1):
-                for rank in self.ranks:
-                    rank.step()
+                self._compute()
             else:
                 self.waits[step] = self.waits.get(step, 0) + 1
 
+    def _compute(self) -> None:
+        self.experts.use(self.lockstep.history[-1].maps[0])
+        slowness = [1 + rank.slowdown_ms / self.step_ms for rank in self.ranks]
+        for rank in self.ranks:
+            for stream in rank.step():
+                prompt, index = stream.ask.prompt, len(stream.pieces)
+                self.experts.count(rank.number, prompt, index, slowness)
+
 
 def _event(content: dict) -> bytes:
     return b"data: " + msgspec.json.encode(content) + b"\n\n"
@@ -206,12 +220,25 @@
 
     def on_post_rank(self, req, resp):
         order = decode_order(req.bounded_stream.read())
+        delay = self.rank.order_delays.get(type(order).__name__, 0)
+        gevent.sleep(delay / _SECOND_MS)
         reply = give_order(self.group.lockstep, self.rank.number, order)
         resp.data = msgspec.json.encode(reply)
 
+    def on_get_experts(self, req, resp):
+        resp.data = msgspec.json.encode(self.group.experts.report(self.rank.number))
+
+    def on_post_maps(self, req, resp):
+        map_id = self.group.experts.put_map(req.bounded_stream.read())
+        resp.data = msgspec.json.encode({"map_id": map_id})
+
     def on_get_waits(self, req, resp):
         resp.data = msgspec.json.encode(list(self.group.waits.items()))
 
+    def on_post_order_delay(self, req, resp):
+        delay = req.get_param_as_int("ms", required=True)
+        self.rank.order_delays[req.get_param("order", required=True)] = delay
+
     def on_post_replace(self, req, resp):
         self.group.lockstep.replace(self.rank.number)
 
@@ -224,7 +251,18 @@
     views = _Views(rank, group)
     app.add_route("/v1/completions", _Completions(rank))
     app.add_route("/v1/streams/{request_id}", _Streams(rank))
-    for name in ("load", "journal", "steps", "waits", "rank", "replace", "slowdown"):
+    for name in (
+        "load",
+        "journal",
+        "steps",
+        "waits",
+        "rank",
+        "order_delay",
+        "replace",
+        "slowdown",
+        "experts",
+        "maps",
+    ):
         app.add_route(f"/{name}", views, suffix=name)
     return app
 
@@ -235,12 +273,16 @@
     parser.add_argument("--addresses", required=True, help="one ip:port a rank")
     parser.add_argument("--step-ms", type=int, default=5)
     parser.add_argument("--max-batch", type=int, default=64)
+    parser.add_argument("--layers", type=int, default=2)
+    parser.add_argument("--experts", type=int, default=16, help="in each layer")
     parser.add_argument("--ignore-fence", action="store_true")
     arguments = parser.parse_args()
     addresses = arguments.addresses.split(",")
     ranks = [Rank(number, arguments.max_batch) for number in range(len(addresses))]
     lockstep = lockstep_group(len(ranks), honours_fence=not arguments.ignore_fence)
-    group = Group(ranks, lockstep, arguments.step_ms)
+    slots = arguments.experts // len(ranks) + 2
+    experts = new_experts(len(ranks), arguments.layers, arguments.experts, slots)
+    group = Group(ranks, lockstep, arguments.step_ms, experts)
     servers = [
         http_server(address, _rank_app(rank, group), "engine")
         for address, rank in zip(addresses, ranks, strict=True)
