--- a/src/azurefold/control/configuration.py
+++ b/src/azurefold/control/configuration.py
@@ -9,10 +9,16 @@
 import msgspec
 from gevent.event import Event
 
+from azurefold.control.exchange import (
+    packed_head,
+    packed_sections,
+    unpacked_head,
+    unpacked_sections,
+)
 from azurefold.control.peers import Peers
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.configuration.follower import Follower
-from azurefold.core.configuration.head import NO_HEAD, Head, Mark, decode_head, encode
+from azurefold.core.configuration.head import NO_HEAD, Head, Mark
 from azurefold.core.configuration.messages import (
     Action,
     Alarm,
@@ -56,9 +62,11 @@
 _SECOND_MS = 1_000
 _TICK_MS: Millis = 200
 _FETCH_TIMEOUT_MS: Millis = 1_000
-_NEAR_FANOUT = 3
-_FAR_FANOUT = 1
 _GOSSIP_MS: Millis = 1_000
+_NEAR_FANOUT = 2
+_NEAR_FANOUT_OF_NEWS = 4
+_FAR_EVERY = 4
+_HEADS_KEPT = 32
 
 
 @dataclass(slots=True)
@@ -75,6 +83,11 @@
     changed: Event = field(default_factory=Event)
     applied_at: Millis = 0
     _raw: bytes = b""
+    _raw_revision: int = 0
+    _recent: dict[int, Head] = field(default_factory=dict)
+    _told: Mark = NO_HEAD.mark
+    _told_at: Millis = 0
+    _told_times: int = 0
 
     @property
     def revision(self) -> int:
@@ -83,18 +96,19 @@
 
     @property
     def raw(self) -> bytes:
-        """The configuration in force as JSON."""
+        """The configuration in force as JSON, put together when asked for."""
+        if self._raw_revision != self.revision:
+            self._raw = msgspec.json.encode(assemble(self.follower.sections))
+            self._raw_revision = self.revision
         return self._raw
 
     def run(self) -> None:
         """Tick for ever; now and then tell some peers what is held here."""
-        told_at = self.clock.now()
         while True:
             gevent.sleep(_TICK_MS / _SECOND_MS)
             now = self.clock.now()
             self._handle(Tick(self.live(), self.draw.random()))
-            if now - told_at >= _GOSSIP_MS:
-                told_at = now
+            if self._may_repeat(now):
                 age = self.follower.age_ms(now)
                 self._announce(Announce(self.follower.head.mark, age))
 
@@ -103,13 +117,16 @@
         self._handle(MarkHeard(news.mark, Peer(sender), news.age_ms))
 
     def give_head(self, request: GetHead, sender: Opened) -> HeadReply:
-        """Answer a peer that asks for the head."""
+        """Answer a peer that asks for the head, by a delta where one will do."""
         head = self.follower.head
-        return HeadReply(encode(head) if head.revision else "")
+        if not head.revision:
+            return HeadReply("")
+        return HeadReply(packed_head(head, self._recent.get(request.revision)))
 
     def give_sections(self, request: GetSections, sender: Opened) -> SectionsReply:
         """Answer a peer that asks for contents."""
-        return SectionsReply(self.follower.contents_of(request.hashes))
+        held = self.follower.contents_of(request.hashes)
+        return SectionsReply(packed_sections(held))
 
     def _handle(self, event: FollowerEvent) -> None:
         for action in self.follower.handle(event, self.clock.now()):
@@ -119,8 +136,8 @@
         match action:
             case PollNow():
                 gevent.spawn(self._poll)
-            case FetchHead(source=source, mark=mark):
-                gevent.spawn(self._fetch_head, source, mark)
+            case FetchHead(source=source):
+                gevent.spawn(self._fetch_head, source)
             case FetchSections(source=source, hashes=hashes):
                 gevent.spawn(self._fetch_sections, source, hashes)
             case Apply():
@@ -142,23 +159,33 @@
     def _poll(self) -> None:
         self._handle(self.store.poll())
 
-    def _fetch_head(self, source: Source, mark: Mark) -> None:
-        head = self._head_from(source, mark)
+    def _fetch_head(self, source: Source) -> None:
+        head = self._head_from(source)
         if head is None:
             self._handle(FetchFailed(source))
         else:
             self._handle(HeadFetched(head, source))
 
-    def _head_from(self, source: Source, mark: Mark) -> Head | None:
+    def _head_from(self, source: Source) -> Head | None:
         match source:
             case Platform():
                 base = self.store.read_base()
                 return base.head if isinstance(base, Base) else None
             case Peer(name=name):
-                reply = self._ask(
-                    name, METHOD_GET_HEAD, GetHead(mark.revision), HeadReply
-                )
-                return _parsed_head(reply)
+                return self._head_from_peer(name)
+
+    def _head_from_peer(self, name: str) -> Head | None:
+        base = self.follower.head
+        head = self._ask_head(name, base.revision, base)
+        if head is None and base.revision:
+            # The delta starts from another head of the same number, as after a
+            # restore of the store. Only the whole head tells what is held there.
+            head = self._ask_head(name, NO_HEAD.revision, base)
+        return head
+
+    def _ask_head(self, name: str, revision: int, base: Head) -> Head | None:
+        reply = self._ask(name, METHOD_GET_HEAD, GetHead(revision), HeadReply)
+        return unpacked_head(reply.head, base) if reply and reply.head else None
 
     def _fetch_sections(self, source: Source, hashes: tuple[str, ...]) -> None:
         contents = self._contents_from(source, hashes)
@@ -177,7 +204,7 @@
             case Peer(name=name):
                 request = GetSections(hashes)
                 reply = self._ask(name, METHOD_GET_SECTIONS, request, SectionsReply)
-                return reply.contents if reply else None
+                return unpacked_sections(reply.contents) if reply else None
 
     def _ask(self, name: str, method: str, request: object, kind: type) -> object:
         caller = self.peers.caller(name)
@@ -190,34 +217,42 @@
             return None
 
     def _apply(self, action: Apply) -> None:
-        self._raw = msgspec.json.encode(assemble(action.sections))
+        self._recent[action.head.revision] = action.head
+        while len(self._recent) > _HEADS_KEPT:
+            del self._recent[min(self._recent)]
         self.applied_at = self.clock.now()
         log_event(_log, "revision_applied", revision=action.head.revision)
         self.changed.set()
         self.changed.clear()
 
     def _announce(self, action: Announce) -> None:
-        if action.mark == NO_HEAD.mark:
+        """Tell news at once and to more peers; else only now and then.
+
+        Each look at the platform and each tick come here. Told each time, a
+        mark that all know would take most of the bytes that control may move.
+        """
+        now = self.clock.now()
+        is_news = action.mark != self._told
+        if action.mark.revision < max(1, self._told.revision):
             return
+        if not is_news and not self._may_repeat(now):
+            return
+        self._told, self._told_at = action.mark, now
+        self._told_times += 1
+        fanout = _NEAR_FANOUT_OF_NEWS if is_news else _NEAR_FANOUT
+        chosen = _some(self.draw, self.peers.near, fanout)
+        if is_news or self._told_times % _FAR_EVERY == 0:
+            chosen += _some(self.draw, self.peers.far, 1)
         news = MarkNews(action.mark, action.age_ms)
-        chosen = _some(self.draw, self.peers.near, _NEAR_FANOUT)
-        chosen += _some(self.draw, self.peers.far, _FAR_FANOUT)
         self.send([Send(to, news) for to in chosen])
 
+    def _may_repeat(self, now: Millis) -> bool:
+        return now - self._told_at >= _GOSSIP_MS
+
     def _write_back(self, action: WriteBack) -> None:
         done = self.store.write_back(action.head, action.sections, action.over_version)
         log_event(_log, "written_back", revision=action.head.revision, took_effect=done)
 
 
-def _parsed_head(reply: HeadReply | None) -> Head | None:
-    if reply is None or not reply.head:
-        return None
-    try:
-        return decode_head(reply.head)
-    except ValueError as error:
-        log_event(_log, "bad_head", logging.ERROR, why=error)
-        return None
-
-
 def _some(draw: random.Random, of: list[str], most: int) -> list[str]:
     return draw.sample(of, min(most, len(of)))
--- a/src/azurefold/control/watch.py
+++ b/src/azurefold/control/watch.py
@@ -10,6 +10,7 @@
 from azurefold.control.far import FarEndpoints
 from azurefold.control.membership import MembershipLoop
 from azurefold.core.clock import Millis
+from azurefold.core.configuration.head import NO_HEAD, Head, delta_between
 from azurefold.wire.seal import Opened
 from azurefold.wire.snapshot import EndpointInfo, SnapshotUpdate, WatchRequest
 
@@ -41,20 +42,42 @@
 
     def handle(self, request: WatchRequest, sender: Opened) -> Iterator[SnapshotUpdate]:
         """Yield what is new, now and later."""
+        held = self._held_by(request)
         revision = request.revision
         endpoints: list[EndpointInfo] | None = None
         left = _STREAM_MS
         while left > 0 and not self._closed.is_set():
             present = self.membership.endpoints() + self.far.endpoints
-            newer = self.configuration.revision > revision
-            if newer or present != endpoints:
-                revision = max(revision, self.configuration.revision)
-                raw = self.configuration.raw if newer else None
-                yield SnapshotUpdate(revision, raw, present)
+            head = self.configuration.follower.head
+            if head.revision > revision:
+                yield self._news(held, head, present)
+                held, revision, endpoints = head, head.revision, present
+            elif present != endpoints:
+                yield SnapshotUpdate(revision, endpoints=present)
                 endpoints = present
             left -= _LOOK_MS
             self._wait()
 
+    def _held_by(self, request: WatchRequest) -> Head | None:
+        head = self.configuration.follower.head
+        same = (request.revision, request.edit_id) == (head.revision, head.edit_id)
+        return head if same and head.revision else None
+
+    def _news(
+        self, held: Head | None, head: Head, present: list[EndpointInfo]
+    ) -> SnapshotUpdate:
+        """Return what turns ``held`` into ``head``: all of it if that is unknown."""
+        delta = delta_between(held or NO_HEAD, head)
+        contents = self.configuration.follower.sections
+        return SnapshotUpdate(
+            revision=head.revision,
+            edit_id=head.edit_id,
+            sections={name: contents[name] for name in delta.changed},
+            removed=delta.removed,
+            is_whole=held is None,
+            endpoints=present,
+        )
+
     def _wait(self) -> None:
         changes = (self.configuration.changed, self.membership.changed)
         gevent.wait((*changes, self._closed), timeout=_LOOK_MS / _SECOND_MS, count=1)
--- a/src/azurefold/entry/watcher.py
+++ b/src/azurefold/entry/watcher.py
@@ -1,16 +1,16 @@
 """Keeps an entry's view in step with the control process beside it."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent
-import msgspec
 
 from azurefold.border.configuration import configuration_from_raw
 from azurefold.core.admission.messages import Priority
 from azurefold.core.clock import Millis
-from azurefold.core.configuration.model import Kind, Service
+from azurefold.core.configuration.model import Configuration, Kind, Service
 from azurefold.core.configuration.model import Priority as ServicePriority
+from azurefold.core.configuration.sections import assemble
 from azurefold.entry.services import EndpointView, Services, ServiceView
 from azurefold.internal.logs import log_event
 from azurefold.wire.grpc_caller import Caller, CallError
@@ -21,7 +21,7 @@
     WatchRequest,
 )
 
-__all__ = ["Watcher", "endpoint_view"]
+__all__ = ["HeldSections", "Watcher", "endpoint_view"]
 
 _log = logging.getLogger("azurefold.entry")
 
@@ -32,6 +32,59 @@
     ServicePriority.CONFIRMATION: Priority.CONFIRMATION,
     ServicePriority.DRAFT: Priority.DRAFT,
 }
+_ORGANISATIONS = "organisations/"
+
+
+@dataclass(slots=True)
+class HeldSections:
+    """The sections that an entry has been sent.
+
+    Of organisations only the names are kept once they have been checked: a
+    change sends one section of 300, and to check all 8,200 organisations again
+    at each change took most of the entry's own work.
+    """
+
+    _services: dict[str, bytes] = field(default_factory=dict)
+    _unchecked: dict[str, bytes] = field(default_factory=dict)
+    _organisations: dict[str, frozenset[str]] = field(default_factory=dict)
+
+    @property
+    def organisations(self) -> frozenset[str]:
+        """Names of all organisations that have been checked."""
+        return frozenset().union(*self._organisations.values())
+
+    def take(self, update: SnapshotUpdate) -> None:
+        """Take in sections, also of a revision that will not pass the check.
+
+        The control process sends the next change upon this one in any case.
+        """
+        if update.is_whole:
+            self._services.clear()
+            self._unchecked.clear()
+            self._organisations.clear()
+        for name in update.removed:
+            self._services.pop(name, None)
+            self._unchecked.pop(name, None)
+            self._organisations.pop(name, None)
+        for name, data in update.sections.items():
+            of_organisations = name.startswith(_ORGANISATIONS)
+            (self._unchecked if of_organisations else self._services)[name] = data
+
+    def check(self) -> Configuration:
+        """Return all services, and organisations not checked before.
+
+        Raises
+        ------
+        ValueError
+            If this version cannot use what was sent.
+        """
+        raw = assemble({**self._services, **self._unchecked})
+        checked = configuration_from_raw(raw)
+        for name, data in self._unchecked.items():
+            chunk = assemble({name: data})["organisations"]
+            self._organisations[name] = frozenset(chunk)
+        self._unchecked.clear()
+        return checked
 
 
 @dataclass(slots=True)
@@ -40,6 +93,8 @@
 
     control: Caller
     services: Services
+    _held: HeldSections = field(default_factory=HeldSections)
+    _edit_id: str = ""
 
     def run(self) -> None:
         """Watch for ever; a lost control process changes nothing."""
@@ -51,30 +106,32 @@
             gevent.sleep(_AGAIN_AFTER_MS / _SECOND_MS)
 
     def _watch(self) -> None:
-        request = WatchRequest(self.services.revision)
+        request = WatchRequest(self.services.revision, self._edit_id)
         updates = self.control.stream(METHOD_WATCH, request, SnapshotUpdate, _STREAM_MS)
         for update in updates:
             self._apply(update)
 
     def _apply(self, update: SnapshotUpdate) -> None:
-        if update.configuration is not None:
-            self._apply_configuration(update.revision, update.configuration)
+        if update.sections is not None:
+            self._apply_sections(update)
         if update.endpoints is not None:
             self.services.apply_endpoints([endpoint_view(e) for e in update.endpoints])
 
-    def _apply_configuration(self, revision: int, data: bytes) -> None:
+    def _apply_sections(self, update: SnapshotUpdate) -> None:
+        revision = update.revision
         if revision <= self.services.revision:
             return
+        self._held.take(update)
         try:
-            configuration = configuration_from_raw(msgspec.json.decode(data))
+            checked = self._held.check()
         except ValueError as error:
             log_event(
                 _log, "revision_refused", logging.ERROR, revision=revision, why=error
             )
             return
-        views = [_view(service) for service in configuration.services.values()]
-        organisations = frozenset(configuration.organisations)
-        self.services.apply_services(revision, views, organisations)
+        views = [_view(service) for service in checked.services.values()]
+        self.services.apply_services(revision, views, self._held.organisations)
+        self._edit_id = update.edit_id
         log_event(_log, "revision_applied", revision=revision)
 
 
--- a/src/azurefold/wire/snapshot.py
+++ b/src/azurefold/wire/snapshot.py
@@ -27,9 +27,13 @@
     ----------
     revision : int
         Of the configuration that the entry has; 0 if none.
+    edit_id : str
+        Of the same: after a restore of the store a number may stand for two
+        edits, and a change to the one is none to the other.
     """
 
     revision: int = 0
+    edit_id: str = ""
 
 
 class EndpointInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -58,14 +62,23 @@
     Parameters
     ----------
     revision : int
-    configuration : bytes or None
-        The accepted configuration as JSON.
+    edit_id : str
+        Of the configuration in force.
+    sections : dict of str to bytes, or None
+        New and changed sections by name.
+    removed : tuple of str
+        Names of sections that are gone.
+    is_whole : bool
+        Whether ``sections`` are all there are, and others have to be dropped.
     endpoints : list of EndpointInfo or None
         All endpoints that are there now.
     """
 
     revision: int
-    configuration: bytes | None = None
+    edit_id: str = ""
+    sections: dict[str, bytes] | None = None
+    removed: tuple[str, ...] = ()
+    is_whole: bool = False
     endpoints: list[EndpointInfo] | None = None
 
 
--- /dev/null
+++ b/tests/entry/test_watching_the_control.py
@@ -0,0 +1,187 @@
+"""An entry is sent what changed, and ends with what its control process holds."""
+
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azurefold.control.watch import EntryWatch
+from azurefold.core.clock import ManualTime, manual_clock
+from azurefold.core.configuration.head import NO_HEAD, Head, next_head
+from azurefold.core.configuration.sections import content_hash, split
+from azurefold.entry.services import new_services
+from azurefold.entry.watcher import HeldSections, Watcher
+from azurefold.wire.snapshot import SnapshotUpdate, WatchRequest
+
+
+@dataclass
+class Follower:
+    head: Head = NO_HEAD
+    sections: dict = field(default_factory=dict)
+
+
+@dataclass
+class Configuration:
+    follower: Follower = field(default_factory=Follower)
+
+
+class Membership:
+    def endpoints(self):
+        return []
+
+
+@dataclass
+class Far:
+    endpoints: list = field(default_factory=list)
+
+
+def service(*endpoints):
+    return {"kind": "plain", "data_centres": ["hall"], "endpoints": list(endpoints)}
+
+
+def text(organisations, services=("bookings",)):
+    return {
+        "services": {name: service(f"{name}-0") for name in services},
+        "organisations": {name: {"share": float(n)} for name, n in organisations},
+    }
+
+
+def accept(follower, raw, edit_id):
+    sections = split(raw)
+    hashes = {name: content_hash(data) for name, data in sections.items()}
+    follower.head = next_head(follower.head, edit_id, hashes)
+    follower.sections = sections
+
+
+@pytest.fixture
+def follower():
+    return Follower()
+
+
+@pytest.fixture
+def watch(follower, monkeypatch):
+    """A watch whose waits end at once."""
+    watch = EntryWatch(Configuration(follower), Membership(), Far())
+    monkeypatch.setattr(EntryWatch, "_wait", lambda self: None)
+    return watch
+
+
+def new_watcher():
+    services = new_services(manual_clock(ManualTime(0)), seed=1)
+    return Watcher(control=None, services=services)
+
+
+def first_update(watch, watcher):
+    request = WatchRequest(watcher.services.revision, watcher._edit_id)
+    return next(u for u in watch.handle(request, None) if u.sections is not None)
+
+
+MANY = [(f"o-{n:03d}", 1) for n in range(300)]
+
+
+def test_a_change_of_one_organisation_sends_one_section(watch, follower):
+    accept(follower, text(MANY), "e1")
+    watcher = new_watcher()
+    stream = watch.handle(WatchRequest(), None)
+    whole = next(stream)
+    watcher._apply(whole)
+    accept(follower, text([*MANY, ("new", 1)]), "e2")
+    update = next(stream)
+    assert whole.is_whole
+    assert not update.is_whole
+    assert len(update.sections) == 1
+    watcher._apply(update)
+    assert "new" in watcher.services.organisations
+    assert len(watcher.services.organisations) == len(MANY) + 1
+
+
+def test_an_entry_that_holds_another_edit_of_that_number_is_sent_all(watch, follower):
+    """A store was restored; the control process came back on another line.
+
+    Symptom: an entry serves organisations that no accepted text names.
+    Sequence: the entry holds edit 1 of the lost line, the control process edit
+    1 of the other and then edit 2, of which it sends what changed. Cause: the
+    change is one to a text that the entry never had.
+    """
+    watcher = new_watcher()
+    accept(follower, text([("lost", 1)]), "lost")
+    watcher._apply(first_update(watch, watcher))
+    follower.head = NO_HEAD
+    accept(follower, text([("kept", 1)]), "e1")
+    stream = watch.handle(WatchRequest(1, watcher._edit_id), None)
+    accept_next = text([("kept", 1), ("more", 1)])
+    next(stream)
+    accept(follower, accept_next, "e2")
+    watcher._apply(next(u for u in stream if u.sections is not None))
+    assert watcher.services.organisations == {"kept", "more"}
+
+
+def test_an_entry_that_comes_back_is_sent_nothing_it_holds(watch, follower):
+    accept(follower, text(MANY), "e1")
+    watcher = new_watcher()
+    watcher._apply(first_update(watch, watcher))
+    stream = watch.handle(WatchRequest(1, "e1"), None)
+    assert next(stream).sections is None
+    accept(follower, text(MANY[1:]), "e2")
+    update = next(u for u in stream if u.sections is not None)
+    assert not update.is_whole
+    watcher._apply(update)
+    assert watcher.services.organisations == {name for name, _ in MANY[1:]}
+
+
+def test_a_refused_revision_is_not_lost_when_the_next_one_mends_it(watch, follower):
+    """Symptom: an entry lacks an organisation for as long as it lives.
+
+    Sequence: revision 2 adds an organisation and a service that this version
+    cannot read; revision 3 mends the service only, and only that is sent.
+    Cause: what came with the refused revision was thrown away.
+    """
+    watcher = new_watcher()
+    stream = watch.handle(WatchRequest(), None)
+    accept(follower, text([("a", 1)]), "e1")
+    watcher._apply(next(stream))
+    bad = text([("a", 1), ("b", 1)])
+    bad["services"]["bookings"]["kind"] = "unheard of"
+    accept(follower, bad, "e2")
+    watcher._apply(next(stream))
+    assert watcher.services.revision == 1
+    accept(follower, text([("a", 1), ("b", 1)]), "e3")
+    watcher._apply(next(stream))
+    assert watcher.services.revision == 3
+    assert watcher.services.organisations == {"a", "b"}
+
+
+names = st.sampled_from([f"o-{n}" for n in range(12)])
+texts = st.builds(
+    text,
+    st.dictionaries(names, st.integers(1, 3)).map(lambda each: list(each.items())),
+    st.sets(st.sampled_from(["bookings", "notices", "drafts"]), min_size=1),
+)
+
+
+@given(st.lists(texts, min_size=1, max_size=5), st.data())
+def test_any_sequence_of_changes_ends_with_the_accepted_text(accepted, data):
+    follower = Follower()
+    watch = EntryWatch(Configuration(follower), Membership(), Far())
+    held = HeldSections()
+    sent = None
+    for number, raw in enumerate(accepted):
+        accept(follower, raw, f"e{number}")
+        if data.draw(st.booleans()):
+            held.take(watch._news(sent, follower.head, []))
+            sent = follower.head
+            services = held.check().services
+            assert set(services) == set(raw["services"])
+            assert held.organisations == set(raw["organisations"])
+
+
+def test_removed_sections_must_be_dropped():
+    """The check of the test above fails where removals are ignored."""
+    held = HeldSections()
+    first, second = split(text([("a", 1)])), split(text([("b", 1)]))
+    held.take(SnapshotUpdate(1, "e1", sections=first, is_whole=True))
+    held.check()
+    held.take(SnapshotUpdate(2, "e2", sections=second))
+    held.check()
+    assert held.organisations != {"b"}
