--- a/src/azurefold/entry/agents.py
+++ b/src/azurefold/entry/agents.py
@@ -39,6 +39,9 @@
 # connection, though new ones may well work.
 _SILENT_AFTER_MS: Millis = 3_500
 _ASK_TIMEOUT_MS: Millis = 1_500
+# Far above what one endpoint runs: a request that waits for a place in a pool
+# that is closed meanwhile would wait for ever.
+_AT_ONCE = 8_192
 _OK = 200
 _NOT_FOUND = 404
 _UNAUTHORIZED = 401
@@ -135,7 +138,15 @@
             connections.return_socket(connections.get_socket())
         except CONNECTION_ERRORS:
             return NotTaken("agent_unreachable")
-        return self._open(client, "POST", path, call.attempt_id, headers, call.body)
+        try:
+            return self._open(client, "POST", path, call.attempt_id, headers, call.body)
+        except LostError:
+            self._condemn(agent.address, client)
+            raise
+        except RuntimeError:
+            # The pool was condemned between connecting and sending, for
+            # another request; the library says so before it sends anything.
+            return NotTaken("agent_unreachable")
 
     def resume(
         self, agent: AgentAddress, attempt_id: str, organisation: str, offset: int
@@ -200,10 +211,20 @@
     def _client(self, address: str) -> HTTPClient:
         client = self._clients.get(address)
         if client is None:
-            client = http_client(address, _CONNECT_TIMEOUT_MS, _SILENT_AFTER_MS, 512)
+            client = http_client(
+                address, _CONNECT_TIMEOUT_MS, _SILENT_AFTER_MS, _AT_ONCE
+            )
             self._clients[address] = client
         return client
 
+    def _condemn(self, address: str, client: HTTPClient) -> None:
+        # What lost track of one kept-alive connection has probably lost the
+        # others of the same time. Left in the pool, each would cost one more
+        # request the wait until it counts as silent.
+        if self._clients.get(address) is client:
+            del self._clients[address]
+            client.close()
+
     def _open(
         self,
         client: HTTPClient,
--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -13,6 +13,7 @@
     AskAgent,
     ConnectionLost,
     Course,
+    DeadlinePassed,
     DispatchAgain,
     EndpointFailed,
     Event,
@@ -33,6 +34,7 @@
 )
 from azurefold.core.attempts.ids import AnswerId
 from azurefold.core.attempts.ids import attempt_id as new_attempt_id
+from azurefold.core.attempts.ledger import Refusal
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.routing.messages import (
@@ -153,6 +155,7 @@
     _assembler: Assembler | None = None
     _tried: set[str] = field(default_factory=set)
     _attempts: int = 0
+    _sent: bool = False
     _open: bool = False
     _first_text: bool = False
 
@@ -209,14 +212,13 @@
                 event = opened
             if _certainly_not_run(event):
                 self._report(Refused())
-            step = self._course.next(event, self._may_retry)
+            step = self._course.next(event, lambda event=event: self._may_retry(event))
 
     def _dispatch(self) -> Opened | Follow | Failure | Event:
         self._report(Failed())
         attempt_id = new_attempt_id(self.wall.now(), secrets.token_hex(10))
         ticket = self._ticket(attempt_id)
-        retrying = self._attempts > 0
-        acquire = self.admission.retry if retrying else self.admission.acquire
+        acquire = self.admission.retry if self._sent else self.admission.acquire
         chosen = acquire(ticket)
         if isinstance(chosen, Failure):
             return chosen
@@ -224,8 +226,8 @@
         self._open = True
         self._assembler = Assembler(attempt_id)
         self._agent = self.locate(chosen.endpoint)
-        self._tried.add(chosen.endpoint)
         if self._agent is None:
+            self._tried.add(chosen.endpoint)
             self._agent = AgentAddress(chosen.endpoint, "", "")
             return NotDispatched("endpoint_unknown")
         claimed = self._take_claim(self._agent, attempt_id)
@@ -274,6 +276,8 @@
             request.deadline - self.clock.now(),
             int(request.priority),
         )
+        self._sent = True
+        self._tried.add(agent.endpoint)
         log_event(_log, "dispatch", attempt=attempt_id, endpoint=agent.endpoint)
         try:
             opened = self.agents.dispatch(agent, call)
@@ -282,6 +286,7 @@
             return ConnectionLost()
         if isinstance(opened, NotTaken):
             log_event(_log, "not_taken", attempt=attempt_id, reason=opened.reason)
+            self._learn_from(opened.reason)
             return NotDispatched(opened.reason)
         return opened
 
@@ -330,6 +335,12 @@
         yield Announced(self._answer_id(assembler.next_offset))
         try:
             for lines in opened.lines:
+                # Signs of life come each second, so a request that an
+                # endpoint keeps waiting ends here soon after its deadline.
+                # Without this its caller would wait for as long as the
+                # endpoint does: for ever, where a group's steps stand still.
+                if self.clock.now() >= self.request.deadline:
+                    return DeadlinePassed()
                 self._course.heard()
                 for line in lines:
                     event = yield from self._line(assembler, line)
@@ -371,11 +382,26 @@
                 self._agent.endpoint, assembler.attempt_id, self.clock.now()
             )
 
-    def _may_retry(self) -> bool:
+    def _learn_from(self, reason: str) -> None:
+        # The agent knows first that its endpoint leaves. An entry that no
+        # control process tells would else send it every other request and
+        # spend its retry budget on the refusals.
+        if reason == Refusal.LEAVING:
+            now = self.clock.now()
+            self.admission.pool.mark_leaving(self._agent.endpoint, now)
+
+    def _may_retry(self, event: Event) -> bool:
         if self._attempts >= _MAX_ATTEMPTS or self._course.passed > 0:
             return False
         if self.clock.now() >= self.request.deadline or self._attempts == 0:
             return False
+        # Taking over a key whose claim was never dispatched is no retry: this
+        # call has sent nothing yet. Charged to the budget, the repeats that
+        # come after an outage would be refused although all is well again.
+        # A refusal for old news costs the endpoint next to nothing, and the
+        # news is learnt by it; there is nothing that a budget must protect.
+        if not self._sent or _was_old_news(event):
+            return True
         return self.admission.retries.try_retry(self.clock.now())
 
     def _ticket(self, attempt_id: str) -> Ticket:
@@ -407,6 +433,14 @@
         return AnswerId(agent.endpoint, agent.incarnation, self.attempt_id, offset)
 
 
+def _was_old_news(event: Event) -> bool:
+    match event:
+        case NotDispatched(reason=reason):
+            return reason in (Refusal.LEAVING, Refusal.WRONG_INCARNATION)
+        case _:
+            return False
+
+
 def _certainly_not_run(event: Event) -> bool:
     match event:
         case NotDispatched() | SettledAs(state=Settlement.NOT_RUN):
--- a/src/azurefold/entry/watcher.py
+++ b/src/azurefold/entry/watcher.py
@@ -133,6 +133,9 @@
             return
         views = [_view(service) for service in checked.services.values()]
         self.services.apply_services(revision, views, self._held.organisations)
+        for service in checked.services.values():
+            pool = self.services.find(service.name).admission.pool
+            pool.set_slots(service.limits.concurrency)
         log_event(_log, "revision_applied", revision=revision)
 
 
