Measure what leases of groups cost the table and their coordinators

Groups have come under a lease since; each costs the table a write a second, so they belong among what drives its load. Memory of membership is read at rest in virtual time now, since a control process that has just started still exchanges records.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,7 +17,7 @@
 __all__ = ["OUT", "main"]
 
 OUT = Path("out") / "slopes.json"
-_MODULES = ("core", "changes", "control", "requests")
+_MODULES = ("core", "changes", "control", "groups", "requests")
 _AT_ONCE = 3
 _ONE = "--one"
 
--- a/bench/slopes_page.py
+++ b/bench/slopes_page.py
@@ -71,7 +71,7 @@
         "target": _target(),
         "worked-out": _worked_out(found),
         "control": _measured(lines, ("control.", "changes.")),
-        "requests": _measured(lines, ("requests.",)),
+        "requests": _measured(lines, ("requests.", "groups.")),
         "core": _measured(lines, ("core.",)),
         "rounds": "\n\n".join(_round(each) for each in figures[_ROUNDS]),
         "machine": figures["machine"],
--- a/bench/slopes_requests.py
+++ b/bench/slopes_requests.py
@@ -13,11 +13,16 @@
 from gevent.pool import Pool
 
 from azurefold_standins.client import Client
-from azurefold_standins.operator import accept, fetch, status
+from azurefold_standins.operator import accept, fetch
 from azurefold_standins.site import Endpoint, Layout, Site, new_site
 from bench.slopes_fit import Fit, fit
 from bench.slopes_process import cpu_s, resident_mb, usage
-from bench.slopes_site import counters, until, until_platform_listens
+from bench.slopes_site import (
+    counters,
+    known_endpoints,
+    until,
+    until_platform_listens,
+)
 
 __all__ = ["PARTS", "measure_part"]
 
@@ -75,8 +80,8 @@
         """Ask for one streamed answer and read it whole."""
         name = f"organisation-{number % _ORGANISATIONS:05d}"
         events = list(self.client(name).stream(f"lot {number}", tokens))
-        if events[-1].kind != "done":
-            raise RuntimeError(f"a stream ended with {events[-1]}")
+        if not events or events[-1].kind != "done":
+            raise RuntimeError(f"a stream ended after {len(events)}: {events[-1:]}")
 
     def book(self, organisation: str, **headers: str) -> None:
         """Call the plain service once."""
@@ -101,18 +106,12 @@
             site.start()
             until_platform_listens(site)
             accept(site, _text(ranks, organisations))
-            until(lambda: _serves_all(site))
+            until(lambda: known_endpoints(site) == _RANKS + 1)
             yield Fleet(site)
         finally:
             site.processes.kill_all()
 
 
-def _serves_all(site: Site) -> bool:
-    shown = status(site, site.entries[0]).get("services", {})
-    known = sum(len(service["endpoints"]) for service in shown.values())
-    return known == _RANKS + 1
-
-
 def _text(ranks: Iterable[Endpoint], organisations: int) -> dict:
     names = [rank.name for rank in ranks]
     return {
--- a/bench/slopes_site.py
+++ b/bench/slopes_site.py
@@ -14,6 +14,7 @@
     "configuration",
     "counters",
     "full_raw",
+    "known_endpoints",
     "rewrite",
     "table_row",
     "until",
@@ -73,6 +74,12 @@
     return json.loads(fetch(site.address("platform", "http"), "/counters").body)
 
 
+def known_endpoints(site: Site) -> int:
+    """Return how many endpoints the first entry may send requests to."""
+    shown = status(site, site.entries[0]).get("services", {})
+    return sum(len(service["endpoints"]) for service in shown.values())
+
+
 def until(condition: Callable[[], object]) -> float:
     """Let other greenlets run until a condition holds; return the seconds."""
     begun = time.monotonic()
--- a/bench/slopes_target.py
+++ b/bench/slopes_target.py
@@ -53,6 +53,11 @@
         """Endpoints of a data centre."""
         return self.workers // self.data_centres
 
+    @property
+    def groups(self) -> float:
+        """Groups of ranks, if all workers are ranks."""
+        return self.workers / self.ranks
+
     @property
     def changes_per_s(self) -> float:
         """Accepted changes a second."""
@@ -126,6 +131,7 @@
         ("control: bytes of a node, sent and received", _BYTES, "B/s"),
         ("other controls in a data centre, worked out", t.controls_near, ""),
         ("endpoints of a data centre, worked out", t.endpoints_near, ""),
+        ("groups, worked out, if all workers are ranks", t.groups, ""),
         ("changes, worked out", t.changes_per_s, "a second"),
         ("requests at an entry, worked out", t.requests_per_s / t.nodes, "a second"),
         ("tokens of an answer, worked out", t.tokens_an_answer, ""),
@@ -159,7 +165,8 @@
     change_cpu = _a_change(lines[change + "control_cpu_ms"]) / 1_000
     change_bytes = _follower_bytes(lines)
     rest_cpu = lines[near + "core_share"].at(t.endpoints_near)
-    rest_bytes = lines[near + "udp_bytes_per_s"].at(t.endpoints_near)
+    after_start = lines[near + "udp_bytes_per_s"].at(t.endpoints_near)
+    membership = lines["core.membership.bytes_per_s"].at(t.endpoints_near)
     announce = lines[near + "announce_bytes_per_s"].at(t.endpoints_near)
     memory = (
         lines[near + "resident_mb"].at(t.endpoints_near)
@@ -173,7 +180,8 @@
     }
     all_cpu = tuple(name for group in names.values() for name in group)
     all_bytes = (
-        near + "udp_bytes_per_s",
+        "core.membership.bytes_per_s",
+        near + "announce_bytes_per_s",
         others + "bytes_per_s",
         change + "peer_bytes",
         change + "object_reads",
@@ -190,16 +198,18 @@
             _CPU_SHARE, all_cpu),
         Row(control, "all", "MB", memory, _MEMORY_MB, (near + "resident_mb",
             far + "resident_mb", change + "control_resident_mb")),
-        Row(control, "membership datagrams", "B/s", rest_bytes - announce, _BYTES,
-            (near + "udp_bytes_per_s", near + "announce_bytes_per_s")),
+        Row(control, "membership datagrams at rest", "B/s", membership, _BYTES,
+            ("core.membership.bytes_per_s",)),
         Row(control, "announcements of the configuration", "B/s", announce, _BYTES,
             (near + "announce_bytes_per_s",)),
+        Row(control, "all datagrams in the minute after a start", "B/s", after_start,
+            _BYTES, (near + "udp_bytes_per_s",)),
         Row(control, "asking other data centres for endpoints", "B/s", asking_bytes,
             _BYTES, (others + "bytes_per_s",)),
         Row(control, "heads and sections between controls", "B/s", change_bytes,
             _BYTES, (change + "peer_bytes",)),
-        Row(control, "all of these", "B/s", rest_bytes + asking_bytes + change_bytes,
-            _BYTES, all_bytes),
+        Row(control, "all of these but the minute after a start", "B/s",
+            membership + announce + asking_bytes + change_bytes, _BYTES, all_bytes),
         Row(control, "reading the platform, a chosen poller", "B/s",
             _poller_bytes(lines), _BYTES, (change + "platform_bytes",
             "changes.by_services.poller_bytes_per_s")),
@@ -308,6 +318,12 @@
             (change + "table_reads",)),
         Row(platform, "reads after changes, objects", "reads/s", objects, 2_000.0,
             (change + "object_reads",)),
+        Row(platform, "leases of groups", "writes/s",
+            lines["groups.at_rest.table_writes"].at(t.groups), 300.0,
+            ("groups.at_rest.table_writes",)),
+        Row(platform, "leases of groups", "reads/s",
+            lines["groups.at_rest.table_reads"].at(t.groups), 2_000.0,
+            ("groups.at_rest.table_reads",)),
         Row(platform, "claims, if each request has a key", "writes/s",
             lines[keyed + "table_writes"].slope * t.requests_per_s, 300.0,
             (keyed + "table_writes",)),
