--- a/bench/slopes_page.py
+++ b/bench/slopes_page.py
@@ -13,7 +13,8 @@
 
 from bench.slopes import OUT
 from bench.slopes_fit import Fit, fit_from
-from bench.slopes_target import Row, rows, target_rows
+from bench.slopes_target import target_rows
+from bench.slopes_worked_out import Row, rows
 
 __all__ = ["FIGURES", "PAGE", "blocks", "main", "rendered", "without_blocks"]
 
