--- a/bench/slopes_page.py
+++ b/bench/slopes_page.py
@@ -13,7 +13,8 @@
 
 from bench.slopes import OUT
 from bench.slopes_fit import Fit, fit_from
-from bench.slopes_target import Row, rows, target_rows
+from bench.slopes_target import target_rows
+from bench.slopes_worked_out import Row, rows
 
 __all__ = ["FIGURES", "PAGE", "blocks", "main", "rendered", "without_blocks"]
 
@@ -71,7 +72,7 @@
         "target": _target(),
         "worked-out": _worked_out(found),
         "control": _measured(lines, ("control.", "changes.")),
-        "requests": _measured(lines, ("requests.",)),
+        "requests": _measured(lines, ("requests.", "groups.")),
         "core": _measured(lines, ("core.",)),
         "rounds": "\n\n".join(_round(each) for each in figures[_ROUNDS]),
         "machine": figures["machine"],
