--- a/src/azurefold/agent/expert_maps.py
+++ b/src/azurefold/agent/expert_maps.py
@@ -108,7 +108,9 @@
 
     def handle(self, request: RankMessage, sender: Opened) -> RankReply:
         """Take a message and return what answers its sender."""
-        if (request.group, request.rank) != (self.group, self.rank):
+        meant = (request.group, request.rank, request.size)
+        if meant != (self.group, self.rank, self.size):
+            self.messages.labels(kind="foreign").inc()
             return RankReply()
         try:
             message = opened(request.content)
@@ -214,7 +216,7 @@
         peer = self.peers.get(send.rank)
         if peer is None:
             return
-        request = RankMessage(self.group, send.rank, envelope(send.message))
+        request = RankMessage(self.group, send.rank, self.size, envelope(send.message))
         try:
             reply = peer.call(METHOD_RANK_MESSAGE, request, RankReply, _CALL_TIMEOUT_MS)
             answers = [opened(content) for content in reply.contents]
--- a/src/azurefold/control/groups_lead.py
+++ b/src/azurefold/control/groups_lead.py
@@ -14,6 +14,7 @@
 from azurefold.core.groups.coordinator import Coordinator
 from azurefold.core.groups.lead import LeadPolicy
 from azurefold.core.groups.lease import Lease, LeaseAction, ReadLease
+from azurefold.core.groups.messages import Message
 from azurefold.core.groups.phases import (
     ChangeInProgressError,
     Deposed,
@@ -40,7 +41,7 @@
 _LEASE_TICK_MS: Millis = 50
 _BUSY_TICK_MS: Millis = 5
 _IDLE_TICK_MS: Millis = 50
-_CALL_TIMEOUT_MS: Millis = 1_000
+_CALL_TIMEOUT_MS: Millis = 400
 _FIRST_MAP = "m0"
 """The map that engines are started with, if no other was ever put in force."""
 
@@ -74,6 +75,7 @@
     _target: str | None = None
     _settled: int = 0
     stopped: bool = False
+    _calls: set[SendToRank] = field(default_factory=set)
 
     @property
     def fence(self) -> int | None:
@@ -178,31 +180,47 @@
         self._target = None
 
     def _carry_out(self, coordinator: Coordinator, actions: list[Action]) -> None:
+        # The coordinator repeats a message after 15 ms, which is right where
+        # messages get lost. A call does not: it ends with an answer, an error or a
+        # timeout. Repeated meanwhile, it would cost a group of 32 ranks two or
+        # three times the calls just when this process has most to do.
         for action in actions:
-            if isinstance(action, SendToRank):
+            if isinstance(action, SendToRank) and action not in self._calls:
+                self._calls.add(action)
                 gevent.spawn(self._send, coordinator, action)
 
     def _send(self, coordinator: Coordinator, send: SendToRank) -> None:
+        try:
+            answers = self._call(coordinator, send)
+        finally:
+            self._calls.discard(send)
+        for answer in answers:
+            if coordinator is self.coordinator:
+                actions = coordinator.receive(answer, self.clock.now())
+                self._carry_out(coordinator, actions)
+                self._take_note(coordinator)
+
+    def _call(self, coordinator: Coordinator, send: SendToRank) -> list[Message]:
         # Looked at right before each send: a process that was paused may come
         # to itself anywhere. Ranks refuse it by its fence all the same.
         caller = self.caller_of(self.group.endpoints[send.rank])
         if caller is None or self.fence != coordinator.fence:
-            return
-        request = RankMessage(self.group.name, send.rank, envelope(send.message))
+            return []
+        request = RankMessage(
+            group=self.group.name,
+            rank=send.rank,
+            size=len(self.group.endpoints),
+            content=envelope(send.message),
+        )
         try:
             reply = caller.call(
                 METHOD_RANK_MESSAGE, request, RankReply, _CALL_TIMEOUT_MS
             )
-            answers = [opened(content) for content in reply.contents]
+            return [opened(content) for content in reply.contents]
         except (CallError, msgspec.ValidationError) as error:
             # The coordinator repeats what is not answered.
             log_event(_log, "rank_failed", logging.DEBUG, rank=send.rank, why=error)
-            return
-        for answer in answers:
-            if coordinator is self.coordinator:
-                actions = coordinator.receive(answer, self.clock.now())
-                self._carry_out(coordinator, actions)
-                self._take_note(coordinator)
+            return []
 
     def _take_note(self, coordinator: Coordinator) -> None:
         match coordinator.phase:
--- a/src/azurefold/wire/group_messages.py
+++ b/src/azurefold/wire/group_messages.py
@@ -39,11 +39,15 @@
     group : str
     rank : int
         Whom it is for. Another agent that took over the address drops it.
+    size : int
+        Ranks in the group, as the sender has it. Were an agent to count fewer, it
+        would take the promises of some ranks for those of all.
     content : Envelope
     """
 
     group: str
     rank: int
+    size: int
     content: Envelope
 
 
--- a/src/azurefold_standins/rank_group.py
+++ b/src/azurefold_standins/rank_group.py
@@ -131,7 +131,7 @@
         name = self.endpoints[rank].name
         address = self.site.address(f"agent-{name}", "grpc")
         agent = caller(address, ring, sealer, recipient=name)
-        request = RankMessage(self.name, rank, envelope(message))
+        request = RankMessage(self.name, rank, len(self.endpoints), envelope(message))
         try:
             reply = agent.call(METHOD_RANK_MESSAGE, request, RankReply, _TIMEOUT_MS)
         finally:
