--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -35,6 +35,7 @@
 )
 from azurefold.core.attempts.ids import AnswerId
 from azurefold.core.attempts.ids import attempt_id as new_attempt_id
+from azurefold.core.attempts.ledger import Refusal
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.routing.messages import (
@@ -187,6 +188,8 @@
     _tried: set[str] = field(default_factory=set)
     _attempts: int = 0
     _resumed_at: int = -1
+    _sent: bool = False
+    _admitted: bool = False
     _open: bool = False
     _first_text: bool = False
 
@@ -243,7 +246,7 @@
                 event = opened
             if _certainly_not_run(event):
                 self._report(Refused())
-            step = self._course.next(event, self._may_retry)
+            step = self._course.next(event, lambda event=event: self._may_retry(event))
 
     def _dispatch(self) -> Opened | Follow | Failure | Event:
         self._report(Failed())
@@ -256,8 +259,8 @@
         self._open = True
         self._assembler = Assembler(attempt_id)
         self._agent = self.locate(chosen.endpoint)
-        self._tried.add(chosen.endpoint)
         if self._agent is None:
+            self._tried.add(chosen.endpoint)
             self._agent = AgentAddress(chosen.endpoint, "", "")
             return NotDispatched("endpoint_unknown")
         claimed = self._take_claim(self._agent, attempt_id)
@@ -267,9 +270,13 @@
         return self._send(self._agent, attempt_id)
 
     def _acquire(self, ticket: Ticket) -> Chosen | Failure:
-        if self._attempts > 0:
+        if self._sent:
             return self.admission.retry(ticket)
-        return self.admit() or self.admission.acquire(ticket)
+        refused = None if self._admitted else self.admit()
+        if refused is not None:
+            return refused
+        self._admitted = True
+        return self.admission.acquire(ticket)
 
     def _take_claim(
         self, agent: AgentAddress, attempt_id: str
@@ -311,6 +318,8 @@
             request.deadline - self.clock.now(),
             int(request.priority),
         )
+        self._sent = True
+        self._tried.add(agent.endpoint)
         log_event(_log, "dispatch", attempt=attempt_id, endpoint=agent.endpoint)
         try:
             opened = self.agents.dispatch(agent, call)
@@ -319,6 +328,7 @@
             return ConnectionLost()
         if isinstance(opened, NotTaken):
             log_event(_log, "not_taken", attempt=attempt_id, reason=opened.reason)
+            self._learn_from(opened.reason)
             return NotDispatched(opened.reason)
         return opened
 
@@ -429,11 +439,26 @@
         self.observer.lost(self.request.service)
         log_event(_log, "connection_lost", attempt=attempt_id, why=error)
 
-    def _may_retry(self) -> bool:
+    def _learn_from(self, reason: str) -> None:
+        # The agent knows first that its endpoint leaves. An entry that no
+        # control process tells would else send it every other request and
+        # spend its retry budget on the refusals.
+        if reason == Refusal.LEAVING:
+            now = self.clock.now()
+            self.admission.pool.mark_leaving(self._agent.endpoint, now)
+
+    def _may_retry(self, event: Event) -> bool:
         if self._attempts >= _MAX_ATTEMPTS or self._course.passed > 0:
             return False
         if self.clock.now() >= self.request.deadline or self._attempts == 0:
             return False
+        # Taking over a key whose claim was never dispatched is no retry: this
+        # call has sent nothing yet. Charged to the budget, the repeats that
+        # come after an outage would be refused although all is well again.
+        # A refusal for old news costs the endpoint next to nothing, and the
+        # news is learnt by it; there is nothing that a budget must protect.
+        if not self._sent or _was_old_news(event):
+            return True
         return self.admission.try_retry()
 
     def _ticket(self, attempt_id: str) -> Ticket:
@@ -462,6 +487,14 @@
         return AnswerId(agent.endpoint, agent.incarnation, self.attempt_id, offset)
 
 
+def _was_old_news(event: Event) -> bool:
+    match event:
+        case NotDispatched(reason=reason):
+            return reason in (Refusal.LEAVING, Refusal.WRONG_INCARNATION)
+        case _:
+            return False
+
+
 def _certainly_not_run(event: Event) -> bool:
     match event:
         case NotDispatched() | SettledAs(state=Settlement.NOT_RUN):
