Build a token's event and chunk in one piece each

Cause, by profile: for each token an entry built and encoded a whole completion object, of which only the text differs, and the server copied the chunk three times. Now the parts around the text are made once an answer.

--- a/src/azurefold/agent/runner.py
+++ b/src/azurefold/agent/runner.py
@@ -244,8 +244,9 @@
         for event in events:
             match event:
                 case EndpointText(offset=offset, text=text):
-                    new = text[max(0, buffer.total - offset) :]
-                    if offset > buffer.total:
+                    total = buffer.total
+                    new = text if offset == total else text[max(0, total - offset) :]
+                    if offset > total:
                         raise StreamBrokeError(
                             "the endpoint skipped part of its answer"
                         )
--- a/src/azurefold/entry/answers.py
+++ b/src/azurefold/entry/answers.py
@@ -19,6 +19,8 @@
 ]
 
 _encode = msgspec.json.Encoder().encode
+_TEXT = b'"text":'
+_NO_TEXT = b'"text":""'
 
 
 class _Choice(msgspec.Struct):
@@ -99,6 +101,17 @@
     return _encode(_Error(body))
 
 
+def _around_text(answer: str) -> tuple[bytes, bytes]:
+    """Return the JSON of a piece of an answer, without its text.
+
+    Only the text differs between the tokens of an answer; building all the
+    rest for each of them cost more than sending it on.
+    """
+    whole = _encode(_Completion(answer, [_Choice("")]))
+    before, _, after = whole.partition(_NO_TEXT)
+    return before + _TEXT, after
+
+
 def server_sent_events(parts: Iterator[Part], source: Iterator) -> Iterator[bytes]:
     """Yield an answer as server-sent events.
 
@@ -112,16 +125,21 @@
     source : iterator
         Closed when the caller goes away.
     """
-    prefix = b""
-    answer = ""
+    prefix = before = after = b""
     try:
         for part in parts:
             match part:
                 case Text(text=text, offset=offset):
-                    data = _encode(_Completion(answer, [_Choice(text)]))
-                    yield b"id: %s~%d\ndata: %s\n\n" % (prefix, offset, data)
+                    yield b"id: %b~%d\ndata: %b%b%b\n\n" % (
+                        prefix,
+                        offset,
+                        before,
+                        _encode(text),
+                        after,
+                    )
                 case Announced(answer_id=answer_id):
                     answer = str(answer_id)
+                    before, after = _around_text(answer)
                     prefix = answer.rpartition("~")[0].encode()
                     yield b"id: %s\n\n" % answer.encode()
                 case GivenUp(failure=failure):
--- a/src/azurefold/internal/http_server.py
+++ b/src/azurefold/internal/http_server.py
@@ -52,6 +52,12 @@
         self.close_connection = True
         return ("408 Request Timeout", "The headers did not come in time.\n")
 
+    def _write(self, data: bytes) -> None:
+        if data and self.response_use_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        if data:
+            self._sendall(data)
+
     def _sendall(self, data: bytes) -> None:
         # Nearly always the kernel takes a token at once. The library's way
         # sets up a timer and asks for the buffer's size before each write; a
--- a/src/azurefold/internal/stream_socket.py
+++ b/src/azurefold/internal/stream_socket.py
@@ -49,11 +49,7 @@
 
 
 def _sweep_of(hub: Hub) -> _Sweep:
-    sweep = _sweeps.get(hub)
-    if sweep is None:
-        sweep = _Sweep(hub)
-        _sweeps[hub] = sweep
-    return sweep
+    return _sweeps.setdefault(hub, _Sweep(hub))
 
 
 class StreamSocket(gevent.socket.socket):
@@ -72,13 +68,17 @@
         """
         if self._read_event is None or self.timeout == 0.0:
             return super().recv(size, flags)
-        sweep = _sweep_of(self.hub)
+        hub = self.hub
+        sweep = _sweeps.get(hub) or _sweep_of(hub)
         sweep.add(self)
         try:
-            self.hub.wait(self._read_event)
+            hub.wait(self._read_event)
         finally:
             del sweep.began[self]
-        return super().recv(size, flags)
+        try:
+            return self._sock.recv(size, flags)
+        except BlockingIOError:
+            return super().recv(size, flags)
 
     def end_read(self) -> None:
         """Let a read that waits fail with ``TimeoutError``."""
