Take lines out of a response's buffer in one piece

Cause: the library's readline copies each line twice and moves the rest of its buffer to the front, and a token comes as two lines. Now all whole lines are cut off at once.

--- a/src/azurefold/internal/http_client.py
+++ b/src/azurefold/internal/http_client.py
@@ -5,7 +5,11 @@
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
+from geventhttpclient.response import (
+    HTTPConnectionClosed,
+    HTTPParseError,
+    HTTPSocketResponse,
+)
 
 from azurefold.core.clock import Millis
 from azurefold.internal.http_server import split_address
@@ -61,16 +65,29 @@
     list of bytes
         With their ends; empty where the body has ended.
     """
-    first = bytes(response.readline(b"\n"))
-    # What has come with it is taken out of the response's buffer at once;
-    # line by line, each would move all the rest to the front.
+    # Not by the response's readline: line by line, each would be copied twice
+    # and move all the rest of the buffer to its front.
     buffered = response._body_buffer
-    end = buffered.rfind(b"\n") + 1
-    if not end:
-        return [first] if first else []
-    more = bytes(buffered[:end])
+    while not (end := buffered.rfind(b"\n") + 1):
+        if response.message_complete:
+            return []
+        _read_more(response)
+    data = bytes(buffered[:end])
     del buffered[:end]
-    return [first, *more.splitlines(keepends=True)]
+    return data.splitlines(keepends=True)
+
+
+def _read_more(response: HTTPSocketResponse) -> None:
+    sock = response._sock
+    if sock is None:
+        raise HTTPConnectionClosed("connection closed.")
+    try:
+        response.feed(sock.recv(response.block_size))
+    except BaseException:
+        # Also when the greenlet is killed: half a message must not be left in
+        # a connection that goes back to the pool.
+        response.release()
+        raise
 
 
 def fresh_client(
