--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 import gevent
 
@@ -40,21 +41,23 @@
 from azurefold.core.routing.messages import (
     Answered,
     Cancelled,
+    Chosen,
     Failed,
     LoadReport,
     Outcome,
     Refused,
+    RouteRequest,
 )
 from azurefold.entry.admission import Admission, Ticket
 from azurefold.entry.agents import (
     AgentAddress,
     Agents,
     AttemptCall,
-    LostError,
     NotTaken,
     Opened,
 )
 from azurefold.entry.claims import ClaimTaker
+from azurefold.entry.lines import LostError
 from azurefold.entry.requests import CallerRequest
 from azurefold.internal.logs import log_event
 from azurefold.wire.frames import Broken, Head
@@ -63,6 +66,7 @@
     "Announced",
     "AnswerHead",
     "GivenUp",
+    "Observer",
     "Relay",
     "Text",
     "Whole",
@@ -73,6 +77,7 @@
 _MAX_ATTEMPTS = 4
 _FOLLOW_TRIES = 5
 _FOLLOW_PAUSE_MS: Millis = 60
+_RESUME_PAUSE_MS: Millis = 100
 _SECOND_MS = 1_000
 
 
@@ -116,6 +121,27 @@
 Part = Announced | AnswerHead | Text | Whole | GivenUp
 
 
+def _sleep(milliseconds: Millis) -> None:
+    gevent.sleep(milliseconds / _SECOND_MS)
+
+
+def _admit_all() -> None:
+    """Let a request pass."""
+
+
+class Observer(Protocol):
+    """What counts the turns that requests take."""
+
+    def dropped(self, reason: str) -> None:
+        """Count a frame that was not passed on."""
+
+    def lost(self, service: str) -> None:
+        """Count a connection that was lost with an attempt on it."""
+
+    def settled(self, service: str, state: str) -> None:
+        """Count an agent's answer to what became of an attempt."""
+
+
 class _LostMidwayError(Exception):
     """The stream has to be taken up again from the next offset."""
 
@@ -138,8 +164,12 @@
         Since the Unix epoch.
     claim : ClaimTaker or None
         For non-idempotent requests with a key.
-    on_drop : callable
-        Called with the reason of each frame that is not passed on.
+    admit : callable
+        Returns why the request may not be run now, or None.
+    pause : callable
+        Waits for some milliseconds.
+    observer : Observer
+        Told of what is worth counting.
     """
 
     request: CallerRequest
@@ -148,14 +178,17 @@
     locate: Callable[[str], AgentAddress | None]
     clock: Clock
     wall: Clock
-    on_drop: Callable[[str], None]
+    observer: Observer
     claim: ClaimTaker | None = None
+    admit: Callable[[], Failure | None] = _admit_all
+    pause: Callable[[Millis], None] = _sleep
     _course: Course = field(init=False)
     _agent: AgentAddress | None = None
     _assembler: Assembler | None = None
     _tried: set[str] = field(default_factory=set)
     _attempts: int = 0
     _sent: bool = False
+    _resumed_at: int = -1
     _open: bool = False
     _first_text: bool = False
 
@@ -218,8 +251,7 @@
         self._report(Failed())
         attempt_id = new_attempt_id(self.wall.now(), secrets.token_hex(10))
         ticket = self._ticket(attempt_id)
-        acquire = self.admission.retry if self._sent else self.admission.acquire
-        chosen = acquire(ticket)
+        chosen = self._acquire(ticket)
         if isinstance(chosen, Failure):
             return chosen
         self._attempts += 1
@@ -236,6 +268,13 @@
             return claimed
         return self._send(self._agent, attempt_id)
 
+    def _acquire(self, ticket: Ticket) -> Chosen | Failure:
+        if self._sent:
+            return self.admission.retry(ticket)
+        if self._attempts > 0:
+            return self.admission.acquire(ticket)
+        return self.admit() or self.admission.acquire(ticket)
+
     def _take_claim(
         self, agent: AgentAddress, attempt_id: str
     ) -> Mine | Follow | Failure:
@@ -256,7 +295,7 @@
             opened = self._try_resume(0)
             if not isinstance(opened, NotTaken):
                 return opened
-            gevent.sleep(_FOLLOW_PAUSE_MS / _SECOND_MS)
+            self.pause(_FOLLOW_PAUSE_MS)
         return self._no_text()
 
     def _truthful(self, failure: Failure) -> Follow | Failure:
@@ -282,7 +321,7 @@
         try:
             opened = self.agents.dispatch(agent, call)
         except LostError as error:
-            log_event(_log, "connection_lost", attempt=attempt_id, why=error)
+            self._note_loss(attempt_id, error)
             return ConnectionLost()
         if isinstance(opened, NotTaken):
             log_event(_log, "not_taken", attempt=attempt_id, reason=opened.reason)
@@ -291,6 +330,14 @@
         return opened
 
     def _resume(self, offset: int) -> Opened | Event:
+        # Where an agent answers questions while its streams always break,
+        # asking and resuming would go round without end; seen as an entry
+        # that uses a whole core for a request long past its deadline.
+        if self.clock.now() >= self.request.deadline:
+            return DeadlinePassed()
+        if offset == self._resumed_at:
+            self.pause(_RESUME_PAUSE_MS)
+        self._resumed_at = offset
         opened = self._try_resume(offset)
         if isinstance(opened, NotTaken):
             return self._no_text()
@@ -323,6 +370,7 @@
             )
         except LostError:
             return AgentSilent()
+        self.observer.settled(self.request.service, state)
         log_event(_log, "settled", attempt=self.attempt_id, state=state)
         return SettledAs(state)
 
@@ -332,8 +380,8 @@
             self._agent.endpoint, LoadReport(opened.running, 0), self.clock.now()
         )
         assembler = self._assembler
-        yield Announced(self._answer_id(assembler.next_offset))
         try:
+            yield Announced(self._answer_id(assembler.next_offset))
             for lines in opened.lines:
                 # Signs of life come each second, so a request that an
                 # endpoint keeps waiting ends here soon after its deadline.
@@ -347,7 +395,9 @@
                     if event is not None:
                         return event if isinstance(event, Event) else None
         except (LostError, _LostMidwayError) as error:
-            log_event(_log, "connection_lost", attempt=assembler.attempt_id, why=error)
+            self._note_loss(assembler.attempt_id, error)
+        finally:
+            opened.close()
         return ConnectionLost()
 
     def _line(self, assembler: Assembler, line: object) -> Iterator[Part]:
@@ -362,7 +412,7 @@
                 self._note_text(assembler)
                 yield Text(text, assembler.next_offset)
             case Dropped(reason=reason):
-                self.on_drop(reason)
+                self.observer.dropped(reason)
             case Gap():
                 raise _LostMidwayError("a part of the answer is missing")
             case Spoiled(detail=detail):
@@ -390,6 +440,10 @@
             now = self.clock.now()
             self.admission.pool.mark_leaving(self._agent.endpoint, now)
 
+    def _note_loss(self, attempt_id: str, error: Exception) -> None:
+        self.observer.lost(self.request.service)
+        log_event(_log, "connection_lost", attempt=attempt_id, why=error)
+
     def _may_retry(self, event: Event) -> bool:
         if self._attempts >= _MAX_ATTEMPTS or self._course.passed > 0:
             return False
@@ -402,7 +456,7 @@
         # news is learnt by it; there is nothing that a budget must protect.
         if not self._sent or _was_old_news(event):
             return True
-        return self.admission.retries.try_retry(self.clock.now())
+        return self.admission.try_retry()
 
     def _ticket(self, attempt_id: str) -> Ticket:
         request = self.request
@@ -412,6 +466,7 @@
             request.priority,
             request.tokens,
             request.deadline,
+            RouteRequest(request.prefixes, request.prompt_tokens),
         )
         if not self._tried:
             return ticket
@@ -422,11 +477,7 @@
         if not self._open:
             return
         self._open = False
-        now = self.clock.now()
-        self.admission.pool.finished(
-            self._agent.endpoint, self.attempt_id, outcome, now
-        )
-        self.admission.pump()
+        self.admission.finished(self._agent.endpoint, self.attempt_id, outcome)
 
     def _answer_id(self, offset: int) -> AnswerId:
         agent = self._agent
--- a/tests/entry/test_watching_the_control.py
+++ b/tests/entry/test_watching_the_control.py
@@ -10,6 +10,7 @@
 from azurefold.core.clock import ManualTime, manual_clock
 from azurefold.core.configuration.head import NO_HEAD, Head, next_head
 from azurefold.core.configuration.sections import content_hash, split
+from azurefold.entry.organisations import new_organisations
 from azurefold.entry.services import new_services
 from azurefold.entry.watcher import HeldSections, Watcher
 from azurefold.wire.snapshot import SnapshotUpdate, WatchRequest
@@ -75,7 +76,8 @@
 
 def new_watcher():
     services = new_services(manual_clock(ManualTime(0)), seed=1)
-    return Watcher(control=None, services=services)
+    organisations = new_organisations(services.clock, seed=1, node="entry-1")
+    return Watcher(control=None, services=services, organisations=organisations)
 
 
 def first_update(watch, watcher):
@@ -214,7 +216,7 @@
             sent = follower.head
             services = held.check().services
             assert set(services) == set(raw["services"])
-            assert held.organisations == set(raw["organisations"])
+            assert set(held.organisations) == set(raw["organisations"])
 
 
 def test_removed_sections_must_be_dropped():
