--- a/src/azurefold/core/groups/coordinator.py
+++ b/src/azurefold/core/groups/coordinator.py
@@ -12,7 +12,8 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.groups.actions import Action, GroupTiming, SendToRank
-from azurefold.core.groups.engine import EngineState, schedule_from
+from azurefold.core.groups.engine import EngineState
+from azurefold.core.groups.health import is_healthy, recovery_map
 from azurefold.core.groups.lead import LeadPolicy, PaceEstimate, lead_steps
 from azurefold.core.groups.messages import (
     Close,
@@ -44,23 +45,7 @@
     Staging,
 )
 
-__all__ = ["Coordinator", "is_healthy", "recovery_map"]
-
-
-def is_healthy(states: list[EngineState]) -> bool:
-    """Return whether no rank is held or replaced and all plans agree."""
-    if any(state.hold is not None or not state.plan for state in states):
-        return False
-    step = max(state.next_step for state in states)
-    return len({schedule_from(state, step) for state in states}) == 1
-
-
-def recovery_map(states: list[EngineState], fallback: str) -> str:
-    """Return the map of the latest decided change, ``fallback`` without any."""
-    tails = [state.tail for state in states if state.tail is not None]
-    if not tails:
-        return fallback
-    return max(tails, key=lambda tail: tail.number).map_id
+__all__ = ["Coordinator"]
 
 
 class Coordinator:
--- /dev/null
+++ b/src/azurefold/core/groups/health.py
@@ -0,0 +1,21 @@
+"""Whether a group is whole, and which map makes it so again."""
+
+from azurefold.core.groups.engine import EngineState, schedule_from
+
+__all__ = ["is_healthy", "recovery_map"]
+
+
+def is_healthy(states: list[EngineState]) -> bool:
+    """Return whether no rank is held or replaced and all plans agree."""
+    if any(state.hold is not None or not state.plan for state in states):
+        return False
+    step = max(state.next_step for state in states)
+    return len({schedule_from(state, step) for state in states}) == 1
+
+
+def recovery_map(states: list[EngineState], fallback: str) -> str:
+    """Return the map of the latest decided change, ``fallback`` without any."""
+    tails = [state.tail for state in states if state.tail is not None]
+    if not tails:
+        return fallback
+    return max(tails, key=lambda tail: tail.number).map_id
--- a/tests/groups/test_maps_change_between_processes.py
+++ b/tests/groups/test_maps_change_between_processes.py
@@ -195,7 +195,25 @@
     assert_whole(group, f"{map_id}-later")
 
 
-def set_platform(group, mode):
+@pytest.mark.parametrize("group", [True], indirect=True, ids=["fenced"])
+def test_renewals_whose_answers_are_lost_are_read_back(group, map_id):
+    """Symptom: a group without a coordinator though the table names one.
+
+    Renewals of the lease take effect, their answers are lost.
+    """
+    wait_until(group.is_idle, "the group is idle")
+    set_platform(group, "lose_answers", count=2)
+    wait_until(lambda: platform_mode(group) == "ok", "two answers are lost")
+    wait_until(group.is_idle, "the group is coordinated")
+    assert_whole(group, map_id)
+
+
+def platform_mode(group):
+    address = group.site.address("platform", "http")
+    return json.loads(fetch(address, "/faults").body)["mode"]
+
+
+def set_platform(group, mode, count=None):
     address = group.site.address("platform", "http")
-    body = json.dumps({"mode": mode}).encode()
+    body = json.dumps({"mode": mode, "count": count}).encode()
     assert fetch(address, "/faults", "PUT", body).status == 200
