Relay datagrams too; keep an entry serving while its control restarts

Datagrams went past the relay, since their seals name the address they are meant for. A process can now bind another address than the one it is known by (udp_bind), and the relay receives at the known addresses and sends from them, so both ends see only these. A cut between data centres now cuts everything, and datagrams can be lost, doubled and late enough to overtake.

The first scenario with them failed at "send 30 bookings through the entry beside a restarted control": 503 no_endpoints. Cause: a control that has just started knows no endpoint, and its entry took that for the truth. Ruled out: the losses (the same without any, see control-replaced-beside-a-serving-entry, red before) and the entry's pool. For 4 s after its start a control now tells endpoints only to entries that never heard of any.

--- a/src/azurefold/agent/heartbeats.py
+++ b/src/azurefold/agent/heartbeats.py
@@ -94,6 +94,7 @@
         heartbeats.receive,
         lambda reason: rejected.labels(reason=str(reason)).inc(),
         guard=identity.guard,
+        bind=settings.udp_bind,
     )
     heartbeats.open(port)
     return heartbeats
--- a/src/azurefold/border/settings.py
+++ b/src/azurefold/border/settings.py
@@ -102,6 +102,10 @@
     name: Name = Field(description=_NAME)
     grpc: Address = Field(description=f"where gRPC is served: {_ADDRESS}")
     udp: Address = Field(description=f"where datagrams come: {_ADDRESS}")
+    udp_bind: Address | None = Field(
+        default=None,
+        description=f"what to bind if udp is reached by some other way: {_ADDRESS}",
+    )
     platform: _Addresses = Field(description=_PLATFORM)
     platform_timeout_ms: Milliseconds = Field(
         default=1_000, description="milliseconds for one request to the platform"
@@ -151,6 +155,10 @@
     udp: Address = Field(
         description=f"where datagrams come, on the IP number of http: {_ADDRESS}"
     )
+    udp_bind: Address | None = Field(
+        default=None,
+        description=f"what to bind if udp is reached by some other way: {_ADDRESS}",
+    )
     engine: Address = Field(description=f"the engine or plain service: {_ADDRESS}")
     engine_honours_fence: bool = Field(
         default=False, description="true if the engine refuses an old fence, or false"
--- a/src/azurefold/control/membership.py
+++ b/src/azurefold/control/membership.py
@@ -21,6 +21,8 @@
 
 _SECOND_MS = 1_000
 _TICK_MS: Millis = 250
+# Endpoints report each second, and some of these datagrams get lost.
+_LEARN_MS: Millis = 4_000
 _DRAWS = 1 << 30
 
 
@@ -34,6 +36,10 @@
     send: Callable[[list[Send]], None]
     changed: Event = field(default_factory=Event)
     _shown_revision: int = -1
+    _started_at: Millis = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._started_at = self.clock.now()
 
     def receive(self, message: AnyMessage, source: Source) -> list[Send]:
         """Take a membership datagram whose seal was good."""
@@ -63,6 +69,10 @@
             and shown.record.incarnation > 0
         ]
 
+    def is_informed(self) -> bool:
+        """Whether live endpoints have had time enough to report here."""
+        return self.clock.now() - self._started_at >= _LEARN_MS
+
     def live_controls(self) -> frozenset[str]:
         """Return the names of control processes believed live here."""
         return frozenset(
--- a/src/azurefold/control/service.py
+++ b/src/azurefold/control/service.py
@@ -155,7 +155,7 @@
         membership=membership,
         configuration=configuration,
         metrics=metrics,
-        watch=EntryWatch(configuration, membership, far),
+        watch=EntryWatch(configuration, membership, far, membership.is_informed),
         groups=new_groups(
             identity, membership, configuration, platform, metrics.registry
         ),
@@ -168,6 +168,7 @@
         lambda reason: metrics.rejected.labels(reason=str(reason)).inc(),
         lambda reason: metrics.not_sent.labels(reason=str(reason)).inc(),
         identity.guard,
+        settings.udp_bind,
     )
     return control
 
--- a/src/azurefold/control/watch.py
+++ b/src/azurefold/control/watch.py
@@ -1,6 +1,6 @@
 """Tells the entry beside this process what changes."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 import gevent
@@ -34,6 +34,7 @@
     configuration: ConfigurationLoop
     membership: MembershipLoop
     far: FarEndpoints
+    is_informed: Callable[[], bool] = lambda: True
     _closed: Event = field(default_factory=Event)
 
     def close(self) -> None:
@@ -47,24 +48,33 @@
         endpoints: list[EndpointInfo] | None = None
         left = _STREAM_MS
         while left > 0 and not self._closed.is_set():
-            present = self.membership.endpoints() + self.far.endpoints
+            present = self._present(request)
             head = self.configuration.follower.head
             if head.revision > revision:
                 yield self._news(held, head, present)
                 held, revision, endpoints = head, head.revision, present
-            elif present != endpoints:
+            elif present is not None and present != endpoints:
                 yield SnapshotUpdate(revision, endpoints=present)
                 endpoints = present
             left -= _LOOK_MS
             self._wait()
 
+    def _present(self, request: WatchRequest) -> list[EndpointInfo] | None:
+        # A control process that has just started knows no endpoint yet. Told
+        # so, an entry that serves well would refuse everything until they have
+        # reported here. One that has a revision has heard of them before, and
+        # keeps that for as long; a new one needs whatever there is.
+        if request.revision and not self.is_informed():
+            return None
+        return self.membership.endpoints() + self.far.endpoints
+
     def _held_by(self, request: WatchRequest) -> Head | None:
         head = self.configuration.follower.head
         same = (request.revision, request.edit_id) == (head.revision, head.edit_id)
         return head if same and head.revision else None
 
     def _news(
-        self, held: Head | None, head: Head, present: list[EndpointInfo]
+        self, held: Head | None, head: Head, present: list[EndpointInfo] | None
     ) -> SnapshotUpdate:
         """Return what turns ``held`` into ``head``: all of it if that is unknown."""
         delta = delta_between(held or NO_HEAD, head)
--- a/src/azurefold/wire/udp.py
+++ b/src/azurefold/wire/udp.py
@@ -52,6 +52,7 @@
         on_message: OnMessage,
         on_reject: OnReject,
         on_send_failure: Callable[[SendFailure], None],
+        known_as: str | None = None,
     ) -> None:
         self._ring = ring
         self._sealer = sealer
@@ -59,7 +60,7 @@
         self._on_message = on_message
         self._on_reject = on_reject
         self._on_send_failure = on_send_failure
-        self._address = _address_text(server_socket.getsockname())
+        self._address = known_as or _address_text(server_socket.getsockname())
         self._server = DatagramServer(server_socket, self._receive)
         self._open = True
 
@@ -120,6 +121,7 @@
     on_reject: OnReject,
     on_send_failure: Callable[[SendFailure], None] = lambda failure: None,
     guard: ReplayGuard | None = None,
+    bind: str | None = None,
 ) -> DatagramPort:
     """Bind ``address`` and return its port, not yet started.
 
@@ -139,6 +141,8 @@
         Given the reason for each datagram not sent, for a counter.
     guard : ReplayGuard, optional
         The process's own, if other ports share it.
+    bind : str, optional
+        What to bind if peers reach ``address`` by some other way.
 
     Raises
     ------
@@ -147,7 +151,7 @@
     ValueError
         If ``address`` is no IP number with a port, or a wildcard.
     """
-    host, port = _split_address(address)
+    host, port = _split_address(bind or address)
     if host in ("0.0.0.0", "::"):
         raise ValueError(f"bind the address that peers use, not {address}")
     family = gevent_socket.AF_INET6 if ":" in host else gevent_socket.AF_INET
@@ -161,6 +165,7 @@
         on_message,
         on_reject,
         on_send_failure,
+        address if bind else None,
     )
 
 
--- a/src/azurefold_standins/relay.py
+++ b/src/azurefold_standins/relay.py
@@ -4,7 +4,9 @@
 
     python -m azurefold_standins.relay --address 127.0.0.1:0 --links links.json
 
-The file holds a JSON object: name of a link to ``[listen, target]``.
+The file holds a JSON object: name of a link to ``[listen, target]``. Another
+one, ``--datagrams``, holds a list ``links`` of
+:class:`~azurefold_standins.relay_datagrams.DatagramLink`.
 
 ==============================  ===========================================
 ``PUT /links/{name}``           ``{"cut": true, "delay_ms": 50}``: new
@@ -13,6 +15,7 @@
 ``POST /links/{name}/silence``  Open connections go silent for good; new
                                 ones work.
 ``GET /links``                  All links with their open connections.
+``PUT /datagrams``              :class:`.DatagramFaults`, all of them anew.
 ==============================  ===========================================
 
 Nothing is closed by a fault. A sender notices a silent connection only by the
@@ -32,6 +35,11 @@
 
 from azurefold.internal.http_server import http_server, split_address
 from azurefold.internal.process import stop_requested
+from azurefold_standins.relay_datagrams import (
+    DatagramFaults,
+    DatagramLink,
+    Datagrams,
+)
 
 __all__ = ["Connection", "Link", "LinkFaults", "main"]
 
@@ -184,11 +192,32 @@
         return self.links[name]
 
 
+@dataclass(slots=True)
+class _Datagrams:
+    datagrams: Datagrams
+
+    def on_put(self, req: falcon.Request, resp: falcon.Response) -> None:
+        data = req.bounded_stream.read()
+        self.datagrams.faults = msgspec.json.decode(data, type=DatagramFaults)
+
+
+class _DatagramLinks(msgspec.Struct):
+    links: list[DatagramLink] = []
+
+
+def _open_datagrams(path: str | None) -> Datagrams:
+    data = Path(path).read_bytes() if path else b"{}"
+    datagrams = Datagrams(msgspec.json.decode(data, type=_DatagramLinks).links)
+    datagrams.open()
+    return datagrams
+
+
 def main() -> None:
     """Relay until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--address", required=True, help="where faults are switched")
     parser.add_argument("--links", required=True, help="file with the links")
+    parser.add_argument("--datagrams", help="file with how datagrams go")
     arguments = parser.parse_args()
     named = json.loads(Path(arguments.links).read_text("utf-8"))
     links = {name: Link(listen, target) for name, (listen, target) in named.items()}
@@ -198,6 +227,7 @@
     app.add_route("/links", _Links(links))
     app.add_route("/links/{name}", _OneLink(links))
     app.add_route("/links/{name}/silence", _OneLink(links), suffix="silence")
+    app.add_route("/datagrams", _Datagrams(_open_datagrams(arguments.datagrams)))
     server = http_server(arguments.address, app, "relay")
     server.start()
     print(f"listening {server.server_host}:{server.server_port}", flush=True)
--- a/src/azurefold_standins/scenario/parser.py
+++ b/src/azurefold_standins/scenario/parser.py
@@ -197,6 +197,15 @@
     def silence_between(self, parts):
         return steps.SilenceBetween(*parts)
 
+    def lose_datagrams(self, parts):
+        return steps.DatagramsFail(lose_percent=parts[0])
+
+    def double_datagrams(self, parts):
+        return steps.DatagramsFail(double_percent=parts[0])
+
+    def late_datagrams(self, parts):
+        return steps.DatagramsFail(late_ms=parts[0])
+
     def delay(self, parts):
         return steps.Delay(*parts)
 
--- a/src/azurefold_standins/scenario/runner.py
+++ b/src/azurefold_standins/scenario/runner.py
@@ -91,6 +91,8 @@
             case steps.Silence(link=link):
                 for each in world.links_to(link):
                     world.silence(each)
+            case steps.DatagramsFail():
+                world.datagrams_fail(step)
             case steps.SilenceBetween(data_centre=data_centre, other=other):
                 for each in world.links_between(data_centre, other):
                     world.silence(each)
--- a/src/azurefold_standins/scenario/steps.py
+++ b/src/azurefold_standins/scenario/steps.py
@@ -9,6 +9,7 @@
     "CopyStore",
     "Cut",
     "CutLink",
+    "DatagramsFail",
     "Delay",
     "Drafts",
     "Drain",
@@ -222,6 +223,15 @@
     other: str
 
 
+@dataclass(frozen=True, slots=True)
+class DatagramsFail:
+    """Lose, double or hold up datagrams, besides what is wrong already."""
+
+    lose_percent: int = 0
+    double_percent: int = 0
+    late_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Delay:
     """Hold up what goes over a link."""
--- a/src/azurefold_standins/scenario/world.py
+++ b/src/azurefold_standins/scenario/world.py
@@ -12,6 +12,7 @@
 from azurefold_standins.operator import fetch, status
 from azurefold_standins.processes import wait_until
 from azurefold_standins.relay import LinkFaults
+from azurefold_standins.relay_datagrams import DatagramFaults
 from azurefold_standins.scenario import steps
 from azurefold_standins.site import Site, new_site
 
@@ -20,6 +21,7 @@
 MODEL_SERVICE = "recall-drafts"
 _TIMEOUT_MS = 15_000
 _NO_FAULTS = LinkFaults()
+_HUNDRED = 100
 
 
 @dataclass(slots=True)
@@ -38,6 +40,9 @@
     site: Site
     revision: int = 0
     runs: int = 0
+    datagram_faults: DatagramFaults = field(
+        default_factory=lambda: DatagramFaults(cut=[])
+    )
     _faulty: set[str] = field(default_factory=set)
 
     @property
@@ -76,6 +81,8 @@
 
     def cut(self, data_centre: str, other: str) -> None:
         """Refuse and silence all links from a data centre to another."""
+        self.datagram_faults.cut.append((data_centre, other))
+        self._put_datagram_faults()
         for name in self.links_between(data_centre, other):
             self.set_faults(name, LinkFaults(cut=True))
 
@@ -103,6 +110,14 @@
         self._faulty.add(link)
         self._relay("PUT", link, "", msgspec.json.encode(faults))
 
+    def datagrams_fail(self, step: steps.DatagramsFail) -> None:
+        """Add what is wrong with datagrams."""
+        faults = self.datagram_faults
+        faults.lose = max(faults.lose, step.lose_percent / _HUNDRED)
+        faults.double = max(faults.double, step.double_percent / _HUNDRED)
+        faults.late_ms = max(faults.late_ms, step.late_ms)
+        self._put_datagram_faults()
+
     def silence(self, link: str) -> None:
         """Let the open connections of a link go silent for good."""
         self._relay("POST", link, "/silence", b"")
@@ -112,6 +127,8 @@
         for link in sorted(self._faulty):
             self.set_faults(link, _NO_FAULTS)
         self._faulty.clear()
+        self.datagram_faults = DatagramFaults(cut=[])
+        self._put_datagram_faults()
 
     def send_signal(self, kind: steps.SignalKind, name: str) -> None:
         """Kill, pause, resume, start or stop a process."""
@@ -142,7 +159,9 @@
             if not process.running:
                 process.start()
         for endpoint in self.site.layout.endpoints:
-            self._bring_back(f"agent-{endpoint.name}")
+            self._replace_if_leaving(f"agent-{endpoint.name}")
+        for entry in self.site.entries:
+            self._replace_if_ejecting(entry)
         self.wait_in_force()
         self.wait_entries()
 
@@ -180,11 +199,19 @@
                 return f"group-{endpoint.group}"
         return name
 
-    def _bring_back(self, agent: str) -> None:
-        shown = status(self.site, agent)
-        if shown.get("leaving"):
-            self.site.processes[agent].kill()
-            self.site.processes[agent].start()
+    def _replace_if_leaving(self, agent: str) -> None:
+        if status(self.site, agent).get("leaving"):
+            self._replace(agent)
+
+    def _replace_if_ejecting(self, entry: str) -> None:
+        # It would send nothing to the endpoint that the next scenario is about.
+        services = status(self.site, entry).get("services", {}).values()
+        if any(service["ejected"] for service in services):
+            self._replace(entry)
+
+    def _replace(self, name: str) -> None:
+        self.site.processes[name].kill()
+        self.site.processes[name].start()
 
     def _is_ready(self, entry: str) -> bool:
         shown = status(self.site, entry).get("services", {})
@@ -195,6 +222,13 @@
             if e.data_centre == near and self.is_running(f"agent-{e.name}")
         )
 
+    def _put_datagram_faults(self) -> None:
+        address = self.site.address("relay", "http")
+        body = msgspec.json.encode(self.datagram_faults)
+        page = fetch(address, "/datagrams", "PUT", body)
+        if page.status != 200:
+            raise RuntimeError(f"the relay refused: {page.status} {page.body}")
+
     def _relay(self, method: str, link: str, path: str, body: bytes) -> None:
         address = self.site.address("relay", "http")
         page = fetch(address, f"/links/{quote(link)}{path}", method, body)
--- a/src/azurefold_standins/site.py
+++ b/src/azurefold_standins/site.py
@@ -32,6 +32,7 @@
     processes: Processes
     addresses: dict[str, dict[str, str]] = field(default_factory=dict)
     links: dict[str, tuple[str, str]] = field(default_factory=dict)
+    datagram_links: list[dict[str, str]] = field(default_factory=list)
     _ips: Iterator[str] = field(default_factory=lambda: _fresh_ips())
 
     @property
@@ -71,6 +72,17 @@
             self.links[link] = (f"{ip}:{_free_port(ip)}", target)
         return self.links[link][0]
 
+    def udp_bind(self, name: str, data_centre: str) -> dict[str, str]:
+        """Return the settings by which datagrams reach a process."""
+        known = self.address(name, "udp")
+        if not self.layout.relayed:
+            return {"udp": known}
+        ip = known.rpartition(":")[0]
+        own = f"{ip}:{_free_port(ip)}"
+        link = {"known": known, "own": own, "data_centre": data_centre}
+        self.datagram_links.append(link)
+        return {"udp": known, "udp_bind": own}
+
     def write(self, name: str, content: dict) -> str:
         """Write a settings file and return its path."""
         path = self.folder / f"{name}.jsonc"
@@ -134,7 +146,8 @@
     site.place("relay", "http")
     links = site.write("relay-links", site.links)
     address = site.address("relay", "http")
-    arguments = ("--address", address, "--links", links)
+    datagrams = site.write("relay-datagrams", {"links": site.datagram_links})
+    arguments = ("--address", address, "--links", links, "--datagrams", datagrams)
     site.add("relay", "azurefold_standins.relay", *arguments)
 
 
@@ -194,7 +207,7 @@
         "name": name,
         "data_centre": data_centre,
         "grpc": own["grpc"],
-        "udp": own["udp"],
+        **site.udp_bind(name, data_centre),
         "metrics": own["metrics"],
         "platform": [_platform_of(site, data_centre)],
         "peers": peers,
@@ -228,7 +241,7 @@
         "service": endpoint.service,
         "http": site.via(name, own["http"]),
         "grpc": own["grpc"],
-        "udp": own["udp"],
+        **site.udp_bind(name, endpoint.data_centre),
         "metrics": own["metrics"],
         "engine": site.via(engine, site.address(engine, "http")),
         "engine_honours_fence": site.layout.honours_fence,
