--- a/tests/entry/test_watching_the_control.py
+++ b/tests/entry/test_watching_the_control.py
@@ -185,3 +185,21 @@
     held.take(SnapshotUpdate(2, "e2", sections=second))
     held.check()
     assert held.organisations != {"b"}
+
+
+@pytest.mark.parametrize(("held", "told"), [(1, None), (0, [])])
+def test_a_control_that_has_just_started_takes_no_endpoint_from_an_entry(
+    watch, follower, held, told
+):
+    """A control process is replaced beside an entry that serves.
+
+    Symptom: the entry refuses everything until endpoints have reported to the
+    new control process. Sequence: that one starts with an empty directory and
+    sends it. Cause: knowing nothing yet is taken for knowing that none is there.
+    """
+    accept(follower, text([("o", 1)]), "e1")
+    accept(follower, text([("o", 2)]), "e2")
+    watch.is_informed = lambda: False
+    update = next(watch.handle(WatchRequest(held, "e1" if held else ""), None))
+    assert update.revision == 2
+    assert update.endpoints == told
