--- a/src/azurefold/agent/runner.py
+++ b/src/azurefold/agent/runner.py
@@ -1,11 +1,13 @@
 """Runs attempts at the endpoint and keeps their answers."""
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
 
 import gevent
 
 from azurefold.agent.buffer import AnswerBuffer
+from azurefold.agent.channels import Channels
 from azurefold.agent.endpoint import (
     EndpointCall,
     EndpointEnd,
@@ -24,12 +26,15 @@
 from azurefold.core.clock import Clock, Millis
 from azurefold.internal.logs import log_event
 
-__all__ = ["Attached", "NotStarted", "Runner", "new_runner"]
+__all__ = ["Attached", "NotStarted", "Runner", "Seen", "new_runner"]
 
 _log = logging.getLogger("azurefold.agent")
 
 _RESUMES = 3
 _RESUME_PAUSE_MS: Millis = 100
+# A caller that lost its connection comes back within seconds, or not at all.
+_UNREAD_MS: Millis = 30_000
+_CANCELLED = "cancelled"
 _SECOND_MS = 1_000
 
 
@@ -48,6 +53,26 @@
     reason: str
 
 
+@dataclass(slots=True)
+class Seen:
+    """What has happened at one agent, for its metrics.
+
+    Parameters
+    ----------
+    attempts : Counter of str
+        Dispatches by what became of them.
+    ended : Counter of str
+        Attempts by the phase they ended in.
+    resumes, cancelled : int
+        Streams taken up again at the engine, and streams stopped.
+    """
+
+    attempts: Counter[str] = field(default_factory=Counter)
+    ended: Counter[str] = field(default_factory=Counter)
+    resumes: int = 0
+    cancelled: int = 0
+
+
 @dataclass(slots=True)
 class Runner:
     """Attempts of one agent, from dispatch to the end of their answers."""
@@ -55,12 +80,17 @@
     ledger: Ledger
     target: ModelEngine | PlainService
     clock: Clock
+    channels: Channels = field(default_factory=Channels)
+    seen: Seen = field(default_factory=Seen)
     _buffers: dict[str, AnswerBuffer] = field(default_factory=dict)
+    _unread_since: dict[str, Millis] = field(default_factory=dict)
+    _cancelled: set[str] = field(default_factory=set)
 
     @property
     def readers(self) -> int:
         """Entries that are reading an answer just now."""
-        return sum(buffer.readers for buffer in self._buffers.values())
+        readers = sum(buffer.readers for buffer in self._buffers.values())
+        return readers + self.channels.pending
 
     def dispatch(
         self,
@@ -77,15 +107,18 @@
         match decision:
             case Refused(reason=reason):
                 log_event(_log, "attempt_refused", attempt=attempt_id, reason=reason)
+                self.seen.attempts[str(reason)] += 1
                 return NotStarted(str(reason))
             case Known():
                 buffer = self._buffers.get(attempt_id) or _freed(attempt_id)
+                self.seen.attempts["attached"] += 1
                 return Attached(buffer, new=False)
             case Accepted():
                 buffer = AnswerBuffer(attempt_id)
                 self._buffers[attempt_id] = buffer
                 gevent.spawn(self._run, call, buffer)
                 log_event(_log, "attempt_started", attempt=attempt_id)
+                self.seen.attempts["started"] += 1
                 return Attached(buffer, new=True)
 
     def find(self, attempt_id: str, organisation: str) -> AnswerBuffer | None:
@@ -100,6 +133,22 @@
             return None
         return self._adopt(self.target, attempt_id, organisation)
 
+    def unfollow(self, attempt_id: str, channel_id: str) -> None:
+        """Send an attempt's answer no more on a channel."""
+        buffer = self._buffers.get(attempt_id)
+        channel = self.channels.find(channel_id)
+        if buffer is not None and channel is not None:
+            buffer.leave(channel)
+
+    def tick(self) -> None:
+        """Look after answers and those who read them; call it each second."""
+        self.channels.keep_alive()
+        for attempt_id, buffer in list(self._buffers.items()):
+            if not buffer.ended:
+                buffer.keep_alive()
+                self._cancel_if_unread(attempt_id, buffer)
+        self.forget_old()
+
     def forget_old(self) -> None:
         """Free answers that nobody may ask for any more."""
         now = self.clock.now()
@@ -110,11 +159,25 @@
     def cancel(self, attempt_id: str) -> None:
         """Stop a running attempt whose answer nobody wants any more."""
         buffer = self._buffers.get(attempt_id)
-        if buffer is None or buffer.ended:
+        if buffer is None or buffer.ended or attempt_id in self._cancelled:
             return
+        # A plain service's call may have taken effect, and its answer is the
+        # only word of it; a key that comes again still has to find it.
         if isinstance(self.target, ModelEngine):
+            self._cancelled.add(attempt_id)
+            self.seen.cancelled += 1
+            log_event(_log, "attempt_cancelled", attempt=attempt_id)
             gevent.spawn(cancel_stream, self.target, attempt_id)
 
+    def _cancel_if_unread(self, attempt_id: str, buffer: AnswerBuffer) -> None:
+        if buffer.readers:
+            self._unread_since.pop(attempt_id, None)
+            return
+        now = self.clock.now()
+        since = self._unread_since.setdefault(attempt_id, now)
+        if now - since >= _UNREAD_MS:
+            self.cancel(attempt_id)
+
     def _adopt(
         self, engine: ModelEngine, attempt_id: str, organisation: str
     ) -> AnswerBuffer | None:
@@ -166,6 +229,7 @@
     ) -> None:
         for _ in range(_RESUMES):
             gevent.sleep(_RESUME_PAUSE_MS / _SECOND_MS)
+            self.seen.resumes += 1
             try:
                 self._copy(resume_stream(engine, attempt_id, buffer.total), buffer)
             except StreamBrokeError:
@@ -196,6 +260,13 @@
                     return
 
     def _ended(self, buffer: AnswerBuffer, phase: Phase) -> None:
+        # An engine ends a cancelled stream like a whole one. Passed on as
+        # such, somebody who resumes it would take a part for the whole.
+        if buffer.attempt_id in self._cancelled:
+            self._fail(buffer, _CANCELLED)
+            return
+        self._unread_since.pop(buffer.attempt_id, None)
+        self.seen.ended[str(phase)] += 1
         self.ledger.ended(buffer.attempt_id, phase, self.clock.now())
         buffer.finish()
         log_event(
@@ -203,6 +274,9 @@
         )
 
     def _fail(self, buffer: AnswerBuffer, reason: str) -> None:
+        self._unread_since.pop(buffer.attempt_id, None)
+        self._cancelled.discard(buffer.attempt_id)
+        self.seen.ended[str(Phase.FAILED)] += 1
         self.ledger.ended(buffer.attempt_id, Phase.FAILED, self.clock.now())
         buffer.spoil(reason)
         log_event(_log, "attempt_failed", attempt=buffer.attempt_id, ran=reason)
