Count whole configurations for processes that start, and groups' leases

Failures and replacements start VMs, each of which gets the whole configuration once; groups' coordinators take CPU of controls. Both now stand among what control spends, worked out from lines that were measured. Ruled out: a line of its own for starts, as the whole text's length is measured already.

--- a/bench/slopes_target.py
+++ b/bench/slopes_target.py
@@ -62,6 +62,11 @@
         """Groups of ranks, if all workers are ranks."""
         return self.workers / self.ranks
 
+    @property
+    def starts_per_s(self) -> float:
+        """VMs that start anew a second, after failures and replacements."""
+        return (self.failures_a_day + self.replacements_a_day) / _SECONDS_A_DAY
+
     @property
     def changes_per_s(self) -> float:
         """Accepted changes a second."""
--- a/bench/slopes_worked_out.py
+++ b/bench/slopes_worked_out.py
@@ -86,7 +86,9 @@
         + far_share("resident_mb")
         + lines[change + "control_resident_mb"].slope * t.organisations
     )
+    groups_cpu = lines["groups.at_rest.control_core_share"].slope * t.groups / t.nodes
     names = {
+        "groups cpu": ("groups.at_rest.control_core_share",),
         "cpu": (near + "core_share",),
         "asking cpu": (others + "core_share",),
         "change cpu": (change + "control_cpu_ms",),
@@ -107,8 +109,10 @@
             asking_cpu, CPU_SHARE, names["asking cpu"]),
         Row(control, "following the configuration", "of a core", change_cpu,
             CPU_SHARE, names["change cpu"]),
-        Row(control, "all of these", "of a core", rest_cpu + asking_cpu + change_cpu,
-            CPU_SHARE, all_cpu),
+        Row(control, "leases and coordinators of groups", "of a core", groups_cpu,
+            CPU_SHARE, names["groups cpu"]),
+        Row(control, "all of these", "of a core",
+            rest_cpu + asking_cpu + change_cpu + groups_cpu, CPU_SHARE, all_cpu),
         Row(control, "all", "MB", memory, MEMORY_MB, (near + "resident_mb",
             far + "resident_mb", change + "control_resident_mb")),
         Row(control, "membership datagrams at rest", "B/s", membership, BYTES_PER_S,
@@ -121,6 +125,10 @@
             BYTES_PER_S, (others + "bytes_per_s",)),
         Row(control, "heads and sections between controls", "B/s", change_bytes,
             BYTES_PER_S, (change + "peer_bytes",)),
+        Row(control, "whole configurations for processes that start", "B/s",
+            lines["core.configuration.whole_bytes"].at(t.organisations)
+            * t.starts_per_s / t.nodes, BYTES_PER_S,
+            ("core.configuration.whole_bytes",)),
         Row(control, "all of these but the minute after a start", "B/s",
             membership + announce + asking_bytes + change_bytes, BYTES_PER_S,
             all_bytes),
