--- a/src/azurefold/entry/watcher.py
+++ b/src/azurefold/entry/watcher.py
@@ -8,9 +8,15 @@
 from azurefold.border.configuration import configuration_from_raw
 from azurefold.core.admission.messages import Priority
 from azurefold.core.clock import Millis
-from azurefold.core.configuration.model import Configuration, Kind, Service
+from azurefold.core.configuration.model import (
+    Configuration,
+    Kind,
+    Organisation,
+    Service,
+)
 from azurefold.core.configuration.model import Priority as ServicePriority
 from azurefold.core.configuration.sections import assemble
+from azurefold.entry.organisations import Organisations
 from azurefold.entry.services import EndpointView, Services, ServiceView
 from azurefold.internal.logs import log_event
 from azurefold.wire.grpc_caller import Caller, CallError
@@ -39,21 +45,25 @@
 class HeldSections:
     """The sections that an entry has been sent.
 
-    Of organisations only the names are kept once they have been checked: a
-    change sends one section of 300, and to check all 8,200 organisations again
-    at each change took most of the entry's own work.
+    Organisations are kept as they were checked: a change sends one section of
+    300, and to check all 8,200 organisations again at each change took most of
+    the entry's own work.
     """
 
     revision: int = 0
     edit_id: str = ""
     _services: dict[str, bytes] = field(default_factory=dict)
     _unchecked: dict[str, bytes] = field(default_factory=dict)
-    _organisations: dict[str, frozenset[str]] = field(default_factory=dict)
+    _organisations: dict[str, dict[str, Organisation]] = field(default_factory=dict)
 
     @property
-    def organisations(self) -> frozenset[str]:
-        """Names of all organisations that have been checked."""
-        return frozenset().union(*self._organisations.values())
+    def organisations(self) -> dict[str, Organisation]:
+        """All organisations that have been checked, by name."""
+        return {
+            name: organisation
+            for section in self._organisations.values()
+            for name, organisation in section.items()
+        }
 
     def take(self, update: SnapshotUpdate) -> None:
         """Take in sections, also of a revision that will not pass the check.
@@ -85,7 +95,8 @@
         checked = configuration_from_raw(raw)
         for name, data in self._unchecked.items():
             chunk = assemble({name: data})["organisations"]
-            self._organisations[name] = frozenset(chunk)
+            found = {each: checked.organisations[each] for each in chunk}
+            self._organisations[name] = found
         self._unchecked.clear()
         return checked
 
@@ -96,6 +107,7 @@
 
     control: Caller
     services: Services
+    organisations: Organisations
     _held: HeldSections = field(default_factory=HeldSections)
 
     def run(self) -> None:
@@ -132,10 +144,14 @@
             )
             return
         views = [_view(service) for service in checked.services.values()]
-        self.services.apply_services(revision, views, self._held.organisations)
+        organisations = self._held.organisations
+        self.services.apply_services(revision, views, frozenset(organisations))
+        self.organisations.apply(organisations)
+        shares = {one.name: one.share for one in organisations.values()}
         for service in checked.services.values():
-            pool = self.services.find(service.name).admission.pool
-            pool.set_slots(service.limits.concurrency)
+            admission = self.services.find(service.name).admission
+            admission.pool.set_slots(service.limits.concurrency)
+            admission.queue.set_shares(shares)
         log_event(_log, "revision_applied", revision=revision)
 
 
--- a/src/azurefold_standins/scenario/expectations.py
+++ b/src/azurefold_standins/scenario/expectations.py
@@ -16,6 +16,7 @@
     "OperatorsToldTruth",
     "Outcome",
     "Refused",
+    "SomeError",
     "SomeOutcome",
     "SomeResumed",
     "Whole",
@@ -61,6 +62,11 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class SomeError:
+    """At least one draft ended in an explicit error."""
+
+
 @dataclass(frozen=True, slots=True)
 class SomeResumed:
     """At least one draft was taken up again by its caller."""
@@ -97,7 +103,9 @@
 
 @dataclass(frozen=True, slots=True)
 class OperatorsToldTruth:
-    """One edit is in force; who says otherwise did not say the truth."""
+    """What operators were told is so; None: one of them won, or nobody."""
+
+    winners: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold_standins/scenario/runner.py
+++ b/src/azurefold_standins/scenario/runner.py
@@ -3,10 +3,7 @@
 import time
 from dataclasses import dataclass, field
 
-from azurefold.core.configuration.head import NO_HEAD
-from azurefold.platform.client import platform_client
-from azurefold.platform.configuration_store import Base, configuration_store
-from azurefold_standins.operator import accept
+from azurefold_standins.operator import accept, accepted_head
 from azurefold_standins.processes import Process, wait_until
 from azurefold_standins.relay import LinkFaults
 from azurefold_standins.scenario import checks, expectations, operators, steps
@@ -16,8 +13,6 @@
 
 __all__ = ["StepFailedError", "run_scenario"]
 
-_PLATFORM_TIMEOUT_MS = 5_000
-
 
 class StepFailedError(AssertionError):
     """A step of a scenario did not hold; the message names its line."""
@@ -117,6 +112,8 @@
                 checks.check_some_outcome(callers, outcome)
             case expectations.SomeResumed():
                 checks.check_some_resumed(callers)
+            case expectations.SomeError():
+                checks.check_some_error(callers)
             case expectations.NoneResumed():
                 checks.check_none_resumed(callers)
             case expectations.InForce(data_centre=data_centre):
@@ -128,8 +125,9 @@
                 self.watch.check()
             case expectations.WrittenBack():
                 wait_until(self._is_written_back, "the platform shows the revision")
-            case expectations.OperatorsToldTruth():
-                operators.check_truth(world, self.raced, self.base)
+            case expectations.OperatorsToldTruth(winners=winners):
+                won = operators.check_truth(world, self.raced, self.base)
+                assert winners in (None, won), f"{won} won: {self.raced}"
             case expectations.NoNewWork(endpoint=endpoint):
                 before, now = self.remembered[endpoint], len(world.journal(endpoint))
                 assert now == before, f"{endpoint} ran {now - before} more"
@@ -146,8 +144,8 @@
             case steps.Bookings(count=count, with_keys=with_keys, entries=entries):
                 service = self.world.plain_services[0]
                 self.callers.book(service, count, with_keys, entries)
-            case steps.Drafts(count=count, tokens=tokens, entries=entries):
-                self.callers.draft(count, tokens, entries)
+            case steps.Drafts():
+                self.callers.draft(step)
             case steps.RepeatKeys(entries=entries):
                 self.callers.repeat(entries)
         if not step.background:
@@ -164,11 +162,8 @@
             self.world.set_faults(link, faults)
 
     def _is_written_back(self) -> bool:
-        address = self.world.site.address("platform", "http")
-        store = configuration_store(platform_client([address], _PLATFORM_TIMEOUT_MS))
-        base = store.read_base()
-        head = base.head if isinstance(base, Base) else NO_HEAD
-        return head.revision >= self.world.revision
+        head = accepted_head(self.world.site)
+        return head is not None and head.revision >= self.world.revision
 
     def _check_ended(self, name: str) -> None:
         process = self.world.site.processes[name]
