--- a/src/azurefold/entry/organisations.py
+++ b/src/azurefold/entry/organisations.py
@@ -4,6 +4,7 @@
 import hmac
 import random
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from azurefold.core.admission.limits import Limited, OrganisationLimits
@@ -40,11 +41,27 @@
     limited: Counter[str] = field(default_factory=Counter)
     _by_name: dict[str, Organisation] = field(default_factory=dict)
 
-    def apply(self, organisations: dict[str, Organisation]) -> None:
-        """Take in the organisations of a new configuration."""
-        self._by_name = dict(organisations)
-        self.requests.set_limits(_rates(organisations, "requests_per_second"))
-        self.tokens.set_limits(_rates(organisations, "tokens_per_second"))
+    @property
+    def shares(self) -> dict[str, float]:
+        """Weights in the queue of the organisations that have one of their own."""
+        return {
+            name: one.share for name, one in self._by_name.items() if one.share != 1.0
+        }
+
+    def apply(self, changed: dict[str, Organisation], names: Collection[str]) -> None:
+        """Take in a new configuration.
+
+        Parameters
+        ----------
+        changed : dict of str to Organisation
+            Those that are new or may differ from before.
+        names : collection of str
+            All there are now.
+        """
+        known = self._by_name | changed
+        self._by_name = {name: one for name, one in known.items() if name in names}
+        self.requests.set_limits(_rates(self._by_name, "requests_per_second"))
+        self.tokens.set_limits(_rates(self._by_name, "tokens_per_second"))
 
     def check_key(self, organisation: str, authorization: str | None) -> None:
         """Check the key of a caller that says it is of an organisation.
