--- a/src/azurefold/entry/agents.py
+++ b/src/azurefold/entry/agents.py
@@ -153,29 +153,7 @@
             connections.return_socket(connections.get_socket())
         except CONNECTION_ERRORS:
             return NotTaken("agent_unreachable")
-        channel = self._channel(agent)
-        followed = channel.follow(call.attempt_id) if channel else None
-        if followed is not None:
-            headers[HEADER_CHANNEL] = f"{channel.id}/{followed.number}"
-        try:
-            response = self._ask(client, "POST", path, headers, call.body)
-            if response.status_code == _ACCEPTED:
-                response.read()
-                return self._opened_on_channel(agent, channel, followed, response)
-            if followed is not None:
-                channel.leave(followed)
-            return _opened(response, call.attempt_id)
-        except CONNECTION_ERRORS as error:
-            if followed is not None:
-                channel.leave(followed)
-            self._condemn(agent.address, client)
-            raise LostError(str(error)) from error
-        except RuntimeError:
-            # The pool was condemned between connecting and sending, for
-            # another request; the library says so before it sends anything.
-            if followed is not None:
-                channel.leave(followed)
-            return NotTaken("agent_unreachable")
+        return self._send(agent, call, client, path, headers)
 
     def resume(
         self, agent: AgentAddress, attempt_id: str, organisation: str, offset: int
@@ -250,6 +228,38 @@
             self._clients[address] = client
         return client
 
+    def _send(
+        self,
+        agent: AgentAddress,
+        call: AttemptCall,
+        client: HTTPClient,
+        path: str,
+        headers: dict[str, str],
+    ) -> Opened | NotTaken:
+        channel = self._channel(agent)
+        followed = channel.follow(call.attempt_id) if channel else None
+        if followed is not None:
+            headers[HEADER_CHANNEL] = f"{channel.id}/{followed.number}"
+        on_channel = False
+        try:
+            response = self._ask(client, "POST", path, headers, call.body)
+            on_channel = response.status_code == _ACCEPTED
+            if on_channel:
+                response.read()
+                return self._opened_on_channel(agent, channel, followed, response)
+            return _opened(response, call.attempt_id)
+        except CONNECTION_ERRORS as error:
+            on_channel = False
+            self._condemn(agent.address, client)
+            raise LostError(str(error)) from error
+        except RuntimeError:
+            # The pool was condemned between connecting and sending, for
+            # another request; the library says so before it sends anything.
+            return NotTaken("agent_unreachable")
+        finally:
+            if followed is not None and not on_channel:
+                channel.leave(followed)
+
     def _condemn(self, address: str, client: HTTPClient) -> None:
         # What lost track of one kept-alive connection has probably lost the
         # others of the same time. Left in the pool, each would cost one more
--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -187,8 +187,9 @@
     _assembler: Assembler | None = None
     _tried: set[str] = field(default_factory=set)
     _attempts: int = 0
-    _sent: bool = False
     _resumed_at: int = -1
+    _sent: bool = False
+    _admitted: bool = False
     _open: bool = False
     _first_text: bool = False
 
@@ -271,9 +272,11 @@
     def _acquire(self, ticket: Ticket) -> Chosen | Failure:
         if self._sent:
             return self.admission.retry(ticket)
-        if self._attempts > 0:
-            return self.admission.acquire(ticket)
-        return self.admit() or self.admission.acquire(ticket)
+        refused = None if self._admitted else self.admit()
+        if refused is not None:
+            return refused
+        self._admitted = True
+        return self.admission.acquire(ticket)
 
     def _take_claim(
         self, agent: AgentAddress, attempt_id: str
@@ -432,6 +435,10 @@
                 self._agent.endpoint, assembler.attempt_id, self.clock.now()
             )
 
+    def _note_loss(self, attempt_id: str, error: Exception) -> None:
+        self.observer.lost(self.request.service)
+        log_event(_log, "connection_lost", attempt=attempt_id, why=error)
+
     def _learn_from(self, reason: str) -> None:
         # The agent knows first that its endpoint leaves. An entry that no
         # control process tells would else send it every other request and
@@ -440,10 +447,6 @@
             now = self.clock.now()
             self.admission.pool.mark_leaving(self._agent.endpoint, now)
 
-    def _note_loss(self, attempt_id: str, error: Exception) -> None:
-        self.observer.lost(self.request.service)
-        log_event(_log, "connection_lost", attempt=attempt_id, why=error)
-
     def _may_retry(self, event: Event) -> bool:
         if self._attempts >= _MAX_ATTEMPTS or self._course.passed > 0:
             return False
--- a/tests/entry/test_watching_the_control.py
+++ b/tests/entry/test_watching_the_control.py
@@ -75,9 +75,12 @@
 
 
 def new_watcher():
-    services = new_services(manual_clock(ManualTime(0)), seed=1)
-    organisations = new_organisations(services.clock, seed=1, node="entry-1")
-    return Watcher(control=None, services=services, organisations=organisations)
+    clock = manual_clock(ManualTime(0))
+    return Watcher(
+        control=None,
+        services=new_services(clock, seed=1),
+        organisations=new_organisations(clock, 1, "entry"),
+    )
 
 
 def first_update(watch, watcher):
@@ -216,7 +219,7 @@
             sent = follower.head
             services = held.check().services
             assert set(services) == set(raw["services"])
-            assert set(held.organisations) == set(raw["organisations"])
+            assert held.organisations == set(raw["organisations"])
 
 
 def test_removed_sections_must_be_dropped():
@@ -228,3 +231,21 @@
     held.take(SnapshotUpdate(2, "e2", sections=second))
     held.check()
     assert held.organisations != {"b"}
+
+
+@pytest.mark.parametrize(("held", "told"), [(1, None), (0, [])])
+def test_a_control_that_has_just_started_takes_no_endpoint_from_an_entry(
+    watch, follower, held, told
+):
+    """A control process is replaced beside an entry that serves.
+
+    Symptom: the entry refuses everything until endpoints have reported to the
+    new control process. Sequence: that one starts with an empty directory and
+    sends it. Cause: knowing nothing yet is taken for knowing that none is there.
+    """
+    accept(follower, text([("o", 1)]), "e1")
+    accept(follower, text([("o", 2)]), "e2")
+    watch.is_informed = lambda: False
+    update = next(watch.handle(WatchRequest(held, "e1" if held else ""), None))
+    assert update.revision == 2
+    assert update.endpoints == told
