Charge no retry budget for what never reached an endpoint

Causes: idle connections had gone silent together; each attempt was settled as not run and its retry charged to a budget that a third of them used up. And an endpoint that the list of VMs had once called leaving stayed so at the entry when the list took it back. Ruled out: keepalives on idle connections (an agent would answer 39 entries), and a larger budget, which protects endpoints from added load that these never were.

--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -455,9 +455,11 @@
         # Taking over a key whose claim was never dispatched is no retry: this
         # call has sent nothing yet. Charged to the budget, the repeats that
         # come after an outage would be refused although all is well again.
-        # A refusal for old news costs the endpoint next to nothing, and the
-        # news is learnt by it; there is nothing that a budget must protect.
-        if not self._sent or _was_old_news(event):
+        # A refusal for old news costs the endpoint next to nothing, and what
+        # never reached it nothing at all. The budget protects endpoints from
+        # added load; charged for these, it would refuse the requests that met
+        # connections gone silent, all at the same moment.
+        if not self._sent or _cost_nothing(event):
             return True
         return self.admission.try_retry()
 
@@ -487,8 +489,10 @@
         return AnswerId(agent.endpoint, agent.incarnation, self.attempt_id, offset)
 
 
-def _was_old_news(event: Event) -> bool:
+def _cost_nothing(event: Event) -> bool:
     match event:
+        case SettledAs(state=Settlement.NOT_RUN):
+            return True
         case NotDispatched(reason=reason):
             return reason in (Refusal.LEAVING, Refusal.WRONG_INCARNATION)
         case _:
--- a/src/azurefold/entry/services.py
+++ b/src/azurefold/entry/services.py
@@ -127,7 +127,7 @@
         self._set_members()
         for view in views:
             old = before.get(view.name)
-            if old is not None and old.incarnation != view.incarnation:
+            if old is not None and _came_back(old, view):
                 self._readmit(view)
 
     def tick(self) -> None:
@@ -171,6 +171,13 @@
                 service.admission.pool.readmit(view.name, self.clock.now())
 
 
+def _came_back(old: EndpointView, view: EndpointView) -> bool:
+    # Within one incarnation only the list of VMs takes back that an endpoint
+    # leaves; what the endpoint says of itself it cannot. Without this, one
+    # that the list had named by mistake would get no work until its restart.
+    return old.incarnation != view.incarnation or (old.leaving and not view.leaving)
+
+
 def new_services(clock: Clock, seed: int) -> Services:
     """Return the view of an entry that has heard nothing yet."""
     return Services(clock, seed)
