Start a loop again that failed, and answer what it had taken

Cause: a fault ends the loop's greenlet and nothing else. Ruled out: ending the process, which would cut off the streams of an entry for a fault in one datagram. Conclusion: all standing loops run under internal/loops.py, which logs the fault.

--- a/src/azurefold/agent/service.py
+++ b/src/azurefold/agent/service.py
@@ -24,6 +24,7 @@
 from azurefold.internal.http_server import http_server
 from azurefold.internal.identity import Identity, process_identity
 from azurefold.internal.logs import configure_logging, log_event
+from azurefold.internal.loops import spawn_loop
 from azurefold.internal.process import (
     load_or_exit,
     ring_from_settings,
@@ -68,10 +69,10 @@
     agent = _build(settings)
     agent.entries.start()
     agent.admin.start()
-    gevent.spawn(agent.heartbeats.run)
-    gevent.spawn(_tick_for_ever, agent.runner)
+    spawn_loop(agent.heartbeats.run)
+    spawn_loop(_tick_for_ever, agent.runner)
     if agent.maps is not None:
-        gevent.spawn(agent.maps.run)
+        spawn_loop(agent.maps.run)
     log_event(_log, "started", endpoint=settings.endpoint, http=settings.http)
     stop.wait()
     return _leave(agent)
--- a/src/azurefold/control/service.py
+++ b/src/azurefold/control/service.py
@@ -4,7 +4,6 @@
 import random
 from dataclasses import dataclass
 
-import gevent
 from gevent.pywsgi import WSGIServer
 
 from azurefold.border.settings import ControlSettings
@@ -27,6 +26,7 @@
 from azurefold.internal.http_server import split_address
 from azurefold.internal.identity import Identity, process_identity
 from azurefold.internal.logs import configure_logging, log_event
+from azurefold.internal.loops import spawn_loop
 from azurefold.internal.process import (
     load_or_exit,
     ring_from_settings,
@@ -113,11 +113,11 @@
     admin = _admin(control)
     control.port.start()
     admin.start()
-    gevent.spawn(control.membership.run)
-    gevent.spawn(control.membership.watch_vms, control.platform, _VM_LIST_MS)
-    gevent.spawn(control.configuration.run)
-    gevent.spawn(control.watch.far.run)
-    gevent.spawn(control.groups.run)
+    spawn_loop(control.membership.run)
+    spawn_loop(control.membership.watch_vms, control.platform, _VM_LIST_MS)
+    spawn_loop(control.configuration.run)
+    spawn_loop(control.watch.far.run)
+    spawn_loop(control.groups.run)
     log_event(_log, "started", name=settings.name, grpc=settings.grpc)
     stop.wait()
     return _stop(control, server, admin)
--- a/src/azurefold/entry/claims.py
+++ b/src/azurefold/entry/claims.py
@@ -18,6 +18,7 @@
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Millis
 from azurefold.internal.logs import log_event
+from azurefold.internal.loops import spawn_loop
 from azurefold.platform.client import PlatformClient
 from azurefold.platform.messages import (
     Condition,
@@ -72,7 +73,7 @@
     def start(self) -> None:
         """Start the greenlets that write."""
         for _ in range(_WRITERS):
-            gevent.spawn(self._write_for_ever)
+            spawn_loop(self._write_for_ever)
 
     def write(self, key: str, claim: Claim, version: int | None) -> Row | Unavailable:
         """Write a claim where the row has ``version`` (None: is absent).
@@ -91,9 +92,17 @@
         while True:
             self._some.wait()
             gevent.sleep(_GATHER_MS / _SECOND_MS)
-            batch = self._take_batch()
+            self._write_or_refuse(self._take_batch())
+
+    def _write_or_refuse(self, batch: list[_Wish]) -> None:
+        # A caller waits for each of these. One left without a result by a
+        # fault would wait for ever, and its place in the queue with it.
+        try:
             if batch:
                 self._write_batch(batch)
+        finally:
+            left = [wish for wish in batch if not wish.result.ready()]
+            _answer_all(left, Unavailable("the claim could not be written"))
 
     def _take_batch(self) -> list[_Wish]:
         """Take wishes for different keys; two for one key cannot go together."""
--- a/src/azurefold/entry/service.py
+++ b/src/azurefold/entry/service.py
@@ -22,6 +22,7 @@
 from azurefold.internal.http_server import http_server
 from azurefold.internal.identity import Identity, process_identity
 from azurefold.internal.logs import configure_logging, log_event
+from azurefold.internal.loops import spawn_loop
 from azurefold.internal.process import (
     load_or_exit,
     ring_from_settings,
@@ -65,7 +66,7 @@
     stop = stop_requested()
     entry.callers.start()
     entry.admin.start()
-    gevent.spawn(_tick_for_ever, entry.state)
+    spawn_loop(_tick_for_ever, entry.state)
     log_event(_log, "started", name=settings.name, listen=settings.listen)
     stop.wait()
     return _drain(entry)
@@ -95,7 +96,7 @@
         settings.control, ring, identity.sealer, recipient=settings.control_name
     )
     state.services.ask_far = new_far_lookup(control, clock)
-    gevent.spawn(Watcher(control, state.services, state.organisations).run)
+    spawn_loop(Watcher(control, state.services, state.organisations).run)
     views = AdminViews(
         registry=state.metrics.registry,
         is_ready=lambda: state.services.ready and not state.draining,
--- a/tests/entry/test_claims_are_written_in_batches.py
+++ b/tests/entry/test_claims_are_written_in_batches.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from azurefold.core.attempts.claims import Follow, Mine
+from azurefold.core.attempts.claims import Claim, Follow, Mine
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.entry.claims import ClaimTaker, new_claim_writer
 from azurefold.platform.messages import (
@@ -156,3 +156,19 @@
     table.reads_down = True
     again = ClaimTaker(writer, "k", "r").check_refusal(refusal)
     assert again.ran is Ran.UNKNOWN
+
+
+def test_a_fault_while_writing_leaves_no_caller_waiting():
+    # Symptom: a caller waits for ever and its place is never given back.
+    # Sequence: the platform answers something that nobody thought of, and the
+    # writer fails on it. Cause: the batch it had taken is in no list any more.
+    class Odd:
+        def write(self, transaction):
+            raise KeyError("versions")
+
+    writer = new_claim_writer(Odd())
+    writer.start()
+    claim = Claim("a", "e", "1", "r")
+    with gevent.Timeout(10):
+        answer = writer.write("claim/odd", claim, None)
+    assert isinstance(answer, Unavailable)
