Refuse headers that do not end, in the time that settings give

Symptom: a request whose headers never ended was answered as if they had, after a constant 10 s; the setting header_timeout_ms had no effect. Cause: what the handler returned on the time-out counts as success to the library. Ruled out: the library's own limits, which bound the size and not the time. Before: the new test gets 404 for half a request; after: 408 with a body that says not run; 91 tests of internal, entry and the path pass.

--- a/src/azurefold/entry/service.py
+++ b/src/azurefold/entry/service.py
@@ -107,7 +107,12 @@
         settings=settings,
         identity=identity,
         state=state,
-        callers=http_server(settings.listen, entry_app(state), "azurefold.entry"),
+        callers=http_server(
+            settings.listen,
+            entry_app(state),
+            "azurefold.entry",
+            limits.header_timeout_ms,
+        ),
         admin=admin_server(settings.metrics, views, "azurefold.entry"),
     )
 
--- a/src/azurefold/internal/http_server.py
+++ b/src/azurefold/internal/http_server.py
@@ -14,6 +14,17 @@
 _SECOND_MS = 1_000
 _HEADER_TIMEOUT_MS: Millis = 10_000
 _IDLE_TIMEOUT_MS: Millis = 75_000
+_TOO_LATE_BODY = (
+    b'{"error":{"ran":"not_run","reason":"slow_headers",'
+    b'"detail":"The headers did not come in time."}}'
+)
+_TOO_LATE = (
+    "408",
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"Connection: close\r\n"
+    b"Content-Type: application/json\r\n"
+    b"Content-Length: %d\r\n\r\n%b" % (len(_TOO_LATE_BODY), _TOO_LATE_BODY),
+)
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -36,7 +47,7 @@
     connections that grow while requests do not.
     """
 
-    header_timeout_ms: Millis = _HEADER_TIMEOUT_MS
+    _headers_late = False
 
     def handle(self) -> None:
         # pywsgi writes header and body apart. With Nagle's algorithm the body
@@ -47,10 +58,15 @@
         super().handle()
 
     def read_request(self, raw_requestline: str) -> object:
-        with gevent.Timeout(self.header_timeout_ms / _SECOND_MS, False):
+        timeout_ms = self.server.header_timeout_ms
+        with gevent.Timeout(timeout_ms / _SECOND_MS, False):
             return super().read_request(raw_requestline)
-        self.close_connection = True
-        return ("408 Request Timeout", "The headers did not come in time.\n")
+        self._headers_late = True
+        return False
+
+    def handle_one_request(self) -> object:
+        result = super().handle_one_request()
+        return _TOO_LATE if self._headers_late else result
 
     def _write(self, data: bytes) -> None:
         if data and self.response_use_chunked:
@@ -74,7 +90,16 @@
         """Write no access log; processes log their own events."""
 
 
-def http_server(address: str, application: Callable, name: str) -> WSGIServer:
+class _Server(WSGIServer):
+    header_timeout_ms: Millis = _HEADER_TIMEOUT_MS
+
+
+def http_server(
+    address: str,
+    application: Callable,
+    name: str,
+    header_timeout_ms: Millis = _HEADER_TIMEOUT_MS,
+) -> WSGIServer:
     """Return a server, not yet started, for a WSGI application.
 
     Parameters
@@ -85,9 +110,11 @@
         A WSGI application.
     name : str
         Shown in logs of errors.
+    header_timeout_ms : int, default=10000
+        For a sender to send all headers of a request.
     """
     logger = logging.getLogger(name)
-    return WSGIServer(
+    server = _Server(
         split_address(address),
         application,
         handler_class=_Handler,
@@ -95,3 +122,5 @@
         error_log=logger,
         backlog=1_024,
     )
+    server.header_timeout_ms = header_timeout_ms
+    return server
