Tell an entry when the list of endpoints may lack some

Symptom: a control process replaced while 30% of datagrams were lost and the platform was down made its entry refuse callers (no_endpoints, all_leaving) for some seconds; the scenario was flaky and listed as known to be red. Cause: after 4 s the new process called its list whole. At the target size it knows all endpoints after 28.8 s only. Ruled out: a longer silence towards the entry, which would keep news of new and leaving endpoints from it as well. Now the list is sent at once and called partial for 30 s; the entry adds it to what it knew.

--- a/src/azurefold/control/membership.py
+++ b/src/azurefold/control/membership.py
@@ -21,8 +21,9 @@
 
 _SECOND_MS = 1_000
 _TICK_MS: Millis = 250
-# Endpoints report each second, and some of these datagrams get lost.
-_LEARN_MS: Millis = 4_000
+# In the virtual network a control process that starts among 39 others and 390
+# endpoints knows all of them after 28.8 s; until then its list may lack some.
+_LEARN_MS: Millis = 30_000
 _DRAWS = 1 << 30
 
 
--- a/src/azurefold/control/watch.py
+++ b/src/azurefold/control/watch.py
@@ -22,6 +22,12 @@
 _LOOK_MS: Millis = 1_000
 
 
+@dataclass(frozen=True, slots=True)
+class _Told:
+    endpoints: list[EndpointInfo]
+    is_partial: bool
+
+
 @dataclass(slots=True)
 class EntryWatch:
     """Yields updates while the entry listens.
@@ -45,31 +51,38 @@
         """Yield what is new, now and later."""
         held = self.configuration.recent_head(request.revision, request.edit_id)
         revision = request.revision
-        endpoints: list[EndpointInfo] | None = None
+        told: _Told | None = None
         left = _STREAM_MS
         while left > 0 and not self._closed.is_set():
-            present = self._present(request)
+            present = self._present()
             head = self.configuration.follower.head
             if head.revision > revision:
-                yield self._news(held, head, present)
-                held, revision, endpoints = head, head.revision, present
-            elif present is not None and present != endpoints:
-                yield SnapshotUpdate(revision, endpoints=present)
-                endpoints = present
+                yield self._news(held, head, present.endpoints, present.is_partial)
+                held, revision, told = head, head.revision, present
+            elif present != told:
+                yield SnapshotUpdate(
+                    revision,
+                    endpoints=present.endpoints,
+                    is_partial=present.is_partial,
+                )
+                told = present
             left -= _LOOK_MS
             self._wait()
 
-    def _present(self, request: WatchRequest) -> list[EndpointInfo] | None:
-        # A control process that has just started knows no endpoint yet. Told
-        # so, an entry that serves well would refuse everything until they have
-        # reported here. One that has a revision has heard of them before, and
-        # keeps that for as long; a new one needs whatever there is.
-        if request.revision and not self.is_informed():
-            return None
-        return self.membership.endpoints() + self.far.endpoints
+    def _present(self) -> _Told:
+        # A control process that has just started knows few endpoints or none.
+        # Were its list taken for the whole, an entry that serves well would
+        # refuse everything until all endpoints have reported here. So it says
+        # that its list may lack some, and the entry keeps what it had besides.
+        endpoints = self.membership.endpoints() + self.far.endpoints
+        return _Told(endpoints, is_partial=not self.is_informed())
 
     def _news(
-        self, held: Head | None, head: Head, present: list[EndpointInfo] | None
+        self,
+        held: Head | None,
+        head: Head,
+        endpoints: list[EndpointInfo],
+        is_partial: bool = False,
     ) -> SnapshotUpdate:
         """Return what turns ``held`` into ``head``: all of it if that is unknown."""
         delta = delta_between(held or NO_HEAD, head)
@@ -80,7 +93,8 @@
             sections={name: contents[name] for name in delta.changed},
             removed=delta.removed,
             is_whole=held is None,
-            endpoints=present,
+            endpoints=endpoints,
+            is_partial=is_partial,
         )
 
     def _wait(self) -> None:
--- a/src/azurefold/entry/services.py
+++ b/src/azurefold/entry/services.py
@@ -120,10 +120,20 @@
         self._services = {view.name: self._updated(known, view) for view in views}
         self._set_members()
 
-    def apply_endpoints(self, views: list[EndpointView]) -> None:
-        """Take in the endpoints that are there now."""
+    def apply_endpoints(
+        self, views: list[EndpointView], is_partial: bool = False
+    ) -> None:
+        """Take in the endpoints that are there now.
+
+        Parameters
+        ----------
+        views : list of EndpointView
+        is_partial : bool, default=False
+            Whether ``views`` may lack some; those known before are kept.
+        """
         before = self._endpoints
-        self._endpoints = {view.name: view for view in views}
+        kept = before if is_partial else {}
+        self._endpoints = {**kept, **{view.name: view for view in views}}
         self._set_members()
         for view in views:
             old = before.get(view.name)
--- a/src/azurefold/entry/watcher.py
+++ b/src/azurefold/entry/watcher.py
@@ -119,7 +119,8 @@
         if update.sections is not None:
             self._apply_sections(update)
         if update.endpoints is not None:
-            self.services.apply_endpoints([endpoint_view(e) for e in update.endpoints])
+            views = [endpoint_view(e) for e in update.endpoints]
+            self.services.apply_endpoints(views, update.is_partial)
 
     def _apply_sections(self, update: SnapshotUpdate) -> None:
         revision = update.revision
--- a/src/azurefold/wire/snapshot.py
+++ b/src/azurefold/wire/snapshot.py
@@ -72,6 +72,9 @@
         Whether ``sections`` are all there are, and others have to be dropped.
     endpoints : list of EndpointInfo or None
         All endpoints that are there now.
+    is_partial : bool
+        Whether ``endpoints`` may lack some, since the control process has not
+        heard of all yet; the entry then keeps the others that it knows.
     """
 
     revision: int
@@ -80,6 +83,7 @@
     removed: tuple[str, ...] = ()
     is_whole: bool = False
     endpoints: list[EndpointInfo] | None = None
+    is_partial: bool = False
 
 
 class GetEndpoints(msgspec.Struct, frozen=True):
