Split the entry's three largest modules by job

Moved: an answer's parts to parts.py, Observer to observer.py; choice, claim, retry and release of an endpoint to placement.py; reading a stream to answer_reader.py; callers' headers and bodies to caller_headers.py and bodies.py; responses to responses.py, the count in flight to in_flight.py, the interface's state to state.py; agents' messages, kept-alive connections and channels to agent_messages.py, agent_connections.py and agent_channels.py. Ruled out: old names passed on from the old modules, which would leave two places to import each from; four test files changed in their import lines only. The Assembler is still made in relay.py, where a test puts a faulty one in its place.

--- a/src/azurefold/entry/answers.py
+++ b/src/azurefold/entry/answers.py
@@ -7,7 +7,7 @@
 
 from azurefold.core.attempts.ids import AnswerId
 from azurefold.core.attempts.outcome import Failure
-from azurefold.entry.relay import Announced, AnswerHead, GivenUp, Part, Text, Whole
+from azurefold.entry.parts import Announced, AnswerHead, GivenUp, Part, Text, Whole
 from azurefold.entry.requests import CallerRequest
 
 __all__ = [
--- a/src/azurefold/entry/decisions.py
+++ b/src/azurefold/entry/decisions.py
@@ -11,8 +11,8 @@
 from prometheus_client.registry import Collector
 
 from azurefold.entry.histogram import add_counts
-from azurefold.entry.http_api import EntryState
 from azurefold.entry.services import Service
+from azurefold.entry.state import EntryState
 from azurefold.internal.families import counter_family
 
 __all__ = ["DecisionsCollector"]
--- a/src/azurefold/entry/metrics.py
+++ b/src/azurefold/entry/metrics.py
@@ -7,7 +7,7 @@
 
 from azurefold.core.clock import Clock
 from azurefold.entry.histogram import ServiceHistogram
-from azurefold.entry.relay import GivenUp, Part, Text, Whole
+from azurefold.entry.parts import GivenUp, Part, Text, Whole
 from azurefold.entry.requests import CallerRequest
 
 __all__ = ["EntryMetrics", "new_entry_metrics"]
--- a/src/azurefold/entry/service.py
+++ b/src/azurefold/entry/service.py
@@ -12,10 +12,11 @@
 from azurefold.entry.claims import new_claim_writer
 from azurefold.entry.decisions import DecisionsCollector
 from azurefold.entry.far import new_far_lookup
-from azurefold.entry.http_api import EntryLimits, EntryState, entry_app
+from azurefold.entry.http_api import entry_app
 from azurefold.entry.metrics import new_entry_metrics
 from azurefold.entry.organisations import new_organisations
 from azurefold.entry.services import new_services
+from azurefold.entry.state import EntryLimits, EntryState
 from azurefold.entry.watcher import Watcher
 from azurefold.internal.admin_http import AdminViews, admin_server
 from azurefold.internal.clock import monotonic_clock, wall_clock
--- a/src/azurefold/entry/services.py
+++ b/src/azurefold/entry/services.py
@@ -6,7 +6,7 @@
 from azurefold.core.admission.messages import Priority
 from azurefold.core.clock import Clock, Millis
 from azurefold.entry.admission import Admission, new_admission
-from azurefold.entry.agents import AgentAddress
+from azurefold.entry.agent_messages import AgentAddress
 
 __all__ = ["EndpointView", "Service", "ServiceView", "Services", "new_services"]
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -8,7 +8,7 @@
 from azurefold.core.attempts.course import Settlement
 from azurefold.core.clock import Clock
 from azurefold.entry.admission import new_admission
-from azurefold.entry.agents import AgentAddress, NotTaken, Opened
+from azurefold.entry.agent_messages import AgentAddress, NotTaken, Opened
 from azurefold.entry.lines import LostError
 from azurefold.entry.relay import Relay
 from azurefold.entry.requests import CallerRequest
--- a/tests/entry/test_answers_come_whole_or_end_in_an_error.py
+++ b/tests/entry/test_answers_come_whole_or_end_in_an_error.py
@@ -9,7 +9,7 @@
 from azurefold.core.attempts.outcome import Ran
 from azurefold.entry import relay as relay_module
 from azurefold.entry.lines import LostError
-from azurefold.entry.relay import GivenUp, Text, Whole
+from azurefold.entry.parts import GivenUp, Text, Whole
 from azurefold.wire.frames import Broken, Head
 
 TEXT = "α lot must leave the shelf, 回収 now"
--- a/tests/entry/test_bad_input_costs_little.py
+++ b/tests/entry/test_bad_input_costs_little.py
@@ -11,10 +11,11 @@
 from azurefold.core.admission.messages import Priority
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.entry.claims import new_claim_writer
-from azurefold.entry.http_api import EntryLimits, EntryState, entry_app
+from azurefold.entry.http_api import entry_app
 from azurefold.entry.metrics import new_entry_metrics
 from azurefold.entry.organisations import new_organisations
 from azurefold.entry.services import EndpointView, ServiceView, new_services
+from azurefold.entry.state import EntryLimits, EntryState
 from azurefold.internal.http_server import http_server
 from azurefold.platform.messages import Rows
 
--- a/tests/entry/test_streams_are_server_sent_events.py
+++ b/tests/entry/test_streams_are_server_sent_events.py
@@ -7,7 +7,7 @@
 
 from azurefold.core.attempts.ids import AnswerId, parse_answer_id
 from azurefold.entry.answers import server_sent_events
-from azurefold.entry.relay import Announced, Text, Whole
+from azurefold.entry.parts import Announced, Text, Whole
 
 ANSWER = AnswerId("a", "7", "0000000000001-00ff", 0)
 
