Let few of many starting processes read the whole configuration

Cause: processes that start at once see the head within a second, hold nothing and know nobody alive, and each asked the platform for all sections. At 390 nodes and 285 sections it was asked far more than its 2,000 reads a second, refused most, and all waited longer.

A process that holds nothing now waits a drawn time before it reads from the platform, and asks a peer that announces the head meanwhile. The wait is that of exponential feedback timers, 1 s times ln(n u) for n processes in the settings: about one of them reads at once, and the number that read before hearing of it does not grow with n.

Price: the very first configuration of a large site is taken up later by up to 1 s times ln(n), 6 s at 390.

--- a/bench/recovery_followers.py
+++ b/bench/recovery_followers.py
@@ -164,7 +164,9 @@
             return
         alone = self.now - node.started_at < self._alone_ms
         known = [node.name] if alone else self._members[node.data_centre]
-        self._feed(node, Tick(frozenset(known), self._draw.random()))
+        # The settings name all peers; who of them lives is known later.
+        n_peers = sum(len(each) for each in self._members.values()) - 1
+        self._feed(node, Tick(frozenset(known), self._draw.random(), n_peers))
         self._at(self.now + TICK, lambda: self._tick(node))
 
     def _gossip(self, node: _Node) -> None:
--- a/bench/recovery_virtual.py
+++ b/bench/recovery_virtual.py
@@ -17,7 +17,7 @@
 _DAY: Millis = 86_400 * SECOND
 _WAYS = {
     "as it is": None,
-    "trial: first look spread over 10 s": FollowerPolicy(poll_interval_ms=10_000),
+    "without a wait for peers": FollowerPolicy(first_fetch_scale_ms=0),
 }
 
 
--- a/src/azurefold/control/configuration.py
+++ b/src/azurefold/control/configuration.py
@@ -112,7 +112,8 @@
         while True:
             gevent.sleep(_TICK_MS / _SECOND_MS)
             now = self.clock.now()
-            self._handle(Tick(self.live(), self.draw.random()))
+            n_peers = len(self.peers.near) + len(self.peers.far)
+            self._handle(Tick(self.live(), self.draw.random(), n_peers))
             if self._may_repeat(now):
                 age = self.follower.age_ms(now)
                 self._announce(Announce(self.follower.head.mark, age))
--- a/src/azurefold/core/configuration/follower.py
+++ b/src/azurefold/core/configuration/follower.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from azurefold.core.clock import Millis
+from azurefold.core.configuration.first_fetch import FirstFetch
 from azurefold.core.configuration.head import (
     NO_HEAD,
     Head,
@@ -51,6 +52,7 @@
     def __init__(self, name: str, data_centre: str, policy: FollowerPolicy) -> None:
         self._policy = policy
         self._schedule = PollSchedule(name, data_centre, policy)
+        self._first_fetch = FirstFetch(policy.first_fetch_scale_ms)
         self._lineage = Lineage()
         self._head = NO_HEAD
         self._mark = NO_HEAD.mark
@@ -115,11 +117,21 @@
         self._note_fresh(mark, now)
         actions: list[Action] = []
         if mark.revision > self._mark.revision:
-            actions += self._offered(Platform(), mark, now)
+            actions += self._on_higher(mark, now)
         elif mark != self._mark:
             actions += self._on_lower(mark, event.row_version)
         return [*actions, Announce(self._mark, self.age_ms(now))]
 
+    def _on_higher(self, mark: Mark, now: Millis) -> list[Action]:
+        if self._head is NO_HEAD:
+            self._first_fetch.hold(mark, now)
+            return self._release_first_fetch(now)
+        return self._offered(Platform(), mark, now)
+
+    def _release_first_fetch(self, now: Millis) -> list[Action]:
+        mark = self._first_fetch.release(now)
+        return [] if mark is None else self._offered(Platform(), mark, now)
+
     def _note_fresh(self, mark: Mark, at: Millis) -> None:
         # Whoever is behind must not call itself fresh. Its announcements would
         # keep all the others from looking, while it may be unable to fetch
@@ -228,7 +240,8 @@
         return self._ask_best(now, but=source)
 
     def _on_tick(self, tick: Tick, now: Millis) -> list[Action]:
-        actions: list[Action] = []
+        self._first_fetch.draw(tick)
+        actions = self._release_first_fetch(now)
         if self._asked is not None and self._fetch_is_overdue(now):
             actions += self._on_fetch_failed(self._asked, now)
         if self._schedule.is_due(tick, now):
--- a/src/azurefold/core/configuration/messages.py
+++ b/src/azurefold/core/configuration/messages.py
@@ -136,10 +136,14 @@
         Control processes believed live in this data centre, itself included.
     jitter : float
         A number drawn from [0, 1) for this tick.
+    n_peers : int, default=0
+        Other control processes named in the settings, in all data centres;
+        unlike ``live`` it is known before anybody is heard.
     """
 
     live: frozenset[str]
     jitter: float
+    n_peers: int = 0
 
 
 Event = (
--- a/src/azurefold/core/configuration/schedule.py
+++ b/src/azurefold/core/configuration/schedule.py
@@ -22,11 +22,14 @@
         drawn from as long again, so that an outage's end meets no herd.
     fetch_timeout_ms : int
         After which another source is asked.
+    first_fetch_scale_ms : int
+        See :func:`azurefold.core.configuration.first_fetch.wait_before_fetch`.
     """
 
     poll_interval_ms: Millis = 1_000
     stale_after_ms: Millis = 2_000
     fetch_timeout_ms: Millis = 500
+    first_fetch_scale_ms: Millis = 1_000
 
 
 class PollSchedule:
