Look at the services only where control needs nothing else

Cause: the loops that ask for far endpoints and that lead groups put the whole configuration together and validated all 8,200 organisations at each change, also at each change of the directory, though both look at services alone.

Both now call one function that assembles and validates the services' sections.

Found on the way: a revision with a key of a newer version ended the loop for far endpoints for good, since only the groups caught the error.

Ruled out: keeping what was validated by content hash; a millisecond does not need it. Changed with it: a revision whose organisations alone cannot be read here no longer keeps groups at the revision before.

--- a/src/azurefold/control/far.py
+++ b/src/azurefold/control/far.py
@@ -14,10 +14,10 @@
 import gevent
 import msgspec
 
-from azurefold.border.configuration import configuration_from_raw
 from azurefold.control.configuration import ConfigurationLoop
 from azurefold.control.membership import MembershipLoop
 from azurefold.control.peers import Peers
+from azurefold.control.services import configured_services
 from azurefold.core.clock import Millis
 from azurefold.internal.logs import log_event
 from azurefold.wire.grpc_caller import CallError
@@ -144,15 +144,20 @@
 
     def _refresh_needed(self) -> None:
         state = (self.configuration.revision, self.membership.directory.revision)
-        if state == self._needed_at or not self.configuration.raw:
+        if state == self._needed_at or not self.configuration.revision:
             return
         self._needed_at = state
-        raw = msgspec.json.decode(self.configuration.raw)
-        configuration = configuration_from_raw(raw)
+        # Unless it is caught, a revision of a newer version ends this loop: one
+        # sees services without endpoints here refused until a restart.
+        try:
+            services = configured_services(self.configuration.follower.sections)
+        except ValueError as error:
+            log_event(_log, "configuration_not_used", logging.ERROR, why=error)
+            return
         here = {e.name for e in self.membership.endpoints() if not e.leaving}
         self._needed = frozenset(
             name
-            for service in configuration.services.values()
+            for service in services.values()
             if here.isdisjoint(service.endpoints)
             for name in service.endpoints
         )
--- a/src/azurefold/control/groups.py
+++ b/src/azurefold/control/groups.py
@@ -1,20 +1,20 @@
 """Coordination of the groups whose ranks are in this data centre."""
 
 import logging
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import gevent
-import msgspec
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-from azurefold.border.configuration import configuration_from_raw
 from azurefold.control.configuration import ConfigurationLoop
 from azurefold.control.groups_balance import GroupBalance, policy_from
 from azurefold.control.groups_lead import GroupLead
 from azurefold.control.membership import MembershipLoop
+from azurefold.control.services import configured_services
 from azurefold.core.balance.policy import BalancePolicy
 from azurefold.core.clock import Clock, Millis
-from azurefold.core.configuration.model import Configuration, Group
+from azurefold.core.configuration.model import Group, Service
 from azurefold.core.groups.lease import Lease, LeaseTiming
 from azurefold.internal.identity import Identity
 from azurefold.internal.logs import log_event
@@ -130,9 +130,9 @@
         if self.configuration.revision == self._revision:
             return
         self._revision = self.configuration.revision
-        raw = msgspec.json.decode(self.configuration.raw)
         try:
-            self._configured = _groups_of(configuration_from_raw(raw))
+            services = configured_services(self.configuration.follower.sections)
+            self._configured = _groups_of(services.values())
         except ValueError as error:
             log_event(_log, "configuration_not_used", logging.ERROR, why=error)
 
@@ -148,10 +148,10 @@
         return self._callers[key]
 
 
-def _groups_of(configuration: Configuration) -> tuple[_Configured, ...]:
+def _groups_of(services: Iterable[Service]) -> tuple[_Configured, ...]:
     return tuple(
         _Configured(group, policy_from(service.balance))
-        for service in configuration.services.values()
+        for service in services
         for group in service.groups
     )
 
--- a/src/azurefold/core/configuration/sections.py
+++ b/src/azurefold/core/configuration/sections.py
@@ -16,6 +16,7 @@
     "assemble",
     "canonical_bytes",
     "content_hash",
+    "only_services",
     "split",
 ]
 
@@ -111,6 +112,18 @@
     return {"services": services, "organisations": organisations}
 
 
+def only_services(sections: Mapping[str, bytes]) -> Sections:
+    """Return the sections that hold services.
+
+    Examples
+    --------
+    >>> sorted(only_services({"service/a": b"{}", "organisations/0": b"{}"}))
+    ['service/a']
+    """
+    prefix = f"{_SERVICE}/"
+    return {name: data for name, data in sections.items() if name.startswith(prefix)}
+
+
 def _chunk_of(name: str, n_chunks: int) -> int:
     digest = hashlib.sha256(name.encode("utf-8")).digest()
     return int.from_bytes(digest[:8], "big") % n_chunks
