--- a/src/azurefold/wire/orders.py
+++ b/src/azurefold/wire/orders.py
@@ -70,13 +70,26 @@
 
 
 class GetHead(msgspec.Struct, frozen=True):
-    """Ask a peer for the head of the configuration that it holds."""
+    """Ask a peer for the head of the configuration that it holds.
+
+    Parameters
+    ----------
+    revision : int
+        What the asker holds, 0 for nothing. A peer that held it lately answers
+        with what changed since.
+    """
 
     revision: int
 
 
 class HeadReply(msgspec.Struct, frozen=True):
-    """The head as JSON, or an empty text if the peer holds none."""
+    """The head as JSON, whole or as a delta, or empty if the peer holds none.
+
+    Parameters
+    ----------
+    head : str
+        See :func:`azurefold.control.exchange.packed_head`.
+    """
 
     head: str
 
@@ -88,6 +101,6 @@
 
 
 class SectionsReply(msgspec.Struct, frozen=True):
-    """Those of the contents that the peer holds."""
+    """Those of the contents that the peer holds, compressed, by their hashes."""
 
     contents: dict[str, bytes]
