Look at revisions before the first step and after the last

Symptom: in one run of all tests a scenario failed with 'nobody looked'. Cause: the watch of revisions paused before its first look, and the data centre had followed, and the scenario was over, within that pause. Ruled out: the product (the revision was in force everywhere, as the step before had checked).

--- a/src/azurefold_standins/scenario/revisions.py
+++ b/src/azurefold_standins/scenario/revisions.py
@@ -38,12 +38,20 @@
         assert not self.steps_back, f"revisions went back: {self.steps_back}"
 
     def _run(self) -> None:
-        site = self.world.site
+        # The first look comes before any step that follows, and the last one
+        # after all of them. A scenario that is over within a pause would else
+        # have been looked at by nobody.
+        self._look_at_all()
         while not self._ended.wait(_PAUSE_S):
-            for name in (*site.controls, *site.entries):
-                if self.world.is_running(name):
-                    self._look(name, site.processes[name].pid)
-            self.looks += 1
+            self._look_at_all()
+        self._look_at_all()
+
+    def _look_at_all(self) -> None:
+        site = self.world.site
+        for name in (*site.controls, *site.entries):
+            if self.world.is_running(name):
+                self._look(name, site.processes[name].pid)
+        self.looks += 1
 
     def _look(self, name: str, pid: int) -> None:
         revision = status(self.world.site, name).get("revision")
