Tell at once of an attempt that failed and is kept no longer

Symptom: a caller that comes back for an attempt that failed minutes ago is held until its deadline. Cause: the agent says that it knows the attempt, which was taken for still having its text unless it said running or done; the entry went on asking. Ruled out: the agent, whose answer is true. Conclusion: a request given up on has its answer at once.

--- a/src/azurefold/entry/relay.py
+++ b/src/azurefold/entry/relay.py
@@ -45,6 +45,9 @@
 
 _log = logging.getLogger("azurefold.entry")
 
+# States of an attempt whose text the agent had, and no longer has where it gives
+# none: nothing is gained by asking for it again.
+_KNOWN_THERE = frozenset({Settlement.RUNNING, Settlement.DONE, Settlement.FAILED})
 _FOLLOW_TRIES = 5
 _FOLLOW_PAUSE_MS: Millis = 60
 _RESUME_PAUSE_MS: Millis = 100
@@ -248,7 +251,7 @@
         # The agent does not have it. If it is still in the incarnation that
         # was given the attempt, asking settles it for good as not run.
         asked = self._ask()
-        if isinstance(asked, SettledAs) and asked.state in ("running", "done"):
+        if isinstance(asked, SettledAs) and asked.state in _KNOWN_THERE:
             return NoTextLeft()
         return asked
 
