Bring every attempt to an end at its agent

Symptom, found by reading: an answer of a form that nobody thought of would end the greenlet that copies it and leave the attempt running, so that readers wait until their deadlines and a drain waits for ever. Cause: only broken connections were expected. Ruled out: restarting the copy, which would run a plain call twice. Now a line that is no event counts as a broken stream, and whatever else goes wrong ends the attempt as unknown.

--- a/src/azurefold/agent/endpoint.py
+++ b/src/azurefold/agent/endpoint.py
@@ -25,6 +25,7 @@
     "StreamBrokeError",
     "call_endpoint",
     "cancel_stream",
+    "parse_event",
     "resume_stream",
 ]
 
@@ -116,6 +117,20 @@
 _decode_event = msgspec.json.Decoder(_Event).decode
 
 
+def parse_event(data: bytes) -> _Event:
+    """Read one of an engine's events.
+
+    Raises
+    ------
+    StreamBrokeError
+        If it is none; the stream can then be resumed at the engine.
+    """
+    try:
+        return _decode_event(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise StreamBrokeError(f"the engine sent no event: {error}") from error
+
+
 def call_endpoint(
     target: ModelEngine | PlainService, call: EndpointCall
 ) -> Iterator[EndpointHead | EndpointText | EndpointEnd]:
@@ -211,7 +226,7 @@
         for line in lines:
             if not line.startswith(_DATA):
                 continue
-            event = _decode_event(line[len(_DATA) :])
+            event = parse_event(line[len(_DATA) :])
             if event.done:
                 yield EndpointEnd(event.total)
                 return
--- a/src/azurefold/agent/runner.py
+++ b/src/azurefold/agent/runner.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
@@ -116,7 +117,7 @@
             case Accepted():
                 buffer = AnswerBuffer(attempt_id)
                 self._buffers[attempt_id] = buffer
-                gevent.spawn(self._run, call, buffer)
+                gevent.spawn(self._to_an_end, buffer, self._run, call)
                 log_event(_log, "attempt_started", attempt=attempt_id)
                 self.seen.attempts["started"] += 1
                 return Attached(buffer, new=True)
@@ -191,10 +192,24 @@
         self.ledger.adopt(attempt_id, organisation)
         buffer = AnswerBuffer(attempt_id, head.status, head.content_type)
         self._buffers[attempt_id] = buffer
-        gevent.spawn(self._follow_adopted, engine, attempt_id, stream, buffer)
+        gevent.spawn(
+            self._to_an_end, buffer, self._follow_adopted, engine, attempt_id, stream
+        )
         log_event(_log, "attempt_adopted", attempt=attempt_id)
         return buffer
 
+    def _to_an_end(
+        self, buffer: AnswerBuffer, task: Callable[..., None], *arguments: object
+    ) -> None:
+        # An endpoint's answer of a form that nobody thought of ends this
+        # greenlet. Left as running, the attempt would keep its readers until
+        # their deadlines and a drain for ever.
+        try:
+            task(*arguments, buffer)
+        finally:
+            if not buffer.ended:
+                self._fail(buffer, "unknown")
+
     def _follow_adopted(
         self, engine: ModelEngine, attempt_id: str, stream: object, buffer: AnswerBuffer
     ) -> None:
