--- a/bench/slopes_surroundings.py
+++ b/bench/slopes_surroundings.py
@@ -26,7 +26,7 @@
 from azurefold.core.membership.presence import Presence
 from azurefold.internal.clock import monotonic_clock
 from azurefold.internal.process import ring_from_settings
-from azurefold.platform.configuration_store import Base
+from azurefold.site_store.configuration_store import Base
 from azurefold.wire.messages import AnyMessage, encode_message
 from azurefold.wire.seal import KeyRing, Sealer, seal
 from azurefold.wire.udp import DatagramPort, datagram_port
--- a/src/azurefold/commands/accepted.py
+++ b/src/azurefold/commands/accepted.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from azurefold.core.configuration.sections import assemble
-from azurefold.platform.configuration_store import Base, ConfigurationStore
-from azurefold.platform.messages import Unavailable
+from azurefold.site_store.configuration_store import Base, ConfigurationStore
+from azurefold.site_store.messages import Unavailable
 
 __all__ = ["AcceptedText", "read_accepted"]
 
--- a/src/azurefold/commands/apply.py
+++ b/src/azurefold/commands/apply.py
@@ -24,8 +24,8 @@
 from azurefold.core.configuration.changes import changed_names
 from azurefold.core.configuration.head import Mark, next_head
 from azurefold.core.configuration.sections import content_hash, split
-from azurefold.platform.configuration_store import ConfigurationStore, EditRecord
-from azurefold.platform.messages import Unavailable
+from azurefold.site_store.configuration_store import ConfigurationStore, EditRecord
+from azurefold.site_store.messages import Unavailable
 
 __all__ = ["ApplyOptions", "apply"]
 
--- a/src/azurefold/commands/check.py
+++ b/src/azurefold/commands/check.py
@@ -6,8 +6,8 @@
 from azurefold.commands.accepted import AcceptedText, read_accepted
 from azurefold.commands.reports import Exit, Report, unavailable_report
 from azurefold.core.configuration.changes import Change, ChangeKind, changes
-from azurefold.platform.configuration_store import ConfigurationStore
-from azurefold.platform.messages import Unavailable
+from azurefold.site_store.configuration_store import ConfigurationStore
+from azurefold.site_store.messages import Unavailable
 
 __all__ = ["check", "diff", "show"]
 
--- a/src/azurefold/commands/operator.py
+++ b/src/azurefold/commands/operator.py
@@ -26,8 +26,8 @@
 from azurefold.commands.status import watch as watch_status
 from azurefold.core.clock import Millis
 from azurefold.internal.clock import monotonic_clock
-from azurefold.platform.client import platform_client
-from azurefold.platform.configuration_store import (
+from azurefold.site_store.client import platform_client
+from azurefold.site_store.configuration_store import (
     ConfigurationStore,
     configuration_store,
 )
--- a/src/azurefold/commands/report.py
+++ b/src/azurefold/commands/report.py
@@ -31,9 +31,9 @@
 from azurefold.core.objectives.objective import Objective
 from azurefold.core.objectives.text import render_burn
 from azurefold.internal.clock import wall_clock
-from azurefold.platform.client import platform_client
-from azurefold.platform.configuration_store import configuration_store
-from azurefold.platform.messages import Unavailable
+from azurefold.site_store.client import platform_client
+from azurefold.site_store.configuration_store import configuration_store
+from azurefold.site_store.messages import Unavailable
 
 __all__ = ["BurnInput", "burn_reports", "burn_text", "main"]
 
--- a/src/azurefold/commands/status.py
+++ b/src/azurefold/commands/status.py
@@ -9,8 +9,8 @@
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.configuration.head import NO_HEAD, Mark
 from azurefold.core.configuration.messages import PollFailed
-from azurefold.platform.configuration_store import ConfigurationStore
-from azurefold.platform.messages import Unavailable
+from azurefold.site_store.configuration_store import ConfigurationStore
+from azurefold.site_store.messages import Unavailable
 
 __all__ = ["outcome", "status", "watch"]
 
--- a/src/azurefold/control/configuration.py
+++ b/src/azurefold/control/configuration.py
@@ -42,8 +42,8 @@
 from azurefold.core.configuration.sections import assemble
 from azurefold.core.membership.messages import Send
 from azurefold.internal.logs import log_event
-from azurefold.platform.configuration_store import Base, ConfigurationStore
-from azurefold.platform.messages import Unavailable
+from azurefold.site_store.configuration_store import Base, ConfigurationStore
+from azurefold.site_store.messages import Unavailable
 from azurefold.wire.grpc_caller import CallError
 from azurefold.wire.orders import (
     METHOD_GET_HEAD,
--- a/src/azurefold/control/groups.py
+++ b/src/azurefold/control/groups.py
@@ -18,8 +18,8 @@
 from azurefold.core.groups.lease import Lease, LeaseTiming
 from azurefold.internal.identity import Identity
 from azurefold.internal.logs import log_event
-from azurefold.platform.client import PlatformClient
-from azurefold.platform.lease_table import LeaseTable
+from azurefold.site_store.client import PlatformClient
+from azurefold.site_store.lease_table import LeaseTable
 from azurefold.wire.group_maps import Rebalance, RebalanceReply
 from azurefold.wire.group_messages import ChangeMap, ChangeMapReply
 from azurefold.wire.grpc_caller import Caller, caller
--- a/src/azurefold/control/groups_lead.py
+++ b/src/azurefold/control/groups_lead.py
@@ -22,7 +22,7 @@
     Outcome,
 )
 from azurefold.internal.logs import log_event
-from azurefold.platform.lease_table import LeaseTable
+from azurefold.site_store.lease_table import LeaseTable
 from azurefold.wire.group_messages import (
     METHOD_RANK_MESSAGE,
     ChangeMapReply,
--- a/src/azurefold/control/membership.py
+++ b/src/azurefold/control/membership.py
@@ -12,8 +12,8 @@
 from azurefold.core.membership.endpoints import Role, State
 from azurefold.core.membership.messages import Send, Source
 from azurefold.core.membership.vm_list import ListedVm
-from azurefold.platform.client import PlatformClient
-from azurefold.platform.messages import Vms
+from azurefold.site_store.client import PlatformClient
+from azurefold.site_store.messages import Vms
 from azurefold.wire.messages import AnyMessage
 from azurefold.wire.snapshot import EndpointInfo
 
--- a/src/azurefold/control/service.py
+++ b/src/azurefold/control/service.py
@@ -32,8 +32,8 @@
     ring_from_settings,
     stop_requested,
 )
-from azurefold.platform.client import PlatformClient, platform_client
-from azurefold.platform.configuration_store import configuration_store
+from azurefold.site_store.client import PlatformClient, platform_client
+from azurefold.site_store.configuration_store import configuration_store
 from azurefold.wire.group_maps import METHOD_REBALANCE, Rebalance
 from azurefold.wire.group_messages import METHOD_CHANGE_MAP, ChangeMap
 from azurefold.wire.grpc_service import (
--- a/src/azurefold/entry/claims.py
+++ b/src/azurefold/entry/claims.py
@@ -19,8 +19,8 @@
 from azurefold.core.clock import Millis
 from azurefold.internal.logs import log_event
 from azurefold.internal.loops import spawn_loop
-from azurefold.platform.client import PlatformClient
-from azurefold.platform.messages import (
+from azurefold.site_store.client import PlatformClient
+from azurefold.site_store.messages import (
     Condition,
     Conflict,
     Put,
--- a/src/azurefold/entry/service.py
+++ b/src/azurefold/entry/service.py
@@ -29,7 +29,7 @@
     ring_from_settings,
     stop_requested,
 )
-from azurefold.platform.client import platform_client
+from azurefold.site_store.client import platform_client
 from azurefold.wire.grpc_caller import caller
 from azurefold.wire.grpc_service import use_gevent
 
--- a/src/azurefold/platform/client.py
+++ b/src/azurefold/site_store/client.py
@@ -2,8 +2,8 @@
 
 Every call returns a typed result and raises nothing for a platform that is
 down, slow or answers nonsense. The difference that matters is between
-:class:`~azurefold.platform.messages.Unavailable`, after which a write certainly
-did not take effect, and :class:`~azurefold.platform.messages.Unknown`, after
+:class:`~azurefold.site_store.messages.Unavailable`, after which a write certainly
+did not take effect, and :class:`~azurefold.site_store.messages.Unknown`, after
 which it must be read back.
 """
 
@@ -18,8 +18,8 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
-from azurefold.platform.connections import NotSentError, http_client
-from azurefold.platform.messages import (
+from azurefold.site_store.connections import NotSentError, http_client
+from azurefold.site_store.messages import (
     Conflict,
     Missing,
     ObjectBytes,
--- a/src/azurefold/platform/configuration_store.py
+++ b/src/azurefold/site_store/configuration_store.py
@@ -28,8 +28,8 @@
 )
 from azurefold.core.configuration.messages import PlatformPolled, PollFailed
 from azurefold.core.configuration.sections import Sections
-from azurefold.platform.client import PlatformClient
-from azurefold.platform.messages import (
+from azurefold.site_store.client import PlatformClient
+from azurefold.site_store.messages import (
     Condition,
     Conflict,
     Missing,
--- a/src/azurefold/platform/lease_table.py
+++ b/src/azurefold/site_store/lease_table.py
@@ -14,8 +14,8 @@
     WriteLease,
     WriteOutcome,
 )
-from azurefold.platform.client import PlatformClient
-from azurefold.platform.messages import (
+from azurefold.site_store.client import PlatformClient
+from azurefold.site_store.messages import (
     Condition,
     Conflict,
     Put,
--- a/src/azurefold_standins/operator.py
+++ b/src/azurefold_standins/operator.py
@@ -13,8 +13,8 @@
 from azurefold.core.configuration.sections import content_hash, split
 from azurefold.internal.http_client import CONNECTION_ERRORS
 from azurefold.internal.http_server import split_address
-from azurefold.platform.client import platform_client
-from azurefold.platform.configuration_store import (
+from azurefold.site_store.client import platform_client
+from azurefold.site_store.configuration_store import (
     Base,
     ConfigurationStore,
     configuration_store,
--- a/src/azurefold_standins/platform.py
+++ b/src/azurefold_standins/platform.py
@@ -16,7 +16,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from azurefold.internal.clock import monotonic_clock
-from azurefold.platform.messages import Row, Transaction, Vms
+from azurefold.site_store.messages import Row, Transaction, Vms
 from azurefold_standins.platform_store import PlatformStore
 
 __all__ = ["Faults", "main", "platform_server"]
--- a/src/azurefold_standins/platform_store.py
+++ b/src/azurefold_standins/platform_store.py
@@ -3,7 +3,7 @@
 import copy
 from dataclasses import asdict, dataclass, field
 
-from azurefold.platform.messages import Row, Transaction, Vms
+from azurefold.site_store.messages import Row, Transaction, Vms
 
 __all__ = ["Counters", "PlatformStore"]
 
--- a/tests/commands/conftest.py
+++ b/tests/commands/conftest.py
@@ -7,7 +7,7 @@
 from tests.platform.conftest import address, client, order, server  # noqa: F401
 
 from azurefold.commands import operator
-from azurefold.platform.configuration_store import configuration_store
+from azurefold.site_store.configuration_store import configuration_store
 
 TEXT = """{
   "services": {"bookings": {"kind": "plain", "data_centres": ["fukuoka-hall"],
--- a/tests/control/loops.py
+++ b/tests/control/loops.py
@@ -8,7 +8,7 @@
 from azurefold.core.configuration.head import NO_HEAD, Head, next_head
 from azurefold.core.configuration.messages import MarkHeard, PlatformPolled
 from azurefold.core.configuration.sections import content_hash, split
-from azurefold.platform.configuration_store import Base
+from azurefold.site_store.configuration_store import Base
 from azurefold.wire.orders import METHOD_GET_HEAD
 
 
--- a/tests/entry/test_bad_input_costs_little.py
+++ b/tests/entry/test_bad_input_costs_little.py
@@ -17,7 +17,7 @@
 from azurefold.entry.services import EndpointView, ServiceView, new_services
 from azurefold.entry.state import EntryLimits, EntryState
 from azurefold.internal.http_server import http_server
-from azurefold.platform.messages import Rows
+from azurefold.site_store.messages import Rows
 
 MAX_BODY = 10_000
 HEAD = "POST {path} HTTP/1.1\r\nHost: e\r\nAzurefold-Organisation: union\r\n"
--- a/tests/entry/test_claims_are_written_in_batches.py
+++ b/tests/entry/test_claims_are_written_in_batches.py
@@ -8,7 +8,7 @@
 from azurefold.core.attempts.claims import Claim, Follow, Mine
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.entry.claims import ClaimTaker, new_claim_writer
-from azurefold.platform.messages import (
+from azurefold.site_store.messages import (
     Conflict,
     Row,
     Rows,
--- a/tests/platform/conftest.py
+++ b/tests/site_store/conftest.py
@@ -4,7 +4,7 @@
 import pytest
 from geventhttpclient import HTTPClient
 
-from azurefold.platform.client import platform_client
+from azurefold.site_store.client import platform_client
 from azurefold_standins.platform import platform_server
 
 TIMEOUT_MS = 5_000
--- a/tests/platform/test_client.py
+++ b/tests/site_store/test_client.py
@@ -6,9 +6,9 @@
 import pytest
 from gevent.server import StreamServer
 
-from azurefold.platform.client import platform_client
-from azurefold.platform.connections import NotSentError, http_client
-from azurefold.platform.messages import (
+from azurefold.site_store.client import platform_client
+from azurefold.site_store.connections import NotSentError, http_client
+from azurefold.site_store.messages import (
     Condition,
     Conflict,
     Missing,
--- a/tests/platform/test_configuration_store.py
+++ b/tests/site_store/test_configuration_store.py
@@ -17,8 +17,8 @@
 from azurefold.core.configuration.head import NO_HEAD, next_head
 from azurefold.core.configuration.messages import PollFailed
 from azurefold.core.configuration.sections import content_hash
-from azurefold.platform.client import platform_client
-from azurefold.platform.configuration_store import configuration_store
+from azurefold.site_store.client import platform_client
+from azurefold.site_store.configuration_store import configuration_store
 
 CONTENT = b'{"kind":"plain"}'
 SECTIONS = {"service/a": content_hash(CONTENT)}
