--- a/src/azurefold/core/attempts/course.py
+++ b/src/azurefold/core/attempts/course.py
@@ -145,10 +145,14 @@
     ----------
     idempotent : bool
         Whether running the request twice does no harm.
+    resumable : bool
+        Whether another endpoint can go on from any place in the answer. Where
+        answers are kept by agents this is not needed: the agent resumes them.
     """
 
     idempotent: bool
     passed: int = 0
+    resumable: bool = False
     _asks: int = 0
     _perhaps_ran: bool = False
 
@@ -227,13 +231,15 @@
     def _unknown(self, reason: str, may_retry: Callable[[], bool]) -> Step:
         # Text that a caller has read cannot be taken back, and a second run
         # would go on with another text. So from the first character on there
-        # is only resuming, or an explicit end.
-        if self.passed > 0:
+        # is only resuming, by the agent that keeps the text or by an endpoint
+        # that can go on from any place, or an explicit end.
+        if self.passed > 0 and not self.resumable:
             return _fail(Ran.RAN, reason, _DETAIL[Ran.RAN])
         self._perhaps_ran = True
         if self.idempotent and may_retry():
             return self._again()
-        return _fail(Ran.UNKNOWN, reason, _DETAIL[Ran.UNKNOWN])
+        ran = Ran.RAN if self.passed > 0 else Ran.UNKNOWN
+        return _fail(ran, reason, _DETAIL[ran])
 
     def _again(self) -> Step:
         self._asks = 0
--- /dev/null
+++ b/src/azurefold/core/attempts/events.py
@@ -0,0 +1,77 @@
+"""Splitting a stream into whole server-sent events.
+
+Only whole events are passed on. An endpoint may stop in the middle of one, and
+another endpoint that takes the stream up begins with a whole event again; half
+an event before it would join pieces of two runs into one.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = ["EventSplitter"]
+
+_END = b"\n\n"
+_END_WITH_RETURNS = b"\r\n\r\n"
+_ID = b"id:"
+
+
+@dataclass(slots=True)
+class EventSplitter:
+    r"""Bytes of a stream that do not make up a whole event yet.
+
+    Parameters
+    ----------
+    last_id : str or None
+        Id of the last whole event, from which the stream can be resumed.
+    passed : int
+        Whole events so far.
+
+    Examples
+    --------
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
+    >>> splitter.last_id, splitter.has_rest
+    ('1', True)
+    >>> splitter.feed(b"ta: b\n\n"), splitter.last_id, splitter.has_rest
+    (b'id: 2\ndata: b\n\n', '2', False)
+    """
+
+    last_id: str | None = None
+    passed: int = 0
+    _rest: bytearray = field(default_factory=bytearray)
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return bool(self._rest)
+
+    def feed(self, data: bytes) -> bytes:
+        """Take in bytes and return the events that are now whole."""
+        self._rest += data
+        end = self._end_of_last_event()
+        if not end:
+            return b""
+        whole = bytes(self._rest[:end])
+        del self._rest[:end]
+        self._note_ids(whole)
+        return whole
+
+    def drop_rest(self) -> None:
+        """Forget the event that has begun: its endpoint will not end it."""
+        self._rest.clear()
+
+    def _end_of_last_event(self) -> int:
+        plain = self._rest.rfind(_END)
+        returns = self._rest.rfind(_END_WITH_RETURNS)
+        ends = (
+            plain + len(_END) if plain >= 0 else 0,
+            returns + len(_END_WITH_RETURNS) if returns >= 0 else 0,
+        )
+        return max(ends)
+
+    def _note_ids(self, whole: bytes) -> None:
+        for line in whole.splitlines():
+            if line.startswith(_ID):
+                self.last_id = line[len(_ID) :].strip().decode("latin-1")
+            elif not line:
+                self.passed += 1
--- /dev/null
+++ b/src/azurefold/core/membership/registry.py
@@ -0,0 +1,149 @@
+"""Endpoints as a store lists them, and which of them may get new work.
+
+The store drops the entry of an endpoint that has been silent for a while.
+While the store itself is away no endpoint can be heard, so entries lapse that
+belong to sound endpoints. Such entries are trusted for a short time longer.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from azurefold.core.clock import Millis
+
+__all__ = ["EndpointEntry", "EndpointRegistry", "RegistryPolicy"]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointEntry:
+    """One endpoint as it has registered itself.
+
+    Parameters
+    ----------
+    name : str
+        Of this start of the endpoint; a restarted one has another.
+    service, address, data_centre : str
+        The address is ``"ip:port"``.
+    slots : int
+        Requests that it runs at a time.
+    leaving : bool
+        Whether it takes no new work.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RegistryPolicy:
+    """How long entries that lapsed in numbers are trusted.
+
+    Parameters
+    ----------
+    after_outage : int
+        Milliseconds from the store's return. Sound endpoints are back within
+        about two seconds of it; the rest covers our own delay in noticing.
+    after_mass_removal : int
+        Milliseconds where many entries went at once and no outage was seen.
+        Less than the two seconds within which a removed endpoint must get no
+        more work.
+    mass_share : float
+        Share of a service's entries whose removal at once is not believed.
+    """
+
+    after_outage: Millis = 2_300
+    after_mass_removal: Millis = 1_500
+    mass_share: float = 0.3
+
+
+@dataclass(slots=True)
+class EndpointRegistry:
+    """Entries by name, with those that lapsed and are still trusted.
+
+    Parameters
+    ----------
+    policy : RegistryPolicy
+    """
+
+    policy: RegistryPolicy = field(default_factory=RegistryPolicy)
+    _entries: dict[str, EndpointEntry] = field(default_factory=dict)
+    _lapsed_until: dict[str, Millis] = field(default_factory=dict)
+    _store_lost: bool = False
+    _trust_until: Millis = 0
+
+    @property
+    def entries(self) -> dict[str, EndpointEntry]:
+        """All entries that may be in use, by name."""
+        return self._entries
+
+    @property
+    def lapsed(self) -> frozenset[str]:
+        """Endpoints whose entries are gone but still trusted."""
+        return frozenset(self._lapsed_until)
+
+    def store_lost(self) -> None:
+        """Note that the store does not answer."""
+        self._store_lost = True
+
+    def store_regained(self, now: Millis) -> None:
+        """Note that the store answers again."""
+        if self._store_lost:
+            self._store_lost = False
+            self._trust_until = now + self.policy.after_outage
+
+    def replace(self, entries: Iterable[EndpointEntry], now: Millis) -> None:
+        """Take in the whole list."""
+        listed = {entry.name: entry for entry in entries}
+        self.remove([name for name in self._entries if name not in listed], now)
+        self.put(listed.values())
+
+    def put(self, entries: Iterable[EndpointEntry]) -> None:
+        """Take in entries that were written."""
+        for entry in entries:
+            self._entries[entry.name] = entry
+            self._lapsed_until.pop(entry.name, None)
+
+    def remove(self, names: Iterable[str], now: Millis) -> None:
+        """Take in entries that were removed at one time."""
+        gone = [name for name in names if name in self._entries]
+        for name in gone:
+            until = self._trusted_until(name, gone, now)
+            if until <= now:
+                self._forget(name)
+            else:
+                self._lapsed_until.setdefault(name, until)
+
+    def tick(self, now: Millis) -> list[str]:
+        """Drop entries that are trusted no longer, and name them."""
+        over = [name for name, until in self._lapsed_until.items() if until <= now]
+        for name in over:
+            self._forget(name)
+        return over
+
+    def _trusted_until(self, name: str, gone: list[str], now: Millis) -> Millis:
+        # What goes wrong without: the store was away for longer than three
+        # heartbeats, every entry has lapsed, and on its return each node drops
+        # all endpoints at once. Seen as refusals for want of endpoints for the
+        # two seconds until the engines have written themselves in again.
+        entry = self._entries[name]
+        if entry.leaving:
+            return now
+        if self._store_lost:
+            return now + self.policy.after_outage
+        if now < self._trust_until:
+            return self._trust_until
+        if self._is_mass_removal(entry.service, gone):
+            return now + self.policy.after_mass_removal
+        return now
+
+    def _is_mass_removal(self, service: str, gone: list[str]) -> bool:
+        held = sum(1 for entry in self._entries.values() if entry.service == service)
+        lost = sum(1 for name in gone if self._entries[name].service == service)
+        return lost > 1 and lost >= self.policy.mass_share * held
+
+    def _forget(self, name: str) -> None:
+        del self._entries[name]
+        self._lapsed_until.pop(name, None)
--- /dev/null
+++ b/src/azurefold/core/routes/model.py
@@ -0,0 +1,193 @@
+"""Routes, services and organisations of a configuration that is in force."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from azurefold.core.clock import Millis
+
+__all__ = [
+    "CallerLimits",
+    "Destination",
+    "Engine",
+    "KeyHolder",
+    "Route",
+    "RouteKind",
+    "RoutedService",
+    "RoutingConfiguration",
+]
+
+
+class RouteKind(Enum):
+    """What kind of answer a route gives, and whether it may be run twice."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """A service and its weight among those of one route."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one host and path prefix go.
+
+    Parameters
+    ----------
+    name, host, prefix : str
+        The prefix begins and ends with a slash.
+    kind : RouteKind
+    destinations : tuple of Destination
+        At least one.
+    timeout_ms : int
+        Longest time that a caller is kept waiting for the end of an answer.
+    objective_ms : int
+        Time to the answer, or to a stream's first event, that is on time.
+    event_gap_ms : int
+        Longest time between two events of a stream that is on time; 0 if the
+        route has none.
+    priority : int
+        0 goes first.
+    max_attempts : int
+        Endpoints that one request may be sent to.
+    public : bool
+        Whether callers need no key.
+    resumable : bool
+        Whether a stream may go on at another endpoint.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    destinations: tuple[Destination, ...]
+    timeout_ms: Millis
+    objective_ms: Millis
+    event_gap_ms: Millis = 0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def may_run_twice(self) -> bool:
+        """Whether a second run of a request does no harm."""
+        match self.kind:
+            case RouteKind.IDEMPOTENT:
+                return True
+            case RouteKind.NON_IDEMPOTENT:
+                return False
+            case RouteKind.STREAMING:
+                return self.resumable
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """What the engines of a model service can do.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that one rank runs at a time.
+    stride : int
+        Token steps in one pass of a group.
+    layer_sets, experts, places : int
+        Sets of layers that share a placement, experts in each, and weights of
+        one set that a rank has room for; 0 where experts are not split up.
+    loads_per_change : int
+        Experts of one set that may be new to a rank in one map change.
+    expert_mb : float
+        Megabytes of one expert's weights.
+    link_mbps : float
+        Megabits a second at which a rank loads weights.
+    form_ms : int
+        From a replaced rank's return until its group runs again.
+    """
+
+    slots: int
+    stride: int = 1
+    layer_sets: int = 0
+    experts: int = 0
+    places: int = 0
+    loads_per_change: int = 0
+    expert_mb: float = 0.0
+    link_mbps: float = 0.0
+    form_ms: Millis = 0
+
+    @property
+    def splits_experts(self) -> bool:
+        """Whether ranks of a group share the experts under a map."""
+        return self.layer_sets > 0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedService:
+    """A service as its endpoints need to be treated.
+
+    Parameters
+    ----------
+    name : str
+    max_connections : int
+        Connections that one endpoint takes from all nodes together.
+    engine : Engine or None
+        None for a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers may send, in bytes, and how long they may take."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: Millis = 3_000
+    idle_timeout_ms: Millis = 15_000
+
+
+@dataclass(frozen=True, slots=True)
+class KeyHolder:
+    """The organisation that a key belongs to.
+
+    Parameters
+    ----------
+    organisation : str
+    priority : int or None
+        Goes before that of the route; None leaves the route's.
+    """
+
+    organisation: str
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingConfiguration:
+    """A whole configuration under its version.
+
+    Parameters
+    ----------
+    version : int
+        Rises from one accepted configuration to the next.
+    routes : tuple of Route
+    services : dict of str to RoutedService
+    holders : dict of str to KeyHolder
+        By key.
+    needs_keys : bool
+        Whether requests on routes that are not public need a key.
+    limits : CallerLimits
+    """
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: dict[str, RoutedService] = field(default_factory=dict)
+    holders: dict[str, KeyHolder] = field(default_factory=dict)
+    needs_keys: bool = False
+    limits: CallerLimits = CallerLimits()
--- a/src/azurefold/core/routing/choice.py
+++ b/src/azurefold/core/routing/choice.py
@@ -98,7 +98,8 @@
     prefill *= policy.prefill_weight
     # An endpoint that fails at once is always idle. Without the penalty it
     # would draw in most of the traffic until it is ejected.
-    return queue + sharing + prefill + failure_rate * policy.failure_penalty
+    penalty = failure_rate * policy.failure_penalty
+    return queue + sharing + prefill + penalty + endpoint.distance
 
 
 def draw_two(
--- a/src/azurefold/core/routing/endpoint.py
+++ b/src/azurefold/core/routing/endpoint.py
@@ -2,14 +2,14 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from math import exp
+from math import ceil, exp
 from zlib import crc32
 
 from azurefold.core.clock import Millis
 from azurefold.core.routing.concurrency import ConcurrencyLimit
 from azurefold.core.routing.messages import LoadReport, Prefix
 
-__all__ = ["Attempt", "Endpoint"]
+__all__ = ["Attempt", "DividedSlots", "Endpoint", "ExchangedLoads", "Sharing"]
 
 _HISTORY: Millis = 10_000
 _HISTORY_LENGTH = 512
@@ -19,6 +19,28 @@
 _KEPT_FREE = 2
 
 
+@dataclass(frozen=True, slots=True)
+class DividedSlots:
+    """Nodes hear of each other's load late: each keeps to a share of the slots."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangedLoads:
+    """Nodes tell each other their loads within a fraction of a second.
+
+    Parameters
+    ----------
+    beyond_slots : int
+        Requests that an endpoint may have beyond its slots, so that one is
+        there when another ends.
+    """
+
+    beyond_slots: int = 0
+
+
+Sharing = DividedSlots | ExchangedLoads
+
+
 @dataclass(slots=True)
 class Attempt:
     """One attempt in flight."""
@@ -39,10 +61,16 @@
         The endpoint's name.
     concurrency : ConcurrencyLimit
         How many requests this node keeps there.
+    sharing : Sharing
+        How nodes share its slots.
+    distance : int
+        Milliseconds of waiting that a nearer endpoint is worth.
     """
 
     name: str
     concurrency: ConcurrencyLimit
+    sharing: Sharing = DividedSlots()
+    distance: Millis = 0
     attempts: dict[str, Attempt] = field(default_factory=dict)
     awaiting: dict[str, Millis] = field(default_factory=dict)
     share: int = _DEFAULT_SLOTS
@@ -76,7 +104,16 @@
         the share, a node would find no room beside busy others. If each took
         all that seems unused, the nodes would together overfill the engine
         while reports lag; seen as confirmations that wait in its queue.
+
+        Where loads are exchanged at once, all that the others leave is room.
         """
+        match self.sharing:
+            case ExchangedLoads(beyond_slots=beyond):
+                return max(0, self.slots + beyond - ceil(self.others))
+            case DividedSlots():
+                return self._divided_capacity()
+
+    def _divided_capacity(self) -> int:
         unused = self.slots - int(self.others) - self.share - _KEPT_FREE
         return min(self.concurrency.limit, self.share + max(0, unused // 2))
 
@@ -139,6 +176,19 @@
         # present ones without taking those out would count them twice.
         self.others = max(0.0, float(report.in_flight - self._own_at(measured)))
 
+    def fill_up(self) -> None:
+        """Take the endpoint for full until the next report.
+
+        It refused a request, so others must have sent it more than is known
+        here. Without this the node would send it the next request as well.
+        """
+        match self.sharing:
+            case ExchangedLoads(beyond_slots=beyond):
+                full = float(self.slots + beyond - len(self.attempts))
+                self.others = max(self.others, full)
+            case DividedSlots():
+                pass
+
     def load(self, mean_others: float, now: Millis) -> float:
         """Return the requests expected there now, from all nodes.
 
--- a/src/azurefold/core/routing/members.py
+++ b/src/azurefold/core/routing/members.py
@@ -4,11 +4,13 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.routing.concurrency import ConcurrencyLimit, ConcurrencyPolicy
-from azurefold.core.routing.endpoint import Endpoint
+from azurefold.core.routing.endpoint import DividedSlots, Endpoint, Sharing
 from azurefold.core.routing.messages import LoadReport, Unavailable
 
 __all__ = ["Members"]
 
+_DIVIDED = DividedSlots()
+
 
 class Members:
     """Endpoints by name, with sums that are kept up at each change.
@@ -17,10 +19,13 @@
     ----------
     policy : ConcurrencyPolicy
         For the limit of each new endpoint.
+    sharing : Sharing
+        How nodes share the slots of each endpoint.
     """
 
-    def __init__(self, policy: ConcurrencyPolicy) -> None:
+    def __init__(self, policy: ConcurrencyPolicy, sharing: Sharing = _DIVIDED) -> None:
         self._policy = policy
+        self._sharing = sharing
         self._others = 0.0
         self._nodes = 1
         self._position = 0
@@ -42,7 +47,7 @@
             del self.by_name[name]
         for name in sorted(names - self.by_name.keys()):
             limit = ConcurrencyLimit(self._policy)
-            endpoint = Endpoint(name, limit, last_progress=now)
+            endpoint = Endpoint(name, limit, self._sharing, last_progress=now)
             endpoint.share_slots(self._nodes, self._position)
             self._bound(endpoint)
             self.by_name[name] = endpoint
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -10,7 +10,12 @@
     expected_wait,
 )
 from azurefold.core.routing.ejection import Ejector
-from azurefold.core.routing.endpoint import Attempt, Endpoint
+from azurefold.core.routing.endpoint import (
+    Attempt,
+    DividedSlots,
+    Endpoint,
+    ExchangedLoads,
+)
 from azurefold.core.routing.judging import cause_to_eject, median_pace
 from azurefold.core.routing.members import Members
 from azurefold.core.routing.messages import (
@@ -47,7 +52,7 @@
 
     def __init__(self, policy: PoolPolicy | None = None) -> None:
         self._policy = policy or PoolPolicy()
-        self._members = Members(self._policy.concurrency)
+        self._members = Members(self._policy.concurrency, self._policy.sharing)
         self._ejector = Ejector(self._policy.ejection)
         self._next_return: Millis | None = None
         self._hints = PrefixHints()
@@ -97,6 +102,14 @@
         """Take in how many requests each endpoint may have from all nodes."""
         self._members.set_slots(slots)
 
+    def set_distance(self, endpoint: str, distance: Millis) -> None:
+        """Take in the milliseconds that a nearer endpoint is worth waiting for."""
+        self._members.by_name[endpoint].distance = distance
+
+    def load_of(self, endpoint: str) -> int:
+        """Return how many attempts of this node are at ``endpoint``."""
+        return self._members.by_name[endpoint].in_flight
+
     def limit(self, endpoint: str) -> int:
         """Return how many requests this node keeps at ``endpoint``."""
         return self._members.by_name[endpoint].concurrency.limit
@@ -232,6 +245,7 @@
                 return self._learn_failure(known, now)
             case Refused():
                 known.concurrency.observe_refusal(now)
+                known.fill_up()
             case Cancelled():
                 return None
         return None
@@ -267,7 +281,11 @@
     def _candidates(
         self, request: RouteRequest, draws: tuple[float, float], now: Millis
     ) -> list[Endpoint]:
-        drawn = list(draw_two(self._members.eligible, request, draws))
+        match self._policy.sharing:
+            case ExchangedLoads():
+                return self._all_with_room(request, draws[0])
+            case DividedSlots():
+                drawn = list(draw_two(self._members.eligible, request, draws))
         holders = self._hints.holders(request.prefixes, now)
         if not holders:
             return drawn
@@ -276,6 +294,22 @@
             drawn.append(holder)
         return drawn
 
+    def _all_with_room(self, request: RouteRequest, draw: float) -> list[Endpoint]:
+        """Return all that may take ``request``, from a random place on.
+
+        With loads that are fresh on every node the least loaded endpoint can
+        be found; two random ones leave some full beside others that idle, and
+        in a group whose ranks work in lock-step the fullest sets the pace.
+        """
+        eligible = self._members.eligible
+        start = int(draw * len(eligible))
+        turned = eligible[start:] + eligible[:start]
+        return [
+            endpoint
+            for endpoint in turned
+            if endpoint.has_room and endpoint.name not in request.exclude
+        ]
+
     def _may_take(self, endpoint: Endpoint, request: RouteRequest) -> bool:
         if endpoint.leaving or endpoint.name in request.exclude:
             return False
--- a/src/azurefold/core/routing/retries.py
+++ b/src/azurefold/core/routing/retries.py
@@ -48,6 +48,10 @@
         self._retries = 0.0
         self._at: Millis = 0
 
+    def set_policy(self, policy: RetryPolicy) -> None:
+        """Take in another size of the budget."""
+        self._policy = policy
+
     def request_started(self, now: Millis) -> None:
         """Note a request's first attempt."""
         self._decay(now)
--- /dev/null
+++ b/src/azurefold/gateway/app.py
@@ -0,0 +1,279 @@
+"""From a caller's HTTP request to a call, and from its parts to an answer.
+
+A plain WSGI application: the body, status and headers of an endpoint go to the
+caller as they are, which leaves a web framework nothing to do.
+"""
+
+import logging
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import gevent
+import msgspec
+
+from azurefold.core.attempts.outcome import Failure, Ran
+from azurefold.core.clock import Millis
+from azurefold.core.routes.model import KeyHolder, Route, RoutingConfiguration
+from azurefold.core.routes.table import choose_service
+from azurefold.gateway.calls import Begun, Call, GivenUp, Part, Piece
+from azurefold.gateway.front import CONNECTION, CallerConnection
+from azurefold.gateway.relay import Relay
+from azurefold.gateway.state import GatewayState
+from azurefold.internal.logs import log_event
+from azurefold.platform.headers import (
+    ATTEMPT_ID,
+    RETRY_AFTER,
+    RequestHead,
+    read_request,
+)
+
+__all__ = ["GatewayApp"]
+
+_log = logging.getLogger("azurefold.gateway")
+
+_SECOND_MS = 1_000
+_BODY_TIMEOUT_MS: Millis = 10_000
+"""For the body of one request; callers send a few kilobytes at once."""
+
+_NO_ROUTE_TIMEOUT_MS: Millis = 30_000
+
+_LAST_NEW_MS: Millis = 2_500
+"""After the order to stop: the balancer in front needs two failed checks, a
+second apart, before it sends no more."""
+
+_STARTING_RETRY_MS: Millis = 500
+_STALE_RETRY_MS: Millis = 1_000
+_DRAINING_RETRY_MS: Millis = 50
+
+Environ = dict[str, object]
+StartResponse = Callable[..., object]
+
+
+@dataclass(frozen=True, slots=True)
+class _RefusalError(Exception):
+    """A request that is not admitted; it has not run."""
+
+    status: int
+    reason: str
+    retry_after_ms: Millis | None = None
+
+
+@dataclass(slots=True)
+class GatewayApp:
+    """The WSGI application for callers.
+
+    Parameters
+    ----------
+    state : GatewayState
+    """
+
+    state: GatewayState
+
+    def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        connection: CallerConnection = environ[CONNECTION]
+        arrived = self.state.clock.now()
+        head = read_request(connection.headers)
+        self.state.in_flight += 1
+        ended = False
+        try:
+            call = self._call(environ, connection, head, arrived)
+            answer = _Answer(self, call, connection, start)
+            ended = True
+            return answer.begin()
+        except _RefusalError as refusal:
+            return self._refuse(head, refusal, start)
+        finally:
+            if not ended:
+                self.state.in_flight -= 1
+
+    def _call(
+        self,
+        environ: Environ,
+        connection: CallerConnection,
+        head: RequestHead,
+        arrived: Millis,
+    ) -> Call:
+        configuration = self.state.configuration
+        if configuration is None:
+            raise _RefusalError(503, "no_configuration_yet", _STARTING_RETRY_MS)
+        body = self._body(environ, configuration.limits.max_body_bytes)
+        if self._is_past_new_work():
+            raise _RefusalError(503, "draining", _DRAINING_RETRY_MS)
+        path = connection.target.partition("?")[0]
+        route = self.state.routes.find(head.host, path)
+        if route is None:
+            raise self._unknown(404, "no_route")
+        holder = self._holder(configuration, route, head)
+        wait = min(route.timeout_ms, head.deadline_ms or _NO_ROUTE_TIMEOUT_MS)
+        return Call(
+            method=str(environ["REQUEST_METHOD"]),
+            target=connection.target,
+            body=body,
+            head=head,
+            route=route,
+            service=choose_service(route, self.state.draw.random()),
+            organisation=holder.organisation,
+            priority=route.priority if holder.priority is None else holder.priority,
+            arrived=arrived,
+            deadline=arrived + wait,
+            configuration=configuration.version,
+            passes_key=not configuration.needs_keys,
+        )
+
+    def _body(self, environ: Environ, most: int) -> bytes:
+        with gevent.Timeout(
+            _BODY_TIMEOUT_MS / _SECOND_MS, _RefusalError(408, "slow_body")
+        ):
+            body = environ["wsgi.input"].read(most + 1)
+        if len(body) > most:
+            raise _RefusalError(413, "body_too_large")
+        return body
+
+    def _is_past_new_work(self) -> bool:
+        state = self.state
+        if not state.draining:
+            return False
+        return state.clock.now() - state.drain_began > _LAST_NEW_MS
+
+    def _holder(
+        self, configuration: RoutingConfiguration, route: Route, head: RequestHead
+    ) -> KeyHolder:
+        holder = configuration.holders.get(head.key)
+        if holder is not None:
+            return holder
+        if route.public or not configuration.needs_keys:
+            return KeyHolder("")
+        raise self._unknown(401, "unknown_key")
+
+    def _unknown(self, status: int, reason: str) -> _RefusalError:
+        # A route or key that is not known here may be in force since a moment
+        # ago. Without fresh news "it does not exist" could be untrue, and
+        # callers do not come back after it.
+        if self.state.is_current:
+            return _RefusalError(status, reason)
+        return _RefusalError(503, f"{reason}_and_stale", _STALE_RETRY_MS)
+
+    def _refuse(
+        self, head: RequestHead, refusal: _RefusalError, start: StartResponse
+    ) -> list[bytes]:
+        state = self.state
+        state.answers["none", refusal.reason] += 1
+        log_event(
+            _log,
+            "request_refused",
+            request=head.attempt_id or "none",
+            result=refusal.reason,
+            status=refusal.status,
+            host=head.host,
+            configuration=state.version,
+            configuration_age_ms=state.configuration_age_ms,
+        )
+        headers = _own_headers(head.attempt_id, refusal.retry_after_ms)
+        body = _error_body(refusal.reason, Ran.NOT_RUN)
+        return self.respond(refusal.status, headers, body, start)
+
+    def respond(
+        self,
+        status: int,
+        headers: Iterable[tuple[str, str]],
+        body: bytes | None,
+        start: StartResponse,
+    ) -> list[bytes]:
+        """Begin an answer; with its body if it is there already."""
+        out = list(headers)
+        if body is not None:
+            out.append(("Content-Length", str(len(body))))
+        if self.state.draining:
+            out.append(("Connection", "close"))
+        start(_status_line(status), out)
+        return [body] if body else []
+
+
+class _Answer:
+    """The answer to one call, from its first part on.
+
+    The server asks for one chunk after the other and calls :meth:`close` when
+    it is done, also when the caller has gone.
+    """
+
+    def __init__(
+        self,
+        app: GatewayApp,
+        call: Call,
+        connection: CallerConnection,
+        start: StartResponse,
+    ) -> None:
+        self._app = app
+        self._call = call
+        self._start = start
+        self._watch = connection.watch()
+        self._parts = self._relay_parts()
+
+    def begin(self) -> Iterable[bytes]:
+        """Wait for the first part and begin the answer with it."""
+        self._watch.__enter__()
+        try:
+            first = next(self._parts)
+        except BaseException:
+            self.close()
+            raise
+        match first:
+            case Begun(status=status, headers=headers, body=None):
+                self._app.respond(status, headers, None, self._start)
+                return self
+            case Begun(status=status, headers=headers, body=body):
+                self.close()
+                return self._app.respond(status, headers, body, self._start)
+            case GivenUp(failure=failure, status=status):
+                self.close()
+                return self._give_up(failure, status)
+        raise AssertionError(f"an answer cannot begin with {first}")
+
+    def __iter__(self) -> Iterator[bytes]:
+        for part in self._parts:
+            if isinstance(part, Piece):
+                yield part.data
+
+    def close(self) -> None:
+        """End the request's work, whether or not it is done."""
+        self._watch.close()
+        self._parts.close()
+        self._app.state.in_flight -= 1
+
+    def _relay_parts(self) -> Iterator[Part]:
+        service = self._app.state.services.get(self._call.service)
+        if service is None:
+            failure = Failure(Ran.NOT_RUN, "unknown_service", "", _STALE_RETRY_MS)
+            yield GivenUp(failure, 503)
+            return
+        yield from Relay(self._call, self._app.state, service).run()
+
+    def _give_up(self, failure: Failure, status: int) -> list[bytes]:
+        retry_after = failure.retry_after_ms if failure.ran is Ran.NOT_RUN else None
+        headers = _own_headers(self._call.id, retry_after)
+        body = _error_body(failure.reason, failure.ran)
+        return self._app.respond(status, headers, body, self._start)
+
+
+def _own_headers(
+    attempt_id: str, retry_after_ms: Millis | None
+) -> list[tuple[str, str]]:
+    headers = [("Content-Type", "application/json")]
+    if attempt_id:
+        headers.append((ATTEMPT_ID, attempt_id))
+    if retry_after_ms is not None:
+        headers.append((RETRY_AFTER, f"{retry_after_ms / _SECOND_MS:.3f}"))
+    return headers
+
+
+def _error_body(reason: str, ran: Ran) -> bytes:
+    return msgspec.json.encode({"error": {"ran": str(ran), "reason": reason}})
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
--- /dev/null
+++ b/src/azurefold/gateway/calls.py
@@ -0,0 +1,137 @@
+"""One caller's request, and the parts of the answer to it."""
+
+import errno
+from dataclasses import dataclass
+
+from azurefold.core.attempts.outcome import Failure
+from azurefold.core.clock import Millis
+from azurefold.core.routes.model import Route
+from azurefold.platform.headers import RequestHead
+
+__all__ = [
+    "AnswerCutOffError",
+    "Begun",
+    "Call",
+    "CallerGoneError",
+    "CutOffError",
+    "DeadlinePassedError",
+    "GivenUp",
+    "Part",
+    "Piece",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request that the configuration allows.
+
+    Parameters
+    ----------
+    method, target : str
+        As the caller sent them; the target holds path and query.
+    body : bytes
+    head : RequestHead
+    route : Route
+    service : str
+        The one chosen among the route's destinations.
+    organisation : str
+        Empty where the configuration knows none.
+    priority : int
+        0 goes first.
+    arrived : int
+        On the process's clock.
+    deadline : int
+        When an answer is no longer wanted.
+    configuration : int
+        The version that decided all this.
+    passes_key : bool
+        Whether the caller's key is meant for the endpoint and not for us.
+    """
+
+    method: str
+    target: str
+    body: bytes
+    head: RequestHead
+    route: Route
+    service: str
+    organisation: str
+    priority: int
+    arrived: Millis
+    deadline: Millis
+    configuration: int
+    passes_key: bool = False
+
+    @property
+    def id(self) -> str:
+        """The caller's name for this request."""
+        return self.head.attempt_id
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of work that it stands for; 1 for a plain call."""
+        return self.head.prompt_tokens + self.head.answer_tokens or 1
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """The answer begins.
+
+    Parameters
+    ----------
+    status : int
+    headers : tuple of (str, str)
+    body : bytes or None
+        The whole body; None where pieces follow.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """Whole events of a stream."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """There is no answer of an endpoint; always the only part.
+
+    Parameters
+    ----------
+    failure : Failure
+    status : int
+    """
+
+    failure: Failure
+    status: int
+
+
+Part = Begun | Piece | GivenUp
+
+
+class CutOffError(OSError):
+    """Ends the handling of a request from outside.
+
+    An ``OSError`` with the number of a broken connection, so that the HTTP
+    server closes the caller's connection without a word: what was sent of the
+    answer must not look complete.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(errno.EPIPE, reason)
+
+
+class CallerGoneError(CutOffError):
+    """The caller has closed the connection."""
+
+
+class DeadlinePassedError(CutOffError):
+    """The time for an answer is over."""
+
+
+class AnswerCutOffError(CutOffError):
+    """The answer had begun and cannot be finished."""
--- /dev/null
+++ b/src/azurefold/gateway/connections.py
@@ -0,0 +1,134 @@
+"""Connections to endpoints: opened, kept for a while, and looked at before use."""
+
+import socket
+from collections import deque
+from dataclasses import dataclass, field
+
+from gevent import socket as gevent_socket
+
+from azurefold.core.clock import Clock, Millis
+from azurefold.internal.http_server import split_address
+from azurefold.internal.sockets import tune_connection
+from azurefold.internal.stream_socket import StreamSocket
+
+__all__ = ["EndpointLinks", "Link"]
+
+CONNECT_TIMEOUT_MS: Millis = 400
+"""A connection takes some 5 ms; a first packet that was dropped is sent again
+only after a second, and another endpoint answers sooner than that."""
+
+_KEPT_IDLE_MS: Millis = 3_000
+"""Endpoints close idle connections after some seconds; those that say when are
+taken at their word, less a margin."""
+
+_IDLE_MARGIN_MS: Millis = 500
+_KEPT_PER_ENDPOINT = 6
+_SECOND_MS = 1_000
+
+
+@dataclass(slots=True)
+class Link:
+    """One connection to an endpoint."""
+
+    sock: StreamSocket
+    is_new: bool = True
+    usable_until: Millis = 0
+
+    def close(self) -> None:
+        """Close the connection; most endpoints then drop its request."""
+        self.sock.close()
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether nothing has come on the idle connection, not even its end.
+
+        What goes wrong without the look: an endpoint may send a second answer
+        to the last request, or close the connection. The next request would
+        read the one as its own answer, or be lost on the other.
+        """
+        try:
+            self.sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+@dataclass(slots=True)
+class EndpointLinks:
+    """Idle connections by endpoint.
+
+    Parameters
+    ----------
+    clock : Clock
+    opened : int
+        Connections opened so far.
+    """
+
+    clock: Clock
+    opened: int = 0
+    _idle: dict[str, deque[Link]] = field(default_factory=dict)
+
+    def take(self, endpoint: str, address: str, *, fresh: bool) -> Link:
+        """Return a connection to an endpoint.
+
+        Parameters
+        ----------
+        endpoint, address : str
+        fresh : bool
+            Never one that was used before. An endpoint may be closing an idle
+            connection at this very moment, and whether it then ran the request
+            could not be told.
+
+        Raises
+        ------
+        OSError
+            If the endpoint cannot be reached; nothing was sent.
+        """
+        idle = self._idle.get(endpoint)
+        while idle and not fresh:
+            link = idle.pop()
+            if self.clock.now() < link.usable_until and link.is_quiet:
+                link.is_new = False
+                return link
+            link.close()
+        return self._open(address)
+
+    def keep(self, endpoint: str, link: Link, idle_timeout_ms: Millis | None) -> None:
+        """Keep a connection for the next request."""
+        kept_ms = _KEPT_IDLE_MS
+        if idle_timeout_ms is not None:
+            kept_ms = min(kept_ms, idle_timeout_ms - _IDLE_MARGIN_MS)
+        link.usable_until = self.clock.now() + kept_ms
+        idle = self._idle.setdefault(endpoint, deque())
+        idle.append(link)
+        if len(idle) > _KEPT_PER_ENDPOINT:
+            idle.popleft().close()
+
+    def forget(self, endpoint: str) -> None:
+        """Close the idle connections to an endpoint that is gone."""
+        for link in self._idle.pop(endpoint, ()):
+            link.close()
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        now = self.clock.now()
+        for endpoint, idle in list(self._idle.items()):
+            while idle and idle[0].usable_until <= now:
+                idle.popleft().close()
+            if not idle:
+                del self._idle[endpoint]
+
+    def _open(self, address: str) -> Link:
+        sock = StreamSocket(gevent_socket.AF_INET, gevent_socket.SOCK_STREAM)
+        try:
+            tune_connection(sock)
+            sock.settimeout(CONNECT_TIMEOUT_MS / _SECOND_MS)
+            sock.connect(split_address(address))
+            sock.settimeout(None)
+        except BaseException:
+            sock.close()
+            raise
+        self.opened += 1
+        return Link(sock)
--- /dev/null
+++ b/src/azurefold/gateway/followers.py
@@ -0,0 +1,142 @@
+"""Following tables of the store by their feeds."""
+
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+
+from azurefold.core.clock import Clock, Millis
+from azurefold.internal.logs import log_event
+from azurefold.platform.store import Feed, StoreClient
+from azurefold.platform.store_messages import (
+    FeedChanges,
+    HistoryLost,
+    StoredRow,
+    StoredRows,
+    Unavailable,
+)
+
+__all__ = ["TableFollower"]
+
+_log = logging.getLogger("azurefold.gateway")
+
+_SECOND_MS = 1_000
+_GATHER_MS: Millis = 200
+"""After changes, before the next call: entries and versions come in quick
+succession, and one call can fetch several. They are to be in force after two
+seconds. At a start with 19 endpoints this saves two calls of three."""
+
+_FIRST_PAUSE_MS: Millis = 150
+_LONGEST_PAUSE_MS: Millis = 1_000
+"""Between two tries while the store is away: what it tells on its return must
+be in force two seconds later, and each try has its price."""
+
+
+@dataclass(slots=True)
+class TableFollower:
+    """Keeps one table in view.
+
+    Parameters
+    ----------
+    store : StoreClient
+    table : str
+    wait_ms : int
+        How long the store keeps a feed's call that has nothing to tell.
+    clock : Clock
+    draw : random.Random
+    on_rows : callable
+        Takes all rows of the table.
+    on_changes : callable
+        Takes rows that changed.
+    on_heard : callable
+        Called after each answer of the store.
+    on_doubt : callable
+        Called when a call fails.
+    on_lost : callable
+        Called when calls go on failing: the store is away.
+    """
+
+    store: StoreClient
+    table: str
+    wait_ms: Millis
+    clock: Clock
+    draw: random.Random
+    on_rows: Callable[[tuple[StoredRow, ...]], None]
+    on_changes: Callable[[tuple[StoredRow, ...]], None]
+    on_heard: Callable[[], None]
+    on_doubt: Callable[[], None]
+    on_lost: Callable[[], None]
+    version: int | None = None
+    _feed: Feed | None = None
+    _failures: int = 0
+    _failing_since: Millis = 0
+    _woken: bool = field(default=False)
+
+    def run(self) -> None:
+        """Follow the table for ever."""
+        while True:
+            self._step()
+
+    def look_again(self) -> None:
+        """Ask the store anew: others have heard what should have come here.
+
+        What goes wrong without: a connection has gone silent, and the feed on
+        it tells nothing until its wait is over.
+        """
+        if self._feed is not None and not self._woken:
+            self._woken = True
+            self._feed.close()
+
+    def _step(self) -> None:
+        answer = self._read_all() if self.version is None else self._read_changes()
+        self._woken = False
+        match answer:
+            case StoredRows(rows=rows, version=version):
+                self._heard(version)
+                self.on_rows(rows)
+            case FeedChanges(rows=rows, version=version):
+                self._heard(version)
+                if rows:
+                    self.on_changes(rows)
+                    gevent.sleep(_GATHER_MS / _SECOND_MS)
+            case HistoryLost():
+                log_event(_log, "feed_history_lost", table=self.table)
+                self.version = None
+            case Unavailable(reason=reason):
+                self._lost(reason)
+
+    def _read_all(self) -> StoredRows | Unavailable:
+        return self.store.read_table(self.table)
+
+    def _read_changes(self) -> FeedChanges | HistoryLost | Unavailable:
+        if self._feed is None:
+            self._feed = self.store.open_feed(self.wait_ms)
+        return self._feed.changes(self.table, self.version)
+
+    def _heard(self, version: int) -> None:
+        if self._failures:
+            away = self.clock.now() - self._failing_since
+            log_event(_log, "store_regained", table=self.table, away_ms=away)
+        self._failures = 0
+        self.version = version
+        self.on_heard()
+
+    def _lost(self, reason: str) -> None:
+        if self._feed is not None:
+            self._feed.close()
+            self._feed = None
+        if self._woken:
+            return
+        if not self._failures:
+            self._failing_since = self.clock.now()
+            log_event(_log, "store_lost", logging.WARNING, table=self.table, why=reason)
+        self._failures += 1
+        self.on_doubt()
+        # One failure may be a connection that was reset; the store counts as
+        # away when the next try fails too.
+        if self._failures > 1:
+            self.on_lost()
+        pause = min(_LONGEST_PAUSE_MS, _FIRST_PAUSE_MS << min(self._failures - 1, 8))
+        gevent.sleep(pause * (0.5 + self.draw.random()) / _SECOND_MS)
--- /dev/null
+++ b/src/azurefold/gateway/metrics.py
@@ -0,0 +1,74 @@
+"""What a gateway counts, read off its state when somebody asks."""
+
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.metrics_core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from azurefold.gateway.state import GatewayState
+
+__all__ = ["gateway_registry"]
+
+
+class _GatewayCollector(Collector):
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    def collect(self) -> Iterator[Metric]:
+        state = self._state
+        answers = CounterMetricFamily(
+            "azurefold_gateway_answers",
+            "Final answers to callers",
+            labels=["service", "result"],
+        )
+        for (service, result), number in state.answers.items():
+            answers.add_metric([service, result], number)
+        yield answers
+        yield _gauge("configuration_version", "Version in force", state.version)
+        yield _gauge("in_flight", "Requests not yet answered", state.in_flight)
+        yield _gauge("nodes", "Gateways heard, this one included", state.nodes)
+        yield _gauge(
+            "connections_opened", "Connections to endpoints", state.links.opened
+        )
+        yield self._endpoints()
+        yield self._waiting()
+
+    def _endpoints(self) -> Metric:
+        family = GaugeMetricFamily(
+            "azurefold_gateway_endpoints",
+            "Endpoints by service and whether they get new work",
+            labels=["service", "state"],
+        )
+        for name, service in self._state.services.items():
+            ejected = len(service.admission.pool.ejected)
+            leaving = sum(1 for entry in service.entries.values() if entry.leaving)
+            family.add_metric([name, "ejected"], ejected)
+            family.add_metric([name, "leaving"], leaving)
+            family.add_metric([name, "all"], len(service.entries))
+        return family
+
+    def _waiting(self) -> Metric:
+        family = GaugeMetricFamily(
+            "azurefold_gateway_waiting",
+            "Requests that wait for an endpoint",
+            labels=["service"],
+        )
+        for name, service in self._state.services.items():
+            family.add_metric([name], service.admission.waiting)
+        return family
+
+
+def _gauge(name: str, text: str, value: float) -> Metric:
+    return GaugeMetricFamily(f"azurefold_gateway_{name}", text, value=value)
+
+
+def gateway_registry(state: GatewayState) -> CollectorRegistry:
+    """Return the registry of one gateway's metrics."""
+    registry = CollectorRegistry()
+    registry.register(_GatewayCollector(state))
+    return registry
--- /dev/null
+++ b/src/azurefold/gateway/reply.py
@@ -0,0 +1,156 @@
+"""Reading one answer of an endpoint off a connection."""
+
+from dataclasses import dataclass
+
+from geventhttpclient.response import (
+    HTTPParseError,
+    HTTPProtocolViolationError,
+    HTTPResponse,
+)
+
+from azurefold.core.clock import Millis
+from azurefold.gateway.connections import Link
+from azurefold.platform.headers import AnswerHead, read_answer
+
+__all__ = ["BrokenReplyError", "Reply", "read_reply"]
+
+_BLOCK_BYTES = 16_384
+_SECOND_MS = 1_000
+_FIRST_FINAL_STATUS = 200
+
+
+class BrokenReplyError(Exception):
+    """The answer broke off, or was none; what was sent may have been run.
+
+    Parameters
+    ----------
+    reason : str
+        A short word for logs.
+    begun : bool
+        Whether any byte of an answer had come.
+    """
+
+    def __init__(self, reason: str, begun: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.begun = begun
+
+
+class _Parser(HTTPResponse):
+    """A parser for one final answer.
+
+    The library's goes on to the next answer on the connection and forgets the
+    one before. Bytes behind a whole answer belong to no request of ours; they
+    must not change what was read, and the connection is not used again.
+    """
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.get_code() >= _FIRST_FINAL_STATUS:
+            raise HTTPProtocolViolationError("bytes behind the answer")
+        super()._on_message_begin()
+
+
+@dataclass(slots=True)
+class Reply:
+    """An answer whose head has come; made by :func:`read_reply`.
+
+    Parameters
+    ----------
+    head : AnswerHead
+    """
+
+    head: AnswerHead
+    _link: Link
+    _parser: _Parser
+    _spoiled: bool
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether all of the answer has come."""
+        return self._parser.message_complete
+
+    @property
+    def may_reuse(self) -> bool:
+        """Whether the connection can carry another request."""
+        return not self._spoiled and not self._parser.should_close()
+
+    @property
+    def idle_timeout_ms(self) -> Millis | None:
+        """How long the endpoint says it keeps an idle connection."""
+        for part in str(self._parser.get("keep-alive", "")).split(","):
+            name, _, seconds = part.strip().partition("=")
+            if name == "timeout" and seconds.isdecimal():
+                return int(seconds) * _SECOND_MS
+        return None
+
+    def next_bytes(self) -> bytes:
+        """Wait for more of the body; empty when it is whole.
+
+        Raises
+        ------
+        BrokenReplyError
+            If the connection ends before the answer does.
+        """
+        while not self._parser._body_buffer:
+            if self._parser.message_complete:
+                return b""
+            self._receive()
+        data = bytes(self._parser._body_buffer)
+        self._parser._body_buffer.clear()
+        return data
+
+    def whole_body(self) -> bytes:
+        """Wait for the whole body.
+
+        Raises
+        ------
+        BrokenReplyError
+            If the connection ends before the answer does.
+        """
+        pieces = []
+        while piece := self.next_bytes():
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _receive(self) -> None:
+        self._spoiled |= not _feed(self._link, self._parser, begun=True)
+
+
+def read_reply(link: Link, method: str) -> Reply:
+    """Wait for the head of an answer.
+
+    Raises
+    ------
+    BrokenReplyError
+        If there is none, or bytes that are no answer.
+    """
+    parser = _Parser(method)
+    clean = True
+    begun = False
+    while not parser.headers_complete or parser.get_code() < _FIRST_FINAL_STATUS:
+        clean &= _feed(link, parser, begun)
+        begun = True
+    pairs = [(name, str(value)) for name, value in parser.items()]
+    head = read_answer(parser.get_code(), pairs)
+    return Reply(head, link, parser, not clean)
+
+
+def _feed(link: Link, parser: _Parser, begun: bool) -> bool:
+    """Read once; return whether the connection still makes sense."""
+    try:
+        data = link.sock.recv(_BLOCK_BYTES)
+    except TimeoutError as error:
+        raise BrokenReplyError("silent", begun) from error
+    except OSError as error:
+        raise BrokenReplyError("reset", begun) from error
+    try:
+        # No data is the end of the connection, which ends an answer that has
+        # no length of its own.
+        parser.feed(data)
+    except HTTPParseError as error:
+        if parser.message_complete and parser.headers_complete:
+            return False
+        raise BrokenReplyError("not_an_answer", begun) from error
+    if not data and not parser.message_complete:
+        raise BrokenReplyError("closed", begun)
+    return bool(data)
--- /dev/null
+++ b/src/azurefold/gateway/service.py
@@ -0,0 +1,164 @@
+"""Puts a gateway together and runs it until it is told to stop."""
+
+import logging
+import signal
+import sys
+
+import gevent
+from gevent.event import Event
+
+from azurefold.core.clock import Millis
+from azurefold.gateway.app import GatewayApp
+from azurefold.gateway.front import front_server
+from azurefold.gateway.metrics import gateway_registry
+from azurefold.gateway.news import new_news
+from azurefold.gateway.state import GatewayState, new_gateway_state
+from azurefold.internal.admin_http import AdminViews, admin_server
+from azurefold.internal.clock import suspended_time_clock
+from azurefold.internal.http_server import TimedServer
+from azurefold.internal.log_writer import log_without_waiting
+from azurefold.internal.logs import log_event
+from azurefold.internal.loops import spawn_loop
+from azurefold.platform.settings import BadSettingsError, load_settings
+from azurefold.platform.store import store_client
+
+__all__ = ["run_gateway"]
+
+_log = logging.getLogger("azurefold.gateway")
+
+EXIT_BAD_SETTINGS = 2
+_SECOND_MS = 1_000
+_TICK_MS: Millis = 250
+
+_LISTEN_AFTER_STOP_MS: Millis = 3_200
+"""The balancer in front checks each second and needs two misses. Until then it
+sends new connections, which a closed port would reset."""
+
+_STOP_MARGIN_MS: Millis = 400
+"""Before the platform kills the process, to end what is left by ourselves."""
+
+_LOOK_MS: Millis = 50
+
+
+def run_gateway(path: str) -> int:
+    """Serve callers with the settings in ``path`` until SIGTERM.
+
+    Returns
+    -------
+    int
+        0 after a stop that cut nothing off, 1 if requests were cut off, 2 if
+        the settings cannot be used.
+    """
+    try:
+        settings = load_settings(path)
+    except BadSettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    lines = log_without_waiting(settings.name)
+    state = new_gateway_state(settings, suspended_time_clock())
+    stop = _stop_requested()
+    callers, admin = _servers(state)
+    news = new_news(state, store_client(settings.store))
+    for loop in (news.configuration.run, news.endpoints.run):
+        spawn_loop(loop)
+    spawn_loop(_tick_for_ever, state, callers)
+    gevent.signal_handler(signal.SIGHUP, _reload, path, state, news)
+    callers.start()
+    admin.start()
+    log_event(_log, "started", listen=settings.callers, store=settings.store)
+    stop.wait()
+    code = _drain(state, callers)
+    lines.flush()
+    return code
+
+
+def _servers(state: GatewayState) -> tuple[TimedServer, TimedServer]:
+    settings = state.settings
+    views = AdminViews(
+        registry=gateway_registry(state),
+        is_ready=lambda: state.is_ready,
+        status=lambda: _status(state),
+    )
+    return (
+        front_server(settings.callers, GatewayApp(state)),
+        admin_server(settings.admin, views, "azurefold.gateway.admin"),
+    )
+
+
+def _stop_requested() -> Event:
+    stop = Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    return stop
+
+
+def _reload(path: str, state: GatewayState, news: News) -> None:
+    """Take in a settings file that has changed; addresses of our own stay."""
+    try:
+        settings = load_settings(path)
+    except BadSettingsError as error:
+        log_event(_log, "reload_failed", logging.ERROR, why=error)
+        return
+    changed = changed_settings(state.settings, settings)
+    if settings.store != state.settings.store:
+        news.use_store(store_client(settings.store))
+    state.settings = settings
+    log_event(_log, "reloaded", changed=",".join(changed) or "nothing")
+
+
+def _tick_for_ever(state: GatewayState, callers: TimedServer) -> None:
+    while True:
+        gevent.sleep(_TICK_MS / _SECOND_MS)
+        gone = state.registry.tick(state.clock.now())
+        for name in gone:
+            state.links.forget(name)
+            log_event(_log, "endpoint_gone", endpoint=name, why="lapsed")
+        if gone:
+            state.spread_endpoints()
+        for service in state.services.values():
+            service.admission.tick()
+        state.links.sweep()
+        if state.configuration is not None:
+            limits = state.configuration.limits
+            callers.header_timeout_ms = limits.header_timeout_ms
+            callers.idle_timeout_ms = limits.idle_timeout_ms
+
+
+def _status(state: GatewayState) -> dict[str, object]:
+    return {
+        "role": "gateway",
+        "name": state.settings.name,
+        "data_centre": state.settings.data_centre,
+        "version": state.version,
+        "version_age_ms": state.configuration_age_ms,
+        "draining": state.draining,
+        "in_flight": state.in_flight,
+        "services": {
+            name: {
+                "waiting": service.admission.waiting,
+                "in_flight": service.admission.pool.in_flight,
+                "endpoints": sorted(service.entries),
+                "ejected": sorted(service.admission.pool.ejected),
+            }
+            for name, service in state.services.items()
+        },
+    }
+
+
+def _drain(state: GatewayState, callers: TimedServer) -> int:
+    """Finish what is in flight and stop."""
+    state.draining = True
+    began = state.drain_began = state.clock.now()
+    log_event(_log, "draining", in_flight=state.in_flight)
+    last = began + state.settings.stop_grace_ms - _STOP_MARGIN_MS
+    listening = True
+    while state.clock.now() < last:
+        waited = state.clock.now() - began
+        if listening and waited >= _LISTEN_AFTER_STOP_MS:
+            callers.close()
+            listening = False
+        if not listening and state.in_flight == 0:
+            break
+        gevent.sleep(_LOOK_MS / _SECOND_MS)
+    log_event(_log, "stopped", cut_off=state.in_flight)
+    return 1 if state.in_flight else 0
--- /dev/null
+++ b/src/azurefold/gateway/settings.py
@@ -0,0 +1,65 @@
+"""What a gateway process is told when it starts."""
+
+from dataclasses import dataclass, fields
+
+from azurefold.core.clock import Millis
+
+__all__ = ["GatewaySettings", "changed_settings"]
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Addresses and bounds of one process.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        Of the VM.
+    callers : str
+        ``"ip:port"`` on which callers connect.
+    admin : str
+        ``"ip:port"`` of health checks.
+    peers_port : int
+        UDP port on which gateways tell each other their loads; 0 for none.
+    store : str
+        ``"ip:port"`` of the store.
+    stop_grace_ms : int
+        From SIGTERM until the process is killed.
+    stall_ms : int
+        How long a group waits for a rank that does not answer.
+    heartbeat_ms : int
+        Between two heartbeats of an endpoint.
+    retry_share : float
+        Retries that all nodes together may make for each request.
+    retry_slack : int
+        Retries besides, in one window over all nodes.
+    retry_window_ms : int
+        The window.
+    fenced_orders : bool
+        Whether engines refuse orders of an older fence.
+    """
+
+    name: str
+    data_centre: str
+    callers: str
+    admin: str
+    peers_port: int
+    store: str
+    stop_grace_ms: Millis
+    stall_ms: Millis
+    heartbeat_ms: Millis
+    retry_share: float
+    retry_slack: int
+    retry_window_ms: Millis
+    fenced_orders: bool
+
+    @property
+    def ip(self) -> str:
+        """Address of this VM."""
+        return self.callers.rpartition(":")[0]
+
+
+def changed_settings(old: GatewaySettings, new: GatewaySettings) -> list[str]:
+    """Return the names of the settings that differ."""
+    names = [field.name for field in fields(GatewaySettings)]
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
--- /dev/null
+++ b/src/azurefold/gateway/state.py
@@ -0,0 +1,150 @@
+"""What one gateway process holds."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from azurefold.core.clock import Clock, Millis
+from azurefold.core.membership.registry import EndpointRegistry
+from azurefold.core.routes.model import RoutingConfiguration
+from azurefold.core.routes.table import RouteTable, route_table
+from azurefold.core.routing.retries import RetryPolicy
+from azurefold.gateway.connections import EndpointLinks
+from azurefold.gateway.service_state import (
+    GatewayService,
+    new_gateway_service,
+    retry_policy,
+)
+from azurefold.gateway.settings import GatewaySettings
+
+__all__ = ["GatewayState", "new_gateway_state"]
+
+_USUAL_NODES = 6
+"""Nodes to share the retries with while none has been heard: each user has six
+to nine."""
+
+
+@dataclass(slots=True)
+class GatewayState:
+    """Configuration, endpoints, and the requests in flight.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    clock : Clock
+    draw : random.Random
+    registry : EndpointRegistry
+    links : EndpointLinks
+    services : dict of str to GatewayService
+    configuration : RoutingConfiguration or None
+        None until the first one was read.
+    routes : RouteTable
+    draining : bool
+        Whether the process has been told to stop.
+    drain_began : int
+        When it was told.
+    in_flight : int
+        Requests read and not yet answered.
+    answers : Counter of (str, str)
+        By service and result.
+    nodes : int
+        Gateways, this one included.
+    is_current : bool
+        Whether the store is being heard: then a route or key that is not known
+        here is in force nowhere.
+    """
+
+    settings: GatewaySettings
+    clock: Clock
+    draw: random.Random
+    links: EndpointLinks
+    registry: EndpointRegistry = field(default_factory=EndpointRegistry)
+    services: dict[str, GatewayService] = field(default_factory=dict)
+    configuration: RoutingConfiguration | None = None
+    routes: RouteTable = field(default_factory=lambda: route_table(()))
+    draining: bool = False
+    drain_began: Millis = 0
+    in_flight: int = 0
+    answers: Counter[tuple[str, str]] = field(default_factory=Counter)
+    nodes: int = _USUAL_NODES
+    is_current: bool = False
+    _configuration_seen: Millis | None = None
+
+    @property
+    def version(self) -> int:
+        """Of the configuration in force; 0 before the first."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new requests should be sent here."""
+        return self.configuration is not None and not self.draining
+
+    @property
+    def configuration_age_ms(self) -> Millis | None:
+        """Time since the store last showed that the configuration is current."""
+        if self._configuration_seen is None:
+            return None
+        return self.clock.now() - self._configuration_seen
+
+    def confirm_configuration(self) -> None:
+        """Note that the store has nothing newer, and would tell of it."""
+        self._configuration_seen = self.clock.now()
+        self.is_current = True
+
+    def doubt_configuration(self) -> None:
+        """Note that the store may have something newer and cannot tell."""
+        self.is_current = False
+
+    def apply(self, configuration: RoutingConfiguration) -> None:
+        """Put a newer configuration in force."""
+        self.configuration = configuration
+        self.routes = route_table(configuration.routes)
+        for view in configuration.services.values():
+            self._configure(view)
+        self.spread_endpoints()
+
+    def spread_endpoints(self) -> None:
+        """Hand the present endpoints to their services."""
+        now = self.clock.now()
+        by_service = {name: [] for name in self.services}
+        for entry in self.registry.entries.values():
+            if entry.service in by_service:
+                by_service[entry.service].append(entry)
+        for name, entries in by_service.items():
+            self.services[name].set_endpoints(entries, now)
+
+    def set_nodes(self, nodes: int) -> None:
+        """Take in how many gateways there are, this one included."""
+        if nodes == self.nodes:
+            return
+        self.nodes = nodes
+        for service in self.services.values():
+            service.admission.retries.set_policy(self._retry_policy())
+
+    def _configure(self, view) -> None:
+        known = self.services.get(view.name)
+        if known is not None:
+            known.configure(view)
+            return
+        self.services[view.name] = new_gateway_service(
+            view,
+            self.settings.data_centre,
+            self.clock,
+            self.draw.getrandbits(32),
+            self._retry_policy(),
+        )
+
+    def _retry_policy(self) -> RetryPolicy:
+        settings = self.settings
+        return retry_policy(
+            settings.retry_share,
+            settings.retry_slack,
+            settings.retry_window_ms,
+            self.nodes,
+        )
+
+
+def new_gateway_state(settings: GatewaySettings, clock: Clock) -> GatewayState:
+    """Return the state of a process that has just started."""
+    return GatewayState(settings, clock, random.Random(), EndpointLinks(clock))
--- a/src/azurefold/internal/http_client.py
+++ b/src/azurefold/internal/http_client.py
@@ -1,7 +1,5 @@
 """HTTP clients between processes."""
 
-import socket
-
 import gevent.socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
@@ -13,6 +11,7 @@
 
 from azurefold.core.clock import Millis
 from azurefold.internal.http_server import split_address
+from azurefold.internal.sockets import tune_connection
 from azurefold.internal.stream_socket import StreamSocket
 
 __all__ = ["CONNECTION_ERRORS", "fresh_client", "http_client", "lines_at_once"]
@@ -31,7 +30,7 @@
         self, family: int, socktype: int, protocol: int
     ) -> StreamSocket:
         sock = StreamSocket(family, socktype, protocol)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tune_connection(sock)
         return sock
 
 
--- a/src/azurefold/internal/http_server.py
+++ b/src/azurefold/internal/http_server.py
@@ -9,7 +9,7 @@
 
 from azurefold.core.clock import Millis
 
-__all__ = ["http_server", "split_address"]
+__all__ = ["RequestHandler", "TimedServer", "http_server", "split_address"]
 
 _SECOND_MS = 1_000
 _HEADER_TIMEOUT_MS: Millis = 10_000
@@ -39,7 +39,7 @@
     return host, int(port)
 
 
-class _Handler(WSGIHandler):
+class RequestHandler(WSGIHandler):
     """A handler that a slow or silent sender cannot hold for ever.
 
     What goes wrong without it: a sender that dribbles one header byte a
@@ -50,14 +50,16 @@
     _headers_late = False
 
     def handle(self) -> None:
+        """Answer the requests of one connection."""
         # pywsgi writes header and body apart. With Nagle's algorithm the body
         # waits for the peer's delayed ACK of the header, and each kept-alive
         # request takes 40 ms longer than it needs to.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.socket.settimeout(_IDLE_TIMEOUT_MS / _SECOND_MS)
+        self.socket.settimeout(self.server.idle_timeout_ms / _SECOND_MS)
         super().handle()
 
     def read_request(self, raw_requestline: str) -> object:
+        """Read the headers of a request, in the time that settings give."""
         timeout_ms = self.server.header_timeout_ms
         with gevent.Timeout(timeout_ms / _SECOND_MS, False):
             return super().read_request(raw_requestline)
@@ -65,6 +67,7 @@
         return False
 
     def handle_one_request(self) -> object:
+        """Answer one request, or say that its headers came too late."""
         result = super().handle_one_request()
         return _TOO_LATE if self._headers_late else result
 
@@ -90,8 +93,11 @@
         """Write no access log; processes log their own events."""
 
 
-class _Server(WSGIServer):
+class TimedServer(WSGIServer):
+    """A server whose handlers observe its timeouts, which may be changed."""
+
     header_timeout_ms: Millis = _HEADER_TIMEOUT_MS
+    idle_timeout_ms: Millis = _IDLE_TIMEOUT_MS
 
 
 def http_server(
@@ -99,7 +105,8 @@
     application: Callable,
     name: str,
     header_timeout_ms: Millis = _HEADER_TIMEOUT_MS,
-) -> WSGIServer:
+    handler_class: type[RequestHandler] = RequestHandler,
+) -> TimedServer:
     """Return a server, not yet started, for a WSGI application.
 
     Parameters
@@ -112,12 +119,14 @@
         Shown in logs of errors.
     header_timeout_ms : int, default=10000
         For a sender to send all headers of a request.
+    handler_class : type, default=RequestHandler
+        What answers the requests of one connection.
     """
     logger = logging.getLogger(name)
-    server = _Server(
+    server = TimedServer(
         split_address(address),
         application,
-        handler_class=_Handler,
+        handler_class=handler_class,
         log=None,
         error_log=logger,
         backlog=1_024,
--- a/src/azurefold/internal/logs.py
+++ b/src/azurefold/internal/logs.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-__all__ = ["configure_logging", "event_line", "log_event"]
+__all__ = ["configure_logging", "event_line", "line_formatter", "log_event"]
 
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:/+~@%,-"
@@ -60,6 +60,17 @@
         return f"{head} {message}"
 
 
+def line_formatter(process: str) -> logging.Formatter:
+    """Return what makes one line of each record.
+
+    Parameters
+    ----------
+    process : str
+        The name shown in each line.
+    """
+    return _Formatter(process)
+
+
 def configure_logging(process: str, level: str = "INFO") -> None:
     """Send all logs of this process to standard error, a line an event.
 
@@ -71,7 +82,7 @@
         One of logging's level names.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(_Formatter(process))
+    handler.setFormatter(line_formatter(process))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
--- /dev/null
+++ b/src/azurefold/platform/configuration.py
@@ -0,0 +1,167 @@
+"""The operators' configuration as the platform's store holds it."""
+
+import msgspec
+
+from azurefold.core.routes.model import (
+    CallerLimits,
+    Destination,
+    Engine,
+    KeyHolder,
+    Route,
+    RoutedService,
+    RouteKind,
+    RoutingConfiguration,
+)
+
+__all__ = ["KEY", "TABLE", "BadConfigurationError", "decode_configuration"]
+
+TABLE = "op"
+"""The table in which operators write."""
+
+KEY = "config"
+"""The row of the newest configuration, always whole."""
+
+
+class BadConfigurationError(ValueError):
+    """A configuration of a form that this version does not know."""
+
+
+class _Split(msgspec.Struct):
+    service: str = msgspec.field(name="Service")
+    weight: float = msgspec.field(name="Weight", default=1.0)
+
+
+class _Route(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    host: str = msgspec.field(name="Hostname")
+    prefix: str = msgspec.field(name="Prefix")
+    kind: RouteKind = msgspec.field(name="RouteKind")
+    timeout_ms: float = msgspec.field(name="TimeoutMs")
+    objective_ms: float = msgspec.field(name="SloMs", default=0)
+    priority: int = msgspec.field(name="Priority", default=0)
+    # Either one service or a split over several, never both.
+    service: str | None = msgspec.field(name="Service", default=None)
+    split: list[_Split] = msgspec.field(name="Split", default_factory=list)
+    max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    public: bool = msgspec.field(name="Public", default=False)
+    resumable: bool = msgspec.field(name="Resumable", default=False)
+    # A pause between events, although its name speaks of tokens: one event
+    # holds several.
+    event_gap_ms: float = msgspec.field(name="TbtTargetMs", default=0)
+
+
+class _Engine(msgspec.Struct):
+    slots: int = msgspec.field(name="Slots")
+    stride: int = msgspec.field(name="Stride", default=1)
+    layer_sets: int = msgspec.field(name="Sets", default=0)
+    experts: int = msgspec.field(name="Experts", default=0)
+    places: int = msgspec.field(name="Placements", default=0)
+    # Not places that are free: experts of one set that may be new to a rank
+    # in one change.
+    loads_per_change: int = msgspec.field(name="Spare", default=0)
+    expert_mb: float = msgspec.field(name="ExpertSizeMb", default=0.0)
+    link_mbps: float = msgspec.field(name="LinkMbps", default=0.0)
+    form_ms: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    max_connections: int = msgspec.field(name="MaxConns", default=64)
+    engine: _Engine | None = msgspec.field(name="Engine", default=None)
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = msgspec.field(name="MaxHeaderBytes", default=16_384)
+    max_body_bytes: int = msgspec.field(name="MaxBodyBytes", default=4_194_304)
+    header_timeout_ms: float = msgspec.field(name="HeaderTimeoutMs", default=3_000)
+    idle_timeout_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
+
+
+class _Tenant(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    keys: list[str] = msgspec.field(name="ApiKeys", default_factory=list)
+    priority: int | None = msgspec.field(name="Priority", default=None)
+
+
+class _Configuration(msgspec.Struct):
+    version: int = msgspec.field(name="Version")
+    routes: list[_Route] = msgspec.field(name="Routes", default_factory=list)
+    services: list[_Service] = msgspec.field(name="Services", default_factory=list)
+    limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
+    tenants: list[_Tenant] | None = msgspec.field(name="Tenants", default=None)
+
+
+_decode = msgspec.json.Decoder(_Configuration).decode
+
+
+def decode_configuration(data: bytes) -> RoutingConfiguration:
+    """Decode a configuration.
+
+    Raises
+    ------
+    BadConfigurationError
+        If it is not of the known form.
+    """
+    try:
+        read = _decode(data)
+    except msgspec.MsgspecError as error:
+        raise BadConfigurationError(str(error)) from error
+    tenants = read.tenants or []
+    return RoutingConfiguration(
+        version=read.version,
+        routes=tuple(_route(each) for each in read.routes),
+        services={each.name: _service(each) for each in read.services},
+        holders={
+            key: KeyHolder(tenant.name, tenant.priority)
+            for tenant in tenants
+            for key in tenant.keys
+        },
+        needs_keys=bool(tenants),
+        limits=_limits(read.limits),
+    )
+
+
+def _route(read: _Route) -> Route:
+    split = tuple(Destination(each.service, each.weight) for each in read.split)
+    single = (Destination(read.service or ""),)
+    return Route(
+        name=read.name,
+        host=read.host,
+        prefix=read.prefix,
+        kind=read.kind,
+        destinations=split or single,
+        timeout_ms=int(read.timeout_ms),
+        objective_ms=int(read.objective_ms),
+        event_gap_ms=int(read.event_gap_ms),
+        priority=read.priority,
+        max_attempts=read.max_attempts,
+        public=read.public,
+        resumable=read.resumable,
+    )
+
+
+def _service(read: _Service) -> RoutedService:
+    engine = read.engine
+    if engine is None:
+        return RoutedService(read.name, read.max_connections)
+    decoded = Engine(
+        slots=engine.slots,
+        stride=engine.stride,
+        layer_sets=engine.layer_sets,
+        experts=engine.experts,
+        places=engine.places,
+        loads_per_change=engine.loads_per_change,
+        expert_mb=engine.expert_mb,
+        link_mbps=engine.link_mbps,
+        form_ms=int(engine.form_ms),
+    )
+    return RoutedService(read.name, read.max_connections, decoded)
+
+
+def _limits(read: _Limits) -> CallerLimits:
+    return CallerLimits(
+        max_header_bytes=read.max_header_bytes,
+        max_body_bytes=read.max_body_bytes,
+        header_timeout_ms=int(read.header_timeout_ms),
+        idle_timeout_ms=int(read.idle_timeout_ms),
+    )
--- /dev/null
+++ b/src/azurefold/platform/headers.py
@@ -0,0 +1,220 @@
+"""Header names of callers' requests and endpoints' answers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+__all__ = [
+    "AnswerHead",
+    "RequestHead",
+    "endpoint_headers",
+    "read_answer",
+    "read_request",
+]
+
+Headers = Iterable[tuple[str, str]]
+
+ATTEMPT_ID = "Attempt-Id"
+DEADLINE = "Deadline-Ms"
+LAST_EVENT_ID = "Last-Event-Id"
+RETRY_AFTER = "Retry-After"
+
+_AUTHORIZATION = "authorization"
+_BEARER = "bearer "
+_TENANT = "Tenant"
+_EXPECT_INSTANCE = "Expect-Instance"
+_REQUEST_PRIORITY = "Request-Priority"
+_SEAL = "server-seal"
+_NOT_RUN = "not-executed"
+_AT_FAULT = "at-server"
+
+_OF_ONE_CONNECTION = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    }
+)
+"""Headers of one hop, and those by which each hop frames the body anew."""
+
+_SET_HERE = frozenset(
+    name.lower()
+    for name in (DEADLINE, LAST_EVENT_ID, _TENANT, _EXPECT_INSTANCE, _REQUEST_PRIORITY)
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """What a caller's headers say.
+
+    Parameters
+    ----------
+    attempt_id : str
+        The caller's name for this request; a repeat has another.
+    deadline_ms : int or None
+        How long the caller will wait.
+    key : str
+        Empty if none was sent.
+    last_event_id : str or None
+        Where a stream is to be resumed.
+    host : str
+    prompt_tokens, answer_tokens : int
+        0 where the caller does not say.
+    forwarded : tuple of (str, str)
+        Headers that go to the endpoint as they came.
+    """
+
+    attempt_id: str
+    deadline_ms: int | None
+    key: str
+    last_event_id: str | None
+    host: str
+    prompt_tokens: int
+    answer_tokens: int
+    forwarded: tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What an endpoint's headers say.
+
+    Parameters
+    ----------
+    status : int
+    attempt_id : str
+        The request that this is the answer to.
+    sealed : bool
+        Whether the endpoint vouches for the answer as its own.
+    not_run : bool
+        Whether the endpoint says that it has not run the request.
+    at_fault : str
+        Of a refusal: the endpoint that is the cause; empty if not said.
+    encoded : bool
+        Whether the body is not in the form in which the endpoint made it.
+    forwarded : tuple of (str, str)
+        Headers that go to the caller as they came.
+    """
+
+    status: int
+    attempt_id: str
+    sealed: bool
+    not_run: bool
+    at_fault: str
+    encoded: bool
+    forwarded: tuple[tuple[str, str], ...]
+
+
+def read_request(headers: Headers) -> RequestHead:
+    """Decode the headers of a caller's request."""
+    pairs = [(name, value.strip()) for name, value in headers]
+    by_name = {name.lower(): value for name, value in pairs}
+    prompt, answer = _token_counts(by_name.get("token-count", ""))
+    return RequestHead(
+        attempt_id=by_name.get(ATTEMPT_ID.lower(), ""),
+        deadline_ms=_whole_number(by_name.get(DEADLINE.lower())),
+        key=_bearer_key(by_name.get(_AUTHORIZATION, "")),
+        last_event_id=by_name.get(LAST_EVENT_ID.lower()),
+        host=by_name.get("host", ""),
+        prompt_tokens=prompt,
+        answer_tokens=answer,
+        forwarded=_forwarded(pairs),
+    )
+
+
+def endpoint_headers(
+    head: RequestHead,
+    *,
+    endpoint: str,
+    organisation: str,
+    left_ms: int,
+    last_event_id: str | None,
+    priority: int,
+    passes_key: bool,
+) -> list[tuple[str, str]]:
+    """Return the headers of an attempt at an endpoint.
+
+    Parameters
+    ----------
+    head : RequestHead
+    endpoint : str
+        Its name; another endpoint at its address then refuses the request.
+    organisation : str
+        Empty where the configuration knows none.
+    left_ms : int
+        Until the caller's deadline.
+    last_event_id : str or None
+        Where a stream is to go on.
+    priority : int
+        From 0, which goes first, to 9.
+    passes_key : bool
+        Whether the caller's key is for the endpoint and not for us.
+    """
+    headers = [
+        (name, value)
+        for name, value in head.forwarded
+        if passes_key or name.lower() != _AUTHORIZATION
+    ]
+    headers.append((DEADLINE, str(left_ms)))
+    headers.append((_EXPECT_INSTANCE, endpoint))
+    headers.append((_REQUEST_PRIORITY, str(priority)))
+    if organisation:
+        headers.append((_TENANT, organisation))
+    if last_event_id is not None:
+        headers.append((LAST_EVENT_ID, last_event_id))
+    return headers
+
+
+def read_answer(status: int, headers: Headers) -> AnswerHead:
+    """Decode the status and headers of an endpoint's answer."""
+    pairs = list(headers)
+    by_name = {name.lower(): value for name, value in pairs}
+    encoding = by_name.get("content-encoding", "identity").strip().lower()
+    return AnswerHead(
+        status=status,
+        attempt_id=by_name.get(ATTEMPT_ID.lower(), ""),
+        sealed=bool(by_name.get(_SEAL)),
+        # 421 says the same without the header.
+        not_run=_NOT_RUN in by_name or status == 421,
+        at_fault=by_name.get(_AT_FAULT, ""),
+        encoded=encoding not in ("", "identity"),
+        forwarded=tuple(
+            (name, value)
+            for name, value in pairs
+            if name.lower() not in _OF_ONE_CONNECTION
+        ),
+    )
+
+
+def _forwarded(pairs: list[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
+    named_by_connection = {
+        name.strip().lower()
+        for header, value in pairs
+        if header.lower() == "connection"
+        for name in value.split(",")
+    }
+    dropped = _OF_ONE_CONNECTION | _SET_HERE | named_by_connection
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
+
+
+def _bearer_key(authorization: str) -> str:
+    if authorization[: len(_BEARER)].lower() != _BEARER:
+        return ""
+    return authorization[len(_BEARER) :].strip()
+
+
+def _whole_number(text: str | None) -> int | None:
+    if text is None or not text.isdecimal():
+        return None
+    return int(text)
+
+
+def _token_counts(text: str) -> tuple[int, int]:
+    prompt, _, answer = text.partition(",")
+    return _whole_number(prompt.strip()) or 0, _whole_number(answer.strip()) or 0
--- /dev/null
+++ b/src/azurefold/platform/settings.py
@@ -0,0 +1,78 @@
+"""The platform's settings file of one process."""
+
+from pathlib import Path
+
+import msgspec
+
+from azurefold.gateway.settings import GatewaySettings
+
+__all__ = ["BadSettingsError", "load_settings"]
+
+_SECOND_MS = 1_000
+
+
+class BadSettingsError(Exception):
+    """A settings file that cannot be used; says what is wrong with it."""
+
+
+class _Listen(msgspec.Struct):
+    callers: str = msgspec.field(name="Frontend")
+    # Health checks only, not everything an operator would call "ready".
+    admin: str = msgspec.field(name="Ready")
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = msgspec.field(name="GraceS", default=8)
+    retry_share: float = msgspec.field(name="RetryRatio", default=0.2)
+    retry_window_s: float = msgspec.field(name="RetryWindowS", default=10)
+    retry_slack: int = msgspec.field(name="RetrySlack", default=40)
+    stall_ms: float = 1_500
+    fenced_orders: bool = msgspec.field(name="Fencing", default=False)
+
+
+class _Platform(msgspec.Struct):
+    address: str = msgspec.field(name="Address")
+
+
+class _Settings(msgspec.Struct):
+    name: str = msgspec.field(name="NodeName")
+    zone: str = msgspec.field(name="Zone")
+    listen: _Listen = msgspec.field(name="Listen")
+    port_range: list[int] = msgspec.field(name="PortRange")
+    store: _Platform = msgspec.field(name="Platform")
+    bounds: _Bounds = msgspec.field(name="Bounds", default_factory=_Bounds)
+    heartbeat_ms: float = msgspec.field(name="HeartbeatMs", default=1_200)
+
+
+def load_settings(path: str) -> GatewaySettings:
+    """Read the settings file, which the platform fills in as JSON.
+
+    Parameters
+    ----------
+    path : str
+
+    Raises
+    ------
+    BadSettingsError
+        If the file is missing, or a field is missing or of another type.
+    """
+    try:
+        settings = msgspec.json.decode(Path(path).read_bytes(), type=_Settings)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise BadSettingsError(f"{path}: {error}") from error
+    bounds = settings.bounds
+    return GatewaySettings(
+        name=settings.name,
+        data_centre=settings.zone,
+        callers=settings.listen.callers,
+        admin=settings.listen.admin,
+        peers_port=settings.port_range[0] if settings.port_range else 0,
+        store=settings.store.address,
+        stop_grace_ms=int(bounds.grace_s * _SECOND_MS),
+        stall_ms=int(bounds.stall_ms),
+        heartbeat_ms=int(settings.heartbeat_ms),
+        retry_share=bounds.retry_share,
+        retry_slack=bounds.retry_slack,
+        retry_window_ms=int(bounds.retry_window_s * _SECOND_MS),
+        fenced_orders=bounds.fenced_orders,
+    )
--- /dev/null
+++ b/src/azurefold/platform/store.py
@@ -0,0 +1,224 @@
+"""Client of the platform's store: rows, conditional writes and feeds."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Sequence
+from http import HTTPStatus
+from urllib.parse import urlencode
+
+import gevent
+import msgspec
+from geventhttpclient import HTTPClient
+
+from azurefold.core.clock import Millis
+from azurefold.internal.http_client import CONNECTION_ERRORS, http_client
+from azurefold.platform.store_messages import (
+    Applied,
+    Conflicted,
+    FeedChanges,
+    HistoryLost,
+    NotApplied,
+    RowKey,
+    RowWrite,
+    StoredRow,
+    StoredRows,
+    TransactionOutcome,
+    Unavailable,
+    Uncertain,
+)
+
+__all__ = ["FEED_SLACK_MS", "StoreClient", "store_client"]
+
+FEED_SLACK_MS: Millis = 1_000
+"""Added to a feed's wait before its connection counts as silent: the store
+answers within some 300 ms when it is slow."""
+
+_CALL_TIMEOUT_MS: Millis = 1_500
+"""For all calls but feeds: five times the slowest answer seen, 270 ms."""
+
+_CONNECT_TIMEOUT_MS: Millis = 1_000
+_SECOND_MS = 1_000
+_REFUSALS = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+
+
+class _Row(msgspec.Struct):
+    key: str = msgspec.field(name="Key")
+    version: int = msgspec.field(name="Ver", default=0)
+    value: str = msgspec.field(name="Value", default="")
+    deleted: bool = msgspec.field(name="Deleted", default=False)
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_Row] = msgspec.field(name="Rows", default_factory=list)
+    has_more: bool = msgspec.field(name="HasMore", default=False)
+    version: int = msgspec.field(name="Ver", default=0)
+
+
+_decode_rows = msgspec.json.Decoder(_Rows).decode
+_Answer = tuple[int, bytes]
+
+
+class StoreClient:
+    """The store at one address; made by :func:`store_client`."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._calls = _client(address, _CALL_TIMEOUT_MS)
+
+    def read_table(self, table: str) -> StoredRows | Unavailable:
+        """Read all rows of a table that have no partition."""
+        rows: list[StoredRow] = []
+        start = ""
+        while True:
+            query = {"Table": table, "part": ""}
+            if start:
+                query["From"] = start
+            page = self._read(f"/rows-get?{urlencode(query)}")
+            if isinstance(page, Unavailable):
+                return page
+            rows += [_stored(row) for row in page.rows]
+            if not page.has_more or not page.rows:
+                return StoredRows(tuple(rows), page.version)
+            # The range includes its first key, so the next one is the least
+            # text above the last.
+            start = page.rows[-1].key + "\0"
+
+    def transact(
+        self,
+        expected: Sequence[tuple[RowKey, int]] = (),
+        writes: Sequence[RowWrite] = (),
+        removes: Sequence[RowKey] = (),
+    ) -> TransactionOutcome:
+        """Write and remove rows if all ``expected`` versions hold, or nothing.
+
+        Parameters
+        ----------
+        expected : sequence of (RowKey, int)
+            Versions that rows must have; 0 for a row that must not exist.
+        writes : sequence of RowWrite
+        removes : sequence of RowKey
+        """
+        body = msgspec.json.encode(
+            {
+                # Named after revisions, but they are versions of single rows.
+                "ExpectedRev": [
+                    _row_address(row) | {"Ver": version} for row, version in expected
+                ],
+                "Write": [
+                    _row_address(write.row) | {"Value": b64encode(write.value).decode()}
+                    for write in writes
+                ],
+                "Remove": [_row_address(row) for row in removes],
+            }
+        )
+        try:
+            status, answer = self._ask(self._calls, "POST", "/rows-tx", body)
+        except CONNECTION_ERRORS as error:
+            return Uncertain(_reason(error))
+        return _outcome(status, answer)
+
+    def open_feed(self, wait_ms: Millis) -> "Feed":
+        """Return a feed with a connection of its own."""
+        return Feed(self._address, wait_ms)
+
+    def _read(self, uri: str) -> _Rows | Unavailable:
+        try:
+            status, body = self._ask(self._calls, "GET", uri)
+        except CONNECTION_ERRORS as error:
+            return Unavailable(_reason(error))
+        return _rows(status, body)
+
+    @staticmethod
+    def _ask(client: HTTPClient, method: str, uri: str, body: bytes = b"") -> _Answer:
+        # The library's timeout is for each read; an answer that trickles would
+        # never end.
+        with gevent.Timeout(_CALL_TIMEOUT_MS / _SECOND_MS, TimeoutError("no answer")):
+            return _exchange(client, method, uri, body)
+
+
+class Feed:
+    """Changes of tables over one connection, which a reader waits on.
+
+    Parameters
+    ----------
+    address : str
+    wait_ms : int
+        How long the store keeps a call that has nothing to tell.
+    """
+
+    def __init__(self, address: str, wait_ms: Millis) -> None:
+        self._wait_ms = wait_ms
+        self._client = _client(address, wait_ms + FEED_SLACK_MS)
+
+    def changes(
+        self, table: str, after: int
+    ) -> FeedChanges | HistoryLost | Unavailable:
+        """Wait for rows of ``table`` that changed after version ``after``."""
+        query = {"Table": table, "After": after, "WaitMs": self._wait_ms}
+        uri = f"/rows-feed?{urlencode(query)}"
+        seconds = (self._wait_ms + FEED_SLACK_MS) / _SECOND_MS
+        try:
+            with gevent.Timeout(seconds, TimeoutError("no answer")):
+                status, body = _exchange(self._client, "GET", uri, b"")
+        except CONNECTION_ERRORS as error:
+            return Unavailable(_reason(error))
+        if status == HTTPStatus.GONE:
+            return HistoryLost()
+        page = _rows(status, body)
+        if isinstance(page, Unavailable):
+            return page
+        return FeedChanges(tuple(_stored(row) for row in page.rows), page.version)
+
+    def close(self) -> None:
+        """Close the connection; a reader that waits on it fails."""
+        self._client.close()
+
+
+def store_client(address: str) -> StoreClient:
+    """Return a client of the store at ``"ip:port"``."""
+    return StoreClient(address)
+
+
+def _client(address: str, read_timeout_ms: Millis) -> HTTPClient:
+    return http_client(address, _CONNECT_TIMEOUT_MS, read_timeout_ms, concurrency=2)
+
+
+def _exchange(client: HTTPClient, method: str, uri: str, body: bytes) -> _Answer:
+    headers = {"Content-Type": "application/json"} if body else {}
+    response = client.request(method, uri, body, headers)
+    return response.status_code, bytes(response.read())
+
+
+def _rows(status: int, body: bytes) -> _Rows | Unavailable:
+    if status != HTTPStatus.OK:
+        return Unavailable(f"status {status}")
+    try:
+        return _decode_rows(body)
+    except msgspec.MsgspecError as error:
+        return Unavailable(f"an answer not understood: {error}")
+
+
+def _stored(row: _Row) -> StoredRow:
+    value = b64decode(row.value) if row.value else b""
+    return StoredRow(row.key, row.version, value, row.deleted)
+
+
+def _row_address(row: RowKey) -> dict[str, str]:
+    return {"Table": row.table, "part": row.part, "Key": row.key}
+
+
+def _outcome(status: int, answer: bytes) -> TransactionOutcome:
+    if status in _REFUSALS:
+        return NotApplied(f"status {status}")
+    try:
+        read = _decode_rows(answer)
+    except msgspec.MsgspecError as error:
+        return Uncertain(f"status {status}, an answer not understood: {error}")
+    if status == HTTPStatus.OK:
+        return Applied(read.version)
+    if status == HTTPStatus.PRECONDITION_FAILED:
+        return Conflicted({row.key: _stored(row) for row in read.rows})
+    return NotApplied(f"status {status}")
+
+
+def _reason(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
--- a/tests/commands/conftest.py
+++ b/tests/commands/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 from gevent.pywsgi import WSGIServer
-from tests.platform.conftest import address, client, order, server  # noqa: F401
+from tests.site_store.conftest import address, client, order, server  # noqa: F401
 
 from azurefold.commands import operator
 from azurefold.site_store.configuration_store import configuration_store
