--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -11,7 +11,8 @@
 from azurefold.gateway.app import GatewayApp
 from azurefold.gateway.front import front_server
 from azurefold.gateway.metrics import gateway_registry
-from azurefold.gateway.news import new_news
+from azurefold.gateway.news import News, new_news
+from azurefold.gateway.settings import changed_settings
 from azurefold.gateway.state import GatewayState, new_gateway_state
 from azurefold.internal.admin_http import AdminViews, admin_server
 from azurefold.internal.clock import suspended_time_clock
