Exchange loads between gateways, and coordinate expert maps from one of them

Cause: each gateway knew its own requests only and chose ranks that others had filled; and with the map a group forms with, the busiest rank carries 3.1 times the mean, so every pass takes that much longer.

Gateways now tell each other their requests by endpoint in one small datagram, at most each 60 ms and at least each 500 ms. One of them, by a row of the store, reads the counts of 4 ranks a second, plans small moves that pay, and changes the map: prepare on all, hold the group some passes ahead, arm all, release. The row is written per change and at a takeover; a renewal each second was ruled out for its calls.

--- /dev/null
+++ b/src/azurefold/core/groups/map_change.py
@@ -0,0 +1,493 @@
+"""A map change by orders from afar, for ranks that have no agent beside them.
+
+All ranks load the new map first. Then the group is held before a pass some way
+ahead, every rank is armed to switch at that pass, and when *all* have confirmed
+the hold is released. The hold is what makes this safe: without it the pass may
+begin while some ranks are armed and others are not, and they would run it under
+two maps. Chosen well, all are armed before the group gets there, and nobody
+waits.
+
+An order without an answer may be carried out seconds later. It then meets a
+pass that has begun, or a rank that is armed already, and is refused or changes
+nothing: that is why a change is brought to its end, and taken back only while a
+rank refuses to be armed.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from math import ceil
+
+from azurefold.core.clock import Millis
+
+__all__ = [
+    "Arm",
+    "AskReport",
+    "ChangeAction",
+    "ChangeEnd",
+    "ChangePolicy",
+    "Disarm",
+    "Ended",
+    "Hold",
+    "MapChange",
+    "Prepare",
+    "RankOrder",
+    "RankView",
+    "Release",
+    "SendOrder",
+    "Verdict",
+    "resumed_change",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Load the weights of map ``version``."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Let the group not begin pass ``step`` until it is released."""
+
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class Arm:
+    """Switch to map ``version`` as pass ``step`` begins."""
+
+    version: int
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class Disarm:
+    """Do not switch to map ``version`` after all."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """End the hold before pass ``step``."""
+
+    step: int
+
+
+RankOrder = Prepare | Hold | Arm | Disarm | Release
+
+
+class Verdict(Enum):
+    """What came of an order."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class RankView:
+    """What one rank reports; some hundred milliseconds old.
+
+    Parameters
+    ----------
+    rank : int
+    epoch : int
+        Rises each time the group forms anew.
+    is_open : bool
+        Whether the group runs.
+    step : int
+        The last pass that was begun.
+    version : int
+        Of the map in force.
+    prepared, armed : int or None
+        Versions that are loaded, and armed.
+    held : int or None
+        The pass that this rank keeps the group from.
+    active : int
+        Requests that it runs.
+    pace : float
+        Above 1 if it is slow as such.
+    """
+
+    rank: int
+    epoch: int
+    is_open: bool
+    step: int
+    version: int = 0
+    prepared: int | None = None
+    armed: int | None = None
+    held: int | None = None
+    active: int = 0
+    pace: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send an order to a rank, and report its verdict."""
+
+    rank: int
+    order: RankOrder
+
+
+@dataclass(frozen=True, slots=True)
+class AskReport:
+    """Ask a rank for its report."""
+
+    rank: int
+
+
+class ChangeEnd(Enum):
+    """How a change ended."""
+
+    IN_FORCE = "in_force"
+    TAKEN_BACK = "taken_back"
+    NOT_PREPARED = "not_prepared"
+    NEW_EPOCH = "new_epoch"
+    STUCK = "stuck"
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The change is over; ``STUCK`` leaves the group held for a successor."""
+
+    end: ChangeEnd
+
+
+ChangeAction = SendOrder | AskReport | Ended
+
+
+@dataclass(frozen=True, slots=True)
+class ChangePolicy:
+    """Waits of a change, in milliseconds.
+
+    Parameters
+    ----------
+    prepare_timeout : int
+        For all ranks to load the weights; beyond the 0.3 s that it takes, one
+        repeat for a lost order.
+    prepare_repeat : int
+        Until an order to prepare that got no answer is sent again.
+    look_every : int
+        Between two looks at the reports of ranks that are still loading.
+    lead : int
+        From the choice of a pass to that pass: the age of the step that the
+        choice rests on, and two exchanges with the ranks.
+    least_lead_passes : int
+        Passes that lie between at least.
+    repeat : int
+        Until an order other than to prepare is sent again.
+    patience : int
+        With the group held, until another coordinator should try.
+    hold_tries : int
+        Passes to try before the change is given up.
+    """
+
+    prepare_timeout: Millis = 2_500
+    prepare_repeat: Millis = 700
+    look_every: Millis = 120
+    lead: Millis = 260
+    least_lead_passes: int = 3
+    repeat: Millis = 60
+    patience: Millis = 1_200
+    hold_tries: int = 6
+
+
+class _Phase(Enum):
+    PREPARING = "preparing"
+    HOLDING = "holding"
+    ARMING = "arming"
+    RELEASING = "releasing"
+    TAKING_BACK = "taking_back"
+    OVER = "over"
+
+
+@dataclass(slots=True)
+class MapChange:
+    """State machine of one change.
+
+    Parameters
+    ----------
+    version : int
+        Of the new map; above all that any rank has had.
+    epoch : int
+        Of the group; in another epoch nothing of the change holds any more.
+    size : int
+        Ranks of the group.
+    policy : ChangePolicy
+    """
+
+    version: int
+    epoch: int
+    size: int
+    policy: ChangePolicy = field(default_factory=ChangePolicy)
+    step: int = 0
+    holders: list[int] = field(default_factory=list)
+    _phase: _Phase = _Phase.PREPARING
+    _done: set[int] = field(default_factory=set)
+    _out: set[int] = field(default_factory=set)
+    _unsure: set[int] = field(default_factory=set)
+    _next_at: dict[int, Millis] = field(default_factory=dict)
+    _began: Millis = 0
+    _entered: Millis = 0
+    _look_at: Millis = 0
+    _tries: int = 0
+    _newest_step: int = 0
+    _step_seen_at: Millis = 0
+    _pass_ms: float = 60.0
+
+    @property
+    def phase(self) -> str:
+        """The phase's name, for logs."""
+        return self._phase.value
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing is left to do."""
+        return self._phase is _Phase.OVER
+
+    def begin(self, pass_ms: float, now: Millis) -> list[ChangeAction]:
+        """Have all ranks load the new map.
+
+        Parameters
+        ----------
+        pass_ms : float
+            Time that a pass takes at present.
+        now : int
+        """
+        self._pass_ms = pass_ms
+        self._began = self._entered = now
+        self._look_at = now + self.policy.look_every
+        return self._to_all(Prepare(self.version), now)
+
+    def stepped(self, step: int, now: Millis) -> None:
+        """Take in a pass that has begun."""
+        if step > self._newest_step:
+            self._newest_step = step
+            self._step_seen_at = now
+
+    def answered(
+        self, rank: int, order: RankOrder, verdict: Verdict, now: Millis
+    ) -> list[ChangeAction]:
+        """Take in what came of an order."""
+        self._out.discard(rank)
+        match self._phase, order:
+            case _Phase.PREPARING, Prepare():
+                # Refused is also what a repeat gets after a lost answer.
+                if verdict is not Verdict.ACCEPTED:
+                    self._unsure.add(rank)
+                return []
+            case _Phase.HOLDING, Hold(step=step) if step == self.step:
+                return self._on_hold(rank, verdict, now)
+            case _Phase.ARMING, Arm():
+                return self._on_arm(rank, verdict, now)
+            case _Phase.RELEASING, Release():
+                return self._on_release(rank, verdict, now)
+            case _Phase.TAKING_BACK, Disarm():
+                return self._on_disarm(rank, verdict, now)
+        return []
+
+    def reported(self, view: RankView, now: Millis) -> list[ChangeAction]:
+        """Take in a rank's report."""
+        if self.is_over:
+            return []
+        if view.epoch != self.epoch:
+            return self._end(ChangeEnd.NEW_EPOCH)
+        self.stepped(view.step, now)
+        match self._phase:
+            case _Phase.PREPARING if view.prepared == self.version:
+                self._done.add(view.rank)
+                if len(self._done) == self.size:
+                    return self._hold(now)
+            case _Phase.ARMING if self.version in (view.armed, view.version):
+                return self._armed(view.rank, now)
+            case _Phase.RELEASING if view.step >= self.step:
+                return self._end(ChangeEnd.IN_FORCE)
+        return []
+
+    def tick(self, now: Millis) -> list[ChangeAction]:
+        """Repeat what got no answer, and give up what takes too long."""
+        match self._phase:
+            case _Phase.PREPARING:
+                return self._tick_preparing(now)
+            case _Phase.HOLDING | _Phase.ARMING | _Phase.RELEASING:
+                return self._tick_held(now)
+            case _Phase.TAKING_BACK:
+                return self._tick_held(now)
+        return []
+
+    def _tick_preparing(self, now: Millis) -> list[ChangeAction]:
+        if now - self._began >= self.policy.prepare_timeout:
+            return self._end(ChangeEnd.NOT_PREPARED)
+        if now < self._look_at:
+            return []
+        self._look_at = now + self.policy.look_every
+        missing = [rank for rank in range(self.size) if rank not in self._done]
+        actions: list[ChangeAction] = [AskReport(rank) for rank in missing]
+        for rank in missing:
+            if rank in self._unsure and now >= self._next_at[rank]:
+                self._unsure.discard(rank)
+                actions += self._send(rank, Prepare(self.version), now)
+        return actions
+
+    def _tick_held(self, now: Millis) -> list[ChangeAction]:
+        if now - self._entered >= self.policy.patience:
+            return self._end(ChangeEnd.STUCK)
+        missing = [rank for rank in self._wanted() if rank not in self._done]
+        ready = [rank for rank in missing if rank not in self._out]
+        due = [rank for rank in ready if now >= self._next_at.get(rank, 0)]
+        order = self._order()
+        return [action for rank in due for action in self._send(rank, order, now)]
+
+    def _wanted(self) -> Iterable[int]:
+        match self._phase:
+            case _Phase.HOLDING:
+                return self.holders[-1:]
+            case _Phase.RELEASING:
+                return self.holders
+        return range(self.size)
+
+    def _order(self) -> RankOrder:
+        match self._phase:
+            case _Phase.HOLDING:
+                return Hold(self.step)
+            case _Phase.ARMING:
+                return Arm(self.version, self.step)
+            case _Phase.RELEASING:
+                return Release(self.step)
+        return Disarm(self.version)
+
+    def _hold(self, now: Millis) -> list[ChangeAction]:
+        self._tries += 1
+        if self._tries > self.policy.hold_tries:
+            return self._end(ChangeEnd.NOT_PREPARED)
+        since = now - self._step_seen_at
+        ahead = ceil((since + self.policy.lead) / self._pass_ms)
+        ahead = max(ahead, self.policy.least_lead_passes) + 2 * (self._tries - 1)
+        self.step = self._newest_step + ahead
+        # One rank is enough to hold the group. Another one each time, should
+        # the last be the one that does not answer.
+        self.holders = [(self.version + self._tries) % self.size]
+        self._enter(_Phase.HOLDING, now)
+        return self._send(self.holders[0], Hold(self.step), now)
+
+    def _on_hold(self, rank: int, verdict: Verdict, now: Millis) -> list[ChangeAction]:
+        match verdict:
+            case Verdict.ACCEPTED:
+                self._enter(_Phase.ARMING, now)
+                return self._to_all(Arm(self.version, self.step), now)
+            case Verdict.REFUSED:
+                # The pass has begun, and no hold for it can take effect later.
+                return self._hold(now)
+        # It may hold the group now, or later, so it is released with the rest.
+        self.holders.append((rank + 1) % self.size)
+        return self._send(self.holders[-1], Hold(self.step), now)
+
+    def _on_arm(self, rank: int, verdict: Verdict, now: Millis) -> list[ChangeAction]:
+        match verdict:
+            case Verdict.ACCEPTED:
+                return self._armed(rank, now)
+            case Verdict.REFUSED:
+                return self._take_back(now)
+        return [AskReport(rank)]
+
+    def _armed(self, rank: int, now: Millis) -> list[ChangeAction]:
+        self._done.add(rank)
+        if len(self._done) < self.size:
+            return []
+        return self._release(now)
+
+    def _release(self, now: Millis) -> list[ChangeAction]:
+        self._enter(_Phase.RELEASING, now)
+        order = Release(self.step)
+        return [action for r in self.holders for action in self._send(r, order, now)]
+
+    def _on_release(
+        self, rank: int, verdict: Verdict, now: Millis
+    ) -> list[ChangeAction]:
+        # Refused where there is no hold, or where the pass has begun.
+        if verdict is Verdict.LOST:
+            return []
+        self._done.add(rank)
+        if any(holder not in self._done for holder in self.holders):
+            return []
+        return self._end(self._outcome())
+
+    def _outcome(self) -> ChangeEnd:
+        return ChangeEnd.TAKEN_BACK if self._tries < 0 else ChangeEnd.IN_FORCE
+
+    def _take_back(self, now: Millis) -> list[ChangeAction]:
+        """Disarm all ranks, since one of them cannot be armed.
+
+        An order to arm that is carried out after that is refused: the pass
+        begins within milliseconds of the last rank's answer.
+        """
+        self._tries = -1
+        self._enter(_Phase.TAKING_BACK, now)
+        return self._to_all(Disarm(self.version), now)
+
+    def _on_disarm(
+        self, rank: int, verdict: Verdict, now: Millis
+    ) -> list[ChangeAction]:
+        if verdict is Verdict.LOST:
+            return []
+        self._done.add(rank)
+        return self._release(now) if len(self._done) == self.size else []
+
+    def _to_all(self, order: RankOrder, now: Millis) -> list[ChangeAction]:
+        return [a for rank in range(self.size) for a in self._send(rank, order, now)]
+
+    def _send(self, rank: int, order: RankOrder, now: Millis) -> list[ChangeAction]:
+        first = isinstance(order, Prepare)
+        wait = self.policy.prepare_repeat if first else self.policy.repeat
+        self._next_at[rank] = now + wait
+        self._out.add(rank)
+        return [SendOrder(rank, order)]
+
+    def _enter(self, phase: _Phase, now: Millis) -> None:
+        self._phase = phase
+        self._entered = now
+        self._done = set()
+        self._out = set()
+
+    def _end(self, end: ChangeEnd) -> list[ChangeAction]:
+        self._phase = _Phase.OVER
+        return [Ended(end)]
+
+
+def resumed_change(
+    views: list[RankView], policy: ChangePolicy, now: Millis
+) -> tuple[MapChange, list[ChangeAction]] | None:
+    """Take up what another coordinator has left behind.
+
+    What goes wrong without: a coordinator dies while it holds the group, and no
+    pass begins any more. Seen as a group that is whole and silent.
+
+    Parameters
+    ----------
+    views : list of RankView
+        Of all ranks of the group, in one epoch.
+    policy : ChangePolicy
+    now : int
+
+    Returns
+    -------
+    tuple or None
+        A change that is arming where any rank is armed, else one that only
+        releases; None if no rank holds the group.
+    """
+    held = [view for view in views if view.held is not None]
+    if not held:
+        return None
+    step = max(view.held for view in held)
+    versions = {view.armed for view in views if view.armed is not None}
+    change = MapChange(max(versions, default=0), views[0].epoch, len(views), policy)
+    change.step = step
+    change.holders = [view.rank for view in held]
+    change._tries = 1 if versions else -1
+    if not versions:
+        return change, change._release(now)
+    change._enter(_Phase.ARMING, now)
+    return change, change._to_all(Arm(change.version, step), now)
--- /dev/null
+++ b/src/azurefold/core/routing/peer_loads.py
@@ -0,0 +1,98 @@
+"""Loads that the other nodes tell of themselves, summed by endpoint."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from zlib import crc32
+
+from azurefold.core.clock import Millis
+
+__all__ = ["LoadDigest", "PeerLoads", "endpoint_mark"]
+
+_SILENT_AFTER_MS: Millis = 1_500
+"""A node tells at least twice a second; three lost messages in a row are rare,
+and the requests of a node that is gone end within seconds."""
+
+
+def endpoint_mark(endpoint: str) -> int:
+    """Return a number that stands for an endpoint's name, to save bytes."""
+    return crc32(endpoint.encode())
+
+
+@dataclass(frozen=True, slots=True)
+class LoadDigest:
+    """One node's requests in flight.
+
+    Parameters
+    ----------
+    node : str
+    incarnation : int
+        Of the node's process.
+    sequence : int
+        Rises with each digest of one incarnation.
+    loads : mapping of int to int
+        By :func:`endpoint_mark`; endpoints without requests are left out.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    loads: Mapping[int, int]
+
+
+@dataclass(slots=True)
+class _Heard:
+    at: Millis
+    digest: LoadDigest
+
+
+@dataclass(slots=True)
+class PeerLoads:
+    """The last digest of each node, and their sums."""
+
+    _heard: dict[str, _Heard] = field(default_factory=dict)
+    _sums: dict[int, int] = field(default_factory=dict)
+
+    @property
+    def nodes(self) -> frozenset[str]:
+        """Other nodes that are heard."""
+        return frozenset(self._heard)
+
+    def of(self, endpoint: str) -> int:
+        """Return the requests of all other nodes at an endpoint."""
+        return self._sums.get(endpoint_mark(endpoint), 0)
+
+    def hear(self, digest: LoadDigest, now: Millis) -> bool:
+        """Take in a digest; return whether it is newer than the last."""
+        known = self._heard.get(digest.node)
+        if known is not None and _is_older(digest, known.digest):
+            return False
+        if known is not None:
+            self._add(known.digest.loads, -1)
+        self._heard[digest.node] = _Heard(now, digest)
+        self._add(digest.loads, 1)
+        return True
+
+    def expire(self, now: Millis) -> list[str]:
+        """Drop nodes that have fallen silent, and name them."""
+        silent = [
+            node
+            for node, heard in self._heard.items()
+            if now - heard.at >= _SILENT_AFTER_MS
+        ]
+        for node in silent:
+            self._add(self._heard.pop(node).digest.loads, -1)
+        return silent
+
+    def _add(self, loads: Mapping[int, int], sign: int) -> None:
+        for mark, load in loads.items():
+            total = self._sums.get(mark, 0) + sign * load
+            if total > 0:
+                self._sums[mark] = total
+            else:
+                self._sums.pop(mark, None)
+
+
+def _is_older(digest: LoadDigest, known: LoadDigest) -> bool:
+    if digest.incarnation != known.incarnation:
+        return digest.incarnation < known.incarnation
+    return digest.sequence <= known.sequence
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -110,6 +110,15 @@
         """Return how many attempts of this node are at ``endpoint``."""
         return self._members.by_name[endpoint].in_flight
 
+    @property
+    def loads(self) -> dict[str, int]:
+        """Attempts of this node by endpoint, those without any left out."""
+        return {
+            name: endpoint.in_flight
+            for name, endpoint in self._members.by_name.items()
+            if endpoint.in_flight
+        }
+
     def limit(self, endpoint: str) -> int:
         """Return how many requests this node keeps at ``endpoint``."""
         return self._members.by_name[endpoint].concurrency.limit
--- /dev/null
+++ b/src/azurefold/gateway/exchange.py
@@ -0,0 +1,234 @@
+"""Gateways tell each other their loads, versions and who coordinates.
+
+One small datagram to each other gateway, when something has changed and at
+least twice a second. A lost one is made up for by the next.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+import msgspec
+from gevent import socket as gevent_socket
+
+from azurefold.core.clock import Millis
+from azurefold.core.routing.messages import LoadReport
+from azurefold.core.routing.peer_loads import LoadDigest, PeerLoads, endpoint_mark
+from azurefold.gateway.state import GatewayState
+from azurefold.internal.logs import log_event
+
+__all__ = ["Exchange", "Peer", "PeerMessage", "new_exchange"]
+
+_log = logging.getLogger("azurefold.gateway")
+
+_SECOND_MS = 1_000
+_LOOK_MS: Millis = 60
+"""Between two looks at whether loads have changed. A dispatch that the others
+do not know of yet makes them choose the same endpoint; some five requests a
+second arrive at each gateway."""
+
+_QUIET_MS: Millis = 500
+"""At the latest a message is sent although nothing has changed."""
+
+_MOST_BYTES = 1_400
+
+
+class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
+    """What one gateway tells the others.
+
+    Parameters
+    ----------
+    node : str
+    incarnation, sequence : int
+    port : int
+        Where the sender takes answers.
+    version : int
+        Of the configuration that it has in force.
+    term : int
+        Of its coordination; 0 if it does not coordinate.
+    broken : tuple of int
+        Marks of the services whose group the coordinator knows to be down.
+    loads : dict of int to int
+        Requests in flight by endpoint.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    port: int
+    version: int
+    term: int
+    broken: tuple[int, ...]
+    loads: dict[int, int]
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(PeerMessage).decode
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Where another gateway is reached."""
+
+    node: str
+    ip: str
+    port: int
+
+
+@dataclass(slots=True)
+class Exchange:
+    """The socket, the peers and what they told.
+
+    Parameters
+    ----------
+    state : GatewayState
+    incarnation : int
+        Of this process.
+    on_message : callable
+        Takes each message that is newer than the last of its sender.
+    term : callable
+        Returns the term of this node's coordination, or 0.
+    broken : callable
+        Returns marks of services whose group is down.
+    """
+
+    state: GatewayState
+    incarnation: int
+    on_message: Callable[[PeerMessage], None]
+    term: Callable[[], int]
+    broken: Callable[[], tuple[int, ...]]
+    loads: PeerLoads = field(default_factory=PeerLoads)
+    _peers: dict[str, Peer] = field(default_factory=dict)
+    _sock: gevent_socket.socket | None = None
+    _sequence: int = 0
+    _sent_at: Millis = 0
+    _sent: tuple = ()
+
+    @property
+    def peers(self) -> dict[str, Peer]:
+        """Other gateways by name."""
+        return self._peers
+
+    def open(self) -> None:
+        """Bind the port.
+
+        Raises
+        ------
+        OSError
+            If it is taken.
+        """
+        settings = self.state.settings
+        self._sock = gevent_socket.socket(
+            gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
+        )
+        self._sock.bind((settings.ip, settings.peers_port))
+
+    def set_peers(self, peers: list[Peer]) -> None:
+        """Take in the gateways that the store lists."""
+        own = self.state.settings.name
+        self._peers = {peer.node: peer for peer in peers if peer.node != own}
+
+    def receive_for_ever(self) -> None:
+        """Take in messages."""
+        while True:
+            data, (ip, _) = self._sock.recvfrom(_MOST_BYTES)
+            try:
+                message = _decode(data)
+            except msgspec.MsgspecError as error:
+                log_event(_log, "peer_message_unreadable", peer=ip, why=error)
+                continue
+            self._take(message, ip)
+
+    def send_for_ever(self) -> None:
+        """Send messages when there is something to tell."""
+        while True:
+            gevent.sleep(_LOOK_MS / _SECOND_MS)
+            self._forget_silent()
+            self.send()
+
+    def send(self, *, at_once: bool = False) -> None:
+        """Send a message to all peers if there is news, or it is time."""
+        now = self.state.clock.now()
+        loads = self._own_loads()
+        told = (loads, self.state.version, self.term(), self.broken())
+        is_due = now - self._sent_at >= _QUIET_MS
+        if told == self._sent and not is_due and not at_once:
+            return
+        self._sent, self._sent_at = told, now
+        self._sequence += 1
+        settings = self.state.settings
+        message = PeerMessage(
+            settings.name,
+            self.incarnation,
+            self._sequence,
+            settings.peers_port,
+            self.state.version,
+            told[2],
+            told[3],
+            loads,
+        )
+        data = _encode(message)
+        for peer in self._peers.values():
+            self._send_to(peer, data)
+
+    def _send_to(self, peer: Peer, data: bytes) -> None:
+        try:
+            self._sock.sendto(data, (peer.ip, peer.port))
+        except OSError as error:
+            # The next message makes up for it; a peer that is gone falls
+            # silent, which the others log.
+            _log.debug("a message to %s was not sent: %s", peer.node, error)
+
+    def _own_loads(self) -> dict[int, int]:
+        return {
+            endpoint_mark(endpoint): load
+            for service in self.state.services.values()
+            for endpoint, load in service.admission.pool.loads.items()
+        }
+
+    def _take(self, message: PeerMessage, ip: str) -> None:
+        settings = self.state.settings
+        if message.node == settings.name:
+            return
+        now = self.state.clock.now()
+        digest = LoadDigest(
+            message.node, message.incarnation, message.sequence, message.loads
+        )
+        is_known = message.node in self.loads.nodes
+        if not self.loads.hear(digest, now):
+            return
+        self._peers[message.node] = Peer(message.node, ip, message.port)
+        if not is_known:
+            log_event(_log, "peer_heard", peer=message.node, ip=ip)
+            self.state.set_nodes(len(self.loads.nodes) + 1)
+        self._report_loads(now)
+        self.on_message(message)
+
+    def _forget_silent(self) -> None:
+        silent = self.loads.expire(self.state.clock.now())
+        for node in silent:
+            log_event(_log, "peer_silent", peer=node)
+        if silent:
+            self.state.set_nodes(len(self.loads.nodes) + 1)
+            self._report_loads(self.state.clock.now())
+
+    def _report_loads(self, now: Millis) -> None:
+        for service in self.state.services.values():
+            pool = service.admission.pool
+            for endpoint in service.entries:
+                all_nodes = self.loads.of(endpoint) + pool.load_of(endpoint)
+                pool.load_reported(endpoint, LoadReport(all_nodes, 0), now)
+            if service.admission.waiting:
+                service.admission.pump()
+
+
+def new_exchange(
+    state: GatewayState,
+    incarnation: int,
+    on_message: Callable[[PeerMessage], None],
+    term: Callable[[], int],
+    broken: Callable[[], tuple[int, ...]],
+) -> Exchange:
+    """Return an exchange whose port is not open yet."""
+    return Exchange(state, incarnation, on_message, term, broken)
--- /dev/null
+++ b/src/azurefold/gateway/group_control.py
@@ -0,0 +1,402 @@
+"""One group under coordination: looks, samples, plans and changes its map."""
+
+import logging
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import gevent
+from gevent.pool import Pool
+
+from azurefold.core.balance.placement import Placement
+from azurefold.core.balance.plan import MapPlan, map_zero, plan_layer
+from azurefold.core.balance.policy import BalancePolicy, Split
+from azurefold.core.clock import Millis
+from azurefold.core.groups.map_change import (
+    AskReport,
+    ChangeAction,
+    ChangeEnd,
+    ChangePolicy,
+    Ended,
+    MapChange,
+    Prepare,
+    RankOrder,
+    SendOrder,
+    resumed_change,
+)
+from azurefold.core.groups.samples import SampledPopularity
+from azurefold.gateway.group_view import GroupView
+from azurefold.gateway.service_state import GatewayService
+from azurefold.gateway.state import GatewayState
+from azurefold.internal.logs import log_event
+from azurefold.platform.ranks import RankClient, RankReport, rank_client
+
+__all__ = ["GroupControl", "Row", "new_group_control"]
+
+_log = logging.getLogger("azurefold.gateway")
+
+_LOOK_EVERY_MS: Millis = 1_000
+"""Between two looks at all ranks' reports; a broken group is also told by
+refusals."""
+
+_LOOK_BROKEN_MS: Millis = 300
+_SAMPLE_EVERY_MS: Millis = 1_000
+"""Popularity can change from one second to the next, and a sample costs the
+group 0.3 ms for each rank that is asked."""
+
+_SAMPLED_RANKS = 4
+_MEMORY_MS: Millis = 1_500
+"""Time constant of the popularity."""
+
+_STALE_HOLD_MS: Millis = 500
+"""A hold that no change of ours placed is taken up after two looks."""
+
+_CALLS_AT_ONCE = 24
+
+_POLICY = BalancePolicy(
+    skew_weight=1.0,
+    move_weight=0.03,
+    drift_life=4_000,
+    max_loads=64,
+    tolerated_excess=0.10,
+    split=Split.EVEN,
+)
+"""A move has to lower the excess of the slowest rank of one layer by 0.0075
+over the four seconds for which popularity stays alike."""
+
+_LEAST_GAIN = 0.12
+"""Mean skew that a change has to gain: it takes two exchanges with all ranks,
+and loading slows the passes by 15 in 100."""
+
+
+class Row(Protocol):
+    """The coordinator's row, as a control needs it."""
+
+    def confirm(self) -> int | None:
+        """Have the row confirmed; return its version."""
+
+    def must_confirm(self) -> bool:
+        """Whether the last confirmation is too old."""
+
+    def resign(self) -> None:
+        """Give the row up."""
+
+
+@dataclass(slots=True)
+class GroupControl:
+    """State of one group and what is under way with it.
+
+    Parameters
+    ----------
+    state : GatewayState
+    service : GatewayService
+    row : Row
+    """
+
+    state: GatewayState
+    service: GatewayService
+    row: Row
+    view: GroupView | None = None
+    _clients: dict[str, RankClient] = field(default_factory=dict)
+    _calls: Pool = field(default_factory=lambda: Pool(_CALLS_AT_ONCE))
+    _change: MapChange | None = None
+    _planned: tuple[Placement, ...] = ()
+    _change_began: Millis = 0
+    _looked_at: Millis = -1_000_000
+    _sampled_at: Millis = -1_000_000
+    _held_since: Millis | None = None
+    _sampled: tuple[int, ...] = ()
+    _fresh: bool = False
+    _draw: random.Random = field(default_factory=random.Random)
+    _was_whole: bool | None = None
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the group is known not to run."""
+        return self._was_whole is False
+
+    def tick(self) -> None:
+        """Do what is due."""
+        now = self.state.clock.now()
+        if self._change is not None:
+            self._act(self._change.tick(now))
+            return
+        if now - self._looked_at >= self._look_every():
+            self._look()
+        view = self.view
+        if view is None or not view.is_whole:
+            return
+        if view.is_held:
+            self._take_up_hold(now)
+            return
+        self._held_since = None
+        if not self._knows_map():
+            return
+        if now - self._sampled_at >= _SAMPLE_EVERY_MS:
+            self._sample()
+            if self._fresh:
+                self._fresh = False
+                self._plan()
+
+    def close(self) -> None:
+        """Stop at once, leaving what is under way to a successor."""
+        self._calls.kill(block=False)
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
+
+    def _look_every(self) -> Millis:
+        return _LOOK_EVERY_MS if self._was_whole else _LOOK_BROKEN_MS
+
+    def _look(self) -> None:
+        """Ask all ranks for their reports."""
+        self._looked_at = self.state.clock.now()
+        endpoints = list(self.service.entries)
+        self._drop_clients(endpoints)
+        reports = self._ask_all(endpoints, RankClient.report)
+        now = self.state.clock.now()
+        for endpoint, report in zip(endpoints, reports, strict=True):
+            self._take_report(endpoint, report, now)
+        self._note_whole()
+
+    def _take_report(
+        self, endpoint: str, report: RankReport | None, now: Millis
+    ) -> None:
+        if report is None:
+            if self.view is not None:
+                self.view.silent(endpoint)
+            return
+        if self.view is None or self.view.size != report.size:
+            popularity = SampledPopularity(_MEMORY_MS)
+            self.view = GroupView(report.group, report.size, popularity)
+        self.view.reported(endpoint, report.view, now)
+
+    def _note_whole(self) -> None:
+        view = self.view
+        whole = view is not None and view.is_whole
+        if whole == self._was_whole:
+            return
+        self._was_whole = whole
+        log_event(
+            _log,
+            "group_whole" if whole else "group_broken",
+            service=self.service.view.name,
+            epoch=view.epoch if view else "unknown",
+            ranks=len(view.views) if view else 0,
+            size=view.size if view else "unknown",
+            endpoints=len(self.service.entries),
+        )
+
+    def _knows_map(self) -> bool:
+        """Find out the map in force, if it is not known; return whether it is."""
+        view = self.view
+        version = view.version
+        if version is None:
+            return False
+        known = (view.placements_version, view.placements_epoch)
+        if known == (version, view.epoch):
+            return True
+        engine = self.service.view.engine
+        if version == 0:
+            zero = map_zero(engine.experts, engine.places, view.size)
+            self._map_is(version, (zero,) * engine.layer_sets)
+            return True
+        held = self._ask_ranks(RankClient.held_experts)
+        if any(each is None or each.version != version for each in held):
+            return False
+        layers = zip(*(each.layers for each in held), strict=True)
+        self._map_is(
+            version,
+            tuple(
+                Placement(engine.experts, engine.places, tuple(ranks))
+                for ranks in layers
+            ),
+        )
+        return True
+
+    def _map_is(self, version: int, placements: tuple[Placement, ...]) -> None:
+        view = self.view
+        view.placements = placements
+        view.placements_version = version
+        view.placements_epoch = view.epoch
+
+    def _sample(self) -> None:
+        """Ask a few ranks for their counts."""
+        view = self.view
+        self._sampled_at = self.state.clock.now()
+        if len(self._sampled) < min(_SAMPLED_RANKS, view.size):
+            count = min(_SAMPLED_RANKS, view.size)
+            self._sampled = tuple(self._draw.sample(range(view.size), count))
+        n_layers = self.service.view.engine.layer_sets
+        endpoints = [view.endpoints[rank] for rank in self._sampled]
+        ranks = dict(zip(endpoints, self._sampled, strict=True))
+        answers = self._ask_all(
+            endpoints,
+            lambda client: client.counts(ranks[client.endpoint], n_layers),
+        )
+        now = self.state.clock.now()
+        heard = [answer for answer in answers if answer is not None]
+        for _, step in heard:
+            view.stepped(step, now)
+        if heard:
+            samples = [sample for sample, _ in heard]
+            self._fresh = view.popularity.take(samples, now)
+
+    def _plan(self) -> None:
+        """Plan a map for the present popularity, and begin the change if it pays."""
+        view = self.view
+        engine = self.service.view.engine
+        speeds = tuple(
+            1.0 / max(1.0, view.views[rank].pace) for rank in range(view.size)
+        )
+        layers = []
+        for placement, rates in zip(
+            view.placements, view.popularity.rates, strict=True
+        ):
+            layers.append(
+                plan_layer(placement, rates, speeds, _POLICY, engine.loads_per_change)
+            )
+            # A plan of all layers takes some 50 ms, in which no event of any
+            # stream would go out.
+            gevent.sleep(0)
+        plan = MapPlan(tuple(layers))
+        pays = plan.skew_before - plan.skew_after >= _LEAST_GAIN
+        log_event(
+            _log,
+            "map_planned",
+            service=self.service.view.name,
+            in_force=view.version,
+            skew=f"{plan.skew_before:.2f}",
+            planned_skew=f"{plan.skew_after:.2f}",
+            loads=plan.loads,
+            samples=view.popularity.samples,
+            pass_ms=f"{view.pass_ms:.1f}",
+            outcome="begun" if pays else "kept",
+        )
+        if pays:
+            self._begin(plan)
+
+    def _begin(self, plan: MapPlan) -> None:
+        version = self.row.confirm()
+        if version is None:
+            return
+        now = self.state.clock.now()
+        view = self.view
+        self._planned = plan.placements
+        self._change = MapChange(version, view.epoch, view.size)
+        self._change.stepped(view.step, view.step_at)
+        self._change_began = now
+        self._act(self._change.begin(view.pass_ms, now))
+
+    def _take_up_hold(self, now: Millis) -> None:
+        if self._held_since is None:
+            self._held_since = now
+            self._looked_at = now - _LOOK_EVERY_MS + _STALE_HOLD_MS
+            return
+        if now - self._held_since < _STALE_HOLD_MS or self.row.confirm() is None:
+            return
+        self._held_since = None
+        views = [self.view.views[rank] for rank in range(self.view.size)]
+        resumed = resumed_change(views, ChangePolicy(), self.state.clock.now())
+        if resumed is None:
+            return
+        self._change, actions = resumed
+        self._planned = ()
+        self._change_began = now
+        log_event(
+            _log,
+            "hold_taken_up",
+            logging.WARNING,
+            service=self.service.view.name,
+            version=self._change.version,
+            step=self._change.step,
+            phase=self._change.phase,
+        )
+        self._act(actions)
+
+    def _act(self, actions: Iterable[ChangeAction]) -> None:
+        for action in actions:
+            match action:
+                case SendOrder(rank=rank, order=order):
+                    self._calls.spawn(self._give, self._change, rank, order)
+                case AskReport(rank=rank):
+                    self._calls.spawn(self._ask_report, self._change, rank)
+                case Ended(end=end):
+                    self._ended(end)
+
+    def _give(self, change: MapChange, rank: int, order: RankOrder) -> None:
+        client = self._client_of(rank)
+        placements = self._planned if isinstance(order, Prepare) else ()
+        verdict = client.give(order, change.epoch, placements)
+        if change is not self._change:
+            return
+        log_event(
+            _log,
+            "order",
+            service=self.service.view.name,
+            version=change.version,
+            rank=rank,
+            order=order,
+            verdict=verdict.value,
+        )
+        self._act(change.answered(rank, order, verdict, self.state.clock.now()))
+
+    def _ask_report(self, change: MapChange, rank: int) -> None:
+        report = self._client_of(rank).report()
+        if change is not self._change or report is None:
+            return
+        now = self.state.clock.now()
+        self.view.stepped(report.view.step, now)
+        self._act(change.reported(report.view, now))
+
+    def _ended(self, end: ChangeEnd) -> None:
+        now = self.state.clock.now()
+        change, self._change = self._change, None
+        log_event(
+            _log,
+            "map_change_ended",
+            service=self.service.view.name,
+            version=change.version,
+            end=end.value,
+            step=change.step,
+            took_ms=now - self._change_began,
+        )
+        self._looked_at = -1_000_000
+        self._sampled_at = now
+        if end is ChangeEnd.IN_FORCE and self._planned:
+            self._map_is(change.version, self._planned)
+        if end is ChangeEnd.STUCK:
+            self.row.resign()
+
+    def _client_of(self, rank: int) -> RankClient:
+        return self._client(self.view.endpoints[rank])
+
+    def _client(self, endpoint: str) -> RankClient:
+        client = self._clients.get(endpoint)
+        if client is None:
+            client = rank_client(endpoint, self.service.entries[endpoint].address)
+            self._clients[endpoint] = client
+        return client
+
+    def _drop_clients(self, endpoints: list[str]) -> None:
+        for gone in self._clients.keys() - set(endpoints):
+            self._clients.pop(gone).close()
+
+    def _ask_ranks(self, question: Callable[[RankClient], object]) -> list:
+        ranks = range(self.view.size)
+        return self._ask_all([self.view.endpoints[rank] for rank in ranks], question)
+
+    def _ask_all(
+        self, endpoints: list[str], question: Callable[[RankClient], object]
+    ) -> list:
+        calls = [self._calls.spawn(question, self._client(name)) for name in endpoints]
+        gevent.joinall(calls)
+        return [call.value for call in calls]
+
+
+def new_group_control(
+    state: GatewayState, service: GatewayService, row: Row
+) -> GroupControl:
+    """Return the control of a service's group, about which nothing is known."""
+    return GroupControl(state, service, row)
--- /dev/null
+++ b/src/azurefold/gateway/peers.py
@@ -0,0 +1,118 @@
+"""This gateway among the others: its row, the exchange, and the coordinator."""
+
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from zlib import crc32
+
+import gevent
+import msgspec
+
+from azurefold.core.clock import Millis
+from azurefold.gateway.coordinator import Coordinator, new_coordinator
+from azurefold.gateway.exchange import Exchange, Peer, PeerMessage, new_exchange
+from azurefold.gateway.state import GatewayState
+from azurefold.platform import names
+from azurefold.platform.store import StoreClient
+from azurefold.platform.store_messages import (
+    Applied,
+    RowKey,
+    RowWrite,
+    StoredRow,
+    Unavailable,
+)
+
+__all__ = ["Peers", "new_peers"]
+
+_log = logging.getLogger("azurefold.gateway")
+
+_SECOND_MS = 1_000
+_RETRY_MS: Millis = 700
+_READ_EVERY_MS: Millis = 20_000
+"""Peers are also learned from their messages; this finds those that started
+while we could not be reached."""
+
+_POSITIONS = 8
+"""Places among which nodes spread when the coordinator falls silent."""
+
+
+class _Node(msgspec.Struct, frozen=True):
+    ip: str
+    port: int
+
+
+@dataclass(slots=True)
+class Peers:
+    """What this gateway does together with the others.
+
+    Parameters
+    ----------
+    state : GatewayState
+    store : StoreClient
+    exchange : Exchange
+    coordinator : Coordinator
+    """
+
+    state: GatewayState
+    store: StoreClient
+    exchange: Exchange
+    coordinator: Coordinator
+
+    def loops(self) -> tuple[Callable[[], None], ...]:
+        """Return the loops to run, with the port open."""
+        self.exchange.open()
+        return (
+            self._be_known,
+            self.exchange.receive_for_ever,
+            self.exchange.send_for_ever,
+            self.coordinator.run,
+        )
+
+    def leave(self) -> None:
+        """Take this gateway's row away, so that nobody sends it messages."""
+        gevent.spawn(self.store.transact, removes=[self._row])
+
+    @property
+    def _row(self) -> RowKey:
+        return RowKey(names.NODES, self.state.settings.name)
+
+    def _be_known(self) -> None:
+        """Write this gateway's row, then look who else is there, for ever."""
+        settings = self.state.settings
+        value = msgspec.json.encode(_Node(settings.ip, settings.peers_port))
+        write = RowWrite(self._row, value)
+        while not isinstance(self.store.transact(writes=[write]), Applied):
+            gevent.sleep(_RETRY_MS * (0.5 + self.state.draw.random()) / _SECOND_MS)
+        while True:
+            listed = self.store.read_table(names.NODES)
+            if isinstance(listed, Unavailable):
+                gevent.sleep(_RETRY_MS / _SECOND_MS)
+                continue
+            self.exchange.set_peers([_peer(row) for row in listed.rows])
+            self.exchange.send(at_once=True)
+            gevent.sleep(_READ_EVERY_MS / _SECOND_MS)
+
+
+def new_peers(state: GatewayState, store: StoreClient) -> Peers:
+    """Return this gateway's part among the others, not yet running."""
+    incarnation = time.time_ns() // 1_000_000
+    position = crc32(state.settings.name.encode()) % _POSITIONS
+    coordinator = new_coordinator(state, store, incarnation, position)
+
+    def on_message(message: PeerMessage) -> None:
+        coordinator.heard(message)
+
+    exchange = new_exchange(
+        state,
+        incarnation,
+        on_message,
+        term=lambda: coordinator.term,
+        broken=lambda: coordinator.broken_services,
+    )
+    return Peers(state, store, exchange, coordinator)
+
+
+def _peer(row: StoredRow) -> Peer:
+    node = msgspec.json.decode(row.value, type=_Node)
+    return Peer(row.key, node.ip, node.port)
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -12,6 +12,7 @@
 from azurefold.gateway.front import front_server
 from azurefold.gateway.metrics import gateway_registry
 from azurefold.gateway.news import News, new_news
+from azurefold.gateway.peers import new_peers
 from azurefold.gateway.settings import changed_settings
 from azurefold.gateway.state import GatewayState, new_gateway_state
 from azurefold.internal.admin_http import AdminViews, admin_server
@@ -59,8 +60,10 @@
     state = new_gateway_state(settings, suspended_time_clock())
     stop = _stop_requested()
     callers, admin = _servers(state)
-    news = new_news(state, store_client(settings.store))
-    for loop in (news.configuration.run, news.endpoints.run):
+    store = store_client(settings.store)
+    news = new_news(state, store)
+    peers = new_peers(state, store)
+    for loop in (news.configuration.run, news.endpoints.run, *peers.loops()):
         spawn_loop(loop)
     spawn_loop(_tick_for_ever, state, callers)
     gevent.signal_handler(signal.SIGHUP, _reload, path, state, news)
@@ -68,6 +71,7 @@
     admin.start()
     log_event(_log, "started", listen=settings.callers, store=settings.store)
     stop.wait()
+    peers.leave()
     code = _drain(state, callers)
     lines.flush()
     return code
--- /dev/null
+++ b/src/azurefold/platform/ranks.py
@@ -0,0 +1,201 @@
+"""Reports, counts and orders of the ranks of a model group."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import gevent
+import msgspec
+from geventhttpclient import HTTPClient
+
+from azurefold.core.balance.placement import Placement
+from azurefold.core.clock import Millis
+from azurefold.core.groups.map_change import (
+    Arm,
+    Disarm,
+    Hold,
+    Prepare,
+    RankOrder,
+    RankView,
+    Release,
+    Verdict,
+)
+from azurefold.core.groups.samples import CountSample
+from azurefold.internal.http_client import CONNECTION_ERRORS, http_client
+
+__all__ = ["HeldExperts", "RankClient", "RankReport", "rank_client"]
+
+_CALL_TIMEOUT_MS: Millis = 400
+"""An answer takes some 5 ms; an order that got none is sent again."""
+
+_SECOND_MS = 1_000
+_OPEN = "open"
+
+
+@dataclass(frozen=True, slots=True)
+class RankReport:
+    """A rank's report, with the group that it belongs to."""
+
+    group: str
+    size: int
+    view: RankView
+
+
+@dataclass(frozen=True, slots=True)
+class HeldExperts:
+    """Experts that one rank holds under the map in force, by layer."""
+
+    version: int
+    layers: tuple[tuple[int, ...], ...]
+
+
+class _Group(msgspec.Struct):
+    name: str = msgspec.field(name="Name", default="")
+    epoch: int = 0
+    rank: int = 0
+    state: str = msgspec.field(name="State", default="")
+
+
+class _Report(msgspec.Struct):
+    group: _Group | None = None
+    size: int = 0
+    step: int = 0
+    active: int = msgspec.field(name="Active", default=0)
+    pace: float = 1.0
+    # A version, although elsewhere a field of this name holds experts.
+    version: int = msgspec.field(name="ExpertMap", default=0)
+    prepared: int | None = msgspec.field(name="Prepared", default=None)
+    armed: object = msgspec.field(name="Armed", default=None)
+    held: object = None
+
+
+class _Picked(msgspec.Struct):
+    epoch: int
+    step: int = 0
+    counts: list[int] = msgspec.field(name="Counts", default_factory=list)
+
+
+class _Map(msgspec.Struct):
+    version: int = msgspec.field(name="Version", default=0)
+    experts: list[list[int]] = msgspec.field(name="Experts", default_factory=list)
+
+
+class _Lists(msgspec.Struct):
+    in_force: _Map = msgspec.field(name="ExpertMap")
+
+
+class RankClient:
+    """Calls to one rank; made by :func:`rank_client`."""
+
+    def __init__(self, endpoint: str, client: HTTPClient) -> None:
+        self.endpoint = endpoint
+        self._client = client
+
+    def report(self) -> RankReport | None:
+        """Return the rank's report; None if there was no answer of use."""
+        read = self._decoded("/report", _Report)
+        if read is None or read.group is None:
+            return None
+        group = read.group
+        view = RankView(
+            rank=group.rank,
+            epoch=group.epoch,
+            is_open=group.state == _OPEN,
+            step=read.step,
+            version=read.version,
+            prepared=read.prepared,
+            armed=_number(read.armed, "Version"),
+            held=_number(read.held, "step"),
+            active=read.active,
+            pace=read.pace,
+        )
+        return RankReport(group.name, read.size, view)
+
+    def counts(self, rank: int, n_layers: int) -> tuple[CountSample, int] | None:
+        """Return the rank's counts and the last pass that was begun."""
+        read = self._decoded("/picked", _Picked)
+        if read is None or not read.counts:
+            return None
+        per_layer = len(read.counts) // n_layers
+        layers = tuple(
+            tuple(read.counts[start : start + per_layer])
+            for start in range(0, per_layer * n_layers, per_layer)
+        )
+        return CountSample(rank, read.epoch, layers), read.step
+
+    def held_experts(self) -> HeldExperts | None:
+        """Return which experts the rank holds."""
+        read = self._decoded("/picked?Lists=1", _Lists)
+        if read is None:
+            return None
+        in_force = read.in_force
+        return HeldExperts(in_force.version, tuple(map(tuple, in_force.experts)))
+
+    def give(
+        self, order: RankOrder, epoch: int, placements: tuple[Placement, ...] = ()
+    ) -> Verdict:
+        """Give an order and return what came of it."""
+        body = msgspec.json.encode(_order(order, epoch, placements))
+        answer = self._ask("POST", "/order", body)
+        if answer is None:
+            return Verdict.LOST
+        status = answer[0]
+        if status in (HTTPStatus.OK, HTTPStatus.ACCEPTED):
+            return Verdict.ACCEPTED
+        if status in (HTTPStatus.CONFLICT, HTTPStatus.PRECONDITION_FAILED):
+            return Verdict.REFUSED
+        return Verdict.LOST
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    def _decoded(self, uri: str, kind: type):
+        answer = self._ask("GET", uri, b"")
+        if answer is None or answer[0] != HTTPStatus.OK:
+            return None
+        try:
+            return msgspec.json.decode(answer[1], type=kind)
+        except msgspec.MsgspecError:
+            return None
+
+    def _ask(self, method: str, uri: str, body: bytes) -> tuple[int, bytes] | None:
+        headers = {"Expect-Instance": self.endpoint}
+        if body:
+            headers["Content-Type"] = "application/json"
+        try:
+            with gevent.Timeout(_CALL_TIMEOUT_MS / _SECOND_MS, TimeoutError("silent")):
+                response = self._client.request(method, uri, body, headers)
+                return response.status_code, bytes(response.read())
+        except CONNECTION_ERRORS:
+            return None
+
+
+def rank_client(endpoint: str, address: str) -> RankClient:
+    """Return a client of the rank at ``address``."""
+    client = http_client(address, _CALL_TIMEOUT_MS, _CALL_TIMEOUT_MS, concurrency=2)
+    return RankClient(endpoint, client)
+
+
+def _order(
+    order: RankOrder, epoch: int, placements: tuple[Placement, ...]
+) -> dict[str, object]:
+    match order:
+        case Prepare(version=version):
+            experts = [[list(rank) for rank in p.ranks] for p in placements]
+            body = {"Op": "prepare", "Version": version, "ExpertMap": experts}
+        case Hold(step=step):
+            body = {"Op": "Hold", "step": step}
+        case Arm(version=version, step=step):
+            body = {"Op": "arm", "Version": version, "step": step}
+        case Disarm(version=version):
+            body = {"Op": "disarm", "Version": version}
+        case Release(step=step):
+            body = {"Op": "go", "step": step}
+    return body | {"epoch": epoch}
+
+
+def _number(value: object, name: str) -> int | None:
+    """Return a number that comes bare or under a name beside others."""
+    if isinstance(value, dict):
+        value = value.get(name)
+    return value if isinstance(value, int) else None
