Test what the gateway's decisions rest on, without any I/O

Lapsed entries, whole events, exchanged loads, leadership by one row, sampled popularity and plans within a change's limits have tests of their own.

--- /dev/null
+++ b/tests/core/balance/test_a_plan_keeps_to_what_one_change_may_load.py
@@ -0,0 +1,41 @@
+"""A plan lowers the skew, holds every expert and loads no more than allowed."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azurefold.core.balance.plan import layer_skew, map_zero, plan_layer
+from azurefold.core.balance.policy import BalancePolicy, Split
+
+EXPERTS, PLACES, RANKS, LOADS_PER_RANK = 16, 5, 4, 2
+POLICY = BalancePolicy(
+    1.0, 0.02, drift_life=4_000, tolerated_excess=0.05, split=Split.EVEN
+)
+SOUND = (1.0,) * RANKS
+
+
+@given(st.lists(st.floats(0.1, 100.0), min_size=EXPERTS, max_size=EXPERTS))
+def test_a_plan_is_sound_and_no_worse(rates):
+    zero = map_zero(EXPERTS, PLACES, RANKS)
+    plan = plan_layer(zero, rates, SOUND, POLICY, LOADS_PER_RANK)
+    assert plan.placement.findings() == ()
+    assert plan.skew_after <= plan.skew_before + 1e-9
+    pairs = list(zip(zero.ranks, plan.placement.ranks, strict=True))
+    new = [len(set(after) - set(before)) for before, after in pairs]
+    assert max(new) <= LOADS_PER_RANK
+    assert plan.loads == sum(new)
+
+
+def test_one_hot_expert_gets_more_ranks():
+    rates = [50.0] + [1.0] * (EXPERTS - 1)
+    zero = map_zero(EXPERTS, PLACES, RANKS)
+    plan = plan_layer(zero, rates, SOUND, POLICY, LOADS_PER_RANK)
+    assert len(plan.placement.hosts[0]) > 1
+    assert plan.skew_after < 0.7 * plan.skew_before
+
+
+def test_even_popularity_moves_nothing():
+    zero = map_zero(EXPERTS, PLACES, RANKS)
+    plan = plan_layer(zero, [3.0] * EXPERTS, SOUND, POLICY, LOADS_PER_RANK)
+    assert plan.loads == 0
+    assert plan.placement == zero
+    assert layer_skew(plan.placement, [3.0] * EXPERTS) == 1.0
--- /dev/null
+++ b/tests/core/groups/rank_model.py
@@ -0,0 +1,198 @@
+"""Ranks of a lock-step group as orders from afar meet them, without any I/O."""
+
+from dataclasses import dataclass, field
+
+from azurefold.core.groups.map_change import (
+    Arm,
+    AskReport,
+    Disarm,
+    Ended,
+    Hold,
+    MapChange,
+    Prepare,
+    RankView,
+    Release,
+    SendOrder,
+    Verdict,
+    resumed_change,
+)
+
+NO_ARM = (None, None)
+ANSWER_TIMEOUT = 100
+
+
+@dataclass
+class ModelRank:
+    """One rank: what it has loaded, is armed for and holds."""
+
+    version: int = 0
+    highest: int = 0
+    prepared: int | None = None
+    armed: tuple = NO_ARM
+    held: int | None = None
+
+    def take(self, order, begun):
+        """Carry out an order, where ``begun`` is the last pass that began."""
+        match order:
+            case Prepare(version=version):
+                if version <= self.highest or self.armed != NO_ARM:
+                    return Verdict.REFUSED
+                self.highest = self.prepared = version
+            case Hold(step=step):
+                if step <= begun or self.held not in (None, step):
+                    return Verdict.REFUSED
+                self.held = step
+            case Arm(version=version, step=step):
+                if self.armed == (version, step):
+                    return Verdict.ACCEPTED
+                if version != self.prepared or step <= begun:
+                    return Verdict.REFUSED
+                self.armed = (version, step)
+            case Disarm(version=version):
+                if version == self.version:
+                    return Verdict.REFUSED
+                self.armed = NO_ARM
+            case Release(step=step):
+                if self.held != step:
+                    return Verdict.REFUSED
+                self.held = None
+        return Verdict.ACCEPTED
+
+
+@dataclass
+class ModelGroup:
+    """Ranks that begin each pass together, unless one of them holds it."""
+
+    size: int
+    epoch: int = 1
+    step: int = 10
+    ranks: list = field(default_factory=list)
+    split_at: int | None = None
+
+    def __post_init__(self):
+        self.ranks = [ModelRank() for _ in range(self.size)]
+
+    def begin_pass(self):
+        """Begin the next pass; note if two ranks would run it under two maps."""
+        coming = self.step + 1
+        if any(rank.held == coming for rank in self.ranks):
+            return
+        self.step = coming
+        for rank in self.ranks:
+            if rank.armed[1] == coming:
+                rank.version = rank.armed[0]
+                rank.armed = NO_ARM
+        if len({rank.version for rank in self.ranks}) > 1 and self.split_at is None:
+            self.split_at = coming
+
+    def form_anew(self):
+        """A rank was replaced: another epoch, with nothing of before."""
+        self.epoch += 1
+        self.step += 1
+        self.ranks = [ModelRank() for _ in range(self.size)]
+
+    def view(self, number):
+        """Return what a rank reports."""
+        rank = self.ranks[number]
+        return RankView(
+            number,
+            self.epoch,
+            True,
+            self.step,
+            rank.version,
+            rank.prepared,
+            rank.armed[0],
+            rank.held,
+        )
+
+
+@dataclass
+class OrderWorld:
+    """A group, a coordinator, and orders that may be lost or late."""
+
+    group: ModelGroup
+    change_type: type = MapChange
+    now: int = 0
+    version: int = 0
+    change: object = None
+    ends: list = field(default_factory=list)
+    late: list = field(default_factory=list)
+    abandoned: list = field(default_factory=list)
+    lose: dict = field(default_factory=dict)
+    unanswered: list = field(default_factory=list)
+
+    def begin(self):
+        """Begin a change to a new version, if none is under way."""
+        if self.change is not None:
+            return
+        self.version += 1
+        self.change = self.change_type(self.version, self.group.epoch, self.group.size)
+        self.change.stepped(self.group.step, self.now)
+        self.act(self.change.begin(50.0, self.now))
+
+    def act(self, actions):
+        """Carry out a change's actions at once."""
+        for action in actions:
+            match action:
+                case SendOrder(rank=rank, order=order):
+                    self._send(rank, order)
+                case AskReport(rank=rank):
+                    if self.change is not None:
+                        view = self.group.view(rank)
+                        self.act(self.change.reported(view, self.now))
+                case Ended(end=end):
+                    self.ends.append(end)
+                    self.change = None
+
+    def _send(self, rank, order):
+        change = self.change
+        if change is None:
+            return
+        fate = self.lose.get(rank, "answered")
+        if fate == "late":
+            self.late.append((self.group.epoch, rank, order))
+            self.unanswered.append((self.now + ANSWER_TIMEOUT, change, rank, order))
+            return
+        if fate == "unheard":
+            self._carry_out(change.epoch, rank, order)
+            self.unanswered.append((self.now + ANSWER_TIMEOUT, change, rank, order))
+            return
+        verdict = self._carry_out(change.epoch, rank, order)
+        self.act(change.answered(rank, order, verdict, self.now))
+
+    def _carry_out(self, epoch, rank, order):
+        if epoch != self.group.epoch:
+            return Verdict.REFUSED
+        return self.group.ranks[rank].take(order, self.group.step)
+
+    def carry_out_late(self, index):
+        """Carry out one of the orders that got no answer."""
+        if self.late:
+            epoch, rank, order = self.late.pop(index % len(self.late))
+            self._carry_out(epoch, rank, order)
+
+    def tick(self, milliseconds):
+        """Let time pass."""
+        self.now += milliseconds
+        due = [each for each in self.unanswered if each[0] <= self.now]
+        self.unanswered = [each for each in self.unanswered if each[0] > self.now]
+        for _, change, rank, order in due:
+            if change is self.change:
+                self.act(change.answered(rank, order, Verdict.LOST, self.now))
+        if self.change is not None:
+            self.act(self.change.tick(self.now))
+
+    def kill_coordinator(self):
+        """Its orders under way may still arrive; nobody hears their answers."""
+        self.change = None
+
+    def take_over(self):
+        """Another coordinator looks at the reports and takes up what is held."""
+        if self.change is not None:
+            return
+        views = [self.group.view(rank) for rank in range(self.group.size)]
+        policy = MapChange(0, 0, 0).policy
+        resumed = resumed_change(views, policy, self.now)
+        if resumed is not None:
+            self.change, actions = resumed
+            self.act(actions)
