Notice at once that the store is back, and when peers know more

Where the store had gone silent, a call that was made meanwhile waited 16 s for an answer that never came, and version 25 was missed for 2.7 s.

While the store is away a feed's call now waits 20 ms, else 6 s; nodes tell each other the version they have in force and the newest endpoint's row, and one that is behind for half a second asks anew.

--- a/src/azurefold/gateway/exchange.py
+++ b/src/azurefold/gateway/exchange.py
@@ -43,8 +43,9 @@
     incarnation, sequence : int
     port : int
         Where the sender takes answers.
-    version : int
-        Of the configuration that it has in force.
+    version, endpoints_version : int
+        Of the configuration that it has in force, and of the newest endpoint's
+        row that it has seen.
     term, ended_term : int
         Of its coordination, and of one that it gave up; 0 for none.
     broken : tuple of int
@@ -58,6 +59,7 @@
     sequence: int
     port: int
     version: int
+    endpoints_version: int
     term: int
     ended_term: int
     broken: tuple[int, ...]
@@ -166,6 +168,7 @@
             self._sequence,
             settings.peers_port,
             self.state.version,
+            self.state.endpoints_version,
             *told[2],
             told[3],
             loads,
--- a/src/azurefold/gateway/followers.py
+++ b/src/azurefold/gateway/followers.py
@@ -28,6 +28,11 @@
 succession, and one call can fetch several. They are to be in force after two
 seconds. At a start with 19 endpoints this saves two calls of three."""
 
+_RETURN_WAIT_MS: Millis = 20
+"""Of a feed's call while the store is away: its answer shows that the store is
+back. With the usual wait the return would show only at the next change, and
+what is removed then would look like an entry that lapsed in the outage."""
+
 _FIRST_PAUSE_MS: Millis = 150
 _LONGEST_PAUSE_MS: Millis = 1_000
 """Between two tries while the store is away: what it tells on its return must
@@ -42,8 +47,8 @@
     ----------
     store : StoreClient
     table : str
-    wait_ms : int
-        How long the store keeps a feed's call that has nothing to tell.
+    wait_ms : callable
+        Returns how long the store keeps a call that has nothing to tell.
     clock : Clock
     draw : random.Random
     on_rows : callable
@@ -60,7 +65,7 @@
 
     store: StoreClient
     table: str
-    wait_ms: Millis
+    wait_ms: Callable[[], Millis]
     clock: Clock
     draw: random.Random
     on_rows: Callable[[tuple[StoredRow, ...]], None]
@@ -85,7 +90,7 @@
         What goes wrong without: a connection has gone silent, and the feed on
         it tells nothing until its wait is over.
         """
-        if self._feed is not None and not self._woken:
+        if self._feed is not None and not self._woken and not self._failures:
             self._woken = True
             self._feed.close()
 
@@ -118,8 +123,9 @@
 
     def _read_changes(self) -> FeedChanges | HistoryLost | Unavailable:
         if self._feed is None:
-            self._feed = self.store.open_feed(self.wait_ms)
-        return self._feed.changes(self.table, self.version)
+            self._feed = self.store.open_feed()
+        wait_ms = _RETURN_WAIT_MS if self._failures else self.wait_ms()
+        return self._feed.changes(self.table, self.version, wait_ms)
 
     def _heard(self) -> None:
         if self._failures:
--- a/src/azurefold/gateway/news.py
+++ b/src/azurefold/gateway/news.py
@@ -1,7 +1,7 @@
 """What the store tells, put in force."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -18,8 +18,40 @@
 
 _log = logging.getLogger("azurefold.gateway")
 
-_FEED_WAIT_MS: Millis = 15_000
-"""Each call has a price, and a silent connection is found by its probes."""
+_FEED_WAIT_MS: Millis = 6_000
+"""Each call has a price. A store that falls silent is noticed when the call
+that waits is over; with nine nodes some call is, within half a second."""
+
+_NODES_OF_WAIT = 9
+_LONGEST_FEED_WAIT_MS: Millis = 20_000
+
+_BEHIND_FOR_MS: Millis = 500
+"""Behind other nodes for this long, a feed is not just about to tell: changes
+reach all nodes within 250 ms of each other."""
+
+
+@dataclass(slots=True)
+class _Behind:
+    """Since when other nodes have had something newer."""
+
+    newest: int = 0
+    since: Millis | None = None
+
+    def told(self, version: int) -> None:
+        """Take in what another node has."""
+        self.newest = max(self.newest, version)
+
+    def is_overdue(self, own: int, now: Millis) -> bool:
+        """Whether this node has been behind for too long; asks once each time."""
+        if own >= self.newest:
+            self.since = None
+            return False
+        if self.since is None:
+            self.since = now
+        if now - self.since < _BEHIND_FOR_MS:
+            return False
+        self.since = now
+        return True
 
 
 @dataclass(slots=True)
@@ -35,6 +67,31 @@
     state: GatewayState
     configuration: TableFollower
     endpoints: TableFollower
+    _configuration_behind: _Behind = field(default_factory=_Behind)
+    _endpoints_behind: _Behind = field(default_factory=_Behind)
+
+    def peers_have(self, version: int, endpoints_version: int) -> None:
+        """Take in what another node has in force.
+
+        Parameters
+        ----------
+        version : int
+            Of the configuration.
+        endpoints_version : int
+            Of the newest endpoint's row.
+        """
+        self._configuration_behind.told(version)
+        self._endpoints_behind.told(endpoints_version)
+
+    def tick(self, now: Millis) -> None:
+        """Ask the store anew where other nodes have something newer."""
+        state = self.state
+        if self._configuration_behind.is_overdue(state.version, now):
+            log_event(_log, "behind_peers", table=self.configuration.table)
+            self.configuration.look_again()
+        if self._endpoints_behind.is_overdue(state.endpoints_version, now):
+            log_event(_log, "behind_peers", table=self.endpoints.table)
+            self.endpoints.look_again()
 
     def use_store(self, store: StoreClient) -> None:
         """Follow the tables of another store from now on."""
@@ -116,6 +173,8 @@
 
     def _after_endpoints(self, before: set[str], rows: tuple[StoredRow, ...]) -> None:
         state = self._state
+        newest = max((row.version for row in rows), default=0)
+        state.endpoints_version = max(state.endpoints_version, newest)
         entries = state.registry.entries
         for name in before - entries.keys():
             state.links.forget(name)
@@ -138,6 +197,12 @@
         state.spread_endpoints()
 
 
+def _feed_wait(nodes: int) -> Millis:
+    """Return how long a feed's call may wait; more nodes notice for each other."""
+    wait = _FEED_WAIT_MS * max(1, nodes // _NODES_OF_WAIT)
+    return min(wait, _LONGEST_FEED_WAIT_MS)
+
+
 def new_news(state: GatewayState, store: StoreClient) -> News:
     """Return followers, not yet running."""
     applier = _Applier(state)
@@ -146,7 +211,7 @@
         return TableFollower(
             store=store,
             table=table,
-            wait_ms=_FEED_WAIT_MS,
+            wait_ms=lambda: _feed_wait(state.nodes),
             clock=state.clock,
             draw=state.draw,
             on_rows=on_rows,
--- a/src/azurefold/gateway/peers.py
+++ b/src/azurefold/gateway/peers.py
@@ -12,6 +12,7 @@
 from azurefold.core.clock import Millis
 from azurefold.gateway.coordinator import Coordinator, new_coordinator
 from azurefold.gateway.exchange import Exchange, Peer, PeerMessage, new_exchange
+from azurefold.gateway.news import News
 from azurefold.gateway.state import GatewayState
 from azurefold.platform import names
 from azurefold.platform.store import StoreClient
@@ -94,7 +95,7 @@
             gevent.sleep(_READ_EVERY_MS / _SECOND_MS)
 
 
-def new_peers(state: GatewayState, store: StoreClient) -> Peers:
+def new_peers(state: GatewayState, store: StoreClient, news: News) -> Peers:
     """Return this gateway's part among the others, not yet running."""
     incarnation = time.time_ns() // 1_000_000
     position = crc32(state.settings.name.encode()) % _POSITIONS
@@ -106,6 +107,7 @@
 
     def on_message(message: PeerMessage) -> None:
         coordinator.heard(message)
+        news.peers_have(message.version, message.endpoints_version)
 
     exchange = new_exchange(
         state,
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -62,10 +62,10 @@
     callers, admin = _servers(state)
     store = store_client(settings.store)
     news = new_news(state, store)
-    peers = new_peers(state, store)
+    peers = new_peers(state, store, news)
     for loop in (news.configuration.run, news.endpoints.run, *peers.loops()):
         spawn_loop(loop)
-    spawn_loop(_tick_for_ever, state, callers)
+    spawn_loop(_tick_for_ever, state, callers, news)
     gevent.signal_handler(signal.SIGHUP, _reload, path, state, news)
     callers.start()
     admin.start()
@@ -111,9 +111,10 @@
     log_event(_log, "reloaded", changed=",".join(changed) or "nothing")
 
 
-def _tick_for_ever(state: GatewayState, callers: TimedServer) -> None:
+def _tick_for_ever(state: GatewayState, callers: TimedServer, news: News) -> None:
     while True:
         gevent.sleep(_TICK_MS / _SECOND_MS)
+        news.tick(state.clock.now())
         gone = state.registry.tick(state.clock.now())
         for name in gone:
             state.links.forget(name)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -49,6 +49,8 @@
         By service and result.
     nodes : int
         Gateways, this one included.
+    endpoints_version : int
+        Of the newest endpoint's row in the store.
     is_current : bool
         Whether the store is being heard: then a route or key that is not known
         here is in force nowhere.
@@ -67,6 +69,7 @@
     in_flight: int = 0
     answers: Counter[tuple[str, str]] = field(default_factory=Counter)
     nodes: int = _USUAL_NODES
+    endpoints_version: int = 0
     is_current: bool = False
     _configuration_seen: Millis | None = None
 
--- a/src/azurefold/platform/store.py
+++ b/src/azurefold/platform/store.py
@@ -26,12 +26,15 @@
     Uncertain,
 )
 
-__all__ = ["FEED_SLACK_MS", "StoreClient", "store_client"]
+__all__ = ["FEED_SLACK_MS", "LONGEST_WAIT_MS", "StoreClient", "store_client"]
 
 FEED_SLACK_MS: Millis = 1_000
 """Added to a feed's wait before its connection counts as silent: the store
 answers within some 300 ms when it is slow."""
 
+LONGEST_WAIT_MS: Millis = 30_000
+"""The store keeps no feed's call for longer."""
+
 _CALL_TIMEOUT_MS: Millis = 1_500
 """For all calls but feeds: five times the slowest answer seen, 270 ms."""
 
@@ -116,9 +119,9 @@
             return Uncertain(_reason(error))
         return _outcome(status, answer)
 
-    def open_feed(self, wait_ms: Millis) -> "Feed":
+    def open_feed(self) -> "Feed":
         """Return a feed with a connection of its own."""
-        return Feed(self._address, wait_ms)
+        return Feed(self._address)
 
     def _read(self, uri: str) -> _Rows | Unavailable:
         try:
@@ -141,21 +144,28 @@
     Parameters
     ----------
     address : str
-    wait_ms : int
-        How long the store keeps a call that has nothing to tell.
     """
 
-    def __init__(self, address: str, wait_ms: Millis) -> None:
-        self._wait_ms = wait_ms
-        self._client = _client(address, wait_ms + FEED_SLACK_MS)
+    def __init__(self, address: str) -> None:
+        self._client = _client(address, LONGEST_WAIT_MS + FEED_SLACK_MS)
 
     def changes(
-        self, table: str, after: int
+        self, table: str, after: int, wait_ms: Millis
     ) -> FeedChanges | HistoryLost | Unavailable:
-        """Wait for rows of ``table`` that changed after version ``after``."""
-        query = {"Table": table, "After": after, "WaitMs": self._wait_ms}
+        """Wait for rows that changed.
+
+        Parameters
+        ----------
+        table : str
+        after : int
+            The version after which they changed.
+        wait_ms : int
+            How long the store keeps a call that has nothing to tell, up to
+            :data:`LONGEST_WAIT_MS`.
+        """
+        query = {"Table": table, "After": after, "WaitMs": wait_ms}
         uri = f"/rows-feed?{urlencode(query)}"
-        seconds = (self._wait_ms + FEED_SLACK_MS) / _SECOND_MS
+        seconds = (wait_ms + FEED_SLACK_MS) / _SECOND_MS
         try:
             with gevent.Timeout(seconds, TimeoutError("no answer")):
                 status, body = _exchange(self._client, "GET", uri, b"")
