Deal gateways and endpoints into cells, and read counts within a budget

Cause: 31 gateways that each tell all others sent some 15,000 messages a second, and one sample of 4 ranks of 1,728 counts each cost more than it could win. Gateways are dealt into cells of about nine, which share out the endpoints; only the coordinator speaks to all. Counts are read within 1,024 numbers a second. Orders are logged only where they are not accepted, and endpoints that appear together in one line.

Not good yet: streams late while maps made from one rank's counts are in force.

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -79,6 +79,11 @@
         """All entries that may be in use, by name."""
         return self._entries
 
+    @property
+    def leaving(self) -> frozenset[str]:
+        """Endpoints that take no new work."""
+        return frozenset(name for name, entry in self._entries.items() if entry.leaving)
+
     @property
     def lapsed(self) -> frozenset[str]:
         """Endpoints whose entries are gone but still trusted."""
--- a/src/azurefold/gateway/exchange.py
+++ b/src/azurefold/gateway/exchange.py
@@ -1,7 +1,8 @@
 """Gateways tell each other their loads, versions and who coordinates.
 
-One small datagram to each other gateway, when something has changed and at
-least twice a second. A lost one is made up for by the next.
+One small datagram to each other gateway of the cell, when something has changed
+and at least twice a second; from the coordinator to all. A lost one is made up
+for by the next.
 """
 
 import logging
@@ -13,6 +14,7 @@
 from gevent import socket as gevent_socket
 
 from azurefold.core.clock import Millis
+from azurefold.core.routing.cells import Cell, cell_of
 from azurefold.core.routing.messages import LoadReport
 from azurefold.core.routing.peer_loads import LoadDigest, PeerLoads, endpoint_mark
 from azurefold.gateway.state import GatewayState
@@ -95,6 +97,8 @@
         gave up, 0 for none.
     broken : callable
         Returns marks of services whose group is down.
+    cell : Cell
+        The gateways that this one tells its loads.
     """
 
     state: GatewayState
@@ -103,11 +107,13 @@
     terms: Callable[[], tuple[int, int]]
     broken: Callable[[], tuple[int, ...]]
     loads: PeerLoads = field(default_factory=PeerLoads)
+    cell: Cell = field(default_factory=Cell)
     _peers: dict[str, Peer] = field(default_factory=dict)
     _sock: gevent_socket.socket | None = None
     _sequence: int = 0
     _sent_at: Millis = 0
     _sent: tuple = ()
+    _terms: tuple[int, int] = (0, 0)
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -132,6 +138,12 @@
         """Take in the gateways that the store lists."""
         own = self.state.settings.name
         self._peers = {peer.node: peer for peer in peers if peer.node != own}
+        self._deal_cells()
+
+    def _deal_cells(self) -> None:
+        self.cell = cell_of(self.state.settings.name, self._peers)
+        self.state.set_nodes(len(self._peers) + 1)
+        self.state.set_cell(self.cell)
 
     def receive_for_ever(self) -> None:
         """Take in messages."""
@@ -159,6 +171,8 @@
         is_due = now - self._sent_at >= _QUIET_MS
         if told == self._sent and not is_due and not at_once:
             return
+        to_all = at_once or (is_due and told[2] != (0, 0)) or told[2] != self._terms
+        self._terms = told[2]
         self._sent, self._sent_at = told, now
         self._sequence += 1
         settings = self.state.settings
@@ -175,7 +189,8 @@
         )
         data = _encode(message)
         for peer in self._peers.values():
-            self._send_to(peer, data)
+            if to_all or peer.node in self.cell.nodes:
+                self._send_to(peer, data)
 
     def _send_to(self, peer: Peer, data: bytes) -> None:
         try:
@@ -200,14 +215,18 @@
         digest = LoadDigest(
             message.node, message.incarnation, message.sequence, message.loads
         )
-        is_known = message.node in self.loads.nodes
-        if not self.loads.hear(digest, now):
-            return
+        if message.node not in self._peers:
+            log_event(_log, "peer_joined", peer=message.node, ip=ip)
+            self._peers[message.node] = Peer(message.node, ip, message.port)
+            self._deal_cells()
         self._peers[message.node] = Peer(message.node, ip, message.port)
-        if not is_known:
-            log_event(_log, "peer_heard", peer=message.node, ip=ip)
-            self.state.set_nodes(len(self.loads.nodes) + 1)
-        self._report_loads(now)
+        if message.node in self.cell.nodes:
+            is_known = message.node in self.loads.nodes
+            if not self.loads.hear(digest, now):
+                return
+            if not is_known:
+                log_event(_log, "peer_heard", peer=message.node)
+            self._report_loads(now)
         self.on_message(message)
 
     def _forget_silent(self) -> None:
@@ -215,14 +234,17 @@
         for node in silent:
             log_event(_log, "peer_silent", peer=node)
         if silent:
-            self.state.set_nodes(len(self.loads.nodes) + 1)
             self._report_loads(self.state.clock.now())
 
     def _report_loads(self, now: Millis) -> None:
         for service in self.state.services.values():
             pool = service.admission.pool
-            for endpoint in service.entries:
-                all_nodes = self.loads.of(endpoint) + pool.load_of(endpoint)
+            # Where all cells send to all endpoints, the others have about as
+            # many requests there as this one.
+            cells = 1 if service.is_divided else self.cell.count
+            for endpoint in pool.endpoints:
+                own = pool.load_of(endpoint)
+                all_nodes = cells * (self.loads.of(endpoint) + own)
                 pool.load_reported(endpoint, LoadReport(all_nodes, 0), now)
             if service.admission.waiting:
                 service.admission.pump()
--- a/src/azurefold/gateway/group_control.py
+++ b/src/azurefold/gateway/group_control.py
@@ -23,6 +23,7 @@
     Prepare,
     RankOrder,
     SendOrder,
+    Verdict,
     resumed_change,
 )
 from azurefold.core.groups.samples import SampledPopularity
@@ -42,8 +43,12 @@
 
 _LOOK_BROKEN_MS: Millis = 300
 _SAMPLE_EVERY_MS: Millis = 1_000
-"""Popularity can change from one second to the next, and a sample costs the
-group 0.3 ms for each rank that is asked."""
+"""Popularity can change from one second to the next."""
+
+_NUMBERS_A_SECOND = 1_024
+"""Counts read from ranks: each has a price, and 400 of them stop the group for
+half a millisecond. Four ranks of 256 counts a second show the popularity well
+enough to bring the slowest rank from 3.1 times the mean to 1.4."""
 
 _FIRST_SAMPLE_MS: Millis = 400
 """Until the first sample after a takeover: the map in force may be of long ago."""
@@ -159,8 +164,18 @@
         self._clients.clear()
 
     def _sample_every(self) -> Millis:
-        is_first = self.view.popularity.samples == 0
-        return _FIRST_SAMPLE_MS if is_first else _SAMPLE_EVERY_MS
+        if self.view.popularity.samples == 0:
+            return _FIRST_SAMPLE_MS
+        numbers = self._sampled_ranks() * self._numbers_of_a_rank()
+        return max(_SAMPLE_EVERY_MS, numbers * 1_000 // _NUMBERS_A_SECOND)
+
+    def _sampled_ranks(self) -> int:
+        affordable = _NUMBERS_A_SECOND // self._numbers_of_a_rank()
+        return min(_SAMPLED_RANKS, self.view.size, max(1, affordable))
+
+    def _numbers_of_a_rank(self) -> int:
+        engine = self.service.view.engine
+        return engine.layer_sets * engine.experts
 
     def _look_every(self) -> Millis:
         return _LOOK_EVERY_MS if self._was_whole else _LOOK_BROKEN_MS
@@ -242,8 +257,8 @@
         """Ask a few ranks for their counts."""
         view = self.view
         self._sampled_at = self.state.clock.now()
-        if len(self._sampled) < min(_SAMPLED_RANKS, view.size):
-            count = min(_SAMPLED_RANKS, view.size)
+        count = self._sampled_ranks()
+        if len(self._sampled) != count:
             self._sampled = tuple(self._draw.sample(range(view.size), count))
         n_layers = self.service.view.engine.layer_sets
         endpoints = [view.endpoints[rank] for rank in self._sampled]
@@ -356,15 +371,18 @@
         verdict = client.give(order, change.epoch, placements)
         if change is not self._change:
             return
-        log_event(
-            _log,
-            "order",
-            service=self.service.view.name,
-            version=change.version,
-            rank=rank,
-            order=order,
-            verdict=verdict.value,
-        )
+        if verdict is not Verdict.ACCEPTED:
+            log_event(
+                _log,
+                "order_not_accepted",
+                logging.WARNING,
+                service=self.service.view.name,
+                version=change.version,
+                rank=rank,
+                order=order,
+                verdict=verdict.value,
+                phase=change.phase,
+            )
         self._act(change.answered(rank, order, verdict, self.state.clock.now()))
 
     def _ask_report(self, change: MapChange, rank: int) -> None:
--- a/src/azurefold/gateway/news.py
+++ b/src/azurefold/gateway/news.py
@@ -179,18 +179,17 @@
         for name in before - entries.keys():
             state.links.forget(name)
             log_event(_log, "endpoint_gone", endpoint=name)
-        for row in rows:
-            entry = entries.get(row.key)
-            if entry is not None and (entry.leaving or row.key not in before):
-                log_event(
-                    _log,
-                    "endpoint_seen",
-                    endpoint=entry.name,
-                    service=entry.service,
-                    address=entry.address,
-                    leaving=entry.leaving,
-                    row=row.version,
-                )
+        joined = [row.key for row in rows if row.key in entries.keys() - before]
+        leaving = [row.key for row in rows if row.key in state.registry.leaving]
+        if joined or leaving:
+            log_event(
+                _log,
+                "endpoints_seen",
+                joined=",".join(joined) or "none",
+                leaving=",".join(leaving) or "none",
+                all=len(entries),
+                row=newest,
+            )
         lapsed = state.registry.lapsed
         if lapsed:
             log_event(_log, "endpoints_lapsed", endpoints=len(lapsed))
--- a/src/azurefold/gateway/peers.py
+++ b/src/azurefold/gateway/peers.py
@@ -101,7 +101,7 @@
     position = crc32(state.settings.name.encode()) % _POSITIONS
 
     def peers_heard() -> tuple[int, int]:
-        return len(exchange.loads.nodes), len(exchange.peers)
+        return len(exchange.loads.nodes), len(exchange.cell.nodes) - 1
 
     coordinator = new_coordinator(state, store, incarnation, position, peers_heard)
 
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -7,6 +7,7 @@
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import RoutedService
+from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.endpoint import ExchangedLoads
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.pool import Pool
@@ -44,12 +45,15 @@
     admission : Admission
     entries : dict of str to EndpointEntry
         Its endpoints by name.
+    is_divided : bool
+        Whether its endpoints are dealt out to cells of gateways.
     """
 
     view: RoutedService
     data_centre: str
     admission: Admission
     entries: dict[str, EndpointEntry] = field(default_factory=dict)
+    is_divided: bool = False
 
     @property
     def is_group(self) -> bool:
@@ -62,13 +66,19 @@
         self.view = view
         self._set_slots()
 
-    def set_endpoints(self, entries: list[EndpointEntry], now: Millis) -> None:
-        """Take in the present endpoints."""
+    def set_endpoints(
+        self, entries: list[EndpointEntry], cell: Cell, now: Millis
+    ) -> None:
+        """Take in the present endpoints, of which the cell's get requests."""
         self.entries = {entry.name: entry for entry in entries}
+        staying = [entry.name for entry in entries if not entry.leaving]
+        self.is_divided = cell.divides(staying)
+        used = cell.endpoints_of(staying)
         pool = self.admission.pool
-        leaving = [entry.name for entry in entries if entry.leaving]
-        pool.set_endpoints(self.entries, now, leaving)
+        pool.set_endpoints(used, now)
         for entry in entries:
+            if entry.name not in used:
+                continue
             is_near = entry.data_centre == self.data_centre
             pool.set_distance(entry.name, 0 if is_near else _OTHER_DATA_CENTRE_MS)
         self._set_slots()
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -8,6 +8,7 @@
 from azurefold.core.membership.registry import EndpointRegistry
 from azurefold.core.routes.model import RoutingConfiguration
 from azurefold.core.routes.table import RouteTable, route_table
+from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.retries import RetryPolicy
 from azurefold.gateway.connections import EndpointLinks
 from azurefold.gateway.service_state import (
@@ -49,6 +50,8 @@
         By service and result.
     nodes : int
         Gateways, this one included.
+    cell : Cell
+        The gateways whose loads are known here.
     endpoints_version : int
         Of the newest endpoint's row in the store.
     is_current : bool
@@ -69,6 +72,7 @@
     in_flight: int = 0
     answers: Counter[tuple[str, str]] = field(default_factory=Counter)
     nodes: int = _USUAL_NODES
+    cell: Cell = field(default_factory=Cell)
     endpoints_version: int = 0
     is_current: bool = False
     _configuration_seen: Millis | None = None
@@ -115,7 +119,13 @@
             if entry.service in by_service:
                 by_service[entry.service].append(entry)
         for name, entries in by_service.items():
-            self.services[name].set_endpoints(entries, now)
+            self.services[name].set_endpoints(entries, self.cell, now)
+
+    def set_cell(self, cell: Cell) -> None:
+        """Take in another division of the gateways."""
+        if cell != self.cell:
+            self.cell = cell
+            self.spread_endpoints()
 
     def set_nodes(self, nodes: int) -> None:
         """Take in how many gateways there are, this one included."""
--- /dev/null
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -0,0 +1,167 @@
+"""Configurations go upward only; entries and endpoints follow the store."""
+
+import msgspec
+import pytest
+
+from azurefold.core.routes.model import RouteKind
+from azurefold.gateway.news import new_news
+from azurefold.platform import configuration as configurations
+from azurefold.platform import registry as registries
+from azurefold.platform.configuration import (
+    BadConfigurationError,
+    decode_configuration,
+)
+from azurefold.platform.store_messages import StoredRow
+
+
+def configuration(version, **changes):
+    body = {
+        "Version": version,
+        "Routes": [
+            {
+                "Name": "drafts",
+                "Hostname": "a.example",
+                "Prefix": "/drafts/",
+                "RouteKind": "streaming",
+                "TimeoutMs": 8000,
+                "SloMs": 402,
+                "Priority": 1,
+                "Split": [
+                    {"Service": "model", "Weight": 90},
+                    {"Service": "desk", "Weight": 10},
+                ],
+                "MaxAttempts": 2,
+                "Public": False,
+                "Sticky": True,
+                "Resumable": True,
+                "TbtTargetMs": 120,
+            },
+            {
+                "Name": "acks",
+                "Hostname": "a.example",
+                "Prefix": "/acks/",
+                "RouteKind": "non_idempotent",
+                "TimeoutMs": 800,
+                "SloMs": 300,
+                "Service": "desk",
+            },
+        ],
+        "Services": [
+            {
+                "Name": "model",
+                "HealthPath": "/healthz",
+                "MaxConns": 358,
+                "Engine": {"Slots": 6, "Stride": 5, "Sets": 4, "Experts": 64},
+            },
+            {"Name": "desk", "MaxConns": 110},
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "shops", "ApiKeys": ["k1", "k2"], "Priority": 0}],
+    }
+    return msgspec.json.encode(body | changes)
+
+
+@pytest.fixture
+def news(state, store):
+    return new_news(state, store)
+
+
+def config_row(version, row):
+    return StoredRow(configurations.KEY, row, configuration(version))
+
+
+def entry_row(name, row, **changes):
+    body = {"Service": "desk", "Address": "10.0.0.1:80", "Zone": "dc-a", "Slots": 6}
+    return StoredRow(name, row, msgspec.json.encode(body | changes))
+
+
+def test_all_fields_are_decoded_once():
+    read = decode_configuration(configuration(7))
+    drafts, acks = read.routes
+    assert drafts.kind is RouteKind.STREAMING
+    assert [(d.service, d.weight) for d in drafts.destinations] == [
+        ("model", 90),
+        ("desk", 10),
+    ]
+    assert (drafts.timeout_ms, drafts.objective_ms, drafts.event_gap_ms) == (
+        8000,
+        402,
+        120,
+    )
+    assert drafts.resumable
+    assert drafts.max_attempts == 2
+    assert [d.service for d in acks.destinations] == ["desk"]
+    assert not acks.may_run_twice
+    assert read.services["model"].engine.splits_experts
+    assert read.services["desk"].engine is None
+    assert read.holders["k2"].organisation == "shops"
+    assert read.holders["k2"].priority == 0
+    assert read.needs_keys
+    assert read.limits.idle_timeout_ms == 15000
+
+
+def test_a_configuration_without_organisations_needs_no_keys():
+    assert not decode_configuration(configuration(1, Tenants=None)).needs_keys
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b'{"Version": "x"}'])
+def test_what_is_no_configuration_is_refused(data):
+    with pytest.raises(BadConfigurationError):
+        decode_configuration(data)
+
+
+def test_versions_go_upward_only(news, state):
+    """A request is handled as only an older configuration allows.
+
+    The store was restored from an older copy, or an answer was late, and showed
+    a lower version than the one in force.
+    """
+    news.configuration.on_changes((config_row(7, 1),))
+    news.configuration.on_changes((config_row(5, 2),))
+    assert state.version == 7
+    news.configuration.on_changes((config_row(9, 3),))
+    assert state.version == 9
+
+
+def test_an_unreadable_configuration_leaves_the_present_one(news, state):
+    news.configuration.on_changes((config_row(7, 1),))
+    news.configuration.on_changes((StoredRow(configurations.KEY, 2, b"{"),))
+    assert state.version == 7
+
+
+def test_other_rows_of_the_operators_table_are_passed_over(news, state):
+    news.configuration.on_changes((StoredRow("else", 1, b"{}"),))
+    assert state.version == 0
+
+
+def test_endpoints_join_and_leave_their_service(news, state):
+    news.configuration.on_rows((config_row(7, 1),))
+    news.endpoints.on_rows((entry_row("e1", 2), entry_row("e2", 3)))
+    pool = state.services["desk"].admission.pool
+    assert set(pool.endpoints) == {"e1", "e2"}
+    news.endpoints.on_changes((entry_row("e1", 4, State="draining"),))
+    assert state.services["desk"].entries["e1"].leaving
+    news.endpoints.on_changes((StoredRow("e1", 5, removed=True),))
+    assert set(pool.endpoints) == {"e2"}
+    assert state.endpoints_version == 5
+
+
+def test_entries_that_came_before_the_configuration_are_not_lost(news, state):
+    news.endpoints.on_rows((entry_row("e1", 2),))
+    news.configuration.on_rows((config_row(7, 3),))
+    assert set(state.services["desk"].entries) == {"e1"}
+
+
+def test_an_unreadable_entry_is_passed_over(news, state):
+    news.configuration.on_rows((config_row(7, 1),))
+    news.endpoints.on_rows((StoredRow("bad", 2, b"{"), entry_row("e1", 3)))
+    assert set(state.services["desk"].entries) == {"e1"}
+    assert registries.TABLE == "servers"
+
+
+def test_an_unknown_route_is_said_to_be_unknown_only_with_fresh_news(news, state):
+    assert not state.is_current
+    news.configuration.on_heard()
+    assert state.is_current
+    news.configuration.on_doubt()
+    assert not state.is_current
