Stand in for the users' store and endpoints, and soak gateways with faults

What was missing: every failure seen so far was tested by state machines or by the users' runs only; no test of this repository started a gateway. Now a store with feeds, bare endpoints with a lock-step group, and a relay between make a site on loopback. A soak draws faults from a seed (signals to gateways, links delayed, cut and silenced, the store down, silent, forgetting or losing answers, endpoints that lose answers, break off, refuse, take orders late or leave, configurations meanwhile) and compares what callers and endpoints saw.

Four broken promises put into what was seen are each found. The ranks of the state machine's tests and of the stand-in are one copy (order_ranks.py).

--- /dev/null
+++ b/src/azurefold_standins/bare_endpoints.py
@@ -0,0 +1,327 @@
+"""Stand-ins for endpoints without an agent: plain ones and ranks of one group.
+
+::
+
+    python -m azurefold_standins.bare_endpoints --layout layout.json
+
+All endpoints of a site live in one process, so that the ranks share their
+passes and one journal tells what ran. ``GET /journal`` on the control address
+returns a :class:`Journal`; ``PUT /faults`` takes :class:`EndpointFaults`.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import random  # noqa: E402
+import time  # noqa: E402
+from collections import Counter  # noqa: E402
+from dataclasses import dataclass, field  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import falcon  # noqa: E402
+import gevent  # noqa: E402
+import msgspec  # noqa: E402
+
+from azurefold.core.groups.map_change import (  # noqa: E402
+    Arm,
+    Disarm,
+    Hold,
+    Prepare,
+    Release,
+    Verdict,
+)
+from azurefold.internal.http_server import http_server  # noqa: E402
+from azurefold.internal.process import stop_requested  # noqa: E402
+from azurefold_standins.order_ranks import ModelGroup  # noqa: E402
+
+__all__ = ["BareEndpoint", "EndpointFaults", "Journal", "Layout", "expected_event"]
+
+_PASS_S = 0.02
+_WORK_S = 0.01
+EVENTS = 12
+"""Events of each stream."""
+
+_LAYERS, _EXPERTS = 2, 8
+
+
+class BareEndpoint(msgspec.Struct, frozen=True):
+    """Where one endpoint listens; a rank of the group, or a plain one."""
+
+    name: str
+    service: str
+    address: str
+    rank: int | None = None
+
+
+class Layout(msgspec.Struct, frozen=True):
+    """All endpoints, and where the journal is read."""
+
+    control: str
+    endpoints: list[BareEndpoint]
+
+
+class EndpointFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Shares of requests that go wrong, and of orders carried out late.
+
+    Parameters
+    ----------
+    break_off : float, default=0.0
+        Answers that end in their middle.
+    lose : float, default=0.0
+        Requests that run and whose connection then closes.
+    refuse : float, default=0.0
+        Requests that are refused and not run.
+    late_orders : float, default=0.0
+        Orders that get no answer and are carried out later.
+    """
+
+    break_off: float = 0.0
+    lose: float = 0.0
+    refuse: float = 0.0
+    late_orders: float = 0.0
+
+
+class Journal(msgspec.Struct):
+    """What the endpoints saw.
+
+    Parameters
+    ----------
+    runs : dict of str to int
+        How often each request ran, by its id.
+    last_arrival : dict of str to float
+        Seconds on the machine's steady clock, by endpoint.
+    changes : int
+        Map changes that came into force.
+    split_at : int or None
+        The first pass that began under two maps.
+    held_s : float
+        The longest time that a pass was held.
+    """
+
+    runs: dict[str, int]
+    last_arrival: dict[str, float]
+    changes: int
+    split_at: int | None
+    held_s: float
+
+
+def expected_event(path: str, number: int) -> bytes:
+    """Return one event of the stream that answers ``path``."""
+    return b"id: %d\ndata: %s-%d\n\n" % (number, path.encode(), number)
+
+
+@dataclass(slots=True)
+class _Site:
+    group: ModelGroup
+    faults: EndpointFaults = field(default_factory=EndpointFaults)
+    runs: Counter = field(default_factory=Counter)
+    last_arrival: dict[str, float] = field(default_factory=dict)
+    draw: random.Random = field(default_factory=lambda: random.Random(7))
+    changes: int = 0
+    held_s: float = 0.0
+    _held_since: float | None = None
+    _counts: list[list[int]] = field(default_factory=list)
+
+    def happens(self, share: float) -> bool:
+        return self.draw.random() < share
+
+    def pass_for_ever(self) -> None:
+        """Begin a pass each 20 ms, as if there were always work."""
+        self._counts = [[0] * (_LAYERS * _EXPERTS) for _ in self.group.ranks]
+        while True:
+            gevent.sleep(_PASS_S)
+            before = [rank.version for rank in self.group.ranks]
+            now = time.monotonic()
+            if self.group.begin_pass():
+                self._held_since = None
+            else:
+                self._held_since = self._held_since or now
+                self.held_s = max(self.held_s, now - self._held_since)
+            self.changes += before != [rank.version for rank in self.group.ranks]
+            for counts in self._counts:
+                hot = int(now / 3) % _EXPERTS
+                for layer in range(_LAYERS):
+                    counts[layer * _EXPERTS + hot] += 40
+                    counts[layer * _EXPERTS + self.draw.randrange(_EXPERTS)] += 5
+
+    def counts(self, rank: int) -> list[int]:
+        return self._counts[rank]
+
+    def journal(self) -> Journal:
+        return Journal(
+            dict(self.runs),
+            self.last_arrival,
+            self.changes,
+            self.group.split_at,
+            self.held_s,
+        )
+
+
+@dataclass(slots=True)
+class _Requests:
+    """What one endpoint answers to requests."""
+
+    site: _Site
+    endpoint: BareEndpoint
+
+    def __call__(self, req: falcon.Request, resp: falcon.Response, **_) -> None:
+        attempt = req.get_header("Attempt-Id") or ""
+        resp.set_header("Attempt-Id", attempt)
+        body = req.bounded_stream.read()
+        if req.get_header("Expect-Instance") != self.endpoint.name:
+            resp.status = "421 Misdirected Request"
+            return
+        site = self.site
+        if site.happens(site.faults.refuse):
+            resp.status = falcon.HTTP_503
+            resp.set_header("Not-Executed", "1")
+            return
+        site.last_arrival[self.endpoint.name] = time.monotonic()
+        site.runs[attempt] += 1
+        gevent.sleep(_WORK_S)
+        resp.set_header("Server-Seal", f"{self.endpoint.name}.{attempt}")
+        if self.endpoint.rank is None:
+            self._plain(req, resp, body)
+        else:
+            self._stream(req, resp)
+
+    def _plain(self, req, resp, body: bytes) -> None:
+        if self.site.happens(self.site.faults.lose):
+            raise ConnectionResetError(104, "lost")
+        resp.data = req.path.encode() + b":" + body
+
+    def _stream(self, req, resp) -> None:
+        resp.content_type = "text/event-stream"
+        resp.stream = self._events(req.path, int(req.get_header("Last-Event-Id") or 0))
+
+    def _events(self, path: str, after: int):
+        stop = EVENTS
+        if self.site.happens(self.site.faults.break_off):
+            stop = self.site.draw.randrange(after, EVENTS)
+        for number in range(after + 1, EVENTS + 1):
+            gevent.sleep(_PASS_S)
+            event = expected_event(path, number)
+            if number > stop:
+                yield event[:5]
+                raise ConnectionResetError(104, "broken off")
+            yield event
+
+
+@dataclass(slots=True)
+class _Rank:
+    """What one rank answers to questions and orders."""
+
+    site: _Site
+    rank: int
+
+    def on_get_report(self, req, resp) -> None:
+        view = self.site.group.view(self.rank)
+        resp.data = msgspec.json.encode(
+            {
+                "group": {
+                    "Name": "g",
+                    "epoch": view.epoch,
+                    "rank": self.rank,
+                    "State": "open",
+                },
+                "size": self.site.group.size,
+                "step": view.step,
+                "ExpertMap": view.version,
+                "Prepared": view.prepared,
+                "Armed": view.armed,
+                "held": view.held,
+                "pace": 1.0,
+            }
+        )
+
+    def on_get_picked(self, req, resp) -> None:
+        view = self.site.group.view(self.rank)
+        if req.has_param("Lists"):
+            size = self.site.group.size
+            held = list(range(self.rank, _EXPERTS, size))
+            in_force = {"Version": view.version, "Experts": [held] * _LAYERS}
+            body = {"epoch": view.epoch, "ExpertMap": in_force}
+        else:
+            counts = self.site.counts(self.rank)
+            body = {"epoch": view.epoch, "step": view.step, "Counts": counts}
+        resp.data = msgspec.json.encode(body)
+
+    def on_post_order(self, req, resp) -> None:
+        body = msgspec.json.decode(req.bounded_stream.read())
+        if self.site.happens(self.site.faults.late_orders):
+            gevent.spawn_later(2 + 4 * self.site.draw.random(), self._take, body)
+            gevent.sleep(30)
+            return
+        accepted = self._take(body) is Verdict.ACCEPTED
+        resp.status = falcon.HTTP_202 if accepted else falcon.HTTP_409
+
+    def _take(self, body: dict) -> Verdict:
+        group = self.site.group
+        if body["epoch"] != group.epoch:
+            return Verdict.REFUSED
+        return group.ranks[self.rank].take(_order(body), group.step)
+
+
+def _order(body: dict):
+    match body["Op"]:
+        case "prepare":
+            return Prepare(body["Version"])
+        case "Hold":
+            return Hold(body["step"])
+        case "arm":
+            return Arm(body["Version"], body["step"])
+        case "disarm":
+            return Disarm(body["Version"])
+        case "go":
+            return Release(body["step"])
+    raise ValueError(f"no such order: {body['Op']}")
+
+
+@dataclass(slots=True)
+class _Control:
+    site: _Site
+
+    def on_get(self, req, resp) -> None:
+        resp.data = msgspec.json.encode(self.site.journal())
+
+    def on_put(self, req, resp) -> None:
+        data = req.bounded_stream.read()
+        self.site.faults = msgspec.json.decode(data, type=EndpointFaults)
+
+
+def _endpoint_app(site: _Site, endpoint: BareEndpoint) -> falcon.App:
+    app = falcon.App()
+    if endpoint.rank is not None:
+        rank = _Rank(site, endpoint.rank)
+        app.add_route("/report", rank, suffix="report")
+        app.add_route("/picked", rank, suffix="picked")
+        app.add_route("/order", rank, suffix="order")
+    app.add_sink(_Requests(site, endpoint))
+    return app
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--layout", required=True)
+    data = Path(parser.parse_args().layout).read_bytes()
+    layout = msgspec.json.decode(data, type=Layout)
+    ranks = [each for each in layout.endpoints if each.rank is not None]
+    site = _Site(ModelGroup(len(ranks)))
+    gevent.spawn(site.pass_for_ever)
+    for endpoint in layout.endpoints:
+        http_server(
+            endpoint.address, _endpoint_app(site, endpoint), endpoint.name
+        ).start()
+    control = falcon.App()
+    control.add_route("/journal", _Control(site))
+    control.add_route("/faults", _Control(site))
+    http_server(layout.control, control, "control").start()
+    print("listening", flush=True)
+    stop_requested().wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/azurefold_standins/fault_soak.py
@@ -0,0 +1,277 @@
+"""A randomized soak of gateways as separate processes, with faults from outside.
+
+::
+
+    python -m azurefold_standins.fault_soak --seed 7 --seconds 20
+
+A seed gives the series of faults: gateways killed, paused, stopped and started
+again by signals; links delayed, cut and silenced by a relay; a store that is
+down, silent, slow, forgets its history or loses answers; endpoints that lose
+answers, break off, refuse, take orders late and leave; configurations meanwhile.
+Faults overlap. Callers check each answer while it runs, and what callers and
+endpoints saw is compared at the end. Only processes started here are ended.
+"""
+
+import argparse
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from azurefold_standins.bare_endpoints import EndpointFaults
+from azurefold_standins.gateway_caller import Call, Caller, Kind, Result
+from azurefold_standins.gateway_site import GatewaySite, new_gateway_site
+
+__all__ = ["Finding", "Soak", "check", "main", "run_soak"]
+
+
+_CALLERS = 6
+_PAUSE_S = 0.03
+_QUIET_S = 6.0
+_LONGEST_FAULT_S = 3.0
+_LONGEST_ANSWER_S = 5.3
+"""The routes' timeout of 4 s, and 1.3 s for a busy machine."""
+
+_LEAVING_BOUND_S = 2.0
+_LONGEST_HOLD_S = 4.0
+"""A hold whose coordinator died: 1.7 s of silence, the takeover, two looks."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """A promise that did not hold."""
+
+    promise: str
+    detail: str
+
+
+@dataclass(slots=True)
+class Soak:
+    """One run.
+
+    Parameters
+    ----------
+    site : GatewaySite
+    draw : random.Random
+    seconds : float
+        For which faults are injected.
+    """
+
+    site: GatewaySite
+    draw: random.Random
+    seconds: float
+    findings: list[Finding] = field(default_factory=list)
+    faults: Counter = field(default_factory=Counter)
+    left_at: dict[str, float] = field(default_factory=dict)
+    callers: list[Caller] = field(default_factory=list)
+    _stop: threading.Event = field(default_factory=threading.Event)
+    _paused: set[str] = field(default_factory=set)
+    _undo: list[tuple[float, Callable[[], None]]] = field(default_factory=list)
+    _serial: int = 0
+
+    def run(self) -> None:
+        """Call and disturb, then check."""
+        threads = [
+            threading.Thread(target=self._call, args=(n,)) for n in range(_CALLERS)
+        ]
+        for thread in threads:
+            thread.start()
+        until = time.monotonic() + self.seconds
+        while time.monotonic() < until:
+            self._disturb()
+            time.sleep(self.draw.uniform(0.1, 0.7))
+            self._undo_due(time.monotonic())
+        self._undo_due(float("inf"))
+        quiet_from = time.monotonic() + 3.0
+        time.sleep(_QUIET_S)
+        self._stop.set()
+        for thread in threads:
+            thread.join()
+        self.findings += check(self, quiet_from)
+
+    @property
+    def calls(self) -> list[Call]:
+        """All calls of all callers."""
+        return [call for caller in self.callers for call in caller.calls]
+
+    def _call(self, number: int) -> None:
+        draw = random.Random(self.draw.random() + number)
+        caller = Caller(f"c{number}-{draw.getrandbits(24):x}", draw)
+        self.callers.append(caller)
+        while not self._stop.is_set():
+            gateway = draw.choice(list(self.site.gateways))
+            kind = draw.choice(list(Kind))
+            caller.call(kind, gateway, self.site.gateways[gateway])
+            time.sleep(_PAUSE_S)
+
+    def _disturb(self) -> None:
+        faults = (
+            self._kill,
+            self._pause,
+            self._stop_and_start,
+            self._store_fault,
+            self._forget,
+            self._cut,
+            self._silence,
+            self._endpoint_faults,
+            self._leave,
+            self._configure,
+        )
+        fault = self.draw.choice(faults)
+        self.faults[fault.__name__.strip("_")] += 1
+        fault()
+
+    def _later(self, undo: Callable[[], None]) -> None:
+        after = self.draw.uniform(0.3, _LONGEST_FAULT_S)
+        self._undo.append((time.monotonic() + after, undo))
+
+    def _undo_due(self, now: float) -> None:
+        due = [undo for at, undo in self._undo if at <= now]
+        self._undo = [(at, undo) for at, undo in self._undo if at > now]
+        for undo in due:
+            undo()
+
+    def _gateway(self) -> str:
+        return self.draw.choice(list(self.site.gateways))
+
+    def _kill(self) -> None:
+        process = self.site.processes[self._gateway()]
+        process.kill()
+        self._later(lambda: process.running or process.start())
+
+    def _pause(self) -> None:
+        process = self.site.processes[self._gateway()]
+        process.send(signal.SIGSTOP)
+        self._later(lambda: process.send(signal.SIGCONT))
+
+    def _stop_and_start(self) -> None:
+        process = self.site.processes[self._gateway()]
+        process.send(signal.SIGTERM)
+
+        def restart() -> None:
+            process.stop()
+            process.start()
+
+        self._later(restart)
+
+    def _store_fault(self) -> None:
+        mode = self.draw.choice(["down", "silent", "lose_answers", "ok"])
+        self.site.store_faults(mode=mode, latency_ms=self.draw.choice([0, 200]))
+        self._later(self.site.store_faults)
+
+    def _forget(self) -> None:
+        self.site.forget_history()
+
+    def _cut(self) -> None:
+        link = self.draw.choice(list(self.site.links))
+        delay = self.draw.choice([0, 60])
+        self.site.link_faults(link, cut=not delay, delay_ms=delay)
+        self._later(lambda: self.site.link_faults(link))
+
+    def _silence(self) -> None:
+        self.site.silence(self.draw.choice(list(self.site.links)))
+
+    def _endpoint_faults(self) -> None:
+        share = self.draw.choice([0.05, 0.3])
+        name = self.draw.choice(["break_off", "lose", "refuse", "late_orders"])
+        self.site.endpoint_faults(EndpointFaults(**{name: share}))
+        self._later(lambda: self.site.endpoint_faults(EndpointFaults()))
+
+    def _leave(self) -> None:
+        endpoint = self.draw.choice([e for e in self.site.endpoints if e.rank is None])
+        self.site.register(endpoint, leaving=True)
+        self._later(lambda: self.site.register(endpoint))
+
+    def _configure(self) -> None:
+        self._serial += 1
+        self.site.configure(f"/extra-{self._serial}/")
+
+
+def check(soak: Soak, quiet_from: float) -> list[Finding]:
+    """Compare what callers and endpoints saw with what is promised.
+
+    Parameters
+    ----------
+    soak : Soak
+    quiet_from : float
+        From when on, on the machine's steady clock, all must be well again.
+    """
+    journal = soak.site.journal()
+    found = []
+
+    def note(promise: str, call: Call) -> None:
+        found.append(Finding(promise, f"{call} runs={journal.runs.get(call.id, 0)}"))
+
+    for call in soak.calls:
+        runs = journal.runs.get(call.id, 0)
+        if call.result is Result.WRONG:
+            note("whole answer", call)
+        if call.kind is Kind.ACK and runs > 1:
+            note("at most once", call)
+        if call.result is Result.REFUSED and call.kind is Kind.ACK and runs:
+            note("not run is true", call)
+        if call.result is Result.WHOLE and not runs:
+            note("an answer of an endpoint", call)
+        if call.status == 404 or call.status == 401:
+            note("what is in force is known", call)
+        if call.sent_at > quiet_from and call.result is not Result.WHOLE:
+            note("all is well again", call)
+    slow = [call for call in soak.calls if call.sent_at > quiet_from]
+    found += [
+        Finding("final answer in time", str(call))
+        for call in slow
+        if call.took_s > _LONGEST_ANSWER_S
+    ]
+    if journal.split_at is not None:
+        found.append(Finding("one map in each pass", f"pass {journal.split_at}"))
+    versions = {name: soak.site.status(name)["version"] for name in soak.site.gateways}
+    if set(versions.values()) != {soak.site.version}:
+        found.append(Finding("in force everywhere", f"{versions}"))
+    return found
+
+
+def run_soak(seed: int, seconds: float, folder: Path) -> Soak:
+    """Run one seed and return what came of it."""
+    draw = random.Random(seed)
+    site = new_gateway_site(folder)
+    soak = Soak(site, draw, seconds)
+    try:
+        site.start()
+        soak.run()
+    finally:
+        site.processes.kill_all()
+    return soak
+
+
+def main() -> None:
+    """Run one or more seeds; exit 1 if a promise did not hold."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="so many from --seed on")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--keep", help="folder for logs of seeds that failed")
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        with tempfile.TemporaryDirectory() as scratch:
+            folder = Path(arguments.keep or scratch) / f"seed-{seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+            soak = run_soak(seed, arguments.seconds, folder)
+        results = Counter(call.result.value for call in soak.calls)
+        faults = sum(soak.faults.values())
+        verdict = "failed" if soak.findings else "held"
+        print(f"seed={seed} {verdict} faults={faults} {dict(results)}", flush=True)
+        for finding in soak.findings[:5]:
+            print(f"  {finding.promise}: {finding.detail}", flush=True)
+        failed += bool(soak.findings)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/azurefold_standins/feed_store.py
@@ -0,0 +1,235 @@
+"""Stand-in for a store with rows, conditional writes and feeds.
+
+::
+
+    python -m azurefold_standins.feed_store --address 127.0.0.1:0
+
+It speaks to gateways as the users' store does. Beside that:
+
+==============================  ===========================================
+``PUT /stand-in/faults``        :class:`StoreFaults`, all of them anew.
+``POST /stand-in/rows``         ``[{"Table", "Key", "Value"}]`` with a JSON
+                                value, or ``null`` to remove: what operators
+                                and endpoints write; never faulty.
+``POST /stand-in/forget``       All history is dropped.
+``GET /stand-in/calls``         How many calls have come.
+==============================  ===========================================
+"""
+
+import argparse
+import time
+from base64 import b64decode, b64encode
+from dataclasses import dataclass, field
+from typing import Literal
+
+import falcon
+import gevent
+import msgspec
+from gevent.event import Event
+
+from azurefold.internal.http_server import http_server
+from azurefold.internal.process import stop_requested
+
+__all__ = ["FeedStore", "StoreFaults", "main"]
+
+_SECOND_MS = 1_000
+_FOR_EVER_S = 3_600
+
+
+class StoreFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """How the stand-in misbehaves.
+
+    Parameters
+    ----------
+    mode : {"ok", "down", "silent", "lose_answers"}
+        ``down`` refuses with 503; ``silent`` gives no answer and does nothing;
+        ``lose_answers`` carries writes out and answers nothing.
+    latency_ms : int, default=0
+        Wait before acting.
+    """
+
+    mode: Literal["ok", "down", "silent", "lose_answers"] = "ok"
+    latency_ms: int = 0
+
+
+class _Address(msgspec.Struct):
+    table: str = msgspec.field(name="Table")
+    key: str = msgspec.field(name="Key")
+    part: str = ""
+    version: int = msgspec.field(name="Ver", default=0)
+    value: str = msgspec.field(name="Value", default="")
+
+
+class _Transaction(msgspec.Struct):
+    expected: list[_Address] = msgspec.field(name="ExpectedRev", default_factory=list)
+    writes: list[_Address] = msgspec.field(name="Write", default_factory=list)
+    removes: list[_Address] = msgspec.field(name="Remove", default_factory=list)
+
+
+class _Given(msgspec.Struct):
+    table: str = msgspec.field(name="Table")
+    key: str = msgspec.field(name="Key")
+    value: object = msgspec.field(name="Value", default=None)
+
+
+@dataclass(slots=True)
+class FeedStore:
+    """Rows, their versions and the changes that led to them."""
+
+    version: int = 0
+    oldest: int = 0
+    rows: dict[tuple[str, str], tuple[bytes, int]] = field(default_factory=dict)
+    changes: list[tuple[int, str, str]] = field(default_factory=list)
+    changed: Event = field(default_factory=Event)
+
+    def apply(self, transaction: _Transaction) -> bool:
+        """Carry a transaction out, or nothing of it."""
+        for row in transaction.expected:
+            if self.rows.get((row.table, row.key), (b"", 0))[1] != row.version:
+                return False
+        writes = [
+            (row.table, row.key, b64decode(row.value)) for row in transaction.writes
+        ]
+        removes = [(row.table, row.key, None) for row in transaction.removes]
+        self.put([*writes, *removes])
+        return True
+
+    def put(self, rows: list[tuple[str, str, bytes | None]]) -> None:
+        """Write rows, or remove those whose value is None."""
+        self.version += 1
+        for table, key, value in rows:
+            if value is None:
+                self.rows.pop((table, key), None)
+            else:
+                self.rows[table, key] = (value, self.version)
+            self.changes.append((self.version, table, key))
+        self.changed.set()
+        self.changed = Event()
+
+    def table(self, name: str, start: str = "") -> list[dict[str, object]]:
+        """Return the rows of a table as they go over the wire."""
+        keys = sorted(k for t, k in self.rows if t == name and k >= start)
+        return [self._row(name, key) for key in keys]
+
+    def since(self, name: str, after: int) -> list[dict[str, object]]:
+        """Return the rows of a table that changed after a version."""
+        changed = [(v, k) for v, t, k in self.changes if t == name and v > after]
+        return [
+            self._row(name, key)
+            if (name, key) in self.rows
+            else {"Table": name, "Key": key, "Ver": version, "Deleted": True}
+            for version, key in changed
+        ]
+
+    def forget(self) -> None:
+        """Drop all history."""
+        self.changes.clear()
+        self.oldest = self.version
+
+    def _row(self, table: str, key: str) -> dict[str, object]:
+        value, version = self.rows[table, key]
+        text = b64encode(value).decode()
+        return {"Table": table, "part": "", "Key": key, "Value": text, "Ver": version}
+
+
+@dataclass(slots=True)
+class _Http:
+    store: FeedStore
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    calls: int = 0
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        if self._misbehaves(resp):
+            return
+        rows = self.store.table(req.get_param("Table"), req.get_param("From") or "")
+        self._give(resp, {"Rows": rows, "HasMore": False})
+
+    def on_get_feed(self, req: falcon.Request, resp: falcon.Response) -> None:
+        if self._misbehaves(resp):
+            return
+        after = req.get_param_as_int("After")
+        if after < self.store.oldest:
+            resp.status = falcon.HTTP_410
+            return
+        table = req.get_param("Table")
+        until = time.monotonic() + req.get_param_as_int("WaitMs") / _SECOND_MS
+        while not (rows := self.store.since(table, after)):
+            left = until - time.monotonic()
+            if left <= 0 or not self.store.changed.wait(left):
+                break
+        # A fault that began meanwhile holds for this answer too.
+        if not self._misbehaves(resp):
+            self._give(resp, {"Rows": rows})
+
+    def on_post_transaction(self, req: falcon.Request, resp: falcon.Response) -> None:
+        body = msgspec.json.decode(req.bounded_stream.read(), type=_Transaction)
+        if self.faults.mode == "lose_answers":
+            self.store.apply(body)
+        if self._misbehaves(resp):
+            return
+        if self.store.apply(body):
+            self._give(resp, {})
+            return
+        resp.status = falcon.HTTP_412
+        tables = {row.table for row in body.expected}
+        self._give(resp, {"Rows": [r for t in tables for r in self.store.table(t)]})
+
+    def on_put_faults(self, req: falcon.Request, resp: falcon.Response) -> None:
+        data = req.bounded_stream.read()
+        self.faults = msgspec.json.decode(data, type=StoreFaults)
+
+    def on_post_rows(self, req: falcon.Request, resp: falcon.Response) -> None:
+        given = msgspec.json.decode(req.bounded_stream.read(), type=list[_Given])
+        self.store.put(
+            [
+                (row.table, row.key, row.value and msgspec.json.encode(row.value))
+                for row in given
+            ]
+        )
+
+    def on_post_forget(self, req: falcon.Request, resp: falcon.Response) -> None:
+        self.store.forget()
+
+    def on_get_calls(self, req: falcon.Request, resp: falcon.Response) -> None:
+        resp.data = msgspec.json.encode(self.calls)
+
+    def _misbehaves(self, resp: falcon.Response) -> bool:
+        self.calls += 1
+        gevent.sleep(self.faults.latency_ms / _SECOND_MS)
+        match self.faults.mode:
+            case "ok":
+                return False
+            case "down":
+                resp.status = falcon.HTTP_503
+            case "silent" | "lose_answers":
+                gevent.sleep(_FOR_EVER_S)
+        return True
+
+    def _give(self, resp: falcon.Response, body: dict[str, object]) -> None:
+        now = time.monotonic_ns() // 1_000_000
+        resp.data = msgspec.json.encode(
+            body | {"Ver": self.store.version, "NowMs": now}
+        )
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--address", required=True)
+    http = _Http(FeedStore())
+    app = falcon.App()
+    app.add_route("/rows-get", http)
+    app.add_route("/rows-feed", http, suffix="feed")
+    app.add_route("/rows-tx", http, suffix="transaction")
+    app.add_route("/stand-in/faults", http, suffix="faults")
+    app.add_route("/stand-in/rows", http, suffix="rows")
+    app.add_route("/stand-in/forget", http, suffix="forget")
+    app.add_route("/stand-in/calls", http, suffix="calls")
+    server = http_server(parser.parse_args().address, app, "feed_store")
+    server.start()
+    print(f"listening {server.server_host}:{server.server_port}", flush=True)
+    stop_requested().wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/azurefold_standins/gateway_caller.py
@@ -0,0 +1,131 @@
+"""Callers of a gateway that check what they get, byte by byte."""
+
+import http.client
+import itertools
+import random
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+
+from azurefold.internal.http_server import split_address
+from azurefold_standins.bare_endpoints import EVENTS, expected_event
+from azurefold_standins.gateway_site import HOST, KEY
+
+__all__ = ["Call", "Caller", "Kind", "Result"]
+
+_PROMISES = (408, 421, 429, 503)
+_TIMEOUT_S = 6.0
+_DEADLINE_MS = 4_500
+
+
+class Kind(Enum):
+    """What is asked for."""
+
+    DRAFT = "drafts"
+    ACK = "acks"
+    LIST = "lists"
+
+
+class Result(Enum):
+    """What came of a call."""
+
+    WHOLE = "whole"
+    REFUSED = "refused"
+    FAILED = "failed"
+    CUT_OFF = "cut_off"
+    WRONG = "wrong"
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call and its end."""
+
+    id: str
+    kind: Kind
+    gateway: str
+    result: Result
+    status: int
+    took_s: float
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Caller:
+    """Makes calls to gateways, on connections that it keeps for a while.
+
+    Parameters
+    ----------
+    name : str
+    draw : random.Random
+    """
+
+    name: str
+    draw: random.Random
+    calls: list[Call] = field(default_factory=list)
+    _numbers: itertools.count = field(default_factory=itertools.count)
+    _kept: dict[str, http.client.HTTPConnection] = field(default_factory=dict)
+
+    def call(self, kind: Kind, gateway: str, address: str) -> Call:
+        """Make a call and check the answer."""
+        number = next(self._numbers)
+        attempt = f"{self.name}-{number}"
+        began = time.monotonic()
+        result, status = self._ask(kind, attempt, gateway, address)
+        took = time.monotonic() - began
+        call = Call(attempt, kind, gateway, result, status, took, began)
+        self.calls.append(call)
+        return call
+
+    def _ask(
+        self, kind: Kind, attempt: str, gateway: str, address: str
+    ) -> tuple[Result, int]:
+        path = f"/{kind.value}/{attempt}"
+        status = 0
+        connection = self._connection(gateway, address)
+        try:
+            method = "GET" if kind is Kind.LIST else "POST"
+            body = None if kind is Kind.LIST else attempt.encode()
+            connection.request(method, path, body, _headers(attempt))
+            answer = connection.getresponse()
+            status = answer.status
+            data = answer.read()
+        except (OSError, http.client.HTTPException):
+            self._drop(gateway)
+            return (Result.CUT_OFF if status else Result.FAILED), status
+        if answer.will_close or self.draw.random() < 0.1:
+            self._drop(gateway)
+        return _judge(kind, path, body or b"", status, data), status
+
+    def _connection(self, gateway: str, address: str) -> http.client.HTTPConnection:
+        if gateway not in self._kept:
+            host, port = split_address(address)
+            self._kept[gateway] = http.client.HTTPConnection(host, port, _TIMEOUT_S)
+        connection = self._kept[gateway]
+        connection.timeout = _TIMEOUT_S
+        return connection
+
+    def _drop(self, gateway: str) -> None:
+        self._kept.pop(gateway).close()
+
+
+def _headers(attempt: str) -> dict[str, str]:
+    return {
+        "Host": HOST,
+        "Attempt-Id": attempt,
+        "Deadline-Ms": str(_DEADLINE_MS),
+        "Authorization": f"Bearer {KEY}",
+        "Token-Count": "100,40",
+    }
+
+
+def _judge(kind: Kind, path: str, body: bytes, status: int, data: bytes) -> Result:
+    if status in _PROMISES:
+        return Result.REFUSED
+    if status != 200:
+        return Result.FAILED
+    if kind is Kind.DRAFT:
+        numbers = range(1, EVENTS + 1)
+        whole = b"".join(expected_event(path, number) for number in numbers)
+    else:
+        whole = path.encode() + b":" + body
+    return Result.WHOLE if data == whole else Result.WRONG
--- /dev/null
+++ b/src/azurefold_standins/gateway_site.py
@@ -0,0 +1,256 @@
+"""A small site of gateways on loopback: store, relay, endpoints, gateways."""
+
+import json
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from azurefold_standins.bare_endpoints import BareEndpoint, EndpointFaults, Journal
+from azurefold_standins.bare_endpoints import Layout as EndpointLayout
+from azurefold_standins.processes import Processes, wait_until
+from azurefold_standins.site import free_port
+
+__all__ = ["HOST", "KEY", "GatewaySite", "new_gateway_site"]
+
+HOST = "shops.example"
+KEY = "a-key-of-the-shops"
+_IP = "127.0.0.1"
+_TIMEOUT_S = 5.0
+_TIMEOUT_MS = 4_000
+
+
+@dataclass(slots=True)
+class GatewaySite:
+    """Processes, their addresses, and what operators and endpoints have written.
+
+    Parameters
+    ----------
+    processes : Processes
+    gateways : dict of str to str
+        Where callers reach each gateway.
+    """
+
+    processes: Processes
+    gateways: dict[str, str]
+    admins: dict[str, str]
+    endpoints: list[BareEndpoint]
+    store: str
+    relay: str
+    control: str
+    links: dict[str, tuple[str, str]]
+    version: int = 0
+    extra_routes: list[str] = field(default_factory=list)
+
+    def start(self) -> None:
+        """Start all, with a configuration and all endpoints in the store."""
+        for name in ("store", "relay", "endpoints"):
+            self.processes[name].start()
+        wait_until(lambda: self._answers(self.store, "/stand-in/calls"), "the store")
+        wait_until(lambda: self._answers(self.control, "/journal"), "the endpoints")
+        wait_until(lambda: self._answers(self.relay, "/links"), "the relay")
+        self.configure()
+        for endpoint in self.endpoints:
+            self.register(endpoint)
+        for name in self.gateways:
+            self.processes[name].start()
+        for name in self.gateways:
+            self.wait_ready(name)
+
+    def wait_ready(self, gateway: str) -> None:
+        """Wait until a gateway is ready."""
+        address = self.admins[gateway]
+        wait_until(lambda: self._answers(address, "/readyz"), f"{gateway} is ready")
+
+    def configure(self, *extra_routes: str) -> int:
+        """Write a newer configuration and return its version.
+
+        Parameters
+        ----------
+        *extra_routes : str
+            Prefixes of further routes to the plain service.
+        """
+        self.version += 3
+        self.extra_routes = list(extra_routes)
+        body = _configuration(self.version, self.extra_routes)
+        self.write("op", "config", body)
+        return self.version
+
+    def register(self, endpoint: BareEndpoint, *, leaving: bool = False) -> None:
+        """Write an endpoint's entry."""
+        address = self.links[f"endpoint-{endpoint.name}"][0]
+        entry = {
+            "Service": endpoint.service,
+            "Address": address,
+            "Zone": "dc-a",
+            "Slots": 6,
+            "State": "draining" if leaving else "ready",
+        }
+        self.write("servers", endpoint.name, entry)
+
+    def write(self, table: str, key: str, value: object) -> None:
+        """Write a row as operators and endpoints do, or remove it with None."""
+        row = {"Table": table, "Key": key, "Value": value}
+        self._send(self.store, "POST", "/stand-in/rows", [row])
+
+    def store_faults(self, **faults: object) -> None:
+        """Have the store misbehave in this way from now on."""
+        self._send(self.store, "PUT", "/stand-in/faults", faults)
+
+    def forget_history(self) -> None:
+        """Have the store drop its history."""
+        self._send(self.store, "POST", "/stand-in/forget", None)
+
+    def endpoint_faults(self, faults: EndpointFaults) -> None:
+        """Have the endpoints misbehave in this way from now on."""
+        body = msgspec.to_builtins(faults)
+        self._send(self.control, "PUT", "/faults", body)
+
+    def link_faults(self, link: str, **faults: object) -> None:
+        """Have a link misbehave in this way from now on."""
+        self._send(self.relay, "PUT", f"/links/{link}", faults)
+
+    def silence(self, link: str) -> None:
+        """Forward nothing more over a link's open connections."""
+        self._send(self.relay, "POST", f"/links/{link}/silence", None)
+
+    def journal(self) -> Journal:
+        """Return what the endpoints saw."""
+        data = self._send(self.control, "GET", "/journal", None)
+        return msgspec.json.decode(data, type=Journal)
+
+    def status(self, gateway: str) -> dict:
+        """Return what a gateway says of itself."""
+        return json.loads(self._send(self.admins[gateway], "GET", "/status", None))
+
+    def _answers(self, address: str, path: str) -> bool:
+        try:
+            self._send(address, "GET", path, None)
+        except OSError:
+            return False
+        return True
+
+    @staticmethod
+    def _send(address: str, method: str, path: str, body: object) -> bytes:
+        data = None if body is None else json.dumps(body).encode()
+        request = urllib.request.Request(
+            f"http://{address}{path}", data=data, method=method
+        )
+        with urllib.request.urlopen(request, timeout=_TIMEOUT_S) as answer:
+            return answer.read()
+
+
+def new_gateway_site(
+    folder: Path, gateways: int = 3, ranks: int = 4, desks: int = 2
+) -> GatewaySite:
+    """Return a site that is not started yet.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    gateways, ranks, desks : int
+        Processes in front, ranks of the group, plain endpoints.
+    """
+    processes = Processes(folder)
+    store, relay, control = (_free() for _ in range(3))
+    endpoints = [
+        BareEndpoint(f"rank-{n}", "drafts", _free(), rank=n) for n in range(ranks)
+    ] + [BareEndpoint(f"desk-{n}", "desk", _free()) for n in range(desks)]
+    names = [f"gateway-{n}" for n in range(gateways)]
+    links = {f"endpoint-{e.name}": (_free(), e.address) for e in endpoints}
+    links |= {f"store-{name}": (_free(), store) for name in names}
+    site = GatewaySite(
+        processes,
+        gateways={name: _free() for name in names},
+        admins={name: _free() for name in names},
+        endpoints=endpoints,
+        store=store,
+        relay=relay,
+        control=control,
+        links=links,
+    )
+    _add_stand_ins(site, folder)
+    for name in names:
+        _add_gateway(site, folder, name)
+    return site
+
+
+def _add_stand_ins(site: GatewaySite, folder: Path) -> None:
+    links = folder / "links.json"
+    links.write_text(json.dumps(site.links), "utf-8")
+    layout = folder / "endpoints.json"
+    layout.write_bytes(
+        msgspec.json.encode(EndpointLayout(site.control, site.endpoints))
+    )
+    add = site.processes.add
+    add("store", "azurefold_standins.feed_store", ["--address", site.store])
+    add(
+        "relay",
+        "azurefold_standins.relay",
+        ["--address", site.relay, "--links", str(links)],
+    )
+    add("endpoints", "azurefold_standins.bare_endpoints", ["--layout", str(layout)])
+
+
+def _add_gateway(site: GatewaySite, folder: Path, name: str) -> None:
+    port = int(_free().rpartition(":")[2])
+    settings = {
+        "NodeName": name,
+        "Zone": "dc-a",
+        "Listen": {"Frontend": site.gateways[name], "Ready": site.admins[name]},
+        "PortRange": [port, port],
+        "HeartbeatMs": 1200,
+        "Bounds": {"GraceS": 8, "RetryRatio": 0.2, "RetrySlack": 200},
+        "Platform": {"Address": site.links[f"store-{name}"][0]},
+    }
+    path = folder / f"{name}.json"
+    path.write_text(json.dumps(settings), "utf-8")
+    site.processes.add(name, "azurefold.gateway", [str(path)])
+
+
+def _free() -> str:
+    return f"{_IP}:{free_port(_IP)}"
+
+
+def _configuration(version: int, extra_routes: list[str]) -> dict:
+    routes = [
+        _route("/drafts/", "streaming", "drafts", Resumable=True, MaxAttempts=3),
+        _route("/acks/", "non_idempotent", "desk"),
+        _route("/lists/", "idempotent", "desk", MaxAttempts=2),
+    ]
+    routes += [_route(prefix, "idempotent", "desk") for prefix in extra_routes]
+    engine = {
+        "Slots": 6,
+        "Stride": 1,
+        "Sets": 2,
+        "Experts": 8,
+        "Placements": 4,
+        "Spare": 2,
+        "ExpertSizeMb": 1,
+        "LinkMbps": 1000,
+    }
+    return {
+        "Version": version,
+        "Routes": routes,
+        "Services": [
+            {"Name": "drafts", "MaxConns": 64, "Engine": engine},
+            {"Name": "desk", "MaxConns": 64},
+        ],
+        "Limits": {"IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "shops", "ApiKeys": [KEY]}],
+    }
+
+
+def _route(prefix: str, kind: str, service: str, **more: object) -> dict:
+    route = {
+        "Name": prefix.strip("/"),
+        "Hostname": HOST,
+        "Prefix": prefix,
+        "RouteKind": kind,
+        "TimeoutMs": _TIMEOUT_MS,
+        "SloMs": 400,
+        "Service": service,
+    }
+    return route | more
--- a/src/azurefold_standins/site.py
+++ b/src/azurefold_standins/site.py
@@ -61,7 +61,7 @@
     def place(self, name: str, *ports: str) -> None:
         """Give a process an IP number and free ports."""
         ip = next(self._ips)
-        self.addresses[name] = {port: f"{ip}:{_free_port(ip)}" for port in ports}
+        self.addresses[name] = {port: f"{ip}:{free_port(ip)}" for port in ports}
 
     def via(self, link: str, target: str) -> str:
         """Return the address at which ``target`` is reached over a link."""
@@ -69,7 +69,7 @@
             return target
         if link not in self.links:
             ip = target.rpartition(":")[0]
-            self.links[link] = (f"{ip}:{_free_port(ip)}", target)
+            self.links[link] = (f"{ip}:{free_port(ip)}", target)
         return self.links[link][0]
 
     def udp_bind(self, name: str, data_centre: str) -> dict[str, str]:
@@ -78,7 +78,7 @@
         if not self.layout.relayed:
             return {"udp": known}
         ip = known.rpartition(":")[0]
-        own = f"{ip}:{_free_port(ip)}"
+        own = f"{ip}:{free_port(ip)}"
         link = {"known": known, "own": own, "data_centre": data_centre}
         self.datagram_links.append(link)
         return {"udp": known, "udp_bind": own}
@@ -119,7 +119,8 @@
     return (f"127.{net}.{third}.{last}" for last in range(1, 255))
 
 
-def _free_port(ip: str) -> int:
+def free_port(ip: str) -> int:
+    """Return a port of ``ip`` that nobody listens on at present."""
     with socket.socket() as probe:
         probe.bind((ip, 0))
         return probe.getsockname()[1]
--- a/tests/core/groups/rank_model.py
+++ b/tests/core/groups/rank_model.py
@@ -1,111 +1,20 @@
-"""Ranks of a lock-step group as orders from afar meet them, without any I/O."""
+"""A group, a coordinator, and orders that may be lost, late or unheard."""
 
 from dataclasses import dataclass, field
 
 from azurefold.core.groups.map_change import (
-    Arm,
     AskReport,
-    Disarm,
     Ended,
-    Hold,
     MapChange,
-    Prepare,
-    RankView,
-    Release,
     SendOrder,
     Verdict,
     resumed_change,
 )
+from azurefold_standins.order_ranks import ModelGroup
 
-NO_ARM = (None, None)
 ANSWER_TIMEOUT = 100
 
 
-@dataclass
-class ModelRank:
-    """One rank: what it has loaded, is armed for and holds."""
-
-    version: int = 0
-    highest: int = 0
-    prepared: int | None = None
-    armed: tuple = NO_ARM
-    held: int | None = None
-
-    def take(self, order, begun):
-        """Carry out an order, where ``begun`` is the last pass that began."""
-        match order:
-            case Prepare(version=version):
-                if version <= self.highest or self.armed != NO_ARM:
-                    return Verdict.REFUSED
-                self.highest = self.prepared = version
-            case Hold(step=step):
-                if step <= begun or self.held not in (None, step):
-                    return Verdict.REFUSED
-                self.held = step
-            case Arm(version=version, step=step):
-                if self.armed == (version, step):
-                    return Verdict.ACCEPTED
-                if version != self.prepared or step <= begun:
-                    return Verdict.REFUSED
-                self.armed = (version, step)
-            case Disarm(version=version):
-                if version == self.version:
-                    return Verdict.REFUSED
-                self.armed = NO_ARM
-            case Release(step=step):
-                if self.held != step:
-                    return Verdict.REFUSED
-                self.held = None
-        return Verdict.ACCEPTED
-
-
-@dataclass
-class ModelGroup:
-    """Ranks that begin each pass together, unless one of them holds it."""
-
-    size: int
-    epoch: int = 1
-    step: int = 10
-    ranks: list = field(default_factory=list)
-    split_at: int | None = None
-
-    def __post_init__(self):
-        self.ranks = [ModelRank() for _ in range(self.size)]
-
-    def begin_pass(self):
-        """Begin the next pass; note if two ranks would run it under two maps."""
-        coming = self.step + 1
-        if any(rank.held == coming for rank in self.ranks):
-            return
-        self.step = coming
-        for rank in self.ranks:
-            if rank.armed[1] == coming:
-                rank.version = rank.armed[0]
-                rank.armed = NO_ARM
-        if len({rank.version for rank in self.ranks}) > 1 and self.split_at is None:
-            self.split_at = coming
-
-    def form_anew(self):
-        """A rank was replaced: another epoch, with nothing of before."""
-        self.epoch += 1
-        self.step += 1
-        self.ranks = [ModelRank() for _ in range(self.size)]
-
-    def view(self, number):
-        """Return what a rank reports."""
-        rank = self.ranks[number]
-        return RankView(
-            number,
-            self.epoch,
-            True,
-            self.step,
-            rank.version,
-            rank.prepared,
-            rank.armed[0],
-            rank.held,
-        )
-
-
 @dataclass
 class OrderWorld:
     """A group, a coordinator, and orders that may be lost or late."""
--- a/tests/core/groups/test_orders_from_afar.py
+++ b/tests/core/groups/test_orders_from_afar.py
@@ -12,7 +12,7 @@
     rule,
     run_state_machine_as_test,
 )
-from tests.core.groups.rank_model import ModelGroup, OrderWorld
+from tests.core.groups.rank_model import OrderWorld
 
 from azurefold.core.groups import map_change
 from azurefold.core.groups.map_change import (
@@ -24,6 +24,7 @@
     SendOrder,
     Verdict,
 )
+from azurefold_standins.order_ranks import ModelGroup
 
 SIZE = 3
 FATES = st.sampled_from(["answered", "late", "unheard"])
--- /dev/null
+++ b/tests/gateway/test_a_site_of_gateways.py
@@ -0,0 +1,133 @@
+"""Gateways as processes, before endpoints of their own and a store with feeds."""
+
+import random
+import time
+from zlib import crc32
+
+import pytest
+
+from azurefold_standins.fault_soak import check, run_soak
+from azurefold_standins.gateway_caller import Caller, Kind, Result
+from azurefold_standins.gateway_site import new_gateway_site
+from azurefold_standins.processes import wait_until
+
+pytestmark = pytest.mark.scenario
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    site = new_gateway_site(tmp_path_factory.mktemp("gateways"), gateways=2)
+    try:
+        site.start()
+        yield site
+    finally:
+        site.processes.kill_all()
+
+
+@pytest.fixture
+def caller(request):
+    return Caller(f"t{crc32(request.node.name.encode()):x}", random.Random(3))
+
+
+def call(site, caller, kind, gateway="gateway-0"):
+    return caller.call(kind, gateway, site.gateways[gateway])
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+def test_each_kind_of_request_is_answered_whole(site, caller, kind):
+    made = [call(site, caller, kind) for _ in range(4)]
+    assert {each.result for each in made} == {Result.WHOLE}
+    runs = site.journal().runs
+    assert [runs[each.id] for each in made] == [1] * 4
+
+
+def test_a_route_is_in_force_soon_after_it_was_accepted(site, caller):
+    version = site.configure("/extra-1/")
+    for name in site.gateways:
+        wait_until(lambda: site.status(name)["version"] == version, "it is in force")  # noqa: B023
+    assert call(site, caller, Kind.LIST).result is Result.WHOLE
+
+
+def test_an_endpoint_that_leaves_gets_no_more_requests(site, caller):
+    desk = next(each for each in site.endpoints if each.name == "desk-0")
+    site.register(desk, leaving=True)
+    time.sleep(1.5)
+    before = site.journal().last_arrival.get("desk-0")
+    for _ in range(8):
+        assert call(site, caller, Kind.ACK).result is Result.WHOLE
+    assert site.journal().last_arrival.get("desk-0") == before
+    site.register(desk)
+
+
+def test_requests_are_served_while_the_store_is_away(site, caller):
+    site.store_faults(mode="silent")
+    try:
+        made = [call(site, caller, kind) for kind in Kind for _ in range(3)]
+    finally:
+        site.store_faults()
+    assert {each.result for each in made} == {Result.WHOLE}
+
+
+def test_one_coordinator_changes_the_map_of_the_group(site):
+    wait_until(lambda: site.journal().changes > 0, "a map has changed")
+    journal = site.journal()
+    assert journal.split_at is None
+    assert journal.held_s < 1.0
+
+
+def test_a_stopped_gateway_ends_what_it_has_begun(site, caller):
+    """Callers of a gateway that is being replaced get half an answer.
+
+    It was told to stop while requests were in flight, and ended before them.
+    """
+    process = site.processes["gateway-1"]
+    made = []
+    process.send(15)
+    until = time.monotonic() + 2.0
+    while time.monotonic() < until:
+        made.append(call(site, caller, Kind.DRAFT, "gateway-1"))
+    assert {each.result for each in made} == {Result.WHOLE}
+    assert process.stop() == 0
+    process.start()
+    site.wait_ready("gateway-1")
+
+
+def test_a_short_soak_holds_its_promises(tmp_path):
+    soak = run_soak(seed=2, seconds=5.0, folder=tmp_path)
+    assert soak.findings == []
+    assert sum(soak.faults.values()) > 0
+
+
+@pytest.fixture
+def broken_soak(site):
+    """A soak that has only looked, to which a test adds what did not happen."""
+
+    class Broken:
+        def __init__(self):
+            self.site = site
+            self.calls = []
+
+    return Broken()
+
+
+@pytest.mark.parametrize(
+    ("kind", "result", "runs", "promise"),
+    [
+        (Kind.ACK, Result.REFUSED, 1, "not run is true"),
+        (Kind.ACK, Result.WHOLE, 2, "at most once"),
+        (Kind.LIST, Result.WRONG, 1, "whole answer"),
+        (Kind.LIST, Result.WHOLE, 0, "an answer of an endpoint"),
+    ],
+)
+def test_the_soak_finds_a_broken_promise(
+    site, caller, broken_soak, monkeypatch, kind, result, runs, promise
+):
+    made = call(site, caller, Kind.ACK)
+    journal = site.journal()
+    journal.runs[made.id] = runs
+    monkeypatch.setattr(type(site), "journal", lambda self: journal)
+    monkeypatch.setattr(site, "version", site.status("gateway-0")["version"])
+    broken = type(made)(made.id, kind, made.gateway, result, 200, 0.1, made.sent_at)
+    broken_soak.calls = [broken]
+    found = check(broken_soak, quiet_from=time.monotonic())
+    assert [finding.promise for finding in found] == [promise]
