--- a/src/azurefold/core/attempts/events.py
+++ b/src/azurefold/core/attempts/events.py
@@ -7,7 +7,9 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["EventSplitter"]
+from azurefold.core.clock import Millis
+
+__all__ = ["EventPace", "EventSplitter"]
 
 _END = b"\n\n"
 _END_WITH_RETURNS = b"\r\n\r\n"
@@ -75,3 +77,41 @@
                 self.last_id = line[len(_ID) :].strip().decode("latin-1")
             elif not line:
                 self.passed += 1
+
+
+@dataclass(slots=True)
+class EventPace:
+    """When a stream's events were passed on.
+
+    Parameters
+    ----------
+    longest_gap : int
+        Milliseconds between two of them.
+    """
+
+    longest_gap: Millis = 0
+    _first: Millis | None = None
+    _last: Millis = 0
+
+    def passed(self, now: Millis) -> Millis | None:
+        """Note that events were passed on, and return the gap before them."""
+        if self._first is None:
+            self._first = self._last = now
+            return None
+        gap = now - self._last
+        self.longest_gap = max(self.longest_gap, gap)
+        self._last = now
+        return gap
+
+    def first_after(self, began: Millis) -> Millis | None:
+        """Return the time from ``began`` to the first event; None without one.
+
+        Examples
+        --------
+        >>> pace = EventPace()
+        >>> for now in (130, 190, 300):
+        ...     _ = pace.passed(now)
+        >>> pace.first_after(100), pace.longest_gap
+        (30, 110)
+        """
+        return None if self._first is None else self._first - began
--- a/src/azurefold/gateway/coordinator.py
+++ b/src/azurefold/gateway/coordinator.py
@@ -12,7 +12,11 @@
 from azurefold.core.groups.messages import order_number
 from azurefold.core.routing.peer_loads import endpoint_mark
 from azurefold.gateway.exchange import PeerMessage
-from azurefold.gateway.group_control import GroupControl, new_group_control
+from azurefold.gateway.group_control import (
+    GroupControl,
+    is_worth_balancing,
+    new_group_control,
+)
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
 from azurefold.platform import names
@@ -120,7 +124,11 @@
     def run(self) -> None:
         """Coordinate, or wait to, for ever."""
         self.leadership.start(self.state.clock.now())
-        self._read_row()
+        while not self.state.services:
+            gevent.sleep(_IDLE_TICK_MS / _SECOND_MS)
+        services = self.state.services.values()
+        if any(is_worth_balancing(service.view) for service in services):
+            self._read_row()
         while True:
             holds = self.leadership.holds
             gevent.sleep((_TICK_MS if holds else _IDLE_TICK_MS) / _SECOND_MS)
@@ -171,7 +179,7 @@
 
     def _coordinate(self) -> None:
         for service in list(self.state.services.values()):
-            if not service.is_group:
+            if not is_worth_balancing(service.view):
                 continue
             name = service.view.name
             control = self._controls.get(name)
@@ -189,7 +197,8 @@
         self._drop_controls()
 
     def _take(self) -> None:
-        if not any(service.is_group for service in self.state.services.values()):
+        services = self.state.services.values()
+        if not any(is_worth_balancing(service.view) for service in services):
             return
         self._write("lease_taken", logging.INFO)
 
--- a/src/azurefold/gateway/followers.py
+++ b/src/azurefold/gateway/followers.py
@@ -23,11 +23,6 @@
 _log = logging.getLogger("azurefold.gateway")
 
 _SECOND_MS = 1_000
-_GATHER_MS: Millis = 200
-"""After changes, before the next call: entries and versions come in quick
-succession, and one call can fetch several. They are to be in force after two
-seconds. At a start with 19 endpoints this saves two calls of three."""
-
 _RETURN_WAIT_MS: Millis = 20
 """Of a feed's call while the store is away: its answer shows that the store is
 back. With the usual wait the return would show only at the next change, and
@@ -49,6 +44,9 @@
     table : str
     wait_ms : callable
         Returns how long the store keeps a call that has nothing to tell.
+    gather_ms : callable
+        Returns the pause after changes, which come in quick succession: one
+        call can then fetch several.
     clock : Clock
     draw : random.Random
     on_rows : callable
@@ -66,6 +64,7 @@
     store: StoreClient
     table: str
     wait_ms: Callable[[], Millis]
+    gather_ms: Callable[[], Millis]
     clock: Clock
     draw: random.Random
     on_rows: Callable[[tuple[StoredRow, ...]], None]
@@ -111,7 +110,7 @@
                     self.on_changes(rows)
                 self.version = version
                 if rows:
-                    gevent.sleep(_GATHER_MS / _SECOND_MS)
+                    gevent.sleep(self.gather_ms() / _SECOND_MS)
             case HistoryLost():
                 log_event(_log, "feed_history_lost", table=self.table)
                 self.version = None
--- a/src/azurefold/gateway/group_control.py
+++ b/src/azurefold/gateway/group_control.py
@@ -27,13 +27,14 @@
     resumed_change,
 )
 from azurefold.core.groups.samples import SampledPopularity
+from azurefold.core.routes.model import RoutedService
 from azurefold.gateway.group_view import GroupView
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
 from azurefold.platform.ranks import RankClient, RankReport, rank_client
 
-__all__ = ["GroupControl", "Row", "new_group_control"]
+__all__ = ["GroupControl", "Row", "is_worth_balancing", "new_group_control"]
 
 _log = logging.getLogger("azurefold.gateway")
 
@@ -50,6 +51,12 @@
 half a millisecond. Four ranks of 256 counts a second show the popularity well
 enough to bring the slowest rank from 3.1 times the mean to 1.4."""
 
+_LEAST_SAMPLED = 2
+"""Counts of fewer ranks show whose requests came, not what is popular. With 72
+ranks of 1,728 counts one rank a second is all that can be paid for: maps made
+from it cost 0.17 to 0.23 of a day's worth of 0.39 and gained nothing, so the map
+that such a group forms with is kept."""
+
 _FIRST_SAMPLE_MS: Millis = 400
 """Until the first sample after a takeover: the map in force may be of long ago."""
 
@@ -438,6 +445,15 @@
         return [call.value for call in calls]
 
 
+def is_worth_balancing(view: RoutedService) -> bool:
+    """Whether the counts of enough ranks can be paid for."""
+    engine = view.engine
+    if engine is None or not engine.splits_experts:
+        return False
+    numbers = engine.layer_sets * engine.experts
+    return _NUMBERS_A_SECOND // numbers >= _LEAST_SAMPLED
+
+
 def new_group_control(
     state: GatewayState,
     service: GatewayService,
--- a/src/azurefold/gateway/news.py
+++ b/src/azurefold/gateway/news.py
@@ -22,6 +22,11 @@
 """Each call has a price. A store that falls silent is noticed when the call
 that waits is over; with nine nodes some call is, within half a second."""
 
+_GATHER_MS: Millis = 200
+_LONGEST_GATHER_MS: Millis = 600
+"""What is changed has to be in force after two seconds. At a start with 19
+endpoints a pause of 200 ms saves two calls of three."""
+
 _NODES_OF_WAIT = 9
 _LONGEST_FEED_WAIT_MS: Millis = 20_000
 
@@ -202,6 +207,11 @@
     return min(wait, _LONGEST_FEED_WAIT_MS)
 
 
+def _gather(nodes: int) -> Millis:
+    """Return the pause after changes; more nodes and endpoints change more."""
+    return min(_GATHER_MS * max(1, nodes // _NODES_OF_WAIT), _LONGEST_GATHER_MS)
+
+
 def new_news(state: GatewayState, store: StoreClient) -> News:
     """Return followers, not yet running."""
     applier = _Applier(state)
@@ -211,6 +221,7 @@
             store=store,
             table=table,
             wait_ms=lambda: _feed_wait(state.nodes),
+            gather_ms=lambda: _gather(state.nodes),
             clock=state.clock,
             draw=state.draw,
             on_rows=on_rows,
--- a/src/azurefold/gateway/relay.py
+++ b/src/azurefold/gateway/relay.py
@@ -15,7 +15,7 @@
     Fail,
     NotDispatched,
 )
-from azurefold.core.attempts.events import EventSplitter
+from azurefold.core.attempts.events import EventPace, EventSplitter
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Millis
 from azurefold.core.routes.model import RouteKind
@@ -92,6 +92,8 @@
     _dispatched: bool = False
     _group_down: bool = False
     _result: str = "abandoned"
+    _pace: EventPace = field(default_factory=EventPace)
+    _queued_ms: Millis = 0
 
     def __post_init__(self) -> None:
         route = self.call.route
@@ -126,6 +128,7 @@
 
     def _run(self) -> Iterator[Part]:
         placed = self.service.admission.acquire(self._ticket(1))
+        self._queued_ms = self.state.clock.now() - self.call.arrived
         if isinstance(placed, Failure):
             yield self._give_up(placed)
             return
@@ -221,6 +224,9 @@
             endpoints=",".join(sorted(self.tried)) or "none",
             took_ms=now - call.arrived,
             left_ms=call.deadline - now,
+            queued_ms=self._queued_ms,
+            first_ms=self._pace.first_after(call.arrived),
+            longest_gap_ms=self._pace.longest_gap,
             events=self._splitter.passed,
         )
 
@@ -301,7 +307,11 @@
             events = splitter.feed(data)
             if not events:
                 continue
-            pool.first_token(self.endpoint, self.id, relay.state.clock.now())
+            now = relay.state.clock.now()
+            pool.first_token(self.endpoint, self.id, now)
+            gap = relay._pace.passed(now)
+            if gap is not None:
+                relay.service.pace.observe(gap)
             if not relay._begun:
                 relay._begun = True
                 yield Begun(reply.head.status, reply.head.forwarded, None)
@@ -326,8 +336,10 @@
         head = reply.head
         reply.whole_body()
         self._done(reply, Refused())
+        entry = self.relay.service.entries.get(self.endpoint)
+        own_names = ("", self.endpoint, entry.address if entry else "")
         at_fault = head.at_fault or self.endpoint
-        if at_fault != self.endpoint and self.relay.service.is_group:
+        if head.at_fault not in own_names and self.relay.service.is_group:
             self.relay._group_down = True
         self._log_failure("refused", f"{head.status} at_fault={at_fault}")
         return NotDispatched("endpoint_refused")
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -32,6 +32,7 @@
         store=store,
         table="servers",
         wait_ms=lambda: USUAL_WAIT,
+        gather_ms=lambda: 0,
         clock=manual_clock(time),
         draw=random.Random(1),
         on_rows=lambda rows: seen.append(("all", rows)),
