--- a/src/azurefold/gateway/relay.py
+++ b/src/azurefold/gateway/relay.py
@@ -309,9 +309,7 @@
                 continue
             now = relay.state.clock.now()
             pool.first_token(self.endpoint, self.id, now)
-            gap = relay._pace.passed(now)
-            if gap is not None:
-                relay.service.pace.observe(gap)
+            relay._pace.passed(now)
             if not relay._begun:
                 relay._begun = True
                 yield Begun(reply.head.status, reply.head.forwarded, None)
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -122,15 +122,7 @@
         if gone:
             state.spread_endpoints()
         for service in state.services.values():
-            if service.tick(state.clock.now()):
-                log_event(
-                    _log,
-                    "pace_limit",
-                    service=service.view.name,
-                    limit=service.pace.limit or "none",
-                    mean_gap_ms=f"{service.pace.mean_gap:.0f}",
-                    waiting=service.admission.waiting,
-                )
+            service.admission.tick()
         state.links.sweep()
         if state.configuration is not None:
             limits = state.configuration.limits
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -9,7 +9,6 @@
 from azurefold.core.routes.model import RoutedService
 from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.endpoint import ExchangedLoads
-from azurefold.core.routing.pace import PaceLimit
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.pool import Pool
 from azurefold.core.routing.retries import RetryBudget, RetryPolicy
@@ -48,10 +47,6 @@
         Its endpoints by name.
     is_divided : bool
         Whether its endpoints are dealt out to cells of gateways.
-    pace : PaceLimit
-        Of a group whose ranks run in lock-step.
-    longest_gap_ms : int
-        Between two events of a stream that is on time; 0 if none is promised.
     """
 
     view: RoutedService
@@ -59,8 +54,6 @@
     admission: Admission
     entries: dict[str, EndpointEntry] = field(default_factory=dict)
     is_divided: bool = False
-    pace: PaceLimit = field(default_factory=PaceLimit)
-    longest_gap_ms: Millis = 0
 
     @property
     def is_group(self) -> bool:
@@ -91,24 +84,10 @@
         self._set_slots()
         self.admission.pump()
 
-    def tick(self, now: Millis) -> bool:
-        """Bring the limits up to date; return whether the pace changed them."""
-        self.admission.tick()
-        if not self.is_group:
-            return False
-        slots = self.view.engine.slots
-        changed = self.pace.adjust(slots, self.longest_gap_ms, now)
-        if changed:
-            self._set_slots()
-        return changed
-
     def _set_slots(self) -> None:
         engine = self.view.engine
-        slots = max((entry.slots for entry in self.entries.values()), default=1)
-        if engine is not None:
-            limit = self.pace.limit
-            slots = engine.slots if limit is None else min(limit, engine.slots)
-        self.admission.pool.set_slots(slots)
+        listed = max((entry.slots for entry in self.entries.values()), default=1)
+        self.admission.pool.set_slots(engine.slots if engine else listed)
 
 
 def new_gateway_service(
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -109,8 +109,6 @@
         self.routes = route_table(configuration.routes)
         for view in configuration.services.values():
             self._configure(view)
-        for service in self.services.values():
-            service.longest_gap_ms = _longest_gap(configuration, service.view.name)
         self.spread_endpoints()
 
     def spread_endpoints(self) -> None:
@@ -160,17 +158,6 @@
         )
 
 
-def _longest_gap(configuration: RoutingConfiguration, service: str) -> Millis:
-    """Return the strictest promise on the time between events; 0 for none."""
-    gaps = [
-        route.event_gap_ms
-        for route in configuration.routes
-        if route.event_gap_ms
-        and any(to.service == service for to in route.destinations)
-    ]
-    return min(gaps, default=0)
-
-
 def new_gateway_state(settings: GatewaySettings, clock: Clock) -> GatewayState:
     """Return the state of a process that has just started."""
     return GatewayState(settings, clock, random.Random(), EndpointLinks(clock))
