--- a/src/azurefold/gateway/relay.py
+++ b/src/azurefold/gateway/relay.py
@@ -193,7 +193,10 @@
             self._result = "endpoint_error"
             return self._own_answer
         self._result = f"refused_{failure.reason}"
-        if self._group_down:
+        # What comes back to a group that is still down is refused for good, and
+        # nearly all callers come back once: those that a longer time brings
+        # behind the group's return are served.
+        if self.service.group_is_down(self.state.clock.now()):
             failure = replace(failure, retry_after_ms=_GROUP_RETRY_MS)
         not_run = failure.ran is Ran.NOT_RUN
         return GivenUp(failure, _UNAVAILABLE if not_run else _BAD_GATEWAY)
@@ -339,6 +342,7 @@
         at_fault = head.at_fault or self.endpoint
         if head.at_fault not in own_names and self.relay.service.is_group:
             self.relay._group_down = True
+            self.relay.service.group_was_down(self.relay.state.clock.now())
         self._log_failure("refused", f"{head.status} at_fault={at_fault}")
         return NotDispatched("endpoint_refused")
 
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -28,6 +28,10 @@
 """A nearer endpoint is taken when it has no more requests than one further
 away; a request more at a rank costs the next one some 80 ms."""
 
+_DOWN_FOR_MS: Millis = 1_000
+"""After a refusal because of another rank, for which all refusals are put down
+to the group: those that find its places taken by requests that stand still, too."""
+
 _OWN_RETRY_SHARE = 0.75
 """Part of the allowed retries that is used: nodes count by themselves."""
 
@@ -54,6 +58,7 @@
     admission: Admission
     entries: dict[str, EndpointEntry] = field(default_factory=dict)
     is_divided: bool = False
+    _down_until: Millis = 0
 
     @property
     def is_group(self) -> bool:
@@ -61,6 +66,14 @@
         engine = self.view.engine
         return engine is not None and engine.splits_experts
 
+    def group_was_down(self, now: Millis) -> None:
+        """Note that a rank refused because of another one."""
+        self._down_until = now + _DOWN_FOR_MS
+
+    def group_is_down(self, now: Millis) -> bool:
+        """Whether the group refused a moment ago because of one of its ranks."""
+        return now < self._down_until
+
     def configure(self, view: RoutedService) -> None:
         """Take in a newer configuration."""
         self.view = view
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -233,6 +233,23 @@
     assert len(sockets) == 1
 
 
+def test_a_full_pool_of_a_group_that_is_down_is_put_down_to_the_group(
+    state, script, sockets
+):
+    """Callers come back to a group that is still down, and are lost.
+
+    Its places are taken by requests that stand still, so most requests are
+    refused for want of a place, with the short wait of a queue that moves.
+    """
+    script += [answer(**NOT_RUN, at_fault="10.9.9.9:80")]
+    relay = relay_of(state, RouteKind.STREAMING, max_attempts=1, resumable=True)
+    parts_of(relay)
+    service = relay.service
+    service.set_endpoints([], Cell(), state.clock.now())
+    [given_up] = parts_of(Relay(relay.call, state, service))
+    assert given_up.failure.retry_after_ms == relays._GROUP_RETRY_MS
+
+
 def test_a_rank_that_is_full_itself_is_not_taken_for_its_group(state, script, sockets):
     """Requests fail while most ranks are idle.
 
