Interrupt a feed's call that has to be asked anew

The call under way went on waiting, and every call after it failed on the closed client, so the follower was dead from its first being behind on.

The call's greenlet is now interrupted, and a loop that starts again begins with a new connection. The test with a real silent store fails before, passes after.

--- a/src/azurefold/gateway/followers.py
+++ b/src/azurefold/gateway/followers.py
@@ -3,7 +3,7 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import gevent
 
@@ -76,12 +76,17 @@
     _feed: Feed | None = None
     _failures: int = 0
     _failing_since: Millis = 0
-    _woken: bool = field(default=False)
+    _waiting: gevent.Greenlet | None = None
+    _woken: bool = False
 
     def run(self) -> None:
         """Follow the table for ever."""
-        while True:
-            self._step()
+        try:
+            while True:
+                self._step()
+        finally:
+            # A loop that starts again begins with a connection of its own.
+            self._close_feed()
 
     def look_again(self) -> None:
         """Ask the store anew: others have heard what should have come here.
@@ -89,13 +94,14 @@
         What goes wrong without: a connection has gone silent, and the feed on
         it tells nothing until its wait is over.
         """
-        if self._feed is not None and not self._woken and not self._failures:
-            self._woken = True
-            self._feed.close()
+        if self._waiting is None or self._woken or self._failures:
+            return
+        self._woken = True
+        gevent.kill(self._waiting, ConnectionAbortedError("asked anew"))
 
     def _step(self) -> None:
         answer = self._read_all() if self.version is None else self._read_changes()
-        self._woken = False
+        woken, self._woken = self._woken, False
         match answer:
             case StoredRows(rows=rows, version=version):
                 self._heard()
@@ -114,6 +120,8 @@
             case HistoryLost():
                 log_event(_log, "feed_history_lost", table=self.table)
                 self.version = None
+            case Unavailable() if woken:
+                self._close_feed()
             case Unavailable(reason=reason):
                 self._lost(reason)
 
@@ -124,7 +132,11 @@
         if self._feed is None:
             self._feed = self.store.open_feed()
         wait_ms = _RETURN_WAIT_MS if self._failures else self.wait_ms()
-        return self._feed.changes(self.table, self.version, wait_ms)
+        self._waiting = gevent.getcurrent()
+        try:
+            return self._feed.changes(self.table, self.version, wait_ms)
+        finally:
+            self._waiting = None
 
     def _heard(self) -> None:
         if self._failures:
@@ -133,12 +145,13 @@
         self._failures = 0
         self.on_heard()
 
-    def _lost(self, reason: str) -> None:
+    def _close_feed(self) -> None:
         if self._feed is not None:
             self._feed.close()
             self._feed = None
-        if self._woken:
-            return
+
+    def _lost(self, reason: str) -> None:
+        self._close_feed()
         if not self._failures:
             self._failing_since = self.clock.now()
             log_event(_log, "store_lost", logging.WARNING, table=self.table, why=reason)
--- a/src/azurefold_standins/feed_store.py
+++ b/src/azurefold_standins/feed_store.py
@@ -30,7 +30,7 @@
 from azurefold.internal.http_server import http_server
 from azurefold.internal.process import stop_requested
 
-__all__ = ["FeedStore", "StoreFaults", "main"]
+__all__ = ["FeedStore", "StoreFaults", "StoreHttp", "main"]
 
 _SECOND_MS = 1_000
 _FOR_EVER_S = 3_600
@@ -133,18 +133,22 @@
 
 
 @dataclass(slots=True)
-class _Http:
+class StoreHttp:
+    """The store over HTTP, and how it misbehaves."""
+
     store: FeedStore
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: int = 0
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer with the rows of a table."""
         if self._misbehaves(resp):
             return
         rows = self.store.table(req.get_param("Table"), req.get_param("From") or "")
         self._give(resp, {"Rows": rows, "HasMore": False})
 
     def on_get_feed(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer once rows of a table have changed, or the wait is over."""
         if self._misbehaves(resp):
             return
         after = req.get_param_as_int("After")
@@ -162,6 +166,7 @@
             self._give(resp, {"Rows": rows})
 
     def on_post_transaction(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Carry a transaction out, or say which rows differ."""
         body = msgspec.json.decode(req.bounded_stream.read(), type=_Transaction)
         if self.faults.mode == "lose_answers":
             self.store.apply(body)
@@ -175,10 +180,12 @@
         self._give(resp, {"Rows": [r for t in tables for r in self.store.table(t)]})
 
     def on_put_faults(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Misbehave in this way from now on."""
         data = req.bounded_stream.read()
         self.faults = msgspec.json.decode(data, type=StoreFaults)
 
     def on_post_rows(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Write rows as operators and endpoints do."""
         given = msgspec.json.decode(req.bounded_stream.read(), type=list[_Given])
         self.store.put(
             [
@@ -188,9 +195,11 @@
         )
 
     def on_post_forget(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Drop all history."""
         self.store.forget()
 
     def on_get_calls(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answer with the number of calls so far."""
         resp.data = msgspec.json.encode(self.calls)
 
     def _misbehaves(self, resp: falcon.Response) -> bool:
@@ -216,7 +225,7 @@
     """Serve until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--address", required=True)
-    http = _Http(FeedStore())
+    http = StoreHttp(FeedStore())
     app = falcon.App()
     app.add_route("/rows-get", http)
     app.add_route("/rows-feed", http, suffix="feed")
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -18,6 +18,7 @@
 
     def changes(self, table, after, wait_ms):
         self.store.asked.append((after, wait_ms))
+        self.store.while_waiting()
         return self.store.next_answer()
 
     def close(self):
@@ -32,6 +33,7 @@
     asked: list = field(default_factory=list)
     written: list = field(default_factory=list)
     closed: int = 0
+    while_waiting: object = staticmethod(lambda: None)
 
     def next_answer(self):
         return self.script.pop(0) if self.script else Unavailable("away")
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -2,6 +2,7 @@
 
 import random
 
+import falcon
 import gevent
 import pytest
 
@@ -9,6 +10,9 @@
 from azurefold.gateway import followers
 from azurefold.gateway.followers import TableFollower
 from azurefold.gateway.news import _Behind
+from azurefold.internal.clock import monotonic_clock
+from azurefold.internal.http_server import http_server
+from azurefold.platform.store import store_client
 from azurefold.platform.store_messages import (
     FeedChanges,
     HistoryLost,
@@ -16,6 +20,7 @@
     StoredRows,
     Unavailable,
 )
+from azurefold_standins.feed_store import FeedStore, StoreFaults, StoreHttp
 
 USUAL_WAIT = 6_000
 
@@ -108,22 +113,62 @@
     assert store.asked[-1] == ("all", "servers")
 
 
-def test_a_follower_that_is_behind_its_peers_asks_anew(follower, store):
-    store.script = [StoredRows((), 4), FeedChanges((), 4)]
-    steps(follower, 2)
-    follower.look_again()
-    assert store.closed == 1
-    follower.look_again()
-    assert store.closed == 1
+def test_a_follower_that_is_behind_its_peers_asks_anew():
+    """A version that all other nodes have stays unknown to one for seconds.
+
+    Its feed's call had gone silent. It was told to ask anew and closed the
+    client, which closes idle connections only: the call went on waiting, and
+    the closed client failed each call after it.
+    """
+    http = StoreHttp(FeedStore())
+    app = falcon.App()
+    app.add_route("/rows-get", http)
+    app.add_route("/rows-feed", http, suffix="feed")
+    server = http_server("127.0.0.1:0", app, "store")
+    server.start()
+    store = store_client(f"127.0.0.1:{server.server_port}")
+    seen = []
+    follower = TableFollower(
+        store=store,
+        table="op",
+        wait_ms=lambda: 20_000,
+        gather_ms=lambda: 0,
+        clock=monotonic_clock(),
+        draw=random.Random(1),
+        on_rows=seen.append,
+        on_changes=seen.append,
+        on_heard=lambda: None,
+        on_doubt=lambda: seen.append("doubt"),
+        on_lost=lambda: seen.append("lost"),
+    )
+    runner = gevent.spawn(follower.run)
+    try:
+        gevent.sleep(0.2)
+        http.faults = StoreFaults(mode="silent")
+        http.store.put([("op", "config", b"{}")])
+        gevent.sleep(0.2)
+        http.faults = StoreFaults()
+        for _ in range(3):
+            follower.look_again()
+            gevent.sleep(0.2)
+        assert [rows[0].key for rows in seen if rows] == ["config"]
+        http.store.put([("op", "config", b"{}")])
+        gevent.sleep(0.2)
+        assert len([rows for rows in seen if rows]) == 2
+    finally:
+        runner.kill()
+        server.stop(timeout=0.1)
 
 
 def test_a_follower_that_cannot_reach_the_store_is_not_driven(follower, store):
     """Calls to a store that refuses this node multiply with each peer's message."""
     store.script = [StoredRows((), 4)]
     steps(follower, 3)
-    closed = store.closed
-    follower.look_again()
-    assert store.closed == closed
+    asked = []
+    store.while_waiting = lambda: asked.append(follower.look_again())
+    steps(follower, 2)
+    assert len(asked) == 2
+    assert not follower._woken
 
 
 def test_being_behind_counts_only_after_a_while():
