Sample and move experts more rarely while passes are quick

While a pass takes under 42 ms, of 120 ms promised between events, samples come half as often and a change has to gain 0.5 of skew in place of 0.12.

--- a/src/azurefold/gateway/group_control.py
+++ b/src/azurefold/gateway/group_control.py
@@ -84,6 +84,15 @@
 """Mean skew that a change has to gain: it takes two exchanges with all ranks,
 and loading slows the passes by 15 in 100."""
 
+_EASY_GAIN = 0.5
+"""The same while passes are quick: nobody is late by some skew then."""
+
+_QUICK_PASS_MS = 42.0
+"""A pass well below the 120 ms that callers are promised between events."""
+
+_EASY_SAMPLE_FACTOR = 2
+"""Samples are as many times rarer while passes are quick."""
+
 
 class Row(Protocol):
     """The coordinator's row, as a control needs it."""
@@ -174,7 +183,11 @@
         if self.view.popularity.samples == 0:
             return _FIRST_SAMPLE_MS
         numbers = self._sampled_ranks() * self._numbers_of_a_rank()
-        return max(_SAMPLE_EVERY_MS, numbers * 1_000 // _NUMBERS_A_SECOND)
+        usual = max(_SAMPLE_EVERY_MS, numbers * 1_000 // _NUMBERS_A_SECOND)
+        return usual * _EASY_SAMPLE_FACTOR if self._is_easy() else usual
+
+    def _is_easy(self) -> bool:
+        return self.view.pass_ms < _QUICK_PASS_MS
 
     def _sampled_ranks(self) -> int:
         affordable = _NUMBERS_A_SECOND // self._numbers_of_a_rank()
@@ -306,7 +319,8 @@
             # stream would go out.
             gevent.sleep(0)
         plan = MapPlan(tuple(layers))
-        pays = plan.skew_before - plan.skew_after >= _LEAST_GAIN
+        least = _EASY_GAIN if self._is_easy() else _LEAST_GAIN
+        pays = plan.skew_before - plan.skew_after >= least
         log_event(
             _log,
             "map_planned",
