Serve latency histograms on a metrics port that the deployment names

The tests' site listened on 127.0.0.1: one start timed out beside another run, as a connection can take a port there between its being found free and its being listened on.

--- a/src/azurefold/core/attempts/events.py
+++ b/src/azurefold/core/attempts/events.py
@@ -93,13 +93,15 @@
     _first: Millis | None = None
     _last: Millis = 0
 
-    def passed(self, now: Millis) -> None:
-        """Note that events were passed on."""
+    def passed(self, now: Millis) -> Millis | None:
+        """Note that events were passed on; return the gap, None at the first."""
         if self._first is None:
-            self._first = now
-        else:
-            self.longest_gap = max(self.longest_gap, now - self._last)
+            self._first = self._last = now
+            return None
+        gap = now - self._last
+        self.longest_gap = max(self.longest_gap, gap)
         self._last = now
+        return gap
 
     def first_after(self, began: Millis) -> Millis | None:
         """Return the time from ``began`` to the first event; None without one.
@@ -108,7 +110,7 @@
         --------
         >>> pace = EventPace()
         >>> for now in (130, 190, 300):
-        ...     pace.passed(now)
+        ...     _ = pace.passed(now)
         >>> pace.first_after(100), pace.longest_gap
         (30, 110)
         """
--- a/src/azurefold/gateway/__main__.py
+++ b/src/azurefold/gateway/__main__.py
@@ -4,8 +4,8 @@
 
 monkey.patch_all()
 
+import argparse  # noqa: E402
 import os  # noqa: E402
-import sys  # noqa: E402
 
 from azurefold.gateway.service import run_gateway  # noqa: E402
 
@@ -13,10 +13,27 @@
 
 
 def main() -> None:
-    """Run a gateway with the settings file that the environment names."""
-    path = sys.argv[1] if len(sys.argv) > 1 else os.environ.get(_SETTINGS_VARIABLE, "")
+    """Run a gateway.
+
+    The library that the other binaries use for their command line would take
+    1.3 MB of memory on each entry VM, for two arguments.
+    """
+    parser = argparse.ArgumentParser("azurefold-gateway")
+    parser.add_argument(
+        "settings",
+        nargs="?",
+        default=os.environ.get(_SETTINGS_VARIABLE, ""),
+        help=f"settings file; without it, the one that {_SETTINGS_VARIABLE} names",
+    )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=0,
+        help="port of the metrics beside the address of health checks; 0 for none",
+    )
+    arguments = parser.parse_args()
     # Nothing of what is left, such as idle connections, needs an orderly end.
-    os._exit(run_gateway(path))
+    os._exit(run_gateway(arguments.settings, arguments.metrics_port))
 
 
 if __name__ == "__main__":
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -70,5 +70,8 @@
 def gateway_registry(state: GatewayState) -> CollectorRegistry:
     """Return the registry of one gateway's metrics."""
     registry = CollectorRegistry()
+    timings = state.timings
+    for histogram in (timings.first_events, timings.event_gaps, timings.requests):
+        registry.register(histogram)
     registry.register(_GatewayCollector(state))
     return registry
--- a/src/azurefold/gateway/relay.py
+++ b/src/azurefold/gateway/relay.py
@@ -147,6 +147,16 @@
                     yield self._give_up(failure)
                     return
 
+    def observe_events(self, now: Millis) -> None:
+        """Note that events were passed on."""
+        gap = self._pace.passed(now)
+        timings = self.state.timings
+        service = self.call.service
+        if gap is None:
+            timings.first_events.of(service).observe(now - self.call.arrived)
+        else:
+            timings.event_gaps.of(service).observe(gap)
+
     def _ticket(self, attempt: int | None) -> Ticket:
         call = self.call
         now = self.state.clock.now()
@@ -214,6 +224,7 @@
         call = self.call
         now = self.state.clock.now()
         self.state.answers[call.service, self._result] += 1
+        self.state.timings.requests.of(call.service).observe(now - call.arrived)
         log_event(
             _log,
             "request_end",
@@ -312,7 +323,7 @@
                 continue
             now = relay.state.clock.now()
             pool.first_token(self.endpoint, self.id, now)
-            relay._pace.passed(now)
+            relay.observe_events(now)
             if not relay._begun:
                 relay._begun = True
                 yield Begun(reply.head.status, reply.head.forwarded, None)
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -42,9 +42,15 @@
 _LOOK_MS: Millis = 50
 
 
-def run_gateway(path: str) -> int:
+def run_gateway(path: str, metrics_port: int = 0) -> int:
     """Serve callers with the settings in ``path`` until SIGTERM.
 
+    Parameters
+    ----------
+    path : str
+    metrics_port : int, default=0
+        Where metrics are served beside the address of health checks.
+
     Returns
     -------
     int
@@ -59,7 +65,7 @@
     lines = log_without_waiting(settings.name)
     state = new_gateway_state(settings, suspended_time_clock())
     stop = _stop_requested()
-    callers, admin = _servers(state)
+    callers, *admins = _servers(state, metrics_port)
     store = store_client(settings.store)
     news = new_news(state, store)
     peers = new_peers(state, store, news)
@@ -67,8 +73,8 @@
         spawn_loop(loop)
     spawn_loop(_tick_for_ever, state, callers, news)
     gevent.signal_handler(signal.SIGHUP, _reload, path, state, news)
-    callers.start()
-    admin.start()
+    for server in (callers, *admins):
+        server.start()
     log_event(_log, "started", listen=settings.callers, store=settings.store)
     stop.wait()
     peers.leave()
@@ -77,17 +83,21 @@
     return code
 
 
-def _servers(state: GatewayState) -> tuple[TimedServer, TimedServer]:
+def _servers(state: GatewayState, metrics_port: int) -> list[TimedServer]:
+    """Return the servers for callers, for health checks, and for metrics."""
     settings = state.settings
     views = AdminViews(
         registry=gateway_registry(state),
         is_ready=lambda: state.is_ready,
         status=lambda: _status(state),
     )
-    return (
+    addresses = [settings.admin]
+    if metrics_port:
+        addresses.append(f"{settings.ip}:{metrics_port}")
+    return [
         front_server(settings.callers, GatewayApp(state)),
-        admin_server(settings.admin, views, "azurefold.gateway.admin"),
-    )
+        *(admin_server(each, views, "azurefold.gateway.admin") for each in addresses),
+    ]
 
 
 def _stop_requested() -> Event:
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -17,6 +17,7 @@
     retry_policy,
 )
 from azurefold.gateway.settings import GatewaySettings
+from azurefold.gateway.timings import Timings
 
 __all__ = ["GatewayState", "new_gateway_state"]
 
@@ -48,6 +49,8 @@
         Requests read and not yet answered.
     answers : Counter of (str, str)
         By service and result.
+    timings : Timings
+        Of answers, for the metrics.
     nodes : int
         Gateways, this one included.
     cell : Cell
@@ -71,6 +74,7 @@
     drain_began: Millis = 0
     in_flight: int = 0
     answers: Counter[tuple[str, str]] = field(default_factory=Counter)
+    timings: Timings = field(default_factory=Timings)
     nodes: int = _USUAL_NODES
     cell: Cell = field(default_factory=Cell)
     endpoints_version: int = 0
--- /dev/null
+++ b/src/azurefold/gateway/timings.py
@@ -0,0 +1,41 @@
+"""How long answers take, as histograms by service."""
+
+from dataclasses import dataclass, field
+
+from azurefold.entry.histogram import ServiceHistogram
+
+__all__ = ["Timings"]
+
+_ANSWER_MS = (25, 50, 100, 200, 300, 400, 600, 1_000, 2_000, 4_000, 8_000)
+_GAP_MS = (20, 40, 60, 80, 100, 120, 160, 250, 500, 1_500)
+
+
+def _histogram(name: str, text: str, bounds: tuple[int, ...]) -> ServiceHistogram:
+    return ServiceHistogram(f"azurefold_gateway_{name}_seconds", text, bounds)
+
+
+def _first() -> ServiceHistogram:
+    return _histogram("first_event", "To a stream's first event", _ANSWER_MS)
+
+
+def _gaps() -> ServiceHistogram:
+    return _histogram("event_gap", "Between two events of a stream", _GAP_MS)
+
+
+def _ends() -> ServiceHistogram:
+    return _histogram("request", "From a request to its final answer", _ANSWER_MS)
+
+
+@dataclass(frozen=True, slots=True)
+class Timings:
+    """Histograms whose unit is seconds; never by organisation, of which there
+    are thousands.
+
+    Parameters
+    ----------
+    first_events, event_gaps, requests : ServiceHistogram
+    """
+
+    first_events: ServiceHistogram = field(default_factory=_first)
+    event_gaps: ServiceHistogram = field(default_factory=_gaps)
+    requests: ServiceHistogram = field(default_factory=_ends)
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -1,6 +1,8 @@
 """A small site of gateways on loopback: store, relay, endpoints, gateways."""
 
+import itertools
 import json
+import os
 import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -16,7 +18,8 @@
 
 HOST = "shops.example"
 KEY = "a-key-of-the-shops"
-_IP = "127.0.0.1"
+_NET = "127.77"
+_sites = itertools.count(1)
 _TIMEOUT_S = 5.0
 _TIMEOUT_MS = 4_000
 
@@ -124,6 +127,10 @@
         """Return what a gateway says of itself."""
         return json.loads(self._send(self.admins[gateway], "GET", "/status", None))
 
+    def metrics(self, gateway: str) -> str:
+        """Return a gateway's page of metrics."""
+        return self._send(self.admins[gateway], "GET", "/metrics", None).decode()
+
     def _answers(self, address: str, path: str) -> bool:
         try:
             self._send(address, "GET", path, None)
@@ -154,17 +161,24 @@
         Processes in front, ranks of the group, plain endpoints.
     """
     processes = Processes(folder)
-    store, relay, control = (_free() for _ in range(3))
+    # Connections come from 127.0.0.1. On that address one of them may take a
+    # port between its being found free and its being listened on.
+    ip = f"{_NET}.{os.getpid() % 250}.{next(_sites) % 250}"
+
+    def free() -> str:
+        return f"{ip}:{free_port(ip)}"
+
+    store, relay, control = (free() for _ in range(3))
     endpoints = [
-        BareEndpoint(f"rank-{n}", "drafts", _free(), rank=n) for n in range(ranks)
-    ] + [BareEndpoint(f"desk-{n}", "desk", _free()) for n in range(desks)]
+        BareEndpoint(f"rank-{n}", "drafts", free(), rank=n) for n in range(ranks)
+    ] + [BareEndpoint(f"desk-{n}", "desk", free()) for n in range(desks)]
     names = [f"gateway-{n}" for n in range(gateways)]
-    links = {f"endpoint-{e.name}": (_free(), e.address) for e in endpoints}
-    links |= {f"store-{name}": (_free(), store) for name in names}
+    links = {f"endpoint-{e.name}": (free(), e.address) for e in endpoints}
+    links |= {f"store-{name}": (free(), store) for name in names}
     site = GatewaySite(
         processes,
-        gateways={name: _free() for name in names},
-        admins={name: _free() for name in names},
+        gateways={name: free() for name in names},
+        admins={name: free() for name in names},
         endpoints=endpoints,
         store=store,
         relay=relay,
@@ -195,7 +209,7 @@
 
 
 def _add_gateway(site: GatewaySite, folder: Path, name: str) -> None:
-    port = int(_free().rpartition(":")[2])
+    port = free_port(site.gateways[name].rpartition(":")[0])
     settings = {
         "NodeName": name,
         "Zone": "dc-a",
@@ -210,10 +224,6 @@
     site.processes.add(name, "azurefold.gateway", [str(path)])
 
 
-def _free() -> str:
-    return f"{_IP}:{free_port(_IP)}"
-
-
 def _configuration(version: int, extra_routes: list[str]) -> dict:
     routes = [
         _route("/drafts/", "streaming", "drafts", Resumable=True, MaxAttempts=3),
--- a/tests/gateway/test_a_site_of_gateways.py
+++ b/tests/gateway/test_a_site_of_gateways.py
@@ -131,3 +131,11 @@
     broken_soak.calls = [broken]
     found = check(broken_soak, quiet_from=time.monotonic())
     assert [finding.promise for finding in found] == [promise]
+
+
+def test_answers_show_at_the_metrics(site, caller):
+    call(site, caller, Kind.DRAFT)
+    page = site.metrics("gateway-0")
+    for name in ("first_event", "event_gap", "request"):
+        assert f'azurefold_gateway_{name}_seconds_count{{service="drafts"}}' in page
+    assert 'azurefold_gateway_answers_total{result="answered_200"' in page
