--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup test lint format bench slopes soak demo clean
+.PHONY: setup test lint format bench slopes soak soak-faults demo clean
 
 setup: $(READY)
 
@@ -35,6 +35,14 @@
 soak: setup
 	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest tests/core
 
+# A randomized soak of gateways with faults from outside: make soak-faults SEED=7
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 15
+soak-faults: setup
+	PYTHONPATH=src $(BIN)/python -m azurefold_standins.fault_soak \
+		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 demo: setup
 	PYTHONPATH=src $(BIN)/python -m azurefold_standins.demo
 
