Split the gateway's longest modules by job

relay.py held both the course of a request and the attempt, group_control.py the planning and the calls to ranks, map_change.py the orders and the machine. They are attempt.py, map_planning.py, rank_calls.py and map_orders.py now; what a request has come to is one data class, Progress.

--- /dev/null
+++ b/src/azurefold/core/groups/map_orders.py
@@ -0,0 +1,178 @@
+"""Orders to ranks from afar, what ranks report, and the waits between."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from azurefold.core.clock import Millis
+
+__all__ = [
+    "Arm",
+    "AskReport",
+    "ChangeAction",
+    "ChangeEnd",
+    "ChangePolicy",
+    "Disarm",
+    "Ended",
+    "Hold",
+    "Prepare",
+    "RankOrder",
+    "RankView",
+    "Release",
+    "SendOrder",
+    "Verdict",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Load the weights of map ``version``."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Let the group not begin pass ``step`` until it is released."""
+
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class Arm:
+    """Switch to map ``version`` as pass ``step`` begins."""
+
+    version: int
+    step: int
+
+
+@dataclass(frozen=True, slots=True)
+class Disarm:
+    """Do not switch to map ``version`` after all."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """End the hold before pass ``step``."""
+
+    step: int
+
+
+RankOrder = Prepare | Hold | Arm | Disarm | Release
+
+
+class Verdict(Enum):
+    """What came of an order."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class RankView:
+    """What one rank reports; some hundred milliseconds old.
+
+    Parameters
+    ----------
+    rank : int
+    epoch : int
+        Rises each time the group forms anew.
+    is_open : bool
+        Whether the group runs.
+    step : int
+        The last pass that was begun.
+    version : int
+        Of the map in force.
+    prepared, armed : int or None
+        Versions that are loaded, and armed.
+    held : int or None
+        The pass that this rank keeps the group from.
+    active : int
+        Requests that it runs.
+    pace : float
+        Above 1 if it is slow as such.
+    """
+
+    rank: int
+    epoch: int
+    is_open: bool
+    step: int
+    version: int = 0
+    prepared: int | None = None
+    armed: int | None = None
+    held: int | None = None
+    active: int = 0
+    pace: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send an order to a rank, and report its verdict."""
+
+    rank: int
+    order: RankOrder
+
+
+@dataclass(frozen=True, slots=True)
+class AskReport:
+    """Ask a rank for its report."""
+
+    rank: int
+
+
+class ChangeEnd(Enum):
+    """How a change ended."""
+
+    IN_FORCE = "in_force"
+    TAKEN_BACK = "taken_back"
+    NOT_PREPARED = "not_prepared"
+    NEW_EPOCH = "new_epoch"
+    STUCK = "stuck"
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The change is over; ``STUCK`` leaves the group held for a successor."""
+
+    end: ChangeEnd
+
+
+ChangeAction = SendOrder | AskReport | Ended
+
+
+@dataclass(frozen=True, slots=True)
+class ChangePolicy:
+    """Waits of a change, in milliseconds.
+
+    Parameters
+    ----------
+    prepare_timeout : int
+        For all ranks to load the weights; beyond the 0.3 s that it takes, one
+        repeat for a lost order.
+    prepare_repeat : int
+        Until an order to prepare that got no answer is sent again.
+    look_every : int
+        Between two looks at the reports of ranks that are still loading.
+    lead : int
+        From the choice of a pass to that pass: the age of the step that the
+        choice rests on, and two exchanges with the ranks.
+    least_lead_passes : int
+        Passes that lie between at least.
+    repeat : int
+        Until an order other than to prepare is sent again.
+    patience : int
+        With the group held, until another coordinator should try.
+    hold_tries : int
+        Passes to try before the change is given up.
+    """
+
+    prepare_timeout: Millis = 2_500
+    prepare_repeat: Millis = 700
+    look_every: Millis = 120
+    lead: Millis = 260
+    least_lead_passes: int = 3
+    repeat: Millis = 60
+    patience: Millis = 1_200
+    hold_tries: int = 6
--- a/src/azurefold/core/routing/choice.py
+++ b/src/azurefold/core/routing/choice.py
@@ -12,7 +12,7 @@
 from azurefold.core.routing.endpoint import Endpoint
 from azurefold.core.routing.messages import RouteRequest
 
-__all__ = ["ChoicePolicy", "PoolMeans", "draw_two", "expected_wait"]
+__all__ = ["ChoicePolicy", "PoolMeans", "all_with_room", "draw_two", "expected_wait"]
 
 
 _ANSWER_SMOOTHING = 0.02
@@ -119,6 +119,24 @@
         yield second
 
 
+def all_with_room(
+    eligible: list[Endpoint], request: RouteRequest, draw: float
+) -> list[Endpoint]:
+    """Return all that may take ``request``, from a random place on.
+
+    With loads that are fresh on every node the least loaded endpoint can be
+    found; two random ones leave some full beside others that idle, and in a
+    group whose ranks work in lock-step the fullest sets the pace.
+    """
+    start = int(draw * len(eligible))
+    turned = eligible[start:] + eligible[:start]
+    return [
+        endpoint
+        for endpoint in turned
+        if endpoint.has_room and endpoint.name not in request.exclude
+    ]
+
+
 def _next_with_room(
     eligible: list[Endpoint], request: RouteRequest, draw: float, taken: Endpoint | None
 ) -> Endpoint | None:
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -6,6 +6,7 @@
 from azurefold.core.clock import Millis
 from azurefold.core.routing.choice import (
     PoolMeans,
+    all_with_room,
     draw_two,
     expected_wait,
 )
@@ -292,7 +293,7 @@
     ) -> list[Endpoint]:
         match self._policy.sharing:
             case ExchangedLoads():
-                return self._all_with_room(request, draws[0])
+                return all_with_room(self._members.eligible, request, draws[0])
             case DividedSlots():
                 drawn = list(draw_two(self._members.eligible, request, draws))
         holders = self._hints.holders(request.prefixes, now)
@@ -303,22 +304,6 @@
             drawn.append(holder)
         return drawn
 
-    def _all_with_room(self, request: RouteRequest, draw: float) -> list[Endpoint]:
-        """Return all that may take ``request``, from a random place on.
-
-        With loads that are fresh on every node the least loaded endpoint can
-        be found; two random ones leave some full beside others that idle, and
-        in a group whose ranks work in lock-step the fullest sets the pace.
-        """
-        eligible = self._members.eligible
-        start = int(draw * len(eligible))
-        turned = eligible[start:] + eligible[:start]
-        return [
-            endpoint
-            for endpoint in turned
-            if endpoint.has_room and endpoint.name not in request.exclude
-        ]
-
     def _may_take(self, endpoint: Endpoint, request: RouteRequest) -> bool:
         if endpoint.leaving or endpoint.name in request.exclude:
             return False
--- /dev/null
+++ b/src/azurefold/gateway/attempt.py
@@ -0,0 +1,261 @@
+"""One sending of a request to a bare endpoint, and the reading of its answer."""
+
+import logging
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from azurefold.core.attempts.course import EndpointFailed, Event, NotDispatched
+from azurefold.core.attempts.events import EventPace, EventSplitter
+from azurefold.core.attempts.outcome import Ran
+from azurefold.core.clock import Millis
+from azurefold.core.routes.model import RouteKind
+from azurefold.core.routing.messages import (
+    Answered,
+    Cancelled,
+    Failed,
+    Outcome,
+    Refused,
+)
+from azurefold.gateway.calls import (
+    Begun,
+    Call,
+    CallerGoneError,
+    DeadlinePassedError,
+    Part,
+    Piece,
+)
+from azurefold.gateway.connections import Link
+from azurefold.gateway.reply import BrokenReplyError, Reply, read_reply
+from azurefold.gateway.service_state import GatewayService
+from azurefold.gateway.state import GatewayState
+from azurefold.internal.logs import log_event
+from azurefold.platform.headers import endpoint_headers
+
+__all__ = ["Attempt", "Progress"]
+
+_log = logging.getLogger("azurefold.gateway")
+
+_SERVER_ERROR = 500
+_OK = 200
+_REDIRECT = 300
+_METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has come of a request so far, over all its attempts.
+
+    Parameters
+    ----------
+    splitter : EventSplitter
+        Of the stream that is the answer.
+    pace : EventPace
+    passed : int
+        Whole events that the caller has.
+    begun : bool
+        Whether the caller has the head of an answer.
+    dispatched : bool
+        Whether anything was sent to an endpoint.
+    group_down : bool
+        Whether a rank refused because of another one.
+    own_answer : Begun or None
+        An endpoint's own error, for want of a better answer.
+    result : str
+        A word for logs and metrics.
+    """
+
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+    pace: EventPace = field(default_factory=EventPace)
+    passed: int = 0
+    begun: bool = False
+    dispatched: bool = False
+    group_down: bool = False
+    own_answer: Begun | None = None
+    result: str = "abandoned"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One sending of a request to one endpoint.
+
+    Parameters
+    ----------
+    call : Call
+    state : GatewayState
+    service : GatewayService
+    progress : Progress
+        Of the request over all its attempts.
+    endpoint : str
+    number : int
+        From 1.
+    """
+
+    call: Call
+    state: GatewayState
+    service: GatewayService
+    progress: Progress
+    endpoint: str
+    number: int
+    _link: Link | None = None
+    _outcome: Outcome = Cancelled()
+
+    @property
+    def id(self) -> str:
+        """Its name at the endpoint's place in the pool."""
+        return f"{self.call.id}#{self.number}"
+
+    def run(self) -> Iterator[Part]:
+        """Yield parts of the answer; return what went wrong, or None."""
+        entry = self.service.entries.get(self.endpoint)
+        if entry is None:
+            return NotDispatched("endpoint_gone")
+        fresh = not self.call.route.may_run_twice
+        try:
+            links = self.state.links
+            self._link = links.take(self.endpoint, entry.address, fresh=fresh)
+        except (TimeoutError, ConnectionError) as error:
+            return self._failed("unreachable", type(error).__name__, sent=False)
+        try:
+            self._send()
+            reply = read_reply(self._link, self.call.method)
+            return (yield from self._answer(reply))
+        except BrokenReplyError as error:
+            return self._failed("broken_reply", error.reason, sent=True)
+
+    def end(self) -> None:
+        """Close what is open and give the place back."""
+        if self._link is not None:
+            self._link.close()
+        admission = self.service.admission
+        admission.finished(self.endpoint, self.id, self._outcome)
+
+    def _send(self) -> None:
+        self.progress.dispatched = True
+        try:
+            self._link.sock.sendall(self._request_bytes())
+        except OSError as error:
+            if isinstance(error, CallerGoneError | DeadlinePassedError):
+                raise
+            raise BrokenReplyError("send_failed", begun=False) from error
+
+    def _answer(self, reply: Reply) -> Iterator[Part]:
+        head = reply.head
+        if head.attempt_id and head.attempt_id != self.call.id:
+            return self._failed("foreign_answer", head.attempt_id, sent=True)
+        if head.not_run:
+            return self._refused(reply)
+        if not head.sealed or head.encoded:
+            return self._failed("not_its_answer", str(head.status), sent=True)
+        if head.status >= _SERVER_ERROR:
+            return self._server_error(reply)
+        is_stream = self.call.route.kind is RouteKind.STREAMING
+        if is_stream and _OK <= head.status < _REDIRECT:
+            return (yield from self._stream(reply))
+        return (yield from self._whole(reply))
+
+    def _whole(self, reply: Reply) -> Iterator[Part]:
+        body = reply.whole_body()
+        self._done(reply, Answered())
+        self.progress.result = f"answered_{reply.head.status}"
+        yield Begun(reply.head.status, reply.head.forwarded, body)
+        return None
+
+    def _stream(self, reply: Reply) -> Iterator[Part]:
+        splitter = self.progress.splitter
+        splitter.drop_rest()
+        pool = self.service.admission.pool
+        while data := reply.next_bytes():
+            events = splitter.feed(data)
+            if not events:
+                continue
+            now = self.state.clock.now()
+            pool.first_token(self.endpoint, self.id, now)
+            self._observe_events(now)
+            if not self.progress.begun:
+                self.progress.begun = True
+                yield Begun(reply.head.status, reply.head.forwarded, None)
+            self.progress.passed = splitter.passed
+            yield Piece(events)
+        if splitter.has_rest:
+            raise BrokenReplyError("half_an_event", begun=True)
+        self._done(reply, Answered(splitter.passed))
+        self.progress.result = f"answered_{reply.head.status}"
+        if not self.progress.begun:
+            yield Begun(reply.head.status, reply.head.forwarded, b"")
+        return None
+
+    def _server_error(self, reply: Reply) -> Event:
+        body = reply.whole_body()
+        self._done(reply, Failed())
+        self.progress.own_answer = Begun(reply.head.status, reply.head.forwarded, body)
+        self._log_failure("endpoint_error", str(reply.head.status))
+        return EndpointFailed(Ran.RAN)
+
+    def _refused(self, reply: Reply) -> Event:
+        head = reply.head
+        reply.whole_body()
+        self._done(reply, Refused())
+        entry = self.service.entries.get(self.endpoint)
+        own_names = ("", self.endpoint, entry.address if entry else "")
+        at_fault = head.at_fault or self.endpoint
+        if head.at_fault not in own_names and self.service.is_group:
+            self.progress.group_down = True
+            self.service.group_was_down(self.state.clock.now())
+        self._log_failure("refused", f"{head.status} at_fault={at_fault}")
+        return NotDispatched("endpoint_refused")
+
+    def _done(self, reply: Reply, outcome: Outcome) -> None:
+        """Note an answer that has come whole, and keep its connection."""
+        self._outcome = outcome
+        if reply.may_reuse:
+            links = self.state.links
+            links.keep(self.endpoint, self._link, reply.idle_timeout_ms)
+            self._link = None
+
+    def _failed(self, event: str, detail: str, *, sent: bool) -> Event:
+        self._outcome = Failed()
+        self._log_failure(event, detail)
+        if sent:
+            return EndpointFailed(Ran.UNKNOWN)
+        return NotDispatched(event)
+
+    def _log_failure(self, event: str, detail: str) -> None:
+        log_event(
+            _log,
+            "attempt_failed",
+            logging.WARNING,
+            request=self.call.id,
+            attempt=self.number,
+            endpoint=self.endpoint,
+            why=event,
+            detail=detail,
+            passed=self.progress.splitter.passed,
+            new_connection=self._link.is_new if self._link else "none",
+        )
+
+    def _observe_events(self, now: Millis) -> None:
+        gap = self.progress.pace.passed(now)
+        timings = self.state.timings
+        service = self.call.service
+        if gap is None:
+            timings.first_events.of(service).observe(now - self.call.arrived)
+        else:
+            timings.event_gaps.of(service).observe(gap)
+
+    def _request_bytes(self) -> bytes:
+        call = self.call
+        resume_at = self.progress.splitter.last_id or call.head.last_event_id
+        headers = endpoint_headers(
+            call.head,
+            endpoint=self.endpoint,
+            organisation=call.organisation,
+            left_ms=max(1, call.deadline - self.state.clock.now()),
+            last_event_id=resume_at,
+            priority=max(0, min(9, call.priority)),
+            passes_key=call.passes_key,
+        )
+        if call.body or call.method in _METHODS_WITH_BODY:
+            headers.append(("Content-Length", str(len(call.body))))
+        lines = [f"{call.method} {call.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + call.body
--- a/src/azurefold/gateway/coordinator.py
+++ b/src/azurefold/gateway/coordinator.py
@@ -12,11 +12,8 @@
 from azurefold.core.groups.messages import order_number
 from azurefold.core.routing.peer_loads import endpoint_mark
 from azurefold.gateway.exchange import PeerMessage
-from azurefold.gateway.group_control import (
-    GroupControl,
-    is_worth_balancing,
-    new_group_control,
-)
+from azurefold.gateway.group_control import GroupControl, new_group_control
+from azurefold.gateway.map_planning import is_worth_balancing
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
 from azurefold.platform import names
--- a/src/azurefold/gateway/group_control.py
+++ b/src/azurefold/gateway/group_control.py
@@ -6,35 +6,31 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-import gevent
-from gevent.pool import Pool
-
 from azurefold.core.balance.placement import Placement
-from azurefold.core.balance.plan import MapPlan, map_zero, plan_layer
-from azurefold.core.balance.policy import BalancePolicy, Split
+from azurefold.core.balance.plan import MapPlan, map_zero
 from azurefold.core.clock import Millis
-from azurefold.core.groups.map_change import (
+from azurefold.core.groups.map_change import MapChange, resumed_change
+from azurefold.core.groups.map_orders import (
     AskReport,
     ChangeAction,
     ChangeEnd,
     ChangePolicy,
     Ended,
-    MapChange,
     Prepare,
     RankOrder,
     SendOrder,
     Verdict,
-    resumed_change,
 )
 from azurefold.core.groups.samples import SampledPopularity
-from azurefold.core.routes.model import RoutedService
 from azurefold.gateway.group_view import GroupView
+from azurefold.gateway.map_planning import is_worth_changing, plan_map, sampling_of
+from azurefold.gateway.rank_calls import RankCalls
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
-from azurefold.platform.ranks import RankClient, RankReport, rank_client
+from azurefold.platform.ranks import RankClient, RankReport
 
-__all__ = ["GroupControl", "Row", "is_worth_balancing", "new_group_control"]
+__all__ = ["GroupControl", "Row", "new_group_control"]
 
 _log = logging.getLogger("azurefold.gateway")
 
@@ -43,24 +39,6 @@
 refusals."""
 
 _LOOK_BROKEN_MS: Millis = 300
-_SAMPLE_EVERY_MS: Millis = 1_000
-"""Popularity can change from one second to the next."""
-
-_NUMBERS_A_SECOND = 1_024
-"""Counts read from ranks: each has a price, and 400 of them stop the group for
-half a millisecond. Four ranks of 256 counts a second show the popularity well
-enough to bring the slowest rank from 3.1 times the mean to 1.4."""
-
-_LEAST_SAMPLED = 2
-"""Counts of fewer ranks show whose requests came, not what is popular. With 72
-ranks of 1,728 counts one rank a second is all that can be paid for: maps made
-from it cost 0.17 to 0.23 of a day's worth of 0.39 and gained nothing, so the map
-that such a group forms with is kept."""
-
-_FIRST_SAMPLE_MS: Millis = 400
-"""Until the first sample after a takeover: the map in force may be of long ago."""
-
-_SAMPLED_RANKS = 4
 _MEMORY_MS: Millis = 1_500
 """Time constant of the popularity."""
 
@@ -69,30 +47,6 @@
 
 _CALLS_AT_ONCE = 24
 
-_POLICY = BalancePolicy(
-    skew_weight=1.0,
-    move_weight=0.03,
-    drift_life=4_000,
-    max_loads=64,
-    tolerated_excess=0.10,
-    split=Split.EVEN,
-)
-"""A move has to lower the excess of the slowest rank of one layer by 0.0075
-over the four seconds for which popularity stays alike."""
-
-_LEAST_GAIN = 0.12
-"""Mean skew that a change has to gain: it takes two exchanges with all ranks,
-and loading slows the passes by 15 in 100."""
-
-_EASY_GAIN = 0.5
-"""The same while passes are quick: nobody is late by some skew then."""
-
-_QUICK_PASS_MS = 42.0
-"""A pass well below the 120 ms that callers are promised between events."""
-
-_EASY_SAMPLE_FACTOR = 2
-"""Samples are as many times rarer while passes are quick."""
-
 
 class Row(Protocol):
     """The coordinator's row, as a control needs it."""
@@ -119,8 +73,7 @@
     service: GatewayService
     row: Row
     view: GroupView | None = None
-    _clients: dict[str, RankClient] = field(default_factory=dict)
-    _calls: Pool = field(default_factory=lambda: Pool(_CALLS_AT_ONCE))
+    _calls: RankCalls = field(default_factory=RankCalls)
     _change: MapChange | None = None
     _planned: tuple[Placement, ...] = ()
     _change_began: Millis = 0
@@ -166,36 +119,16 @@
         if view.version == 0 and view.epoch != self._planned_epoch:
             self._plan_for_new_epoch()
             return
-        if now - self._sampled_at >= self._sample_every():
-            self._sample()
+        sampling = sampling_of(view, self.service.view.engine)
+        if now - self._sampled_at >= sampling.every:
+            self._sample(sampling.ranks)
             if self._fresh:
                 self._fresh = False
                 self._plan()
 
     def close(self) -> None:
         """Stop at once, leaving what is under way to a successor."""
-        self._calls.kill(block=False)
-        for client in self._clients.values():
-            client.close()
-        self._clients.clear()
-
-    def _sample_every(self) -> Millis:
-        if self.view.popularity.samples == 0:
-            return _FIRST_SAMPLE_MS
-        numbers = self._sampled_ranks() * self._numbers_of_a_rank()
-        usual = max(_SAMPLE_EVERY_MS, numbers * 1_000 // _NUMBERS_A_SECOND)
-        return usual * _EASY_SAMPLE_FACTOR if self._is_easy() else usual
-
-    def _is_easy(self) -> bool:
-        return self.view.pass_ms < _QUICK_PASS_MS
-
-    def _sampled_ranks(self) -> int:
-        affordable = _NUMBERS_A_SECOND // self._numbers_of_a_rank()
-        return min(_SAMPLED_RANKS, self.view.size, max(1, affordable))
-
-    def _numbers_of_a_rank(self) -> int:
-        engine = self.service.view.engine
-        return engine.layer_sets * engine.experts
+        self._calls.close()
 
     def _look_every(self) -> Millis:
         return _LOOK_EVERY_MS if self._was_whole else _LOOK_BROKEN_MS
@@ -204,7 +137,7 @@
         """Ask all ranks for their reports."""
         self._looked_at = self.state.clock.now()
         endpoints = list(self.service.entries)
-        self._drop_clients(endpoints)
+        self._calls.keep_only(endpoints)
         reports = self._ask_all(endpoints, RankClient.report)
         now = self.state.clock.now()
         for endpoint, report in zip(endpoints, reports, strict=True):
@@ -273,11 +206,10 @@
         view.placements_version = version
         view.placements_epoch = view.epoch
 
-    def _sample(self) -> None:
+    def _sample(self, count: int) -> None:
         """Ask a few ranks for their counts."""
         view = self.view
         self._sampled_at = self.state.clock.now()
-        count = self._sampled_ranks()
         if len(self._sampled) != count:
             self._sampled = tuple(self._draw.sample(range(view.size), count))
         n_layers = self.service.view.engine.layer_sets
@@ -304,23 +236,8 @@
     def _plan(self) -> None:
         """Plan a map for the present popularity, and begin the change if it pays."""
         view = self.view
-        engine = self.service.view.engine
-        speeds = tuple(
-            1.0 / max(1.0, view.views[rank].pace) for rank in range(view.size)
-        )
-        layers = []
-        for placement, rates in zip(
-            view.placements, view.popularity.rates, strict=True
-        ):
-            layers.append(
-                plan_layer(placement, rates, speeds, _POLICY, engine.loads_per_change)
-            )
-            # A plan of all layers takes some 50 ms, in which no event of any
-            # stream would go out.
-            gevent.sleep(0)
-        plan = MapPlan(tuple(layers))
-        least = _EASY_GAIN if self._is_easy() else _LEAST_GAIN
-        pays = plan.skew_before - plan.skew_after >= least
+        plan = plan_map(view, self.service.view.engine)
+        pays = is_worth_changing(view, plan)
         log_event(
             _log,
             "map_planned",
@@ -437,15 +354,7 @@
         return self._client(self.view.endpoints[rank])
 
     def _client(self, endpoint: str) -> RankClient:
-        client = self._clients.get(endpoint)
-        if client is None:
-            client = rank_client(endpoint, self.service.entries[endpoint].address)
-            self._clients[endpoint] = client
-        return client
-
-    def _drop_clients(self, endpoints: list[str]) -> None:
-        for gone in self._clients.keys() - set(endpoints):
-            self._clients.pop(gone).close()
+        return self._calls.client(endpoint, self.service.entries[endpoint].address)
 
     def _ask_ranks(self, question: Callable[[RankClient], object]) -> list:
         ranks = range(self.view.size)
@@ -454,18 +363,8 @@
     def _ask_all(
         self, endpoints: list[str], question: Callable[[RankClient], object]
     ) -> list:
-        calls = [self._calls.spawn(question, self._client(name)) for name in endpoints]
-        gevent.joinall(calls)
-        return [call.value for call in calls]
-
-
-def is_worth_balancing(view: RoutedService) -> bool:
-    """Whether the counts of enough ranks can be paid for."""
-    engine = view.engine
-    if engine is None or not engine.splits_experts:
-        return False
-    numbers = engine.layer_sets * engine.experts
-    return _NUMBERS_A_SECOND // numbers >= _LEAST_SAMPLED
+        clients = [self._client(name) for name in endpoints]
+        return self._calls.ask_all(clients, question)
 
 
 def new_group_control(
--- a/src/azurefold/gateway/group_view.py
+++ b/src/azurefold/gateway/group_view.py
@@ -4,7 +4,7 @@
 
 from azurefold.core.balance.placement import Placement
 from azurefold.core.clock import Millis
-from azurefold.core.groups.map_change import RankView
+from azurefold.core.groups.map_orders import RankView
 from azurefold.core.groups.samples import SampledPopularity
 
 __all__ = ["GroupView"]
--- a/src/azurefold/platform/ranks.py
+++ b/src/azurefold/platform/ranks.py
@@ -9,7 +9,7 @@
 
 from azurefold.core.balance.placement import Placement
 from azurefold.core.clock import Millis
-from azurefold.core.groups.map_change import (
+from azurefold.core.groups.map_orders import (
     Arm,
     Disarm,
     Hold,
--- a/src/azurefold_standins/bare_endpoints.py
+++ b/src/azurefold_standins/bare_endpoints.py
@@ -24,7 +24,7 @@
 import gevent  # noqa: E402
 import msgspec  # noqa: E402
 
-from azurefold.core.groups.map_change import (  # noqa: E402
+from azurefold.core.groups.map_orders import (  # noqa: E402
     Arm,
     Disarm,
     Hold,
--- a/src/azurefold_standins/order_ranks.py
+++ b/src/azurefold_standins/order_ranks.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from azurefold.core.groups.map_change import (
+from azurefold.core.groups.map_orders import (
     Arm,
     Disarm,
     Hold,
--- a/tests/core/groups/rank_model.py
+++ b/tests/core/groups/rank_model.py
@@ -2,13 +2,12 @@
 
 from dataclasses import dataclass, field
 
-from azurefold.core.groups.map_change import (
+from azurefold.core.groups.map_change import MapChange, resumed_change
+from azurefold.core.groups.map_orders import (
     AskReport,
     Ended,
-    MapChange,
     SendOrder,
     Verdict,
-    resumed_change,
 )
 from azurefold_standins.order_ranks import ModelGroup
 
--- a/tests/core/groups/test_orders_from_afar.py
+++ b/tests/core/groups/test_orders_from_afar.py
@@ -15,12 +15,12 @@
 from tests.core.groups.rank_model import OrderWorld
 
 from azurefold.core.groups import map_change
-from azurefold.core.groups.map_change import (
+from azurefold.core.groups.map_change import MapChange
+from azurefold.core.groups.map_orders import (
     Arm,
     ChangeEnd,
     Ended,
     Hold,
-    MapChange,
     SendOrder,
     Verdict,
 )
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -14,6 +14,7 @@
     RoutingConfiguration,
 )
 from azurefold.core.routing.cells import Cell
+from azurefold.gateway import attempt as attempts
 from azurefold.gateway import relay as relays
 from azurefold.gateway.calls import AnswerCutOffError, Begun, Call, GivenUp, Piece
 from azurefold.gateway.connections import Link
@@ -88,7 +89,7 @@
             raise given
         return given
 
-    monkeypatch.setattr(relays, "read_reply", read)
+    monkeypatch.setattr(attempts, "read_reply", read)
     return answers
 
 
@@ -258,7 +259,7 @@
     """
     relay = relay_of(state, RouteKind.STREAMING, max_attempts=2, resumable=True)
     addresses = {e.name: e.address for e in relay.service.entries.values()}
-    original = relays.read_reply
+    original = attempts.read_reply
 
     def read(link, method):
         reply = original(link, method)
@@ -269,11 +270,11 @@
         return reply
 
     script += [answer(**NOT_RUN), answer(200, [EVENT % 1])]
-    relays.read_reply = read
+    attempts.read_reply = read
     try:
         begun, _ = parts_of(relay)
     finally:
-        relays.read_reply = original
+        attempts.read_reply = original
     assert begun.status == 200
     assert len(sockets) == 2
 
