Keep the tests' process unpatched

Cause: the whole run of tests hung after 60 of them (py-spy: only a gRPC thread left, the main one in the event loop). tests/gateway imports the layout of the bare endpoints from the module that is their process, and that patches the standard library for gevent when it is imported. Alone the folder passed. Ruled out: load, as the hang is there at once with any gRPC test before it.

--- a/src/azurefold_standins/bare_endpoints.py
+++ b/src/azurefold_standins/bare_endpoints.py
@@ -34,84 +34,23 @@
 )
 from azurefold.internal.http_server import http_server  # noqa: E402
 from azurefold.internal.process import stop_requested  # noqa: E402
+from azurefold_standins.bare_layout import (  # noqa: E402
+    EVENTS,
+    BareEndpoint,
+    EndpointFaults,
+    Journal,
+    Layout,
+    expected_event,
+)
 from azurefold_standins.order_ranks import ModelGroup  # noqa: E402
 
-__all__ = ["BareEndpoint", "EndpointFaults", "Journal", "Layout", "expected_event"]
+__all__ = ["main"]
 
 _PASS_S = 0.02
 _WORK_S = 0.01
-EVENTS = 12
-"""Events of each stream."""
-
 _LAYERS, _EXPERTS = 2, 8
 
 
-class BareEndpoint(msgspec.Struct, frozen=True):
-    """Where one endpoint listens; a rank of the group, or a plain one."""
-
-    name: str
-    service: str
-    address: str
-    rank: int | None = None
-
-
-class Layout(msgspec.Struct, frozen=True):
-    """All endpoints, and where the journal is read."""
-
-    control: str
-    endpoints: list[BareEndpoint]
-
-
-class EndpointFaults(msgspec.Struct, forbid_unknown_fields=True):
-    """Shares of requests that go wrong, and of orders carried out late.
-
-    Parameters
-    ----------
-    break_off : float, default=0.0
-        Answers that end in their middle.
-    lose : float, default=0.0
-        Requests that run and whose connection then closes.
-    refuse : float, default=0.0
-        Requests that are refused and not run.
-    late_orders : float, default=0.0
-        Orders that get no answer and are carried out later.
-    """
-
-    break_off: float = 0.0
-    lose: float = 0.0
-    refuse: float = 0.0
-    late_orders: float = 0.0
-
-
-class Journal(msgspec.Struct):
-    """What the endpoints saw.
-
-    Parameters
-    ----------
-    runs : dict of str to int
-        How often each request ran, by its id.
-    last_arrival : dict of str to float
-        Seconds on the machine's steady clock, by endpoint.
-    changes : int
-        Map changes that came into force.
-    split_at : int or None
-        The first pass that began under two maps.
-    held_s : float
-        The longest time that a pass was held.
-    """
-
-    runs: dict[str, int]
-    last_arrival: dict[str, float]
-    changes: int
-    split_at: int | None
-    held_s: float
-
-
-def expected_event(path: str, number: int) -> bytes:
-    """Return one event of the stream that answers ``path``."""
-    return b"id: %d\ndata: %s-%d\n\n" % (number, path.encode(), number)
-
-
 @dataclass(slots=True)
 class _Site:
     group: ModelGroup
--- /dev/null
+++ b/src/azurefold_standins/bare_layout.py
@@ -0,0 +1,85 @@
+"""What a site tells its bare endpoints, and what they tell of themselves.
+
+Apart from the endpoints' own module, which patches the standard library for
+gevent when it is imported and so must not be imported by a test.
+"""
+
+import msgspec
+
+__all__ = [
+    "EVENTS",
+    "BareEndpoint",
+    "EndpointFaults",
+    "Journal",
+    "Layout",
+    "expected_event",
+]
+
+EVENTS = 12
+"""Events of each stream."""
+
+
+class BareEndpoint(msgspec.Struct, frozen=True):
+    """Where one endpoint listens; a rank of the group, or a plain one."""
+
+    name: str
+    service: str
+    address: str
+    rank: int | None = None
+
+
+class Layout(msgspec.Struct, frozen=True):
+    """All endpoints, and where the journal is read."""
+
+    control: str
+    endpoints: list[BareEndpoint]
+
+
+class EndpointFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """Shares of requests that go wrong, and of orders carried out late.
+
+    Parameters
+    ----------
+    break_off : float, default=0.0
+        Answers that end in their middle.
+    lose : float, default=0.0
+        Requests that run and whose connection then closes.
+    refuse : float, default=0.0
+        Requests that are refused and not run.
+    late_orders : float, default=0.0
+        Orders that get no answer and are carried out later.
+    """
+
+    break_off: float = 0.0
+    lose: float = 0.0
+    refuse: float = 0.0
+    late_orders: float = 0.0
+
+
+class Journal(msgspec.Struct):
+    """What the endpoints saw.
+
+    Parameters
+    ----------
+    runs : dict of str to int
+        How often each request ran, by its id.
+    last_arrival : dict of str to float
+        Seconds on the machine's steady clock, by endpoint.
+    changes : int
+        Map changes that came into force.
+    split_at : int or None
+        The first pass that began under two maps.
+    held_s : float
+        The longest time that a pass was held.
+    """
+
+    runs: dict[str, int]
+    last_arrival: dict[str, float]
+    changes: int
+    split_at: int | None
+    held_s: float
+
+
+def expected_event(path: str, number: int) -> bytes:
+    """Return one event of the stream that answers ``path``."""
+    return b"id: %d\ndata: %s-%d\n\n" % (number, path.encode(), number)
--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -24,7 +24,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from azurefold_standins.bare_endpoints import EndpointFaults
+from azurefold_standins.bare_layout import EndpointFaults
 from azurefold_standins.gateway_caller import Call, Caller, Kind, Result
 from azurefold_standins.gateway_site import GatewaySite, new_gateway_site
 
--- a/src/azurefold_standins/gateway_caller.py
+++ b/src/azurefold_standins/gateway_caller.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from azurefold.internal.http_server import split_address
-from azurefold_standins.bare_endpoints import EVENTS, expected_event
+from azurefold_standins.bare_layout import EVENTS, expected_event
 from azurefold_standins.gateway_site import HOST, KEY
 
 __all__ = ["Call", "Caller", "Kind", "Result"]
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from azurefold_standins.bare_endpoints import BareEndpoint, EndpointFaults, Journal
-from azurefold_standins.bare_endpoints import Layout as EndpointLayout
+from azurefold_standins.bare_layout import BareEndpoint, EndpointFaults, Journal
+from azurefold_standins.bare_layout import Layout as EndpointLayout
 from azurefold_standins.processes import Processes, wait_until
 from azurefold_standins.site import free_port
 
