--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -148,6 +148,30 @@
             return answer.read()
 
 
+@dataclass(slots=True)
+class _Ports:
+    """Ports of one address, each given once.
+
+    What goes wrong without: a port that nobody listens on yet is found free a
+    second time, in one of 35 sites of 45 ports, and one of two processes does
+    not start.
+    """
+
+    ip: str
+    _given: set[int] = field(default_factory=set)
+
+    def take(self) -> int:
+        """Return a port that was not given before."""
+        while (port := free_port(self.ip)) in self._given:
+            pass
+        self._given.add(port)
+        return port
+
+    def address(self) -> str:
+        """Return an address with such a port."""
+        return f"{self.ip}:{self.take()}"
+
+
 def new_gateway_site(
     folder: Path, gateways: int = 3, ranks: int = 4, desks: int = 2
 ) -> GatewaySite:
@@ -165,8 +189,8 @@
     # port between its being found free and its being listened on.
     ip = f"{_NET}.{os.getpid() % 250}.{next(_sites) % 250}"
 
-    def free() -> str:
-        return f"{ip}:{free_port(ip)}"
+    ports = _Ports(ip)
+    free = ports.address
 
     store, relay, control = (free() for _ in range(3))
     endpoints = [
@@ -187,7 +211,7 @@
     )
     _add_stand_ins(site, folder)
     for name in names:
-        _add_gateway(site, folder, name)
+        _add_gateway(site, folder, name, ports.take())
     return site
 
 
@@ -208,8 +232,7 @@
     add("endpoints", "azurefold_standins.bare_endpoints", ["--layout", str(layout)])
 
 
-def _add_gateway(site: GatewaySite, folder: Path, name: str) -> None:
-    port = free_port(site.gateways[name].rpartition(":")[0])
+def _add_gateway(site: GatewaySite, folder: Path, name: str, port: int) -> None:
     settings = {
         "NodeName": name,
         "Zone": "dc-a",
