Keep two of the platform's names inside the adapter

The kind of a route was called as the platform's configuration calls it, and the variable that names the settings file stood in the binary's module: a reader of the product met words that only platform/ is to know. AnswerKind and platform/settings.py hold them now.

--- a/src/azurefold/core/routes/model.py
+++ b/src/azurefold/core/routes/model.py
@@ -11,13 +11,13 @@
     "Engine",
     "KeyHolder",
     "Route",
-    "RouteKind",
+    "AnswerKind",
     "RoutedService",
     "RoutingConfiguration",
 ]
 
 
-class RouteKind(Enum):
+class AnswerKind(Enum):
     """What kind of answer a route gives, and whether it may be run twice."""
 
     IDEMPOTENT = "idempotent"
@@ -41,7 +41,7 @@
     ----------
     name, host, prefix : str
         The prefix begins and ends with a slash.
-    kind : RouteKind
+    kind : AnswerKind
     destinations : tuple of Destination
         At least one.
     timeout_ms : int
@@ -64,7 +64,7 @@
     name: str
     host: str
     prefix: str
-    kind: RouteKind
+    kind: AnswerKind
     destinations: tuple[Destination, ...]
     timeout_ms: Millis
     objective_ms: Millis
@@ -78,11 +78,11 @@
     def may_run_twice(self) -> bool:
         """Whether a second run of a request does no harm."""
         match self.kind:
-            case RouteKind.IDEMPOTENT:
+            case AnswerKind.IDEMPOTENT:
                 return True
-            case RouteKind.NON_IDEMPOTENT:
+            case AnswerKind.NON_IDEMPOTENT:
                 return False
-            case RouteKind.STREAMING:
+            case AnswerKind.STREAMING:
                 return self.resumable
 
 
--- a/src/azurefold/core/routes/table.py
+++ b/src/azurefold/core/routes/table.py
@@ -35,9 +35,9 @@
 
     Examples
     --------
-    >>> from azurefold.core.routes.model import Destination, RouteKind
+    >>> from azurefold.core.routes.model import Destination, AnswerKind
     >>> to = (Destination("notices"),)
-    >>> kind = RouteKind.IDEMPOTENT
+    >>> kind = AnswerKind.IDEMPOTENT
     >>> broad = Route("broad", "a.example", "/", kind, to, 800, 400)
     >>> narrow = Route("narrow", "a.example", "/lots/", kind, to, 800, 400)
     >>> table = route_table([broad, narrow])
@@ -63,9 +63,9 @@
 
     Examples
     --------
-    >>> from azurefold.core.routes.model import Destination, RouteKind
+    >>> from azurefold.core.routes.model import Destination, AnswerKind
     >>> to = (Destination("old", 90), Destination("new", 10))
-    >>> route = Route("r", "a.example", "/", RouteKind.IDEMPOTENT, to, 800, 400)
+    >>> route = Route("r", "a.example", "/", AnswerKind.IDEMPOTENT, to, 800, 400)
     >>> choose_service(route, 0.5), choose_service(route, 0.95)
     ('old', 'new')
     """
--- a/src/azurefold/gateway/__main__.py
+++ b/src/azurefold/gateway/__main__.py
@@ -8,8 +8,7 @@
 import os  # noqa: E402
 
 from azurefold.gateway.service import run_gateway  # noqa: E402
-
-_SETTINGS_VARIABLE = "AZUREFOLD_NODE_FILE"
+from azurefold.platform.settings import SETTINGS_VARIABLE  # noqa: E402
 
 
 def main() -> None:
@@ -22,8 +21,8 @@
     parser.add_argument(
         "settings",
         nargs="?",
-        default=os.environ.get(_SETTINGS_VARIABLE, ""),
-        help=f"settings file; without it, the one that {_SETTINGS_VARIABLE} names",
+        default=os.environ.get(SETTINGS_VARIABLE, ""),
+        help=f"settings file; without it, the one that {SETTINGS_VARIABLE} names",
     )
     parser.add_argument(
         "--metrics-port",
--- a/src/azurefold/gateway/attempt.py
+++ b/src/azurefold/gateway/attempt.py
@@ -8,7 +8,7 @@
 from azurefold.core.attempts.events import EventPace, EventSplitter
 from azurefold.core.attempts.outcome import Ran
 from azurefold.core.clock import Millis
-from azurefold.core.routes.model import RouteKind
+from azurefold.core.routes.model import AnswerKind
 from azurefold.core.routing.messages import (
     Answered,
     Cancelled,
@@ -148,7 +148,7 @@
             return self._failed("not_its_answer", str(head.status), sent=True)
         if head.status >= _SERVER_ERROR:
             return self._server_error(reply)
-        is_stream = self.call.route.kind is RouteKind.STREAMING
+        is_stream = self.call.route.kind is AnswerKind.STREAMING
         if is_stream and _OK <= head.status < _REDIRECT:
             return (yield from self._stream(reply))
         return (yield from self._whole(reply))
--- a/src/azurefold/gateway/relay.py
+++ b/src/azurefold/gateway/relay.py
@@ -10,7 +10,7 @@
 from azurefold.core.attempts.course import Course, DispatchAgain, Fail
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Millis
-from azurefold.core.routes.model import RouteKind
+from azurefold.core.routes.model import AnswerKind
 from azurefold.core.routing.messages import RouteRequest
 from azurefold.entry.admission import Ticket
 from azurefold.gateway.attempt import Attempt, Progress
@@ -71,7 +71,7 @@
         route = self.call.route
         self._course = Course(
             idempotent=route.may_run_twice,
-            resumable=route.kind is RouteKind.STREAMING and route.resumable,
+            resumable=route.kind is AnswerKind.STREAMING and route.resumable,
         )
 
     def run(self) -> Iterator[Part]:
--- a/src/azurefold/platform/configuration.py
+++ b/src/azurefold/platform/configuration.py
@@ -3,13 +3,13 @@
 import msgspec
 
 from azurefold.core.routes.model import (
+    AnswerKind,
     CallerLimits,
     Destination,
     Engine,
     KeyHolder,
     Route,
     RoutedService,
-    RouteKind,
     RoutingConfiguration,
 )
 
@@ -35,7 +35,7 @@
     name: str = msgspec.field(name="Name")
     host: str = msgspec.field(name="Hostname")
     prefix: str = msgspec.field(name="Prefix")
-    kind: RouteKind = msgspec.field(name="RouteKind")
+    kind: AnswerKind = msgspec.field(name="RouteKind")
     timeout_ms: float = msgspec.field(name="TimeoutMs")
     objective_ms: float = msgspec.field(name="SloMs", default=0)
     priority: int = msgspec.field(name="Priority", default=0)
--- a/src/azurefold/platform/settings.py
+++ b/src/azurefold/platform/settings.py
@@ -6,7 +6,10 @@
 
 from azurefold.gateway.settings import GatewaySettings
 
-__all__ = ["BadSettingsError", "load_settings"]
+__all__ = ["SETTINGS_VARIABLE", "BadSettingsError", "load_settings"]
+
+SETTINGS_VARIABLE = "AZUREFOLD_NODE_FILE"
+"""Variable of the environment that holds the settings file's path."""
 
 _SECOND_MS = 1_000
 
--- a/tests/core/routes/test_routes_are_found_by_longest_prefix.py
+++ b/tests/core/routes/test_routes_are_found_by_longest_prefix.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from azurefold.core.routes.model import Destination, Route, RouteKind
+from azurefold.core.routes.model import AnswerKind, Destination, Route
 from azurefold.core.routes.table import choose_service, route_table
 
 
-def route(name, prefix, kind=RouteKind.IDEMPOTENT, **fields):
+def route(name, prefix, kind=AnswerKind.IDEMPOTENT, **fields):
     to = fields.pop("to", (Destination(name),))
     return Route(name, "a.example", prefix, kind, to, 800, 400, **fields)
 
@@ -48,10 +48,10 @@
 @pytest.mark.parametrize(
     ("kind", "resumable", "twice"),
     [
-        (RouteKind.IDEMPOTENT, False, True),
-        (RouteKind.NON_IDEMPOTENT, True, False),
-        (RouteKind.STREAMING, False, False),
-        (RouteKind.STREAMING, True, True),
+        (AnswerKind.IDEMPOTENT, False, True),
+        (AnswerKind.NON_IDEMPOTENT, True, False),
+        (AnswerKind.STREAMING, False, False),
+        (AnswerKind.STREAMING, True, True),
     ],
 )
 def test_only_idempotent_and_resumable_requests_may_run_twice(kind, resumable, twice):
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from azurefold.core.routes.model import RouteKind
+from azurefold.core.routes.model import AnswerKind
 from azurefold.gateway.news import new_news
 from azurefold.platform import configuration as configurations
 from azurefold.platform import registry as registries
@@ -78,7 +78,7 @@
 def test_all_fields_are_decoded_once():
     read = decode_configuration(configuration(7))
     drafts, acks = read.routes
-    assert drafts.kind is RouteKind.STREAMING
+    assert drafts.kind is AnswerKind.STREAMING
     assert [(d.service, d.weight) for d in drafts.destinations] == [
         ("model", 90),
         ("desk", 10),
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -6,11 +6,11 @@
 
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import (
+    AnswerKind,
     Destination,
     Engine,
     Route,
     RoutedService,
-    RouteKind,
     RoutingConfiguration,
 )
 from azurefold.core.routing.cells import Cell
@@ -108,7 +108,7 @@
 
 def relay_of(state, kind, **fields):
     route = Route("r", "h", "/r/", kind, (Destination("desk"),), 5_000, 400, **fields)
-    engine = Engine(slots=6, layer_sets=2) if kind is RouteKind.STREAMING else None
+    engine = Engine(slots=6, layer_sets=2) if kind is AnswerKind.STREAMING else None
     view = RoutedService("desk", 64, engine)
     state.apply(RoutingConfiguration(1, (route,), {"desk": view}))
     service = state.services["desk"]
@@ -128,7 +128,7 @@
 
 def test_a_whole_answer_goes_to_the_caller_as_it_came(state, script, sockets):
     script.append(answer(200, [b"whole"]))
-    [begun] = parts_of(relay_of(state, RouteKind.NON_IDEMPOTENT))
+    [begun] = parts_of(relay_of(state, AnswerKind.NON_IDEMPOTENT))
     assert begun == Begun(200, (("Server-Seal", "s"),), b"whole")
     assert b"Expect-Instance: e" in sockets[0].sent[0]
 
@@ -142,7 +142,7 @@
     sending would run it again, and "not run" would be untrue.
     """
     script.append(BROKEN)
-    relay = relay_of(state, RouteKind.NON_IDEMPOTENT, max_attempts=3)
+    relay = relay_of(state, AnswerKind.NON_IDEMPOTENT, max_attempts=3)
     [given_up] = parts_of(relay)
     assert isinstance(given_up, GivenUp)
     assert given_up.status == 502
@@ -151,7 +151,7 @@
 
 def test_a_refusal_by_the_endpoint_is_tried_elsewhere(state, script, sockets):
     script += [answer(**NOT_RUN), answer(200, [b"whole"])]
-    relay = relay_of(state, RouteKind.NON_IDEMPOTENT, max_attempts=2)
+    relay = relay_of(state, AnswerKind.NON_IDEMPOTENT, max_attempts=2)
     [begun] = parts_of(relay)
     assert begun.status == 200
     assert len(relay.tried) == 2
@@ -159,7 +159,7 @@
 
 def test_all_refusals_are_said_to_be_not_run(state, script, sockets):
     script += [answer(**NOT_RUN)]
-    relay = relay_of(state, RouteKind.NON_IDEMPOTENT, max_attempts=1)
+    relay = relay_of(state, AnswerKind.NON_IDEMPOTENT, max_attempts=1)
     [given_up] = parts_of(relay)
     assert given_up.status == 503
     assert given_up.failure.retry_after_ms > 0
@@ -167,7 +167,7 @@
 
 def test_not_run_is_not_said_after_an_attempt_that_may_have_run(state, script, sockets):
     script += [BROKEN, answer(**NOT_RUN)]
-    relay = relay_of(state, RouteKind.IDEMPOTENT, max_attempts=2)
+    relay = relay_of(state, AnswerKind.IDEMPOTENT, max_attempts=2)
     [given_up] = parts_of(relay)
     assert given_up.status == 502
 
@@ -176,7 +176,7 @@
     state, script, sockets
 ):
     script += [answer(500, [b"e1"]), answer(500, [b"e2"])]
-    [begun] = parts_of(relay_of(state, RouteKind.IDEMPOTENT, max_attempts=2))
+    [begun] = parts_of(relay_of(state, AnswerKind.IDEMPOTENT, max_attempts=2))
     assert (begun.status, begun.body) == (500, b"e2")
 
 
@@ -187,7 +187,7 @@
     state, script, sockets, changes
 ):
     script.append(answer(200, [b"who knows"], **changes))
-    [given_up] = parts_of(relay_of(state, RouteKind.NON_IDEMPOTENT))
+    [given_up] = parts_of(relay_of(state, AnswerKind.NON_IDEMPOTENT))
     assert given_up.status == 502
 
 
@@ -203,7 +203,7 @@
     first = [EVENT % 1 + EVENT % 2 + b"id: 3\nda", BROKEN]
     second = [EVENT % 3, EVENT % 4]
     script += [answer(200, first), answer(200, second, forwarded=())]
-    relay = relay_of(state, RouteKind.STREAMING, max_attempts=2, resumable=True)
+    relay = relay_of(state, AnswerKind.STREAMING, max_attempts=2, resumable=True)
     begun, *pieces = parts_of(relay)
     assert begun.headers == (("Server-Seal", "s"),)
     data = b"".join(piece.data for piece in pieces if isinstance(piece, Piece))
@@ -213,7 +213,7 @@
 
 def test_a_stream_that_cannot_go_on_does_not_look_complete(state, script, sockets):
     script.append(answer(200, [EVENT % 1, BROKEN]))
-    relay = relay_of(state, RouteKind.STREAMING, max_attempts=1, resumable=True)
+    relay = relay_of(state, AnswerKind.STREAMING, max_attempts=1, resumable=True)
     parts = relay.run()
     assert isinstance(next(parts), Begun)
     assert isinstance(next(parts), Piece)
@@ -228,7 +228,7 @@
     refuse as well, and the group needs seconds to form anew.
     """
     script += [answer(**NOT_RUN, at_fault="10.9.9.9:80"), answer(200, [EVENT % 1])]
-    relay = relay_of(state, RouteKind.STREAMING, max_attempts=2, resumable=True)
+    relay = relay_of(state, AnswerKind.STREAMING, max_attempts=2, resumable=True)
     [given_up] = parts_of(relay)
     assert given_up.failure.retry_after_ms == relays._GROUP_RETRY_MS
     assert len(sockets) == 1
@@ -243,7 +243,7 @@
     refused for want of a place, with the short wait of a queue that moves.
     """
     script += [answer(**NOT_RUN, at_fault="10.9.9.9:80")]
-    relay = relay_of(state, RouteKind.STREAMING, max_attempts=1, resumable=True)
+    relay = relay_of(state, AnswerKind.STREAMING, max_attempts=1, resumable=True)
     parts_of(relay)
     service = relay.service
     service.set_endpoints([], Cell(), state.clock.now())
@@ -257,7 +257,7 @@
     A full rank names itself, by its address, as the cause. Taken for another
     one's name, that looked like a group that is down.
     """
-    relay = relay_of(state, RouteKind.STREAMING, max_attempts=2, resumable=True)
+    relay = relay_of(state, AnswerKind.STREAMING, max_attempts=2, resumable=True)
     addresses = {e.name: e.address for e in relay.service.entries.values()}
     original = attempts.read_reply
 
@@ -281,7 +281,7 @@
 
 def test_every_place_is_given_back(state, script, sockets):
     script += [BROKEN, answer(**NOT_RUN)]
-    relay = relay_of(state, RouteKind.IDEMPOTENT, max_attempts=2)
+    relay = relay_of(state, AnswerKind.IDEMPOTENT, max_attempts=2)
     parts_of(relay)
     assert relay.service.admission.pool.in_flight == 0
     assert all(sock.closed for sock in sockets[:1])
