Take over a change at once, and judge plans by ranks' speeds and streams' gaps

All streams stood still for 3 s and their callers left. Besides: a look at a held group set the next look back with each tick; an order without an answer was waited for for 0.4 s with the group held; a planned skew left out that ranks are slow as such; and the time between two passes says little of how late streams are, since passes that only read are short.

Changes: the row is read before it is taken; 0.45 s of silence within a change; orders are sent again after 150 ms; the lead has room for one of these; skew counts ranks' speeds; a change has to gain less the longer the gaps between events of streams are; two ranks are sampled in small groups; an attempt that broke off may wait in an endpoint's own queue.

--- a/src/azurefold/core/balance/plan.py
+++ b/src/azurefold/core/balance/plan.py
@@ -19,7 +19,8 @@
     placement : Placement
         That of before if nothing changes.
     skew_before, skew_after : float
-        Load of the most loaded rank over the mean.
+        Time of the slowest rank over the time if all were level: its load, and its
+        speed where it is slow as such.
     loads : int
         Weights that ranks have to load.
     """
@@ -103,14 +104,13 @@
     """
     split = even_split(placement, rates, speeds)
     before = split.skew
-    best, best_loads, least_cost = placement, 0, 0.0
+    best, after, best_loads, least_cost = placement, before, 0, 0.0
     while split.skew > 1.0 + policy.tolerated_excess:
         if not split.relieve(loads_per_rank) or split.new_loads > policy.max_loads:
             break
         gained = policy.price_of_excess * (before - split.skew)
         cost = policy.move_weight * split.new_loads - gained
         if cost < least_cost:
-            best, best_loads, least_cost = split.placement(), split.new_loads, cost
-    return LayerPlan(
-        best, layer_skew(placement, rates), layer_skew(best, rates), best_loads
-    )
+            best, after = split.placement(), split.skew
+            best_loads, least_cost = split.new_loads, cost
+    return LayerPlan(best, before, after, best_loads)
--- a/src/azurefold/core/groups/leadership.py
+++ b/src/azurefold/core/groups/leadership.py
@@ -35,7 +35,8 @@
     changing_silence, changing_stagger : int
         The same two while the holder changes a map. It may have the group held: a
         holder that stood still for 4 s then kept all streams from going on for 3 s,
-        after which their callers had gone. Beats come every 150 ms at that time.
+        after which their callers had gone. Beats come every 150 ms at that time; a
+        holder that is succeeded for nothing does no harm.
     stagger : int
         Between two nodes of which the first is to try first.
     retry : int
@@ -49,7 +50,7 @@
 
     silence: Millis = 1_700
     first_silence: Millis = 700
-    changing_silence: Millis = 600
+    changing_silence: Millis = 450
     changing_stagger: Millis = 40
     stagger: Millis = 150
     retry: Millis = 700
--- a/src/azurefold/core/groups/map_orders.py
+++ b/src/azurefold/core/groups/map_orders.py
@@ -6,6 +6,7 @@
 from azurefold.core.clock import Millis
 
 __all__ = [
+    "REPEAT_MS",
     "Arm",
     "AskReport",
     "ChangeAction",
@@ -30,6 +31,14 @@
 """A rank's part in arming all: 16 ranks are armed after some 40 ms, 72 after some
 200, as orders go out one after the other."""
 
+_LOSSY_LEAD_MS: Millis = 400
+"""Of 72 orders to arm some get no answer where one in ten gets none, and each is sent
+again twice on average."""
+
+REPEAT_MS: Millis = 150
+"""Until an order other than to prepare that got no answer is sent again: late enough
+for 72 answers, soon enough that one lost order keeps no group from its pass."""
+
 _ARMING_MARGIN = 1.5
 """On the time that arming all ranks took, for its tail."""
 
@@ -172,9 +181,8 @@
         choice rests on, and the exchanges with the ranks. If it is too short the
         group is held, and all its streams are late.
     lossy_lead : int
-        Added where an order to prepare got no answer: of 72 orders to arm some will
-        get none, and each is sent again twice on average. Without it the group was
-        held for 0.44 s when one order in ten got no answer.
+        Added where an order to prepare got no answer. Without it the group was held
+        for 0.44 s when one order in ten got no answer.
     least_lead_passes : int
         Passes that lie between at least.
     repeat : int
@@ -189,14 +197,16 @@
     prepare_repeat: Millis = 400
     look_every: Millis = 120
     lead: Millis = 260
-    lossy_lead: Millis = 400
+    lossy_lead: Millis = _LOSSY_LEAD_MS
     least_lead_passes: int = 3
     repeat: Millis = 60
     patience: Millis = 1_200
     hold_tries: int = 6
 
 
-def change_policy(size: int, arming_ms: Millis = 0) -> ChangePolicy:
+def change_policy(
+    size: int, arming_ms: Millis = 0, *, orders_get_lost: bool = False
+) -> ChangePolicy:
     """Return the waits of a change for a group of ``size`` ranks.
 
     Parameters
@@ -204,13 +214,18 @@
     size : int
     arming_ms : int
         What arming all ranks took lately; 0 if that is not known.
+    orders_get_lost : bool
+        Whether orders got no answer lately.
 
     Examples
     --------
     >>> change_policy(16).lead, change_policy(72).lead
-    (272, 524)
+    (422, 674)
     >>> change_policy(16, arming_ms=200).lead
-    500
+    650
     """
     arming = arming_ms or _ARM_MS * size
-    return ChangePolicy(lead=_REPORT_AGE_MS + round(_ARMING_MARGIN * arming))
+    lead = _REPORT_AGE_MS + REPEAT_MS + round(_ARMING_MARGIN * arming)
+    if orders_get_lost:
+        return ChangePolicy(lead=lead + _LOSSY_LEAD_MS, lossy_lead=0)
+    return ChangePolicy(lead=lead)
--- a/src/azurefold/core/routing/messages.py
+++ b/src/azurefold/core/routing/messages.py
@@ -51,11 +51,14 @@
         Length of the whole prompt in tokens.
     exclude : frozenset of str, default=frozenset()
         Endpoints that a retry must not go back to.
+    may_queue : bool, default=False
+        Whether it may wait in an endpoint's own queue where all places are taken.
     """
 
     prefixes: tuple[Prefix, ...] = ()
     prompt_tokens: int = 0
     exclude: frozenset[str] = frozenset()
+    may_queue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -293,7 +293,7 @@
     ) -> list[Endpoint]:
         match self._policy.sharing:
             case ExchangedLoads():
-                return all_with_room(self._members.eligible, request, draws[0])
+                return self._with_room(request, draws[0])
             case DividedSlots():
                 drawn = list(draw_two(self._members.eligible, request, draws))
         holders = self._hints.holders(request.prefixes, now)
@@ -304,6 +304,13 @@
             drawn.append(holder)
         return drawn
 
+    def _with_room(self, request: RouteRequest, draw: float) -> list[Endpoint]:
+        eligible = self._members.eligible
+        found = all_with_room(eligible, request, draw)
+        if found or not request.may_queue:
+            return found
+        return [each for each in eligible if each.name not in request.exclude]
+
     def _may_take(self, endpoint: Endpoint, request: RouteRequest) -> bool:
         if endpoint.leaving or endpoint.name in request.exclude:
             return False
--- a/src/azurefold/gateway/attempt.py
+++ b/src/azurefold/gateway/attempt.py
@@ -241,6 +241,7 @@
             timings.first_events.of(service).observe(now - self.call.arrived)
         else:
             timings.event_gaps.of(service).observe(gap)
+            self.service.recent_gap.observe(gap, now)
 
     def _request_bytes(self) -> bytes:
         call = self.call
--- a/src/azurefold/gateway/coordinator.py
+++ b/src/azurefold/gateway/coordinator.py
@@ -165,16 +165,17 @@
         finally:
             self._writing = False
 
-    def _read_row(self) -> None:
-        """Learn who held the row last, and what it knew."""
+    def _read_row(self) -> bool:
+        """Learn who held the row last, and what it knew; return whether it was read."""
         read = self.store.read_table(names.GROUPS)
         if isinstance(read, Unavailable):
-            return
+            return False
         for row in read.rows:
             if row.key == _ROW.key:
                 self._row_version = row.version
                 present = msgspec.json.decode(row.value, type=_Holder)
                 self._popularity = dict(present.popularity)
+        return True
 
     def _coordinate(self) -> None:
         for service in list(self.state.services.values()):
@@ -199,6 +200,16 @@
         services = self.state.services.values()
         if not any(is_worth_balancing(service.view) for service in services):
             return
+        # The holder wrote the row with each change. Taken at its version of long
+        # ago, it would be refused, and only the next try, most of a second later,
+        # would succeed: with the group held, its streams stand still so long.
+        known = max(self._row_version, self.leadership.term)
+        if not self._read_row():
+            self.leadership.unanswered(self.state.clock.now())
+            return
+        if self._row_version > known:
+            self.leadership.refused(self._row_version, self.state.clock.now())
+            return
         self._write("lease_taken", logging.INFO)
 
     def _write(self, event: str, level: int) -> None:
--- a/src/azurefold/gateway/exchange.py
+++ b/src/azurefold/gateway/exchange.py
@@ -34,8 +34,8 @@
 """At the latest a message is sent although nothing has changed."""
 
 _CHANGING_MS: Millis = 150
-"""The same while this node changes a group's map: others take over after 600 ms then,
-so four messages have to be lost in a row."""
+"""The same while this node changes a group's map: others take over after 450 ms then,
+so three messages have to be lost in a row."""
 
 _MOST_BYTES = 1_400
 
--- /dev/null
+++ b/src/azurefold/gateway/group_change.py
@@ -0,0 +1,210 @@
+"""Carries one group's map changes out: orders to ranks, and what comes of them."""
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from azurefold.core.balance.placement import Placement
+from azurefold.core.balance.plan import MapPlan
+from azurefold.core.clock import Millis
+from azurefold.core.groups.map_change import MapChange, may_take_up, resumed_change
+from azurefold.core.groups.map_orders import (
+    AskReport,
+    ChangeAction,
+    ChangeEnd,
+    Ended,
+    Prepare,
+    RankOrder,
+    SendOrder,
+    Verdict,
+    change_policy,
+)
+from azurefold.gateway.group_watch import GroupWatch
+from azurefold.internal.logs import log_event
+
+__all__ = ["GroupChanges", "Row"]
+
+_log = logging.getLogger("azurefold.gateway")
+
+_STALE_HOLD_MS: Millis = 500
+"""After a change of ours, for which reports may still show its hold."""
+
+_LOSSY_FOR_MS: Millis = 8_000
+"""After an order that got no answer, for which more of them are expected."""
+
+
+class Row(Protocol):
+    """The coordinator's row, as changes need it."""
+
+    def next_version(self) -> int | None:
+        """Return the version of a new map; None if none may be made."""
+
+    def resign(self) -> None:
+        """Give the row up."""
+
+
+@dataclass(slots=True)
+class GroupChanges:
+    """The change under way, and what earlier ones have taught.
+
+    Parameters
+    ----------
+    watch : GroupWatch
+    row : Row
+    """
+
+    watch: GroupWatch
+    row: Row
+    _change: MapChange | None = None
+    _planned: tuple[Placement, ...] = ()
+    _began: Millis = 0
+    _ended_at: Millis = -1_000_000
+    _arming_ms: Millis = 0
+    _order_lost_at: Millis = -1_000_000
+    _switch_step: int = 0
+    _switch_epoch: int = 0
+
+    @property
+    def is_under_way(self) -> bool:
+        """Whether a change is under way."""
+        return self._change is not None
+
+    @property
+    def is_switched(self) -> bool:
+        """Whether the pass has begun from which the newest map is in force.
+
+        Before it ranks are armed, and would refuse to prepare another map.
+        """
+        view = self.watch.view
+        return view.epoch != self._switch_epoch or view.step >= self._switch_step
+
+    @property
+    def _now(self) -> Millis:
+        return self.watch.state.clock.now()
+
+    @property
+    def _service(self) -> str:
+        return self.watch.service.view.name
+
+    def tick(self) -> None:
+        """Send again what got no answer."""
+        self._act(self._change.tick(self._now))
+
+    def begin(self, plan: MapPlan) -> None:
+        """Begin a change to the planned map, if this node may make one."""
+        version = self.row.next_version()
+        if version is None:
+            return
+        now = self._now
+        view = self.watch.view
+        self._planned = plan.placements
+        lossy = now - self._order_lost_at < _LOSSY_FOR_MS
+        policy = change_policy(view.size, self._arming_ms, orders_get_lost=lossy)
+        self._change = MapChange(version, view.epoch, view.size, policy)
+        self._change.stepped(view.step, view.step_at)
+        self._began = now
+        self._act(self._change.begin(view.pass_ms, now))
+
+    def take_up_hold(self) -> None:
+        """Bring to its end what another coordinator has left behind.
+
+        Reports are some hundred milliseconds old, and show a hold of our own for
+        as long after its end; then a second look decides.
+        """
+        if self.watch.looked_at - self._ended_at < _STALE_HOLD_MS:
+            return
+        views = [self.watch.view.views[rank] for rank in range(self.watch.view.size)]
+        if not may_take_up(views) or self.row.next_version() is None:
+            return
+        policy = change_policy(self.watch.view.size)
+        resumed = resumed_change(views, policy, self._now)
+        if resumed is None:
+            return
+        self._change, actions = resumed
+        self._planned = ()
+        self._began = self._now
+        log_event(
+            _log,
+            "hold_taken_up",
+            logging.WARNING,
+            service=self._service,
+            version=self._change.version,
+            step=self._change.step,
+            phase=self._change.phase,
+        )
+        self._act(actions)
+
+    def _act(self, actions: Iterable[ChangeAction]) -> None:
+        for action in actions:
+            match action:
+                case SendOrder(rank=rank, order=order):
+                    self.watch.calls.spawn(self._give, self._change, rank, order)
+                case AskReport(rank=rank):
+                    self.watch.calls.spawn(self._ask_report, self._change, rank)
+                case Ended(end=end):
+                    self._ended(end)
+
+    def _give(self, change: MapChange, rank: int, order: RankOrder) -> None:
+        client = self.watch.client_of(rank)
+        placements = self._planned if isinstance(order, Prepare) else ()
+        verdict = client.give(order, change.epoch, placements)
+        if change is not self._change:
+            return
+        if verdict is Verdict.LOST:
+            self._order_lost_at = self._now
+        if verdict is not Verdict.ACCEPTED:
+            log_event(
+                _log,
+                "order_not_accepted",
+                logging.WARNING,
+                service=self._service,
+                version=change.version,
+                rank=rank,
+                order=order,
+                verdict=verdict.value,
+                phase=change.phase,
+            )
+        self._act(change.answered(rank, order, verdict, self._now))
+
+    def _ask_report(self, change: MapChange, rank: int) -> None:
+        report = self.watch.client_of(rank).report()
+        if change is not self._change or report is None:
+            return
+        now = self._now
+        self.watch.view.stepped(report.view.step, now)
+        self._act(change.reported(report.view, now))
+
+    def _ended(self, end: ChangeEnd) -> None:
+        now = self._now
+        change, self._change = self._change, None
+        log_event(
+            _log,
+            "map_change_ended",
+            service=self._service,
+            version=change.version,
+            end=end.value,
+            step=change.step,
+            took_ms=now - self._began,
+            arming_ms=change.arming_ms,
+            lead_ms=change.policy.lead,
+        )
+        self._learn_arming(change.arming_ms)
+        self.watch.look_soon()
+        self.watch.sampled_at = self._ended_at = now
+        if end is ChangeEnd.IN_FORCE:
+            self._switch_step, self._switch_epoch = change.step, change.epoch
+        if end is ChangeEnd.IN_FORCE and self._planned:
+            self.watch.map_is(change.version, self._planned)
+        if end is ChangeEnd.STUCK:
+            self.row.resign()
+
+    def _learn_arming(self, arming_ms: Millis) -> None:
+        """Learn what arming takes: longer at once, shorter by and by.
+
+        A lead too short stops the group. Orders that got no answer have a lead of
+        their own.
+        """
+        if self._order_lost_at >= self._began:
+            return
+        self._arming_ms = max(arming_ms, (self._arming_ms + arming_ms) // 2)
--- a/src/azurefold/gateway/map_planning.py
+++ b/src/azurefold/gateway/map_planning.py
@@ -21,10 +21,13 @@
 _SAMPLE_EVERY_MS: Millis = 1_000
 """Popularity can change from one second to the next."""
 
-_SAMPLED_RANKS = 4
+_FEWEST_SAMPLED = 2
+_MOST_SAMPLED = 4
+_LARGE_GROUP = 32
 """All ranks see much the same popularity: one rank's counts of a second have 92 in
-100 in common with those of all 72 ranks, four ranks' 95, eight ranks' 96 (read from
-all ranks twice a second for 20 s under load)."""
+100 in common with those of all 72 ranks, two ranks' 94, four ranks' 95, eight ranks'
+96 (read from all ranks twice a second for 20 s under load). Ranks of a large group
+that serves more requests are cheap to ask beside those."""
 
 _NUMBERS_A_SECOND = 8_192
 """Counts read from ranks: each has a price, and 400 of them stop the group for half
@@ -47,18 +50,16 @@
 
 _MEGABYTES = 1_000.0
 
-_LEAST_GAIN = 0.12
-"""Mean skew that a change has to gain: it takes two exchanges with all ranks,
-and loading slows the passes by 15 in 100."""
-
-_EASY_GAIN = 0.5
-"""The same while passes are quick: nobody is late by some skew then."""
-
-_QUICK_PASS_MS = 42.0
-"""A pass well below the 120 ms that callers are promised between events."""
+_GAINS = ((75, 0.12), (50, 0.5))
+_EASY_GAIN = 0.9
+"""Mean skew that a change has to gain where the longest gap between two events is of
+so many milliseconds or more, and where it is shorter. A change takes two exchanges
+with all ranks, and loading slows the passes by 15 in 100; callers are promised 120 ms
+between events, so that nobody is late by some skew while gaps are short."""
 
+_EASY_GAP_MS: Millis = 50
 _EASY_SAMPLE_FACTOR = 2
-"""Samples are as many times rarer while passes are quick."""
+"""Samples are as many times rarer while gaps are shorter than that."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,15 +82,17 @@
     return view.engine is not None and view.engine.splits_experts
 
 
-def sampling_of(view: GroupView, engine: Engine) -> Sampling:
+def sampling_of(view: GroupView, engine: Engine, longest_gap: Millis) -> Sampling:
     """Return how a group is sampled at present."""
     numbers = _numbers_of_a_rank(engine)
     affordable = max(1, _NUMBERS_A_SECOND // numbers)
-    ranks = min(_SAMPLED_RANKS, view.size, affordable)
+    wanted = _MOST_SAMPLED if view.size >= _LARGE_GROUP else _FEWEST_SAMPLED
+    ranks = min(wanted, view.size, affordable)
     if view.popularity.samples == 0:
         return Sampling(ranks, _FIRST_SAMPLE_MS)
     usual = max(_SAMPLE_EVERY_MS, ranks * numbers * 1_000 // _NUMBERS_A_SECOND)
-    return Sampling(ranks, usual * _EASY_SAMPLE_FACTOR if _is_easy(view) else usual)
+    is_easy = longest_gap < _EASY_GAP_MS
+    return Sampling(ranks, usual * _EASY_SAMPLE_FACTOR if is_easy else usual)
 
 
 def plan_map(view: GroupView, engine: Engine) -> MapPlan:
@@ -108,14 +111,13 @@
     return MapPlan(tuple(layers))
 
 
-def is_worth_changing(view: GroupView, plan: MapPlan) -> bool:
-    """Whether a plan gains enough at the present pace."""
-    least = _EASY_GAIN if _is_easy(view) else _LEAST_GAIN
-    return plan.skew_before - plan.skew_after >= least
+def is_worth_changing(plan: MapPlan, longest_gap: Millis) -> bool:
+    """Whether a plan gains enough while events of streams are so far apart."""
+    return plan.skew_before - plan.skew_after >= _least_gain(longest_gap)
 
 
-def _is_easy(view: GroupView) -> bool:
-    return view.pass_ms < _QUICK_PASS_MS
+def _least_gain(longest_gap: Millis) -> float:
+    return next((gain for gap, gain in _GAINS if longest_gap >= gap), _EASY_GAIN)
 
 
 def _numbers_of_a_rank(engine: Engine) -> int:
--- a/src/azurefold/gateway/relay.py
+++ b/src/azurefold/gateway/relay.py
@@ -132,7 +132,11 @@
             tokens=call.tokens,
             deadline=min(call.deadline, now + _LONGEST_WAIT_MS),
             route=RouteRequest(
-                prompt_tokens=call.head.prompt_tokens, exclude=frozenset(self.tried)
+                prompt_tokens=call.head.prompt_tokens,
+                exclude=frozenset(self.tried),
+                # What broke off would be lost for want of a free place, though
+                # endpoints queue a few requests themselves.
+                may_queue=self._progress.dispatched and not self._progress.group_down,
             ),
         )
 
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from azurefold.core.admission.queue import FairQueue, QueuePolicy
+from azurefold.core.attempts.events import RecentGap
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import RoutedService
@@ -51,6 +52,8 @@
         Its endpoints by name.
     is_divided : bool
         Whether its endpoints are dealt out to cells of gateways.
+    recent_gap : RecentGap
+        Of its streams through this gateway.
     """
 
     view: RoutedService
@@ -58,6 +61,7 @@
     admission: Admission
     entries: dict[str, EndpointEntry] = field(default_factory=dict)
     is_divided: bool = False
+    recent_gap: RecentGap = field(default_factory=RecentGap)
     _down_until: Millis = 0
 
     @property
--- a/src/azurefold/platform/ranks.py
+++ b/src/azurefold/platform/ranks.py
@@ -10,6 +10,7 @@
 from azurefold.core.balance.placement import Placement
 from azurefold.core.clock import Millis
 from azurefold.core.groups.map_orders import (
+    REPEAT_MS,
     Arm,
     Disarm,
     Hold,
@@ -27,10 +28,6 @@
 _CALL_TIMEOUT_MS: Millis = 400
 """An answer takes some 5 ms, that to a map of 72 ranks on a slow link 200."""
 
-_HELD_TIMEOUT_MS: Millis = 150
-"""For orders that are given while the group is held, or about to be: one that gets no
-answer is sent again before the streams of the whole group are late."""
-
 _SECOND_MS = 1_000
 _OPEN = "open"
 
@@ -139,7 +136,7 @@
     ) -> Verdict:
         """Give an order and return what came of it."""
         body = msgspec.json.encode(_order(order, epoch, placements))
-        timeout = _CALL_TIMEOUT_MS if placements else _HELD_TIMEOUT_MS
+        timeout = _CALL_TIMEOUT_MS if placements else REPEAT_MS
         answer = self._ask("POST", "/order", body, timeout)
         if answer is None:
             return Verdict.LOST
