Send a read whose connection was reset once more, not three times more

The client library repeats a read for each connection that its pool may hold, so each try of each of 42 gateways was four calls; without any reset it never shows.

--- a/src/azurefold/internal/http_client.py
+++ b/src/azurefold/internal/http_client.py
@@ -22,6 +22,9 @@
 _SECOND_MS = 1_000
 _BLOCK_BYTES = 16_384
 
+_REPEATS = 1
+"""Of a call whose connection ends before its answer."""
+
 
 class _Pool(ConnectionPool):
     """Connections without delayed writes, made for streams."""
@@ -53,6 +56,12 @@
         connection_timeout=connect_timeout_ms / _SECOND_MS,
         network_timeout=read_timeout_ms / _SECOND_MS,
     )
+    # The client sends what may be repeated once more for each connection that the
+    # pool may hold, should they all have been closed meanwhile. Before a server that
+    # resets every connection that made four calls of one, each of which has its price
+    # and its part of the server's rate. One repeat is enough: for that the client
+    # opens a new connection.
+    client._connection_pool.size = _REPEATS - 1
     return client
 
 
