--- /dev/null
+++ b/tests/gateway/test_a_coordinator_takes_over_at_once.py
@@ -0,0 +1,67 @@
+"""A row whose holder has fallen silent is taken at its present version."""
+
+import msgspec
+import pytest
+
+from azurefold.core.clock import manual_clock
+from azurefold.core.routes.model import Engine, RoutedService, RoutingConfiguration
+from azurefold.gateway.coordinator import _Holder, new_coordinator
+from azurefold.gateway.exchange import PeerMessage
+from azurefold.gateway.state import new_gateway_state
+from azurefold.platform.store_messages import Applied, StoredRow, StoredRows
+
+ENGINE = Engine(slots=4, layer_sets=1, experts=4, places=2)
+
+
+def row_of(node, version):
+    value = msgspec.json.encode(_Holder(node, 1, {"drafts": [[1, 2, 3, 4]]}))
+    return StoredRows((StoredRow("coordinator", version, value, False),), version)
+
+
+def beat(term):
+    return PeerMessage("gateway-2", 1, term, 7_000, 1, 1, term, 0, (), {}, True)
+
+
+@pytest.fixture
+def coordinator(store, settings, time):
+    state = new_gateway_state(settings, manual_clock(time))
+    service = RoutedService("drafts", 100, ENGINE)
+    state.apply(RoutingConfiguration(version=1, services={"drafts": service}))
+    return new_coordinator(state, store, 1, 0, lambda: (0, 0))
+
+
+def test_the_first_try_after_a_silence_succeeds(coordinator, store):
+    """A held group stands still for most of a second longer than it has to.
+
+    The holder writes its row with each change of a map. Its successor knew the row's
+    version of long ago, and its first try to take the row was refused.
+    """
+    coordinator.heard(beat(term=30))
+    store.script = [row_of("gateway-2", 30), Applied(31)]
+    coordinator._take()
+    assert coordinator.coordination.term == 31
+    [(expected, _, _)] = store.written
+    assert [version for _, version in expected] == [30]
+
+
+def test_the_popularity_of_the_last_holder_is_kept(coordinator, store):
+    coordinator.heard(beat(term=30))
+    store.script = [row_of("gateway-2", 30), Applied(31)]
+    coordinator._take()
+    [(_, [write], _)] = store.written
+    kept = msgspec.json.decode(write.value, type=_Holder)
+    assert kept.popularity == {"drafts": [[1, 2, 3, 4]]}
+
+
+def test_a_row_that_somebody_else_has_taken_is_left_to_them(coordinator, store):
+    coordinator.heard(beat(term=30))
+    store.script = [row_of("gateway-3", 44)]
+    coordinator._take()
+    assert store.written == []
+    assert not coordinator.leadership.holds
+
+
+def test_without_the_store_nothing_is_taken(coordinator, store):
+    coordinator.heard(beat(term=30))
+    coordinator._take()
+    assert store.written == []
