--- a/src/azurefold/gateway/group_change.py
+++ b/src/azurefold/gateway/group_change.py
@@ -104,7 +104,7 @@
         self._change = MapChange(version, view.epoch, view.size, policy)
         self._change.stepped(view.step, view.step_at)
         self._began = now
-        self._act(self._change.begin(view.expected_pass_ms, now))
+        self._act(self._change.begin(view.pass_ms, now))
 
     def take_up_hold(self) -> None:
         """Bring to its end what another coordinator has left behind.
--- a/src/azurefold/gateway/group_view.py
+++ b/src/azurefold/gateway/group_view.py
@@ -12,10 +12,6 @@
 _PASS_SMOOTHING = 0.4
 _USUAL_PASS_MS = 60.0
 
-_SLOW_RANK_PART = 0.5
-"""Of a rank's slowness that passes are sure to show, whatever it holds: a pass waits
-for the slowest rank, but some of it is not the ranks' work."""
-
 
 @dataclass(slots=True)
 class GroupView:
@@ -79,18 +75,6 @@
         versions = {view.version for view in self.views.values()}
         return versions.pop() if len(versions) == 1 else None
 
-    @property
-    def expected_pass_ms(self) -> float:
-        """Time that a pass is expected to take from now on.
-
-        When ranks have just turned slow, passes take many times as long as they
-        did, and none has ended yet that would show it. A new map would then be in
-        force eight long passes later, as many as were short ones in half a second:
-        7 s in which a group was 11 times as slow as with the map that was ready.
-        """
-        slowest = max((view.pace for view in self.views.values()), default=1.0)
-        return self.pass_ms * max(1.0, slowest * _SLOW_RANK_PART)
-
     @property
     def is_held(self) -> bool:
         """Whether any rank keeps the group from a pass."""
