Keep the groups of one service apart, and balance the first of them only

There the ranks of a service form several groups, each numbered from 0. The coordinator took all reports for one group's, and armed ranks of several groups for a pass that it held in one. Ruled out: the protocol of a change (its state machine holds, with rivals and lost orders). Groups beside it keep the map they form with: safe, not yet balanced.

--- a/src/azurefold/gateway/group_watch.py
+++ b/src/azurefold/gateway/group_watch.py
@@ -108,6 +108,11 @@
             if self.view is not None:
                 self.view.silent(endpoint)
             return
+        if self.view is not None and self.view.name != report.group:
+            # Ranks of a service may form several groups. Taken for one, ranks of
+            # both would be armed for a pass that only one of them is held before,
+            # and a group would run a pass under two maps.
+            return
         if self.view is None or self.view.size != report.size:
             popularity = SampledPopularity(_MEMORY_MS)
             popularity.restore(self.known_popularity, now)
