Give the gateway's modules rooms by job

Cause: 26 modules lay side by side in gateway/, and what belongs to one job had to be known by heart. Rooms now: callers (a request from its head to its answer), endpoints (an attempt and its reply), groups (coordination of ranks' maps), peers (the other gateways), store (what its feeds tell).

Only moves and imports; nothing decides differently. Ruled out: splitting modules in the same step, as a move and an edit of one file are hard to read together.

--- /dev/null
+++ b/src/azurefold/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests: read, run, and answered."""
--- a/src/azurefold/gateway/app.py
+++ b/src/azurefold/gateway/callers/app.py
@@ -16,9 +16,9 @@
 from azurefold.core.clock import Millis
 from azurefold.core.routes.model import KeyHolder, Route, RoutingConfiguration
 from azurefold.core.routes.table import choose_service
-from azurefold.gateway.calls import Begun, Call, GivenUp, Part, Piece
-from azurefold.gateway.front import CONNECTION, CallerConnection
-from azurefold.gateway.relay import Relay
+from azurefold.gateway.callers.calls import Begun, Call, GivenUp, Part, Piece
+from azurefold.gateway.callers.front import CONNECTION, CallerConnection
+from azurefold.gateway.callers.relay import Relay
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
 from azurefold.platform.headers import (
--- a/src/azurefold/gateway/front.py
+++ b/src/azurefold/gateway/callers/front.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.greenlet import Greenlet
 
-from azurefold.gateway.calls import CallerGoneError
+from azurefold.gateway.callers.calls import CallerGoneError
 from azurefold.internal.http_server import RequestHandler, TimedServer, http_server
 
 __all__ = ["CONNECTION", "CallerConnection", "front_server"]
@@ -127,5 +127,8 @@
 def front_server(address: str, application: Callable) -> TimedServer:
     """Return the server for callers, not yet started."""
     return http_server(
-        address, application, "azurefold.gateway.front", handler_class=_FrontHandler
+        address,
+        application,
+        "azurefold.gateway.front",
+        handler_class=_FrontHandler,
     )
--- a/src/azurefold/gateway/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -13,8 +13,7 @@
 from azurefold.core.routes.model import AnswerKind
 from azurefold.core.routing.messages import RouteRequest
 from azurefold.entry.admission import Ticket
-from azurefold.gateway.attempt import Attempt, Progress
-from azurefold.gateway.calls import (
+from azurefold.gateway.callers.calls import (
     AnswerCutOffError,
     Call,
     CallerGoneError,
@@ -22,6 +21,7 @@
     GivenUp,
     Part,
 )
+from azurefold.gateway.endpoints.attempt import Attempt, Progress
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
--- /dev/null
+++ b/src/azurefold/gateway/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at bare endpoints, and reading what they answer."""
--- a/src/azurefold/gateway/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -16,7 +16,7 @@
     Outcome,
     Refused,
 )
-from azurefold.gateway.calls import (
+from azurefold.gateway.callers.calls import (
     Begun,
     Call,
     CallerGoneError,
@@ -24,8 +24,8 @@
     Part,
     Piece,
 )
-from azurefold.gateway.connections import Link
-from azurefold.gateway.reply import BrokenReplyError, Reply, read_reply
+from azurefold.gateway.endpoints.connections import Link
+from azurefold.gateway.endpoints.reply import BrokenReplyError, Reply, read_reply
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
--- a/src/azurefold/gateway/reply.py
+++ b/src/azurefold/gateway/endpoints/reply.py
@@ -9,7 +9,7 @@
 )
 
 from azurefold.core.clock import Millis
-from azurefold.gateway.connections import Link
+from azurefold.gateway.endpoints.connections import Link
 from azurefold.platform.headers import AnswerHead, read_answer
 
 __all__ = ["BrokenReplyError", "Reply", "read_reply"]
--- a/src/azurefold/gateway/group_change.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -20,7 +20,7 @@
     Verdict,
     change_policy,
 )
-from azurefold.gateway.group_watch import GroupWatch
+from azurefold.gateway.groups.watch import GroupWatch
 from azurefold.internal.logs import log_event
 
 __all__ = ["GroupChanges", "Row"]
--- a/src/azurefold/gateway/group_control.py
+++ b/src/azurefold/gateway/groups/control.py
@@ -4,9 +4,13 @@
 from dataclasses import dataclass
 
 from azurefold.core.balance.plan import MapPlan
-from azurefold.gateway.group_change import GroupChanges, Row
-from azurefold.gateway.group_watch import GroupWatch
-from azurefold.gateway.map_planning import is_worth_changing, plan_map, sampling_of
+from azurefold.gateway.groups.changes import GroupChanges, Row
+from azurefold.gateway.groups.map_planning import (
+    is_worth_changing,
+    plan_map,
+    sampling_of,
+)
+from azurefold.gateway.groups.watch import GroupWatch
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
--- a/src/azurefold/gateway/coordinator.py
+++ b/src/azurefold/gateway/groups/coordinator.py
@@ -11,9 +11,9 @@
 from azurefold.core.groups.leadership import Beat, Leadership
 from azurefold.core.groups.messages import order_number
 from azurefold.core.routing.peer_loads import endpoint_mark
-from azurefold.gateway.exchange import Coordination, PeerMessage
-from azurefold.gateway.group_control import GroupControl, new_group_control
-from azurefold.gateway.map_planning import is_worth_balancing
+from azurefold.gateway.groups.control import GroupControl, new_group_control
+from azurefold.gateway.groups.map_planning import is_worth_balancing
+from azurefold.gateway.peers.exchange import Coordination, PeerMessage
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
 from azurefold.platform import names
--- a/src/azurefold/gateway/map_planning.py
+++ b/src/azurefold/gateway/groups/map_planning.py
@@ -8,7 +8,7 @@
 from azurefold.core.balance.policy import BalancePolicy, Split
 from azurefold.core.clock import Millis
 from azurefold.core.routes.model import Engine, RoutedService
-from azurefold.gateway.group_view import GroupView
+from azurefold.gateway.groups.view import GroupView
 
 __all__ = [
     "Sampling",
--- a/src/azurefold/gateway/group_watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -9,8 +9,8 @@
 from azurefold.core.balance.plan import map_zero
 from azurefold.core.clock import Millis
 from azurefold.core.groups.samples import SampledPopularity
-from azurefold.gateway.group_view import GroupView
-from azurefold.gateway.rank_calls import RankCalls
+from azurefold.gateway.groups.rank_calls import RankCalls
+from azurefold.gateway.groups.view import GroupView
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
--- /dev/null
+++ b/src/azurefold/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other gateways: who they are and what they tell."""
--- a/src/azurefold/gateway/peers.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -10,10 +10,10 @@
 import msgspec
 
 from azurefold.core.clock import Millis
-from azurefold.gateway.coordinator import Coordinator, new_coordinator
-from azurefold.gateway.exchange import Exchange, Peer, PeerMessage, new_exchange
-from azurefold.gateway.news import News
+from azurefold.gateway.groups.coordinator import Coordinator, new_coordinator
+from azurefold.gateway.peers.exchange import Exchange, Peer, PeerMessage, new_exchange
 from azurefold.gateway.state import GatewayState
+from azurefold.gateway.store.news import News
 from azurefold.platform import names
 from azurefold.platform.store import StoreClient
 from azurefold.platform.store_messages import (
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -8,13 +8,13 @@
 from gevent.event import Event
 
 from azurefold.core.clock import Millis
-from azurefold.gateway.app import GatewayApp
-from azurefold.gateway.front import front_server
+from azurefold.gateway.callers.app import GatewayApp
+from azurefold.gateway.callers.front import front_server
 from azurefold.gateway.metrics import gateway_registry
-from azurefold.gateway.news import News, new_news
-from azurefold.gateway.peers import new_peers
+from azurefold.gateway.peers.membership import new_peers
 from azurefold.gateway.settings import changed_settings
 from azurefold.gateway.state import GatewayState, new_gateway_state
+from azurefold.gateway.store.news import News, new_news
 from azurefold.internal.admin_http import AdminViews, admin_server
 from azurefold.internal.clock import suspended_time_clock
 from azurefold.internal.http_server import TimedServer
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -10,7 +10,7 @@
 from azurefold.core.routes.table import RouteTable, route_table
 from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.retries import RetryPolicy
-from azurefold.gateway.connections import EndpointLinks
+from azurefold.gateway.endpoints.connections import EndpointLinks
 from azurefold.gateway.service_state import (
     GatewayService,
     new_gateway_service,
--- /dev/null
+++ b/src/azurefold/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Following the tables of the platform's store."""
--- a/src/azurefold/gateway/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from azurefold.core.clock import Millis
-from azurefold.gateway.followers import TableFollower
 from azurefold.gateway.state import GatewayState
+from azurefold.gateway.store.followers import TableFollower
 from azurefold.internal.logs import log_event
 from azurefold.platform import configuration as configurations
 from azurefold.platform import registry as registries
--- a/tests/gateway/test_a_coordinator_takes_over_at_once.py
+++ b/tests/gateway/test_a_coordinator_takes_over_at_once.py
@@ -5,8 +5,8 @@
 
 from azurefold.core.clock import manual_clock
 from azurefold.core.routes.model import Engine, RoutedService, RoutingConfiguration
-from azurefold.gateway.coordinator import _Holder, new_coordinator
-from azurefold.gateway.exchange import PeerMessage
+from azurefold.gateway.groups.coordinator import _Holder, new_coordinator
+from azurefold.gateway.peers.exchange import PeerMessage
 from azurefold.gateway.state import new_gateway_state
 from azurefold.platform.store_messages import Applied, StoredRow, StoredRows
 
--- a/tests/gateway/test_beats_reach_all_cells.py
+++ b/tests/gateway/test_beats_reach_all_cells.py
@@ -3,8 +3,8 @@
 import pytest
 
 from azurefold.core.clock import manual_clock
-from azurefold.gateway import exchange as exchange_module
-from azurefold.gateway.exchange import Coordination, Peer, new_exchange
+from azurefold.gateway.peers import exchange as exchange_module
+from azurefold.gateway.peers.exchange import Coordination, Peer, new_exchange
 from azurefold.gateway.state import new_gateway_state
 
 SECOND_MS = 1_000
--- a/tests/gateway/test_changes_pay_for_themselves.py
+++ b/tests/gateway/test_changes_pay_for_themselves.py
@@ -5,8 +5,8 @@
 from azurefold.core.balance.plan import LayerPlan, MapPlan, map_zero
 from azurefold.core.groups.samples import SampledPopularity
 from azurefold.core.routes.model import Engine
-from azurefold.gateway.group_view import GroupView
-from azurefold.gateway.map_planning import is_worth_changing, sampling_of
+from azurefold.gateway.groups.map_planning import is_worth_changing, sampling_of
+from azurefold.gateway.groups.view import GroupView
 
 SMALL = Engine(slots=6, layer_sets=4, experts=64, places=5, expert_mb=880.0)
 LARGE = Engine(slots=5, layer_sets=12, experts=144, places=3, expert_mb=130.0)
--- a/tests/gateway/test_groups_of_a_service_are_kept_apart.py
+++ b/tests/gateway/test_groups_of_a_service_are_kept_apart.py
@@ -5,7 +5,7 @@
 from azurefold.core.clock import manual_clock
 from azurefold.core.groups.map_orders import RankView
 from azurefold.core.routes.model import Engine, RoutedService
-from azurefold.gateway.group_watch import GroupWatch
+from azurefold.gateway.groups.watch import GroupWatch
 from azurefold.gateway.service_state import new_gateway_service, retry_policy
 from azurefold.gateway.state import new_gateway_state
 from azurefold.platform.ranks import RankReport
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -4,7 +4,7 @@
 import pytest
 
 from azurefold.core.routes.model import AnswerKind
-from azurefold.gateway.news import new_news
+from azurefold.gateway.store.news import new_news
 from azurefold.platform import configuration as configurations
 from azurefold.platform import registry as registries
 from azurefold.platform.configuration import (
--- a/tests/gateway/test_ranks_are_asked_at_once.py
+++ b/tests/gateway/test_ranks_are_asked_at_once.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from azurefold.gateway.rank_calls import RankCalls
+from azurefold.gateway.groups.rank_calls import RankCalls
 
 
 def test_a_call_that_is_stopped_has_no_answer():
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -14,12 +14,18 @@
     RoutingConfiguration,
 )
 from azurefold.core.routing.cells import Cell
-from azurefold.gateway import attempt as attempts
-from azurefold.gateway import relay as relays
-from azurefold.gateway.calls import AnswerCutOffError, Begun, Call, GivenUp, Piece
-from azurefold.gateway.connections import Link
-from azurefold.gateway.relay import Relay
-from azurefold.gateway.reply import BrokenReplyError
+from azurefold.gateway.callers import relay as relays
+from azurefold.gateway.callers.calls import (
+    AnswerCutOffError,
+    Begun,
+    Call,
+    GivenUp,
+    Piece,
+)
+from azurefold.gateway.callers.relay import Relay
+from azurefold.gateway.endpoints import attempt as attempts
+from azurefold.gateway.endpoints.connections import Link
+from azurefold.gateway.endpoints.reply import BrokenReplyError
 from azurefold.platform.headers import AnswerHead, read_request
 
 EVENT = b"id: %d\ndata: x\n\n"
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -7,9 +7,9 @@
 import pytest
 
 from azurefold.core.clock import manual_clock
-from azurefold.gateway import followers
-from azurefold.gateway.followers import TableFollower
-from azurefold.gateway.news import _Behind
+from azurefold.gateway.store import followers
+from azurefold.gateway.store.followers import TableFollower
+from azurefold.gateway.store.news import _Behind
 from azurefold.internal.clock import monotonic_clock
 from azurefold.internal.http_server import http_server
 from azurefold.platform.store import store_client
