--- a/src/azurefold/core/admission/queue.py
+++ b/src/azurefold/core/admission/queue.py
@@ -73,6 +73,7 @@
         self._drains = {priority: DrainRate() for priority in Priority}
         self._items: dict[str, QueueItem] = {}
         self._latest_starts: list[tuple[Millis, str]] = []
+        self._paused = False
         self._draft_credit = 0.0
         self._late: list[QueueItem] = []
 
@@ -114,6 +115,24 @@
         self._push(item, now)
         return Queued(displaced=(refusal,))
 
+    def pause(self, now: Millis) -> None:
+        """Note that nothing can be taken for a while, whatever waits.
+
+        What goes wrong without: the rate at which the queue empties falls to
+        nothing during an outage, and for seconds after it requests that could be
+        served at once are refused, because the queue looks slow.
+        """
+        self._paused = True
+        for drain in self._drains.values():
+            drain.emptied(now)
+
+    def resume(self, now: Millis) -> None:
+        """Note that requests can be taken again."""
+        self._paused = False
+        for priority, queue in self._classes.items():
+            if len(queue):
+                self._drains[priority].waiting(now)
+
     def take(self, now: Millis, *, drafts: bool = True) -> QueueItem | None:
         """Take the request that goes next, or ``None`` if nothing waits.
 
@@ -174,7 +193,8 @@
         queue = self._classes[item.priority]
         if queue.length_of(item.organisation) >= self._policy.max_per_organisation:
             return RefusedReason.ORGANISATION_FULL
-        if now + self.expected_wait(item, now) > item.latest_start:
+        expected = 0.0 if self._paused else self.expected_wait(item, now)
+        if now + expected > item.latest_start:
             return RefusedReason.DEADLINE
         return None
 
@@ -224,7 +244,8 @@
         self._items[item.request_id] = item
         self._classes[item.priority].push(item)
         heappush(self._latest_starts, (item.latest_start, item.request_id))
-        self._drains[item.priority].waiting(now)
+        if not self._paused:
+            self._drains[item.priority].waiting(now)
 
     def _remove(self, item: QueueItem, now: Millis) -> None:
         del self._items[item.request_id]
--- a/src/azurefold/core/groups/samples.py
+++ b/src/azurefold/core/groups/samples.py
@@ -14,13 +14,14 @@
 
     Parameters
     ----------
-    rank : int
+    endpoint : str
+        Ranks of several groups are sampled, so their numbers name none of them.
     epoch : int
     counts : tuple of tuple of int, shape (n_layers, n_experts)
         How often the rank's requests chose each expert.
     """
 
-    rank: int
+    endpoint: str
     epoch: int
     counts: tuple[tuple[int, ...], ...]
 
@@ -42,7 +43,7 @@
     time_constant: Millis
     layers: tuple[Popularity, ...] = ()
     samples: int = 0
-    _last: dict[int, CountSample] = field(default_factory=dict)
+    _last: dict[str, CountSample] = field(default_factory=dict)
     _sampled_at: Millis = 0
 
     @property
@@ -57,7 +58,7 @@
         """
         grown = [g for sample in samples if (g := self._growth(sample)) is not None]
         for sample in samples:
-            self._last[sample.rank] = sample
+            self._last[sample.endpoint] = sample
         span = max(1, now - self._sampled_at)
         self._sampled_at = now
         if not grown or not any(map(any, grown[0])):
@@ -76,6 +77,10 @@
         self.samples += 1
         return True
 
+    def forget(self, endpoint: str) -> None:
+        """Forget the counts of an endpoint that has started again or is gone."""
+        self._last.pop(endpoint, None)
+
     def restore(self, rates: list[list[int]], now: Millis) -> None:
         """Begin with a popularity that another coordinator has seen."""
         self.layers = tuple(
@@ -84,7 +89,7 @@
         )
 
     def _growth(self, sample: CountSample) -> tuple[tuple[int, ...], ...] | None:
-        last = self._last.get(sample.rank)
+        last = self._last.get(sample.endpoint)
         if last is None or last.epoch != sample.epoch:
             return None
         grown = tuple(
--- a/src/azurefold/core/routing/members.py
+++ b/src/azurefold/core/routing/members.py
@@ -91,10 +91,12 @@
             endpoint.counted_room = endpoint.counted_capacity = 0
             self.recount(endpoint)
 
-    def why_none(self, exclude: Set[str]) -> Unavailable:
+    def why_none(self, exclude: Set[str], paused: Set[str]) -> Unavailable:
         """Return why no endpoint outside ``exclude`` can be chosen."""
         if not self.by_name:
             return Unavailable.NO_ENDPOINTS
+        if self.by_name.keys() <= paused:
+            return Unavailable.GROUPS_DOWN
         if all(endpoint.leaving for endpoint in self.by_name.values()):
             return Unavailable.ALL_LEAVING
         if all(endpoint.name in exclude for endpoint in self.eligible):
--- a/src/azurefold/core/routing/messages.py
+++ b/src/azurefold/core/routing/messages.py
@@ -76,6 +76,7 @@
     ALL_LEAVING = "all_leaving"
     ALL_EXCLUDED = "all_excluded"
     ALL_FULL = "all_full"
+    GROUPS_DOWN = "groups_down"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -57,6 +57,7 @@
         self._ejector = Ejector(self._policy.ejection)
         self._next_return: Millis | None = None
         self._hints = PrefixHints()
+        self._paused: frozenset[str] = frozenset()
         self._means = PoolMeans()
 
     @property
@@ -69,6 +70,11 @@
         """Endpoints left out for a while."""
         return self._ejector.ejected
 
+    @property
+    def paused(self) -> frozenset[str]:
+        """Endpoints whose group is down."""
+        return self._paused
+
     @property
     def in_flight(self) -> int:
         """Attempts of this node that have not ended."""
@@ -140,6 +146,15 @@
                 self._members.by_name[name].leaving = True
         self._refresh(now)
 
+    def set_paused(self, names: frozenset[str]) -> None:
+        """Choose none of ``names`` until told otherwise: their group is down.
+
+        What goes wrong if each request finds out by itself: a group that is down
+        takes half of all requests for as long as it is, and refuses them.
+        """
+        self._paused = names
+        self._members.select(self._ejector.ejected | names)
+
     def mark_leaving(self, endpoint: str, now: Millis) -> None:
         """Choose ``endpoint`` no more; its attempts in flight go on."""
         known = self._members.by_name.get(endpoint)
@@ -189,7 +204,8 @@
             return best
         answer = self._means.pace * self._means.tokens
         retry_after = int(_SHORTEST_RETRY + answer * (0.5 + draws[1]))
-        return NoneAvailable(self._members.why_none(request.exclude), retry_after)
+        reason = self._members.why_none(request.exclude, self._paused)
+        return NoneAvailable(reason, retry_after)
 
     def started(
         self,
@@ -352,5 +368,5 @@
     def _refresh(self, now: Millis) -> None:
         for name in self._ejector.returned(now):
             self._members.by_name[name].last_progress = now
-        self._members.select(self._ejector.ejected)
+        self._members.select(self._ejector.ejected | self._paused)
         self._next_return = self._ejector.next_return
--- /dev/null
+++ b/src/azurefold/core/routing/rank_groups.py
@@ -0,0 +1,183 @@
+"""Which ranks make up which group, and which groups are known to be down.
+
+All ranks of a group compute each pass together, so one that is cut off stops all
+of them, and none of another group. A refusal that names another rank tells that
+the refusing rank's group stands still; so does the coordinator, which asks all
+ranks. Requests go to other groups meanwhile.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from azurefold.core.clock import Millis
+from azurefold.core.routing.peer_loads import endpoint_mark
+
+__all__ = ["GroupNews", "RankGroups", "Standing"]
+
+_TRIAL_EVERY_MS: Millis = 1_000
+"""Between two requests by which a node finds out for itself whether a group runs
+again; a coordinator tells sooner, but may be cut off."""
+
+_NEWS_AGE_MS: Millis = 500
+"""A rank's report is 200 ms old and looked at three times a second: what is told
+within this time of a refusal may be of before it."""
+
+_UNKNOWN = 0
+"""Stands for the group of ranks of which nobody has told yet: they are taken for
+one, as in a service that has a single group."""
+
+
+class Standing(IntEnum):
+    """Whether a group runs, by what its ranks report."""
+
+    RUNS = 0
+    DOWN = 1
+    FORMS = 2
+    """All ranks are there again, and it runs within the time that forming takes."""
+
+
+@dataclass(frozen=True, slots=True)
+class GroupNews:
+    """What the coordinator tells of one group.
+
+    Parameters
+    ----------
+    service, group : int
+        Marks that stand for their names.
+    epoch : int
+        Rises each time the group forms anew.
+    standing : Standing
+    ranks : tuple of int
+        Marks of its endpoints.
+    """
+
+    service: int
+    group: int
+    epoch: int
+    standing: Standing
+    ranks: tuple[int, ...] = ()
+
+
+@dataclass(slots=True)
+class _Known:
+    """What is known of one group.
+
+    ``down_since`` is None while it is not known to be down.
+    """
+
+    epoch: int = -1
+    down_since: Millis | None = None
+    refused_at: Millis = 0
+    tried_at: Millis = 0
+    forms_since: Millis | None = None
+
+
+@dataclass(slots=True)
+class RankGroups:
+    """The groups of one service, as one node knows them."""
+
+    _group_of: dict[int, int] = field(default_factory=dict)
+    _standings: dict[int, _Known] = field(default_factory=dict)
+
+    def group_of(self, endpoint: str) -> int:
+        """Return the number of an endpoint's group; 0 if it is not known."""
+        return self._group_of.get(endpoint_mark(endpoint), _UNKNOWN)
+
+    def told(self, news: GroupNews, now: Millis) -> bool:
+        """Take in what the coordinator tells; return whether anything changed."""
+        standing = self._standing(news.group)
+        if news.epoch < standing.epoch:
+            return False
+        moved = any(self._group_of.get(rank) != news.group for rank in news.ranks)
+        self._group_of.update(dict.fromkeys(news.ranks, news.group))
+        was_down = standing.down_since is not None
+        formed = news.epoch > standing.epoch
+        standing.epoch = news.epoch
+        if news.standing is not Standing.RUNS:
+            self._note_down(standing, now)
+            standing.tried_at = now
+        elif formed or now - standing.refused_at >= _NEWS_AGE_MS:
+            standing.down_since = None
+        if news.standing is not Standing.FORMS:
+            standing.forms_since = None
+        elif standing.forms_since is None:
+            standing.forms_since = now
+        return moved or was_down != (standing.down_since is not None)
+
+    def refused(self, endpoint: str, at_fault: str, now: Millis) -> None:
+        """Note that a rank refused because of another one.
+
+        Parameters
+        ----------
+        endpoint : str
+            The rank that refused.
+        at_fault : str
+            The rank that it named; empty if that is no endpoint known here.
+        now : int
+        """
+        group = self.group_of(endpoint)
+        if group == _UNKNOWN and at_fault:
+            group = self.group_of(at_fault)
+        standing = self._standing(group)
+        self._note_down(standing, now)
+        standing.refused_at = standing.tried_at = now
+
+    def served(self, endpoint: str, sent_at: Millis) -> bool:
+        """Note an event of a request sent at ``sent_at``; return if that is news."""
+        standing = self._standing(self.group_of(endpoint))
+        if standing.down_since is None or sent_at < standing.refused_at:
+            return False
+        standing.down_since = None
+        return True
+
+    def is_down(self, endpoint: str) -> bool:
+        """Whether an endpoint's group is known to be down."""
+        standing = self._standings.get(self.group_of(endpoint))
+        return standing is not None and standing.down_since is not None
+
+    def down_since(self, endpoints: Iterable[str]) -> Millis | None:
+        """Return since when all groups of ``endpoints`` are down; None if one runs."""
+        groups = {self.group_of(endpoint) for endpoint in endpoints}
+        known = [self._standings.get(group) for group in groups]
+        since = [each.down_since if each else None for each in known]
+        if not since or None in since:
+            return None
+        return max(since)
+
+    def forms_since(self, endpoints: Iterable[str]) -> Millis | None:
+        """Return since when a group of ``endpoints`` forms anew; None if none does."""
+        groups = {self.group_of(endpoint) for endpoint in endpoints}
+        known = [each for group in groups if (each := self._standings.get(group))]
+        since = [each.forms_since for each in known if each.forms_since is not None]
+        return max(since, default=None)
+
+    def take_trial(self, endpoints: Iterable[str], now: Millis) -> str | None:
+        """Return an endpoint of a group that is due for a trial, if there is one.
+
+        What goes wrong without: the coordinator is cut off from this node, nothing
+        tells that the group runs again, and its requests are refused for ever.
+        """
+        for endpoint in endpoints:
+            standing = self._standings.get(self.group_of(endpoint))
+            if standing is None or standing.down_since is None:
+                continue
+            if now - standing.tried_at >= _TRIAL_EVERY_MS:
+                standing.tried_at = now
+                return endpoint
+        return None
+
+    def forget_all_but(self, endpoints: Iterable[str]) -> None:
+        """Forget the ranks that are gone."""
+        marks = {endpoint_mark(endpoint) for endpoint in endpoints}
+        for gone in self._group_of.keys() - marks:
+            del self._group_of[gone]
+
+    def _standing(self, group: int) -> _Known:
+        return self._standings.setdefault(group, _Known())
+
+    @staticmethod
+    def _note_down(standing: _Known, now: Millis) -> None:
+        if standing.down_since is None:
+            standing.down_since = now
+            standing.tried_at = now
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -47,6 +47,8 @@
     deadline : int
         On the entry's monotonic clock.
     route : RouteRequest
+    awaits_group : bool
+        Whether it waits where all groups are down; others are refused at once.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     tokens: int
     deadline: Millis
     route: RouteRequest = _NO_REQUEST
+    awaits_group: bool = False
 
 
 def _waits() -> dict[Priority, Counts]:
@@ -115,7 +118,8 @@
         on gets its answer here and now, never held back until its deadline.
         """
         now = self.clock.now()
-        self.retries.request_started(now)
+        if not ticket.awaits_group:
+            self.retries.request_started(now)
         answer = None if self._waiting else self._straight_through(ticket, now)
         if answer is None:
             answer = self._wait(ticket, now)
@@ -125,6 +129,26 @@
             self.seen.waits[ticket.priority].observe(self.clock.now() - now)
         return answer
 
+    def try_out(self, ticket: Ticket, endpoint: str) -> Chosen:
+        """Send a request to an endpoint that others are kept from."""
+        self.retries.request_started(self.clock.now())
+        return self._granted(ticket, Chosen(endpoint))
+
+    def pause(self) -> None:
+        """Refuse those who wait, and do not wait for groups: all are down."""
+        now = self.clock.now()
+        self.queue.pause(now)
+        for ticket, result in list(self._waiting.values()):
+            if not ticket.awaits_group:
+                self._waiting.pop(ticket.request_id)
+                self.queue.withdraw(ticket.request_id, now)
+                result.set(_failure(Unavailable.GROUPS_DOWN.value, 0))
+
+    def resume(self) -> None:
+        """Serve those who wait: a group runs."""
+        self.queue.resume(self.clock.now())
+        self.pump()
+
     def retry(self, ticket: Ticket) -> Chosen | Failure:
         """Choose an endpoint for another attempt at once, past the queue."""
         chosen = self._choose(ticket.route, self.clock.now())
@@ -184,6 +208,8 @@
         chosen = self._choose(ticket.route, now)
         if isinstance(chosen, Chosen):
             return self._granted(ticket, chosen)
+        if chosen.reason is Unavailable.GROUPS_DOWN and ticket.awaits_group:
+            return None
         if chosen.reason is not Unavailable.ALL_FULL:
             return _failure(chosen.reason.value, chosen.retry_after_ms)
         return None
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -7,11 +7,18 @@
 import gevent
 
 from azurefold.core.admission.messages import Priority
+from azurefold.core.admission.outage import (
+    AwaitReturn,
+    OutageRequest,
+    TurnAway,
+    in_outage,
+    latest_return,
+)
 from azurefold.core.attempts.course import Course, DispatchAgain, Fail
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Millis
 from azurefold.core.routes.model import AnswerKind
-from azurefold.core.routing.messages import RouteRequest
+from azurefold.core.routing.messages import Chosen, RouteRequest, Unavailable
 from azurefold.entry.admission import Ticket
 from azurefold.gateway.callers.calls import (
     AnswerCutOffError,
@@ -40,9 +47,9 @@
 _WORTH_A_RETRY_MS: Millis = 30
 """Time left below which another attempt could not be answered."""
 
-_GROUP_RETRY_MS: Millis = 2_600
-"""After a refusal because a group is down: it forms anew 0.6 s after its last
-rank is back, which takes seconds. Callers wait a third of their time at most."""
+_MOST_GROUP_REFUSALS = 2
+"""Attempts beyond those that a route allows, for as many that were refused because a
+group is down: such a refusal has cost nothing, and another group may run."""
 
 _DETAIL_DEADLINE = "No answer came in time."
 
@@ -99,7 +106,7 @@
             self._log_end()
 
     def _run(self) -> Iterator[Part]:
-        placed = self.service.admission.acquire(self._ticket(1))
+        placed = self._place()
         self._queued_ms = self.state.clock.now() - self.call.arrived
         if isinstance(placed, Failure):
             yield self._give_up(placed)
@@ -112,7 +119,7 @@
             step = self._course.next(event, self._may_retry)
             match step:
                 case DispatchAgain():
-                    placed = self.service.admission.retry(self._ticket(None))
+                    placed = self._place_again()
                     if isinstance(placed, Failure):
                         yield self._give_up(self._course.refused(placed))
                         return
@@ -120,32 +127,70 @@
                     yield self._give_up(failure)
                     return
 
-    def _ticket(self, attempt: int | None) -> Ticket:
+    def _place(self) -> Chosen | Failure:
+        """Wait for an endpoint for the first attempt."""
+        admission = self.service.admission
+        if admission.pool.paused:
+            now = self.state.clock.now()
+            trial = self.service.groups.take_trial(admission.pool.paused, now)
+            if trial is not None:
+                return admission.try_out(self._ticket(), trial)
+        placed = admission.acquire(self._ticket())
+        if not _is_outage(placed):
+            return placed
+        match self._in_outage():
+            case AwaitReturn(at_most=at_most):
+                return admission.acquire(self._ticket(awaits_group_ms=at_most))
+            case TurnAway(retry_after=retry_after):
+                return replace(placed, retry_after_ms=retry_after)
+
+    def _place_again(self) -> Chosen | Failure:
+        """Return an endpoint for another attempt."""
+        admission = self.service.admission
+        placed = admission.retry(self._ticket())
+        if self._progress.begun or not _is_outage(placed):
+            return placed
+        match self._in_outage():
+            case AwaitReturn(at_most=at_most):
+                return admission.acquire(self._ticket(awaits_group_ms=at_most))
+        return placed
+
+    def _in_outage(self) -> AwaitReturn | TurnAway:
+        now = self.state.clock.now()
+        request = OutageRequest(self.call.deadline - now, self.call.route.timeout_ms)
+        return in_outage(request, self.service.forms_in(now))
+
+    def _ticket(self, awaits_group_ms: Millis = 0) -> Ticket:
         call = self.call
         now = self.state.clock.now()
-        number = attempt or self.attempts + 1
+        number = self.attempts + 1
         urgent = call.priority <= 0
         return Ticket(
             request_id=f"{call.id}#{number}",
             organisation=call.organisation,
             priority=Priority.CONFIRMATION if urgent else Priority.DRAFT,
             tokens=call.tokens,
-            deadline=min(call.deadline, now + _LONGEST_WAIT_MS),
+            deadline=min(call.deadline, now + (awaits_group_ms or _LONGEST_WAIT_MS)),
             route=RouteRequest(
                 prompt_tokens=call.head.prompt_tokens,
                 exclude=frozenset(self.tried),
                 # What broke off would be lost for want of a free place, though
                 # endpoints queue a few requests themselves.
-                may_queue=self._progress.dispatched and not self._progress.group_down,
+                may_queue=self._progress.dispatched,
             ),
+            awaits_group=awaits_group_ms > 0,
         )
 
     def _may_retry(self) -> bool:
         # All ranks of a group stop together: another one would refuse as well.
-        if self._progress.group_down:
+        if self.service.down_since is not None and isinstance(
+            self._in_outage(), TurnAway
+        ):
             return False
         left = self.call.deadline - self.state.clock.now()
-        if self.attempts >= self.call.route.max_attempts or left < _WORTH_A_RETRY_MS:
+        refusals = min(self._progress.group_refusals, _MOST_GROUP_REFUSALS)
+        most = self.call.route.max_attempts + refusals
+        if self.attempts >= most or left < _WORTH_A_RETRY_MS:
             return False
         return self.service.admission.try_retry()
 
@@ -177,11 +222,9 @@
             self._progress.result = "endpoint_error"
             return self._progress.own_answer
         self._progress.result = f"refused_{failure.reason}"
-        # What comes back to a group that is still down is refused for good, and
-        # nearly all callers come back once: those that a longer time brings
-        # behind the group's return are served.
-        if self.service.group_is_down(self.state.clock.now()):
-            failure = replace(failure, retry_after_ms=_GROUP_RETRY_MS)
+        if self.service.down_since is not None:
+            left = self.call.deadline - self.state.clock.now()
+            failure = replace(failure, retry_after_ms=latest_return(left))
         not_run = failure.ran is Ran.NOT_RUN
         return GivenUp(failure, _UNAVAILABLE if not_run else _BAD_GATEWAY)
 
@@ -219,3 +262,8 @@
             longest_gap_ms=self._progress.pace.longest_gap,
             events=self._progress.splitter.passed,
         )
+
+
+def _is_outage(placed: Chosen | Failure) -> bool:
+    is_failure = isinstance(placed, Failure)
+    return is_failure and placed.reason == Unavailable.GROUPS_DOWN.value
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -56,8 +56,8 @@
         Whether the caller has the head of an answer.
     dispatched : bool
         Whether anything was sent to an endpoint.
-    group_down : bool
-        Whether a rank refused because of another one.
+    group_refusals : int
+        Attempts that ranks refused because of another rank.
     own_answer : Begun or None
         An endpoint's own error, for want of a better answer.
     result : str
@@ -69,7 +69,7 @@
     passed: int = 0
     begun: bool = False
     dispatched: bool = False
-    group_down: bool = False
+    group_refusals: int = 0
     own_answer: Begun | None = None
     result: str = "abandoned"
 
@@ -98,6 +98,7 @@
     number: int
     _link: Link | None = None
     _outcome: Outcome = Cancelled()
+    _sent_at: Millis = 0
 
     @property
     def id(self) -> str:
@@ -131,6 +132,7 @@
 
     def _send(self) -> None:
         self.progress.dispatched = True
+        self._sent_at = self.state.clock.now()
         try:
             self._link.sock.sendall(self._request_bytes())
         except OSError as error:
@@ -170,6 +172,8 @@
                 continue
             now = self.state.clock.now()
             pool.first_token(self.endpoint, self.id, now)
+            if self.service.is_group:
+                self.service.group_served(self.endpoint, self._sent_at)
             self._observe_events(now)
             if not self.progress.begun:
                 self.progress.begun = True
@@ -199,8 +203,9 @@
         own_names = ("", self.endpoint, entry.address if entry else "")
         at_fault = head.at_fault or self.endpoint
         if head.at_fault not in own_names and self.service.is_group:
-            self.progress.group_down = True
-            self.service.group_was_down(self.state.clock.now())
+            now = self.state.clock.now()
+            self.service.group_refused(self.endpoint, head.at_fault, now)
+            self.progress.group_refusals += 1
         self._log_failure("refused", f"{head.status} at_fault={at_fault}")
         return NotDispatched("endpoint_refused")
 
--- a/src/azurefold/gateway/groups/changes.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -112,7 +112,7 @@
         Reports are some hundred milliseconds old, and show a hold of our own for
         as long after its end; then a second look decides.
         """
-        if self.watch.looked_at - self._ended_at < _STALE_HOLD_MS:
+        if self.watch.view.oldest_report_at - self._ended_at < _STALE_HOLD_MS:
             return
         views = [self.watch.view.views[rank] for rank in range(self.watch.view.size)]
         if not may_take_up(views) or self.row.next_version() is None:
@@ -129,6 +129,7 @@
             "hold_taken_up",
             logging.WARNING,
             service=self._service,
+            group=self.watch.name,
             version=self._change.version,
             step=self._change.step,
             phase=self._change.phase,
@@ -148,7 +149,9 @@
     def _give(self, change: MapChange, rank: int, order: RankOrder) -> None:
         client = self.watch.client_of(rank)
         placements = self._planned if isinstance(order, Prepare) else ()
-        verdict = client.give(order, change.epoch, placements)
+        verdict = Verdict.LOST
+        if client is not None:
+            verdict = client.give(order, change.epoch, placements)
         if change is not self._change:
             return
         if verdict is Verdict.LOST:
@@ -159,6 +162,7 @@
                 "order_not_accepted",
                 logging.WARNING,
                 service=self._service,
+                group=self.watch.name,
                 version=change.version,
                 rank=rank,
                 order=order,
@@ -168,9 +172,13 @@
         self._act(change.answered(rank, order, verdict, self._now))
 
     def _ask_report(self, change: MapChange, rank: int) -> None:
-        report = self.watch.client_of(rank).report()
+        client = self.watch.client_of(rank)
+        report = client.report() if client is not None else None
         if change is not self._change or report is None:
             return
+        if report.group != self.watch.name:
+            # The endpoint has moved to another group, whose passes are others.
+            return
         now = self._now
         self.watch.view.stepped(report.view.step, now)
         self._act(change.reported(report.view, now))
@@ -182,6 +190,7 @@
             _log,
             "map_change_ended",
             service=self._service,
+            group=self.watch.name,
             version=change.version,
             end=end.value,
             step=change.step,
@@ -191,7 +200,7 @@
         )
         self._learn_arming(change.arming_ms)
         self.watch.look_soon()
-        self.watch.sampled_at = self._ended_at = now
+        self._ended_at = now
         if end is ChangeEnd.IN_FORCE:
             self._switch_step, self._switch_epoch = change.step, change.epoch
         if end is ChangeEnd.IN_FORCE and self._planned:
--- a/src/azurefold/gateway/groups/control.py
+++ b/src/azurefold/gateway/groups/control.py
@@ -1,28 +1,39 @@
-"""One group under coordination: when to look, to sample, and to change its map."""
+"""The groups of one service under coordination: when to look, sample and change."""
 
 import logging
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
 
 from azurefold.core.balance.plan import MapPlan
+from azurefold.core.clock import Millis
+from azurefold.core.routing.peer_loads import endpoint_mark
+from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.gateway.groups.changes import GroupChanges, Row
 from azurefold.gateway.groups.map_planning import (
     is_worth_changing,
     plan_map,
     sampling_of,
 )
-from azurefold.gateway.groups.watch import GroupWatch
+from azurefold.gateway.groups.watch import GroupWatch, ServiceWatch
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
+from azurefold.internal.loops import spawn_loop
 
-__all__ = ["GroupControl", "new_group_control"]
+__all__ = ["GroupControl", "ServiceControl", "new_service_control"]
 
 _log = logging.getLogger("azurefold.gateway")
 
+_SECOND_MS = 1_000
+_TICK_MS: Millis = 40
+"""The finest step of a change; a group's pass takes some 50 ms."""
+
 
 @dataclass(slots=True)
 class GroupControl:
-    """Decides for one group; made by :func:`new_group_control`.
+    """Decides for one group.
 
     Parameters
     ----------
@@ -32,19 +43,9 @@
 
     watch: GroupWatch
     changes: GroupChanges
-    _fresh: bool = False
+    _planned_samples: int = 0
     _planned_epoch: int = 0
 
-    @property
-    def popularity(self) -> list[list[int]]:
-        """Popularity of the experts by layer, in thousandths of the layer's."""
-        return self.watch.popularity
-
-    @property
-    def is_broken(self) -> bool:
-        """Whether the group is known not to run."""
-        return self.watch.is_broken
-
     @property
     def is_changing(self) -> bool:
         """Whether a change of the map is under way."""
@@ -55,46 +56,36 @@
         if self.changes.is_under_way:
             self.changes.tick()
             return
-        self.watch.look_if_due()
         view = self.watch.view
-        if view is None or not view.is_whole:
+        if not view.is_whole:
             return
         if view.is_held:
             self.changes.take_up_hold()
-        elif self.watch.knows_map():
-            self._balance()
+        elif self._is_plan_due() and self.watch.knows_map():
+            self._plan()
 
-    def close(self) -> None:
-        """Stop at once, leaving what is under way to a successor."""
-        self.watch.calls.close()
+    def _is_plan_due(self) -> bool:
+        """Whether the popularity is newer than the last plan, or the group is.
 
-    def _balance(self) -> None:
+        A group that has formed anew has a map that fits no popularity: it is planned
+        for at once, from the popularity of before.
+        """
         view = self.watch.view
+        popularity = self.watch.of_service.popularity
+        if not popularity.layers:
+            return False
         if view.version == 0 and view.epoch != self._planned_epoch:
-            self._plan_for_new_epoch()
-            return
-        service = self.watch.service
-        now = self.watch.state.clock.now()
-        longest_gap = service.recent_gap.longest(now)
-        sampling = sampling_of(view, service.view.engine, longest_gap)
-        if now - self.watch.sampled_at < sampling.every:
-            return
-        self._fresh |= self.watch.sample(sampling.ranks)
-        if self._fresh and self.changes.is_switched:
-            self._fresh = False
-            self._plan()
-
-    def _plan_for_new_epoch(self) -> None:
-        """Plan at once, from the popularity of before the group formed anew."""
-        view = self.watch.view
-        self._planned_epoch = view.epoch
-        if view.popularity.layers:
-            self._plan()
+            return True
+        is_newer = popularity.samples != self._planned_samples
+        return is_newer and self.changes.is_switched
 
     def _plan(self) -> None:
         """Plan a map for the present popularity, and begin the change if it pays."""
         service = self.watch.service
-        plan = plan_map(self.watch.view, service.view.engine)
+        popularity = self.watch.of_service.popularity
+        self._planned_samples = popularity.samples
+        self._planned_epoch = self.watch.view.epoch
+        plan = plan_map(self.watch.view, popularity.rates, service.view.engine)
         longest_gap = service.recent_gap.longest(self.watch.state.clock.now())
         pays = is_worth_changing(plan, longest_gap)
         self._log_plan(plan, longest_gap, pays=pays)
@@ -107,24 +98,109 @@
             _log,
             "map_planned",
             service=self.watch.service.view.name,
+            group=view.name,
             in_force=view.version,
             skew=f"{plan.skew_before:.2f}",
             planned_skew=f"{plan.skew_after:.2f}",
             loads=plan.loads,
-            samples=view.popularity.samples,
+            samples=self._planned_samples,
             pass_ms=f"{view.pass_ms:.1f}",
             longest_gap_ms=longest_gap,
             outcome="begun" if pays else "kept",
         )
 
 
-def new_group_control(
+@dataclass(slots=True)
+class ServiceControl:
+    """Coordinates all groups of one service; made by :func:`new_service_control`.
+
+    Each group has a loop of its own, as have the looks at reports and the samples
+    of counts: a group that waits for a silent rank, or whose plan is being made,
+    holds up none of the others.
+
+    Parameters
+    ----------
+    watch : ServiceWatch
+    row : Row
+    """
+
+    watch: ServiceWatch
+    row: Row
+    _controls: dict[str, GroupControl] = field(default_factory=dict)
+    _loops: list[gevent.Greenlet] = field(default_factory=list)
+
+    @property
+    def popularity(self) -> list[list[int]]:
+        """Popularity of the experts by layer, in thousandths of the layer's."""
+        return self.watch.thousandths
+
+    @property
+    def is_changing(self) -> bool:
+        """Whether a change of any group's map is under way."""
+        return any(control.is_changing for control in self._controls.values())
+
+    @property
+    def news(self) -> tuple[GroupNews, ...]:
+        """What the other gateways are told of the groups."""
+        service = self.watch.service.view.name
+        return tuple(
+            GroupNews(
+                endpoint_mark(service),
+                endpoint_mark(f"{service}/{view.name}"),
+                view.epoch,
+                view.standing,
+                tuple(sorted(map(endpoint_mark, view.endpoints.values()))),
+            )
+            for view in self.watch.groups.values()
+            if view.views
+        )
+
+    def start(self) -> None:
+        """Begin to coordinate."""
+        self._spawn(self._look)
+        self._spawn(self._sample)
+
+    def close(self) -> None:
+        """Stop at once, leaving what is under way to a successor."""
+        gevent.killall(self._loops, block=False)
+        self.watch.calls.close()
+
+    def _spawn(self, step: Callable[[], None]) -> None:
+        self._loops.append(spawn_loop(_for_ever, step))
+
+    def _look(self) -> None:
+        self.watch.look_at_due()
+        for name in self.watch.groups.keys() - self._controls.keys():
+            watch = GroupWatch(self.watch, name)
+            control = GroupControl(watch, GroupChanges(watch, self.row))
+            self._controls[name] = control
+            self._spawn(control.tick)
+
+    def _sample(self) -> None:
+        watch = self.watch
+        now = watch.state.clock.now()
+        longest_gap = watch.service.recent_gap.longest(now)
+        largest = max((view.size for view in watch.groups.values()), default=0)
+        sampling = sampling_of(
+            largest, watch.popularity.samples, watch.service.view.engine, longest_gap
+        )
+        if now - watch.sampled_at >= sampling.every:
+            watch.sample(sampling.ranks)
+
+
+def _for_ever(step: Callable[[], None]) -> None:
+    while True:
+        step()
+        gevent.sleep(_TICK_MS / _SECOND_MS)
+
+
+def new_service_control(
     state: GatewayState,
     service: GatewayService,
     row: Row,
     popularity: list[list[int]],
-) -> GroupControl:
-    """Return the control of a service's group.
+) -> ServiceControl:
+    """Return the control of a service's groups, not yet started.
 
     Parameters
     ----------
@@ -136,6 +212,7 @@
     """
     engine = service.view.engine
     shape = [engine.experts] * engine.layer_sets
-    fits = [len(layer) for layer in popularity] == shape
-    watch = GroupWatch(state, service, popularity if fits else [])
-    return GroupControl(watch, GroupChanges(watch, row))
+    watch = ServiceWatch(state, service)
+    if [len(layer) for layer in popularity] == shape:
+        watch.popularity.restore(popularity, state.clock.now())
+    return ServiceControl(watch, row)
--- a/src/azurefold/gateway/groups/coordinator.py
+++ b/src/azurefold/gateway/groups/coordinator.py
@@ -10,8 +10,7 @@
 from azurefold.core.clock import Millis
 from azurefold.core.groups.leadership import Beat, Leadership
 from azurefold.core.groups.messages import order_number
-from azurefold.core.routing.peer_loads import endpoint_mark
-from azurefold.gateway.groups.control import GroupControl, new_group_control
+from azurefold.gateway.groups.control import ServiceControl, new_service_control
 from azurefold.gateway.groups.map_planning import is_worth_balancing
 from azurefold.gateway.peers.exchange import Coordination, PeerMessage
 from azurefold.gateway.state import GatewayState
@@ -33,10 +32,7 @@
 _log = logging.getLogger("azurefold.gateway")
 
 _SECOND_MS = 1_000
-_TICK_MS: Millis = 40
-"""The finest step of a change; a group's pass takes some 50 ms."""
-
-_IDLE_TICK_MS: Millis = 200
+_TICK_MS: Millis = 200
 _ROW = RowKey(names.GROUPS, "coordinator")
 
 
@@ -87,7 +83,7 @@
     ended_term: int = 0
     _serial: int = 0
     _writing: bool = False
-    _controls: dict[str, GroupControl] = field(default_factory=dict)
+    _controls: dict[str, ServiceControl] = field(default_factory=dict)
     _row_version: int = 0
     _popularity: dict[str, list[list[int]]] = field(default_factory=dict)
 
@@ -96,13 +92,12 @@
         """What the other gateways are told of it."""
         if not self.leadership.holds:
             return Coordination(ended_term=self.ended_term)
-        controls = self._controls.items()
-        broken = [endpoint_mark(name) for name, each in controls if each.is_broken]
+        controls = self._controls.values()
         return Coordination(
             self.leadership.term,
             self.ended_term,
-            tuple(broken),
-            any(each.is_changing for _, each in controls),
+            tuple(news for each in controls for news in each.news),
+            any(each.is_changing for each in controls),
         )
 
     def heard(self, message: PeerMessage) -> None:
@@ -121,13 +116,13 @@
         """Coordinate, or wait to, for ever."""
         self.leadership.start(self.state.clock.now())
         while not self.state.services:
-            gevent.sleep(_IDLE_TICK_MS / _SECOND_MS)
+            gevent.sleep(_TICK_MS / _SECOND_MS)
         services = self.state.services.values()
         if any(is_worth_balancing(service.view) for service in services):
             self._read_row()
         while True:
             holds = self.leadership.holds
-            gevent.sleep((_TICK_MS if holds else _IDLE_TICK_MS) / _SECOND_MS)
+            gevent.sleep(_TICK_MS / _SECOND_MS)
             if self.state.draining:
                 if holds:
                     self.resign()
@@ -185,9 +180,9 @@
             control = self._controls.get(name)
             if control is None:
                 known = self._popularity.get(name, [])
-                control = new_group_control(self.state, service, self, known)
+                control = new_service_control(self.state, service, self, known)
                 self._controls[name] = control
-            control.tick()
+                control.start()
 
     def resign(self) -> None:
         """Let another gateway coordinate."""
--- a/src/azurefold/gateway/groups/map_planning.py
+++ b/src/azurefold/gateway/groups/map_planning.py
@@ -1,5 +1,6 @@
 """Which map a group should have, and whether the change pays."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import gevent
@@ -82,21 +83,36 @@
     return view.engine is not None and view.engine.splits_experts
 
 
-def sampling_of(view: GroupView, engine: Engine, longest_gap: Millis) -> Sampling:
-    """Return how a group is sampled at present."""
+def sampling_of(
+    size: int, samples: int, engine: Engine, longest_gap: Millis
+) -> Sampling:
+    """Return how a service's groups are sampled at present.
+
+    Parameters
+    ----------
+    size : int
+        Ranks of its largest group.
+    samples : int
+        Rounds taken in so far.
+    engine : Engine
+    longest_gap : int
+        Milliseconds between two events of a stream of late.
+    """
     numbers = _numbers_of_a_rank(engine)
     affordable = max(1, _NUMBERS_A_SECOND // numbers)
-    wanted = _MOST_SAMPLED if view.size >= _LARGE_GROUP else _FEWEST_SAMPLED
-    ranks = min(wanted, view.size, affordable)
-    if view.popularity.samples == 0:
+    wanted = _MOST_SAMPLED if size >= _LARGE_GROUP else _FEWEST_SAMPLED
+    ranks = min(wanted, size, affordable)
+    if samples == 0:
         return Sampling(ranks, _FIRST_SAMPLE_MS)
     usual = max(_SAMPLE_EVERY_MS, ranks * numbers * 1_000 // _NUMBERS_A_SECOND)
     is_easy = longest_gap < _EASY_GAP_MS
     return Sampling(ranks, usual * _EASY_SAMPLE_FACTOR if is_easy else usual)
 
 
-def plan_map(view: GroupView, engine: Engine) -> MapPlan:
-    """Return the map for the present popularity.
+def plan_map(
+    view: GroupView, popularity: Sequence[Sequence[float]], engine: Engine
+) -> MapPlan:
+    """Return a group's map for the present popularity.
 
     Lets other work go on between two layers: a plan of all takes some 50 ms, in
     which no event of any stream would go out.
@@ -104,7 +120,7 @@
     speeds = tuple(1.0 / max(1.0, view.views[rank].pace) for rank in range(view.size))
     policy = _policy(engine)
     layers = []
-    for placement, rates in zip(view.placements, view.popularity.rates, strict=True):
+    for placement, rates in zip(view.placements, popularity, strict=True):
         loads = engine.loads_per_change
         layers.append(plan_layer(placement, rates, speeds, policy, loads))
         gevent.sleep(0)
--- a/src/azurefold/gateway/groups/view.py
+++ b/src/azurefold/gateway/groups/view.py
@@ -5,7 +5,7 @@
 from azurefold.core.balance.placement import Placement
 from azurefold.core.clock import Millis
 from azurefold.core.groups.map_orders import RankView
-from azurefold.core.groups.samples import SampledPopularity
+from azurefold.core.routing.rank_groups import Standing
 
 __all__ = ["GroupView"]
 
@@ -15,14 +15,13 @@
 
 @dataclass(slots=True)
 class GroupView:
-    """Ranks, their reports, the map in force and the experts' popularity.
+    """Ranks, their reports and the map in force.
 
     Parameters
     ----------
     name : str
     size : int
         Ranks that it has when whole.
-    popularity : SampledPopularity
     endpoints : dict of int to str
         By rank.
     views : dict of int to RankView
@@ -33,17 +32,19 @@
         Of the map that ``placements`` belong to; -1 until it is known.
     pass_ms : float
         Time that a pass takes.
+    heard_at : dict of int to int
+        When each rank's last report came.
     """
 
     name: str
     size: int
-    popularity: SampledPopularity
     endpoints: dict[int, str] = field(default_factory=dict)
     views: dict[int, RankView] = field(default_factory=dict)
     placements: tuple[Placement, ...] | None = None
     placements_version: int = -1
     placements_epoch: int = -1
     pass_ms: float = _USUAL_PASS_MS
+    heard_at: dict[int, Millis] = field(default_factory=dict)
     _step: int = 0
     _step_at: Millis = 0
 
@@ -56,6 +57,18 @@
         one_epoch = len({view.epoch for view in views}) == 1
         return one_epoch and all(view.is_open for view in views)
 
+    @property
+    def standing(self) -> Standing:
+        """Whether the group runs, by the ranks that report.
+
+        A rank that gives this node no report shows only that the two do not reach
+        each other: told as a group that is down, one gateway's bad path would keep
+        all others from a group that runs.
+        """
+        if all(view.is_open for view in self.views.values()):
+            return Standing.RUNS
+        return Standing.FORMS if len(self.views) == self.size else Standing.DOWN
+
     @property
     def epoch(self) -> int:
         """The latest that any rank reports."""
@@ -80,6 +93,11 @@
         """Whether any rank keeps the group from a pass."""
         return any(view.held is not None for view in self.views.values())
 
+    @property
+    def oldest_report_at(self) -> Millis:
+        """When the report came that is the oldest of all ranks' last ones."""
+        return min((self.heard_at[rank] for rank in self.views), default=0)
+
     @property
     def step(self) -> int:
         """The last pass known to have begun."""
@@ -91,9 +109,17 @@
         return self._step_at
 
     def reported(self, endpoint: str, view: RankView, now: Millis) -> None:
-        """Take in a rank's report."""
+        """Take in a rank's report.
+
+        A rank that is replaced reports beside its successor for a while; the one
+        with the later epoch is in the group.
+        """
+        known = self.endpoints.get(view.rank, endpoint)
+        if known != endpoint and self.views[view.rank].epoch > view.epoch:
+            return
         self.endpoints[view.rank] = endpoint
         self.views[view.rank] = view
+        self.heard_at[view.rank] = now
         self.stepped(view.step, now)
 
     def silent(self, endpoint: str) -> None:
--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -1,4 +1,4 @@
-"""What the coordinator sees of one group: reports, the map in force, counts."""
+"""What the coordinator sees of a service's groups: reports, maps, counts."""
 
 import logging
 import random
@@ -16,18 +16,18 @@
 from azurefold.internal.logs import log_event
 from azurefold.platform.ranks import RankClient, RankReport
 
-__all__ = ["GroupWatch"]
+__all__ = ["GroupWatch", "ServiceWatch"]
 
 _log = logging.getLogger("azurefold.gateway")
 
 _LOOK_EVERY_MS: Millis = 1_000
-"""Between two looks at all ranks' reports; a broken group is also told by
-refusals."""
+"""Between two looks at a rank's report; a broken group is also told by refusals."""
 
 _LOOK_BROKEN_MS: Millis = 300
+"""The same while its group is not whole, or not known."""
 
 _LOOK_HELD_MS: Millis = 200
-"""Between two looks while a group is held: its streams stand still."""
+"""The same while its group is held: its streams stand still."""
 
 _MEMORY_MS: Millis = 900
 """Time constant of the popularity. Longer than a second it lags behind a shift, for
@@ -37,104 +37,227 @@
 
 
 @dataclass(slots=True)
-class GroupWatch:
-    """Reports and counts of one group's ranks, as they were last asked for.
+class ServiceWatch:
+    """Reports and counts of all ranks of one service, as they were last asked for.
+
+    The groups of a service serve the same requests, so the counts of a few ranks,
+    whatever their groups, tell the popularity of all. On a day with two groups their
+    popularity differed by 0.16 in total variation, and each moved by 0.3 to 0.6 at a
+    time, both at once.
 
     Parameters
     ----------
     state : GatewayState
     service : GatewayService
-    known_popularity : list of list of int
-        As the last coordinator saw it; empty if there was none.
+    popularity : SampledPopularity
     calls : RankCalls
-    view : GroupView or None
-        None until a rank has reported.
-    looked_at, sampled_at : int
-        When all ranks were last asked for reports, and a few for counts.
+    groups : dict of str to GroupView
+        By the group's name.
+    sampled_at : int
+        When a few ranks were last asked for their counts.
     """
 
     state: GatewayState
     service: GatewayService
-    known_popularity: list[list[int]] = field(default_factory=list)
+    popularity: SampledPopularity = field(
+        default_factory=lambda: SampledPopularity(_MEMORY_MS)
+    )
     calls: RankCalls = field(default_factory=RankCalls)
-    view: GroupView | None = None
-    looked_at: Millis = _LONG_AGO
+    groups: dict[str, GroupView] = field(default_factory=dict)
     sampled_at: Millis = _LONG_AGO
-    _sampled: tuple[int, ...] = ()
+    _group_of: dict[str, str] = field(default_factory=dict)
+    _born: dict[str, int] = field(default_factory=dict)
+    _asked_at: dict[str, Millis] = field(default_factory=dict)
+    _asking: set[str] = field(default_factory=set)
+    _whole: dict[str, bool] = field(default_factory=dict)
+    _sampled: tuple[str, ...] = ()
     _draw: random.Random = field(default_factory=random.Random)
-    _was_whole: bool | None = None
 
     @property
-    def popularity(self) -> list[list[int]]:
+    def thousandths(self) -> list[list[int]]:
         """Popularity of the experts by layer, in thousandths of the layer's."""
-        if self.view is None or not self.view.popularity.layers:
-            return self.known_popularity
-        return [_thousandths(rates) for rates in self.view.popularity.rates]
+        return [_thousandths(rates) for rates in self.popularity.rates]
 
-    @property
-    def is_broken(self) -> bool:
-        """Whether the group is known not to run."""
-        return self._was_whole is False
+    def look_at_due(self) -> None:
+        """Ask each rank whose last report is old for another one.
+
+        Each answer is taken in as it comes: a rank that is silent for the whole
+        timeout holds up the reports of no other.
+        """
+        now = self.state.clock.now()
+        self._forget_gone()
+        for endpoint in self.service.entries:
+            asked = self._asked_at.get(endpoint, _LONG_AGO)
+            if endpoint in self._asking or now - asked < self._look_every(endpoint):
+                continue
+            self._asked_at[endpoint] = now
+            self._asking.add(endpoint)
+            self.calls.spawn(self._ask_report, endpoint)
 
-    def look_if_due(self) -> None:
-        """Ask all ranks for their reports if the last ones are old."""
-        if self.state.clock.now() - self.looked_at >= self._look_every():
-            self._look()
+    def look_soon(self, view: GroupView) -> None:
+        """Have the next look at a group's ranks be due at once."""
+        for endpoint in view.endpoints.values():
+            self._asked_at.pop(endpoint, None)
 
-    def look_soon(self) -> None:
-        """Have the next look be due at once."""
-        self.looked_at = _LONG_AGO
+    def client(self, endpoint: str) -> RankClient:
+        """Return the client of an endpoint."""
+        return self.calls.client(endpoint, self.service.entries[endpoint].address)
 
-    def _look_every(self) -> Millis:
-        if not self._was_whole:
-            return _LOOK_BROKEN_MS
-        return _LOOK_HELD_MS if self.view.is_held else _LOOK_EVERY_MS
-
-    def _look(self) -> None:
-        """Ask all ranks for their reports."""
-        self.looked_at = self.state.clock.now()
-        endpoints = list(self.service.entries)
-        self.calls.keep_only(endpoints)
-        reports = self._ask_all(endpoints, RankClient.report)
+    def sample(self, count: int) -> bool:
+        """Ask a few ranks for their counts; return whether popularity is newer."""
+        self.sampled_at = self.state.clock.now()
+        self._choose_sampled(count)
+        if not self._sampled:
+            return False
+        n_layers = self.service.view.engine.layer_sets
+        answers = self.calls.ask_all(
+            [self.client(endpoint) for endpoint in self._sampled],
+            lambda client: client.counts(n_layers),
+        )
         now = self.state.clock.now()
-        for endpoint, report in zip(endpoints, reports, strict=True):
-            self._take_report(endpoint, report, now)
-        self._note_whole()
+        heard = [answer for answer in answers if answer is not None]
+        for sample, step in heard:
+            view = self.groups.get(self._group_of.get(sample.endpoint, ""))
+            if view is not None:
+                view.stepped(step, now)
+        if not heard:
+            return False
+        return self.popularity.take([sample for sample, _ in heard], now)
+
+    def _choose_sampled(self, count: int) -> None:
+        """Keep asking the same ranks while they run: counts tell by their growth."""
+        runs = [
+            endpoint
+            for view in self.groups.values()
+            if view.is_whole
+            for endpoint in view.endpoints.values()
+            if endpoint in self.service.entries
+        ]
+        wanted = min(count, len(runs))
+        if len(self._sampled) == wanted and set(self._sampled) <= set(runs):
+            return
+        kept = [endpoint for endpoint in self._sampled if endpoint in runs][:wanted]
+        others = [endpoint for endpoint in runs if endpoint not in kept]
+        drawn = self._draw.sample(others, wanted - len(kept))
+        self._sampled = (*kept, *drawn)
+
+    def _look_every(self, endpoint: str) -> Millis:
+        view = self.groups.get(self._group_of.get(endpoint, ""))
+        if view is None or not view.is_whole:
+            return _LOOK_BROKEN_MS
+        return _LOOK_HELD_MS if view.is_held else _LOOK_EVERY_MS
+
+    def _ask_report(self, endpoint: str) -> None:
+        try:
+            report = self.client(endpoint).report()
+        finally:
+            self._asking.discard(endpoint)
+        if endpoint in self.service.entries:
+            self.take_report(endpoint, report, self.state.clock.now())
 
-    def _take_report(
+    def take_report(
         self, endpoint: str, report: RankReport | None, now: Millis
     ) -> None:
+        """Take in a rank's report, or that it gave none."""
         if report is None:
-            if self.view is not None:
-                self.view.silent(endpoint)
+            view = self.groups.get(self._group_of.get(endpoint, ""))
+            if view is not None:
+                view.silent(endpoint)
+                self._note_whole(view)
             return
-        if self.view is not None and self.view.name != report.group:
-            # Ranks of a service may form several groups. Taken for one, ranks of
-            # both would be armed for a pass that only one of them is held before,
-            # and a group would run a pass under two maps.
+        born = self._born.get(endpoint, 0)
+        if report.born < born:
+            # Sent before the endpoint started again; it came late.
             return
-        if self.view is None or self.view.size != report.size:
-            popularity = SampledPopularity(_MEMORY_MS)
-            popularity.restore(self.known_popularity, now)
-            self.view = GroupView(report.group, report.size, popularity)
-        self.view.reported(endpoint, report.view, now)
+        if report.born > born:
+            self._born[endpoint] = report.born
+            self.popularity.forget(endpoint)
+        self._join(endpoint, report)
+        view = self.groups[report.group]
+        view.reported(endpoint, report.view, now)
+        self._note_whole(view)
 
-    def _note_whole(self) -> None:
-        view = self.view
-        whole = view is not None and view.is_whole
-        if whole == self._was_whole:
+    def _join(self, endpoint: str, report: RankReport) -> None:
+        """Put an endpoint into the group that it reports, and out of any other.
+
+        What goes wrong if the ranks of a service are taken for one group: ranks of
+        two are armed for a pass that only one of them is held before, and a group
+        runs a pass under two maps.
+        """
+        known = self._group_of.get(endpoint)
+        if known is not None and known != report.group:
+            self._leave(endpoint)
+        self._group_of[endpoint] = report.group
+        view = self.groups.get(report.group)
+        if view is None or view.size != report.size:
+            self.groups[report.group] = GroupView(report.group, report.size)
+
+    def _leave(self, endpoint: str) -> None:
+        view = self.groups.get(self._group_of.pop(endpoint, ""))
+        if view is not None:
+            view.silent(endpoint)
+            self._note_whole(view)
+
+    def _forget_gone(self) -> None:
+        gone = self._group_of.keys() - self.service.entries.keys()
+        for endpoint in gone:
+            self._leave(endpoint)
+            self._born.pop(endpoint, None)
+            self.popularity.forget(endpoint)
+        if gone:
+            self.calls.keep_only(self.service.entries)
+
+    def _note_whole(self, view: GroupView) -> None:
+        whole = view.is_whole
+        if whole == self._whole.get(view.name):
             return
-        self._was_whole = whole
+        self._whole[view.name] = whole
         log_event(
             _log,
             "group_whole" if whole else "group_broken",
             service=self.service.view.name,
-            epoch=view.epoch if view else "unknown",
-            ranks=len(view.views) if view else 0,
-            size=view.size if view else "unknown",
+            group=view.name,
+            epoch=view.epoch,
+            ranks=len(view.views),
+            size=view.size,
             endpoints=len(self.service.entries),
         )
 
+
+@dataclass(slots=True)
+class GroupWatch:
+    """One group of a watched service.
+
+    Parameters
+    ----------
+    of_service : ServiceWatch
+    name : str
+        Of the group.
+    """
+
+    of_service: ServiceWatch
+    name: str
+
+    @property
+    def view(self) -> GroupView:
+        """Reports of the group's ranks, and its map."""
+        return self.of_service.groups[self.name]
+
+    @property
+    def service(self) -> GatewayService:
+        """The service that the group belongs to."""
+        return self.of_service.service
+
+    @property
+    def state(self) -> GatewayState:
+        """Of this process."""
+        return self.of_service.state
+
+    @property
+    def calls(self) -> RankCalls:
+        """Calls to the ranks of the service."""
+        return self.of_service.calls
+
     def knows_map(self) -> bool:
         """Find out the map in force, if it is not known; return whether it is."""
         view = self.view
@@ -169,42 +292,21 @@
         view.placements_version = version
         view.placements_epoch = view.epoch
 
-    def sample(self, count: int) -> bool:
-        """Ask a few ranks for their counts; return whether popularity is newer."""
-        view = self.view
-        self.sampled_at = self.state.clock.now()
-        if len(self._sampled) != count:
-            self._sampled = tuple(self._draw.sample(range(view.size), count))
-        n_layers = self.service.view.engine.layer_sets
-        endpoints = [view.endpoints[rank] for rank in self._sampled]
-        ranks = dict(zip(endpoints, self._sampled, strict=True))
-        answers = self._ask_all(
-            endpoints,
-            lambda client: client.counts(ranks[client.endpoint], n_layers),
-        )
-        now = self.state.clock.now()
-        heard = [answer for answer in answers if answer is not None]
-        for _, step in heard:
-            view.stepped(step, now)
-        if not heard:
-            return False
-        return view.popularity.take([sample for sample, _ in heard], now)
-
-    def client_of(self, rank: int) -> RankClient:
-        """Return the client of a rank."""
-        return self._client(self.view.endpoints[rank])
+    def look_soon(self) -> None:
+        """Have the next look at all ranks be due at once."""
+        self.of_service.look_soon(self.view)
 
-    def _client(self, endpoint: str) -> RankClient:
-        return self.calls.client(endpoint, self.service.entries[endpoint].address)
+    def client_of(self, rank: int) -> RankClient | None:
+        """Return the client of a rank; None while nobody has that number."""
+        endpoint = self.view.endpoints.get(rank)
+        if endpoint is None or endpoint not in self.service.entries:
+            return None
+        return self.of_service.client(endpoint)
 
     def _ask_ranks(self, question: Callable[[RankClient], object]) -> list:
-        ranks = range(self.view.size)
-        return self._ask_all([self.view.endpoints[rank] for rank in ranks], question)
-
-    def _ask_all(
-        self, endpoints: list[str], question: Callable[[RankClient], object]
-    ) -> list:
-        clients = [self._client(name) for name in endpoints]
+        clients = [self.client_of(rank) for rank in range(self.view.size)]
+        if None in clients:
+            return [None] * len(clients)
         return self.calls.ask_all(clients, question)
 
 
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -17,10 +17,18 @@
 from azurefold.core.routing.cells import Cell, cell_of
 from azurefold.core.routing.messages import LoadReport
 from azurefold.core.routing.peer_loads import LoadDigest, PeerLoads, endpoint_mark
+from azurefold.core.routing.rank_groups import GroupNews, Standing
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
 
-__all__ = ["Coordination", "Exchange", "Peer", "PeerMessage", "new_exchange"]
+__all__ = [
+    "Coordination",
+    "Exchange",
+    "GroupBeat",
+    "Peer",
+    "PeerMessage",
+    "new_exchange",
+]
 
 _log = logging.getLogger("azurefold.gateway")
 
@@ -39,6 +47,29 @@
 
 _MOST_BYTES = 1_400
 
+_MOST_RANKS = 96
+"""Of the groups that one message tells of: some 500 bytes of it. Loads of a cell's
+endpoints take as much."""
+
+
+class GroupBeat(msgspec.Struct, array_like=True, frozen=True):
+    """The coordinator's news of one group, as it is sent.
+
+    Parameters
+    ----------
+    service, group : int
+        Marks of their names.
+    epoch, standing : int
+    ranks : tuple of int
+        Marks of its endpoints.
+    """
+
+    service: int
+    group: int
+    epoch: int
+    standing: Standing
+    ranks: tuple[int, ...]
+
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
     """What one gateway tells the others.
@@ -54,8 +85,8 @@
         row that it has seen.
     term, ended_term : int
         Of its coordination, and of one that it gave up; 0 for none.
-    broken : tuple of int
-        Marks of the services whose group the coordinator knows to be down.
+    groups : tuple of GroupBeat
+        What the coordinator tells of some of the groups; of the others next time.
     loads : dict of int to int
         Requests in flight by endpoint.
     is_changing : bool
@@ -70,7 +101,7 @@
     endpoints_version: int
     term: int
     ended_term: int
-    broken: tuple[int, ...]
+    groups: tuple[GroupBeat, ...]
     loads: dict[int, int]
     is_changing: bool = False
 
@@ -87,15 +118,15 @@
     ----------
     term, ended_term : int
         Of its coordination, and of one that it gave up; 0 for none.
-    broken : tuple of int
-        Marks of the services whose group it knows to be down.
+    groups : tuple of GroupNews
+        What it knows of the groups.
     is_changing : bool
         Whether a change of a map is under way.
     """
 
     term: int = 0
     ended_term: int = 0
-    broken: tuple[int, ...] = ()
+    groups: tuple[GroupNews, ...] = ()
     is_changing: bool = False
 
     @property
@@ -143,6 +174,7 @@
     _sent: tuple = ()
     _sent_to_all: Coordination | None = None
     _sent_to_all_at: Millis = 0
+    _next_group: int = 0
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -216,7 +248,7 @@
             self.state.endpoints_version,
             coordination.term,
             coordination.ended_term,
-            coordination.broken,
+            self._group_beats(coordination.groups),
             loads,
             coordination.is_changing,
         )
@@ -225,6 +257,23 @@
             if to_all or peer.node in self.cell.nodes:
                 self._send_to(peer, data)
 
+    def _group_beats(self, groups: tuple[GroupNews, ...]) -> tuple[GroupBeat, ...]:
+        """Return as many groups as a message has room for, each in its turn."""
+        beats = []
+        room = _MOST_RANKS
+        for turn in range(len(groups)):
+            news = groups[(self._next_group + turn) % len(groups)]
+            room -= len(news.ranks)
+            if beats and room < 0:
+                break
+            beats.append(
+                GroupBeat(
+                    news.service, news.group, news.epoch, news.standing, news.ranks
+                )
+            )
+        self._next_group += len(beats)
+        return tuple(beats)
+
     def _owes_all(self, coordination: Coordination, now: Millis) -> bool:
         """Whether gateways outside the cell need to be told, too.
 
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from azurefold.core.clock import Millis
+from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.gateway.groups.coordinator import Coordinator, new_coordinator
 from azurefold.gateway.peers.exchange import Exchange, Peer, PeerMessage, new_exchange
 from azurefold.gateway.state import GatewayState
@@ -111,6 +112,12 @@
 
     def on_message(message: PeerMessage) -> None:
         coordinator.heard(message)
+        for beat in message.groups:
+            state.group_told(
+                GroupNews(
+                    beat.service, beat.group, beat.epoch, beat.standing, beat.ranks
+                )
+            )
         news.peers_have(message.version, message.endpoints_version)
 
     exchange = new_exchange(
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -1,5 +1,6 @@
 """What a gateway knows of one service."""
 
+import logging
 import random
 from dataclasses import dataclass, field
 
@@ -12,11 +13,15 @@
 from azurefold.core.routing.endpoint import ExchangedLoads
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.pool import Pool
+from azurefold.core.routing.rank_groups import GroupNews, RankGroups
 from azurefold.core.routing.retries import RetryBudget, RetryPolicy
 from azurefold.entry.admission import Admission
+from azurefold.internal.logs import log_event
 
 __all__ = ["GatewayService", "new_gateway_service", "retry_policy"]
 
+_log = logging.getLogger("azurefold.gateway")
+
 _QUEUE = QueuePolicy(max_length=256, max_per_organisation=128, newest_first_after=150)
 """An answer's first event has to come within 400 ms, of which the engine takes
 up to 250."""
@@ -29,10 +34,6 @@
 """A nearer endpoint is taken when it has no more requests than one further
 away; a request more at a rank costs the next one some 80 ms."""
 
-_DOWN_FOR_MS: Millis = 1_000
-"""After a refusal because of another rank, for which all refusals are put down
-to the group: those that find its places taken by requests that stand still, too."""
-
 _OWN_RETRY_SHARE = 0.75
 """Part of the allowed retries that is used: nodes count by themselves."""
 
@@ -54,6 +55,8 @@
         Whether its endpoints are dealt out to cells of gateways.
     recent_gap : RecentGap
         Of its streams through this gateway.
+    groups : RankGroups
+        Of its endpoints, where they are ranks.
     """
 
     view: RoutedService
@@ -62,7 +65,7 @@
     entries: dict[str, EndpointEntry] = field(default_factory=dict)
     is_divided: bool = False
     recent_gap: RecentGap = field(default_factory=RecentGap)
-    _down_until: Millis = 0
+    groups: RankGroups = field(default_factory=RankGroups)
 
     @property
     def is_group(self) -> bool:
@@ -70,13 +73,59 @@
         engine = self.view.engine
         return engine is not None and engine.splits_experts
 
-    def group_was_down(self, now: Millis) -> None:
-        """Note that a rank refused because of another one."""
-        self._down_until = now + _DOWN_FOR_MS
-
-    def group_is_down(self, now: Millis) -> bool:
-        """Whether the group refused a moment ago because of one of its ranks."""
-        return now < self._down_until
+    @property
+    def down_since(self) -> Millis | None:
+        """Since when all groups are down; None if one runs, or there is none."""
+        return self.groups.down_since(self.entries) if self.is_group else None
+
+    def forms_in(self, now: Millis) -> Millis | None:
+        """Return until when a group that forms anew will run; None if none does."""
+        since = self.groups.forms_since(self.entries)
+        if since is None:
+            return None
+        return max(0, since + self.view.engine.form_ms - now)
+
+    def group_told(self, news: GroupNews, now: Millis) -> None:
+        """Take in what the coordinator tells of a group."""
+        if self.groups.told(news, now):
+            self._pause_groups(f"coordinator_{news.standing.name.lower()}")
+
+    def group_refused(self, endpoint: str, at_fault: str, now: Millis) -> None:
+        """Note that a rank refused because of another one, named by its address."""
+        named = (at_fault, *self._names_at(at_fault))
+        at_fault = next((name for name in named if name in self.entries), "")
+        was_down = self.groups.is_down(endpoint)
+        self.groups.refused(endpoint, at_fault, now)
+        if not was_down:
+            self._pause_groups("rank_refused")
+
+    def group_served(self, endpoint: str, sent_at: Millis) -> None:
+        """Note an event of a request that was sent to a rank at ``sent_at``."""
+        if self.groups.served(endpoint, sent_at):
+            self._pause_groups("rank_served")
+
+    def _names_at(self, address: str) -> list[str]:
+        return [name for name, e in self.entries.items() if e.address == address]
+
+    def _pause_groups(self, why: str) -> None:
+        """Let requests go to ranks whose group is not known to be down."""
+        paused = frozenset(filter(self.groups.is_down, self.entries))
+        pool = self.admission.pool
+        if paused == pool.paused:
+            return
+        log_event(
+            _log,
+            "groups_paused",
+            service=self.view.name,
+            ranks=len(paused),
+            of=len(self.entries),
+            why=why,
+        )
+        pool.set_paused(paused)
+        if self.entries and len(paused) == len(self.entries):
+            self.admission.pause()
+        else:
+            self.admission.resume()
 
     def configure(self, view: RoutedService) -> None:
         """Take in a newer configuration."""
@@ -99,6 +148,8 @@
             is_near = entry.data_centre == self.data_centre
             pool.set_distance(entry.name, 0 if is_near else _OTHER_DATA_CENTRE_MS)
         self._set_slots()
+        self.groups.forget_all_but(self.entries)
+        self._pause_groups("endpoints_changed")
         self.admission.pump()
 
     def _set_slots(self) -> None:
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -9,6 +9,8 @@
 from azurefold.core.routes.model import RoutingConfiguration
 from azurefold.core.routes.table import RouteTable, route_table
 from azurefold.core.routing.cells import Cell
+from azurefold.core.routing.peer_loads import endpoint_mark
+from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.core.routing.retries import RetryPolicy
 from azurefold.gateway.endpoints.connections import EndpointLinks
 from azurefold.gateway.service_state import (
@@ -125,6 +127,12 @@
         for name, entries in by_service.items():
             self.services[name].set_endpoints(entries, self.cell, now)
 
+    def group_told(self, news: GroupNews) -> None:
+        """Take in what the coordinator tells of a group."""
+        for name, service in self.services.items():
+            if endpoint_mark(name) == news.service:
+                service.group_told(news, self.clock.now())
+
     def set_cell(self, cell: Cell) -> None:
         """Take in another division of the gateways."""
         if cell != self.cell:
--- a/src/azurefold/platform/ranks.py
+++ b/src/azurefold/platform/ranks.py
@@ -34,11 +34,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RankReport:
-    """A rank's report, with the group that it belongs to."""
+    """A rank's report, with the group that it belongs to.
+
+    Parameters
+    ----------
+    group : str
+    size : int
+    view : RankView
+    born : int
+        When the rank started, in Unix milliseconds; 0 if it does not say.
+    """
 
     group: str
     size: int
     view: RankView
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +77,7 @@
     prepared: int | None = msgspec.field(name="Prepared", default=None)
     armed: object = msgspec.field(name="Armed", default=None)
     held: object = None
+    born: int = 0
 
 
 class _Picked(msgspec.Struct):
@@ -109,9 +120,9 @@
             active=read.active,
             pace=read.pace,
         )
-        return RankReport(group.name, read.size, view)
+        return RankReport(group.name, read.size, view, read.born)
 
-    def counts(self, rank: int, n_layers: int) -> tuple[CountSample, int] | None:
+    def counts(self, n_layers: int) -> tuple[CountSample, int] | None:
         """Return the rank's counts and the last pass that was begun."""
         read = self._decoded("/picked", _Picked)
         if read is None or not read.counts:
@@ -121,7 +132,7 @@
             tuple(read.counts[start : start + per_layer])
             for start in range(0, per_layer * n_layers, per_layer)
         )
-        return CountSample(rank, read.epoch, layers), read.step
+        return CountSample(self.endpoint, read.epoch, layers), read.step
 
     def held_experts(self) -> HeldExperts | None:
         """Return which experts the rank holds."""
--- a/tests/core/groups/test_popularity_from_a_few_ranks.py
+++ b/tests/core/groups/test_popularity_from_a_few_ranks.py
@@ -11,7 +11,7 @@
 
 
 def sample(rank, *layers, epoch=1):
-    return CountSample(rank, epoch, tuple(map(tuple, layers)))
+    return CountSample(f"e{rank}", epoch, tuple(map(tuple, layers)))
 
 
 def test_the_first_counts_are_a_base_only(popularity):
--- /dev/null
+++ b/tests/core/routing/test_groups_that_are_down.py
@@ -0,0 +1,138 @@
+"""Which ranks get no requests while a group is down, and when they do again."""
+
+import pytest
+
+from azurefold.core.routing.messages import (
+    Chosen,
+    NoneAvailable,
+    RouteRequest,
+    Unavailable,
+)
+from azurefold.core.routing.peer_loads import endpoint_mark
+from azurefold.core.routing.pool import Pool
+from azurefold.core.routing.rank_groups import GroupNews, RankGroups, Standing
+
+FIRST, SECOND = ("a0", "a1"), ("b0", "b1")
+ALL = FIRST + SECOND
+
+
+def news_of(group, epoch, standing, ranks):
+    return GroupNews(1, group, epoch, standing, tuple(map(endpoint_mark, ranks)))
+
+
+@pytest.fixture
+def groups():
+    known = RankGroups()
+    known.told(news_of(11, 1, Standing.RUNS, FIRST), now=0)
+    known.told(news_of(22, 1, Standing.RUNS, SECOND), now=0)
+    return known
+
+
+def test_a_refusal_puts_its_own_group_out_only(groups):
+    """Half of the ranks are idle while callers are refused.
+
+    A rank refused because another one was cut off, and that was taken to be true of
+    all groups of the service: no retry went to the group that ran.
+    """
+    groups.refused("a0", "a1", now=100)
+    assert [name for name in ALL if groups.is_down(name)] == ["a0", "a1"]
+    assert groups.down_since(ALL) is None
+
+
+def test_all_groups_are_down_since_the_last_of_them_is(groups):
+    groups.refused("a0", "a1", now=100)
+    groups.refused("b0", "b1", now=300)
+    assert groups.down_since(ALL) == 300
+
+
+def test_ranks_of_which_nobody_has_told_count_as_one_group():
+    groups = RankGroups()
+    groups.refused("a0", "a1", now=100)
+    assert all(map(groups.is_down, ALL))
+
+
+def test_an_event_of_a_later_request_shows_that_the_group_runs(groups):
+    groups.refused("a0", "a1", now=100)
+    assert not groups.served("a1", sent_at=90)
+    assert groups.is_down("a1")
+    assert groups.served("a1", sent_at=110)
+    assert not groups.is_down("a0")
+
+
+def test_news_of_before_a_refusal_does_not_end_an_outage(groups):
+    """Requests go to a group that has just broken, and are refused.
+
+    The coordinator's reports are some hundred milliseconds old, and said that the
+    group runs right after a rank had refused.
+    """
+    groups.refused("a0", "a1", now=1_000)
+    groups.told(news_of(11, 1, Standing.RUNS, FIRST), now=1_200)
+    assert groups.is_down("a0")
+    groups.told(news_of(11, 1, Standing.RUNS, FIRST), now=1_600)
+    assert not groups.is_down("a0")
+
+
+def test_news_of_a_new_epoch_ends_an_outage_at_once(groups):
+    groups.refused("a0", "a1", now=1_000)
+    groups.told(news_of(11, 2, Standing.RUNS, FIRST), now=1_100)
+    assert not groups.is_down("a0")
+
+
+def test_news_of_an_old_epoch_changes_nothing(groups):
+    groups.told(news_of(11, 3, Standing.RUNS, FIRST), now=10)
+    assert not groups.told(news_of(11, 2, Standing.DOWN, FIRST), now=20)
+    assert not groups.is_down("a0")
+
+
+def test_a_group_that_nobody_tells_of_is_tried_once_a_second(groups):
+    """A group that runs again gets no request for as long as the node is cut off.
+
+    Neither the coordinator nor a request could tell that it runs.
+    """
+    groups.refused("a0", "a1", now=1_000)
+    assert groups.take_trial(FIRST, now=1_900) is None
+    assert groups.take_trial(FIRST, now=2_000) == "a0"
+    assert groups.take_trial(FIRST, now=2_100) is None
+
+
+def test_a_group_that_the_coordinator_sees_down_is_not_tried(groups):
+    for now in range(1_000, 4_000, 500):
+        groups.told(news_of(11, 1, Standing.DOWN, FIRST), now)
+        assert groups.take_trial(FIRST, now) is None
+
+
+def test_it_is_known_since_when_a_group_forms(groups):
+    groups.told(news_of(11, 1, Standing.DOWN, FIRST), now=100)
+    assert groups.forms_since(ALL) is None
+    groups.told(news_of(11, 1, Standing.FORMS, FIRST), now=400)
+    groups.told(news_of(11, 1, Standing.FORMS, FIRST), now=700)
+    assert groups.forms_since(ALL) == 400
+    groups.told(news_of(11, 2, Standing.RUNS, FIRST), now=900)
+    assert groups.forms_since(ALL) is None
+
+
+def test_a_rank_is_in_the_group_that_was_told_last(groups):
+    groups.told(news_of(22, 2, Standing.RUNS, (*SECOND, "a0")), now=10)
+    groups.refused("b0", "b1", now=20)
+    assert groups.is_down("a0")
+    assert not groups.is_down("a1")
+
+
+def test_requests_go_to_the_group_that_runs():
+    pool = Pool()
+    pool.set_endpoints(ALL, now=0)
+    pool.set_slots(4)
+    pool.set_paused(frozenset(FIRST))
+    chosen = [pool.choose(RouteRequest(), (n / 8, 0.5), now=0) for n in range(8)]
+    assert {one.endpoint for one in chosen} <= set(SECOND)
+
+
+def test_with_all_groups_down_that_is_the_reason():
+    pool = Pool()
+    pool.set_endpoints(ALL, now=0)
+    pool.set_paused(frozenset(ALL))
+    refused = pool.choose(RouteRequest(), (0.1, 0.5), now=0)
+    assert isinstance(refused, NoneAvailable)
+    assert refused.reason is Unavailable.GROUPS_DOWN
+    pool.set_paused(frozenset())
+    assert isinstance(pool.choose(RouteRequest(), (0.1, 0.5), now=0), Chosen)
--- a/tests/gateway/test_changes_pay_for_themselves.py
+++ b/tests/gateway/test_changes_pay_for_themselves.py
@@ -3,10 +3,8 @@
 import pytest
 
 from azurefold.core.balance.plan import LayerPlan, MapPlan, map_zero
-from azurefold.core.groups.samples import SampledPopularity
 from azurefold.core.routes.model import Engine
 from azurefold.gateway.groups.map_planning import is_worth_changing, sampling_of
-from azurefold.gateway.groups.view import GroupView
 
 SMALL = Engine(slots=6, layer_sets=4, experts=64, places=5, expert_mb=880.0)
 LARGE = Engine(slots=5, layer_sets=12, experts=144, places=3, expert_mb=130.0)
@@ -17,10 +15,6 @@
     return MapPlan((layer,))
 
 
-def view_of(size):
-    return GroupView("ranks", size, SampledPopularity(900, samples=3))
-
-
 @pytest.mark.parametrize(
     ("gap", "gain", "pays"),
     [(100, 0.13, True), (100, 0.1, False), (60, 0.4, False), (60, 0.6, True)],
@@ -40,10 +34,10 @@
 
 
 def test_small_groups_are_sampled_at_two_ranks_and_large_ones_at_four():
-    assert sampling_of(view_of(16), SMALL, longest_gap=80).ranks == 2
-    assert sampling_of(view_of(72), LARGE, longest_gap=80).ranks == 4
+    assert sampling_of(16, 3, SMALL, longest_gap=80).ranks == 2
+    assert sampling_of(72, 3, LARGE, longest_gap=80).ranks == 4
 
 
 def test_samples_are_rarer_while_gaps_are_short():
-    usual = sampling_of(view_of(16), SMALL, longest_gap=80).every
-    assert sampling_of(view_of(16), SMALL, longest_gap=30).every == 2 * usual
+    usual = sampling_of(16, 3, SMALL, longest_gap=80).every
+    assert sampling_of(16, 3, SMALL, longest_gap=30).every == 2 * usual
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -14,7 +14,6 @@
     RoutingConfiguration,
 )
 from azurefold.core.routing.cells import Cell
-from azurefold.gateway.callers import relay as relays
 from azurefold.gateway.callers.calls import (
     AnswerCutOffError,
     Begun,
@@ -29,6 +28,8 @@
 from azurefold.platform.headers import AnswerHead, read_request
 
 EVENT = b"id: %d\ndata: x\n\n"
+TIMEOUT_MS = 5_000
+LATEST_RETURN_MS = TIMEOUT_MS // 3
 
 
 @dataclass
@@ -236,7 +237,7 @@
     script += [answer(**NOT_RUN, at_fault="10.9.9.9:80"), answer(200, [EVENT % 1])]
     relay = relay_of(state, AnswerKind.STREAMING, max_attempts=2, resumable=True)
     [given_up] = parts_of(relay)
-    assert given_up.failure.retry_after_ms == relays._GROUP_RETRY_MS
+    assert given_up.failure.retry_after_ms == LATEST_RETURN_MS
     assert len(sockets) == 1
 
 
@@ -251,10 +252,9 @@
     script += [answer(**NOT_RUN, at_fault="10.9.9.9:80")]
     relay = relay_of(state, AnswerKind.STREAMING, max_attempts=1, resumable=True)
     parts_of(relay)
-    service = relay.service
-    service.set_endpoints([], Cell(), state.clock.now())
-    [given_up] = parts_of(Relay(relay.call, state, service))
-    assert given_up.failure.retry_after_ms == relays._GROUP_RETRY_MS
+    [given_up] = parts_of(Relay(relay.call, state, relay.service))
+    assert given_up.failure.retry_after_ms == LATEST_RETURN_MS
+    assert len(sockets) == 1
 
 
 def test_a_rank_that_is_full_itself_is_not_taken_for_its_group(state, script, sockets):
