Have a map in force half a second after popularity jumps

Passes were 106 to 170 ms apart from second 8 on, against 120 promised.

Now: growth of counts is added up between jumps, a sample across a jump is not planned for and another follows after 180 ms; passes that grow longer bring the next sample forward; the pass is chosen while ranks load, whose time follows from size and link; one change loads for half a second at most over all layers; the lead holds the exchanges only, as steps told with counts are fresh (measured: reports lag 4 to 8 passes, 200 to 300 ms; counts none).

Tests: state machine with slow loads and unexpected load times, mutants still caught. Ruled out: retrying arms without a bound (a successor may release the hold meanwhile).

--- a/src/azurefold/core/attempts/events.py
+++ b/src/azurefold/core/attempts/events.py
@@ -6,16 +6,30 @@
 """
 
 from dataclasses import dataclass, field
+from math import exp
 
 from azurefold.core.clock import Millis
 
-__all__ = ["EventPace", "EventSplitter", "RecentGap"]
+__all__ = ["EventPace", "EventSplitter", "PassLengths", "RecentGap"]
 
 _END = b"\n\n"
 _END_WITH_RETURNS = b"\r\n\r\n"
 _ID = b"id:"
 _SPAN_MS: Millis = 1_000
 
+_RECENT_MS: Millis = 100
+_USUAL_MS: Millis = 1_500
+_LEAST_SPAN_MS: Millis = 4
+_REFRACTORY_MS: Millis = 700
+"""After gaps have grown, until they may be said to have grown again: a map for them
+takes as long to be in force."""
+
+_GROWTH = 1.3
+"""A jump lengthens passes by 1.4 to 2; prompts that are read by 1.2."""
+
+_LEAST_GAP_MS: Millis = 60
+"""Gaps half as long as the 120 ms that callers are promised make nobody late."""
+
 
 @dataclass(slots=True)
 class EventSplitter:
@@ -154,3 +168,40 @@
         self._before = self._now if span == self._span + 1 else 0
         self._now = 0
         self._span = span
+
+
+@dataclass(slots=True)
+class PassLengths:
+    """Whether the gaps between streams' events have grown of late.
+
+    All ranks of a group compute each pass together, so the gaps of any stream show
+    how long passes take. They grow within a pass or two when popularity jumps away
+    from a map, long before the next sample of counts is due.
+    """
+
+    _recent: float = 0.0
+    _usual: float = 0.0
+    _at: Millis = 0
+    _settled_at: Millis = 0
+
+    def observe(self, gap: Millis, now: Millis) -> None:
+        """Take in the gap between two events of a stream."""
+        if not self._at:
+            self._recent = self._usual = float(gap)
+        elapsed = max(_LEAST_SPAN_MS, now - self._at)
+        self._at = now
+        self._recent += (1 - exp(-elapsed / _RECENT_MS)) * (gap - self._recent)
+        self._usual += (1 - exp(-elapsed / _USUAL_MS)) * (gap - self._usual)
+
+    def have_grown(self, now: Millis) -> bool:
+        """Whether gaps are longer than they were, and long enough to matter."""
+        if now - self._settled_at < _REFRACTORY_MS:
+            return False
+        is_long = self._recent >= _LEAST_GAP_MS
+        return is_long and self._recent > _GROWTH * self._usual
+
+    def settle(self, now: Millis) -> None:
+        """Take the present gaps for the usual ones: somebody looks into them."""
+        if self.have_grown(now):
+            self._usual = self._recent
+            self._settled_at = now
--- a/src/azurefold/core/balance/even_split.py
+++ b/src/azurefold/core/balance/even_split.py
@@ -7,7 +7,7 @@
 event of any stream goes out.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from azurefold.core.balance.placement import Placement
@@ -81,18 +81,25 @@
         """Experts that ranks hold and did not hold at first."""
         return sum(self._new)
 
-    def relieve(self, most_new: int) -> bool:
+    @property
+    def loads_of_ranks(self) -> tuple[int, ...]:
+        """Experts that each rank holds and did not hold at first."""
+        return tuple(self._new)
+
+    def relieve(self, most_new: int, full: Collection[int] = ()) -> bool:
         """Take the best step for the slowest rank; return whether there was one.
 
         Parameters
         ----------
         most_new : int
             Experts that may be new to one rank.
+        full : collection of int
+            Ranks that may load nothing more.
         """
         slowest = max(range(len(self.loads)), key=self._time)
         limit = self._time(slowest) * _NO_WORSE
         best, least = None, limit
-        for step in self._steps(slowest, most_new):
+        for step in self._steps(slowest, most_new, full):
             time = self._slowest_after(step, slowest)
             if time < least:
                 best, least = step, time
@@ -109,9 +116,11 @@
     def _time(self, rank: int) -> float:
         return self.loads[rank] / self.speeds[rank]
 
-    def _steps(self, slowest: int, most_new: int) -> Iterator[Step]:
+    def _steps(
+        self, slowest: int, most_new: int, full: Collection[int]
+    ) -> Iterator[Step]:
         hottest = sorted(self.held[slowest], key=self._part, reverse=True)
-        targets = self._targets(most_new)
+        targets = self._targets(most_new, full)
         for expert in hottest[:_EXPERTS_TRIED]:
             for rank in targets:
                 if rank not in self.hosts[expert]:
@@ -129,8 +138,12 @@
         if spare:
             yield Step(added, (min(spare, key=self._pushed), rank))
 
-    def _targets(self, most_new: int) -> list[int]:
-        able = [rank for rank, new in enumerate(self._new) if new < most_new]
+    def _targets(self, most_new: int, full: Collection[int]) -> list[int]:
+        able = [
+            rank
+            for rank, new in enumerate(self._new)
+            if new < most_new and rank not in full
+        ]
         return sorted(able, key=self._time)[:_TARGETS_TRIED]
 
     def _part(self, expert: int) -> float:
--- a/src/azurefold/core/balance/plan.py
+++ b/src/azurefold/core/balance/plan.py
@@ -1,13 +1,37 @@
 """A whole map from small moves, within what one change may load."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass
 
-from azurefold.core.balance.even_split import even_split
+from azurefold.core.balance.even_split import EvenSplit, even_split
 from azurefold.core.balance.placement import Placement, even_assignment
 from azurefold.core.balance.policy import BalancePolicy
 
-__all__ = ["LayerPlan", "MapPlan", "layer_skew", "map_zero", "plan_layer"]
+__all__ = [
+    "LayerPlan",
+    "LoadLimits",
+    "MapPlan",
+    "layer_skew",
+    "map_zero",
+    "plan_layer",
+    "plan_layers",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadLimits:
+    """What one change may load.
+
+    Parameters
+    ----------
+    of_a_layer : int
+        Experts of one layer that may be new to a rank.
+    of_a_rank : int
+        Experts of all layers that may be new to a rank.
+    """
+
+    of_a_layer: int
+    of_a_rank: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,14 +45,19 @@
     skew_before, skew_after : float
         Time of the slowest rank over the time if all were level: its load, and its
         speed where it is slow as such.
-    loads : int
-        Weights that ranks have to load.
+    loads_of_ranks : tuple of int
+        Weights that each rank has to load.
     """
 
     placement: Placement
     skew_before: float
     skew_after: float
-    loads: int
+    loads_of_ranks: tuple[int, ...]
+
+    @property
+    def loads(self) -> int:
+        """Weights that all ranks have to load."""
+        return sum(self.loads_of_ranks)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +71,12 @@
         """Weights that ranks have to load."""
         return sum(layer.loads for layer in self.layers)
 
+    @property
+    def loads_of_ranks(self) -> tuple[int, ...]:
+        """Weights that each rank has to load, which it does one after the other."""
+        by_layer = (layer.loads_of_ranks for layer in self.layers)
+        return tuple(map(sum, zip(*by_layer, strict=True)))
+
     @property
     def skew_before(self) -> float:
         """Mean skew of the layers, which a pass goes through one by one."""
@@ -77,40 +112,102 @@
     return max(loads) / mean if mean > 0 else 1.0
 
 
-def plan_layer(
-    placement: Placement,
-    rates: Sequence[float],
+def plan_layers(
+    placements: Sequence[Placement],
+    popularity: Sequence[Sequence[float]],
     speeds: Sequence[float],
     policy: BalancePolicy,
-    loads_per_rank: int,
-) -> LayerPlan:
-    """Plan one layer: steps as far as they pay for what ranks have to load.
+    limits: LoadLimits,
+) -> Iterator[MapPlan | None]:
+    """Plan all layers: steps as far as they pay for what ranks have to load.
 
-    A step may pay only together with those behind it, as when two ranks are
-    equally slow; so steps are taken as long as there are any, and the best of the
-    placements on the way is the plan.
+    The layer that is most skewed at present takes the next step, as a pass goes
+    through all of them; a rank loads for all layers over one link. A step may pay
+    only together with those behind it, as when two ranks are equally slow; so each
+    layer takes steps as long as there are any, and the best of its placements on the
+    way is its plan.
 
     Parameters
     ----------
-    placement : Placement
-        The one in force.
-    rates : sequence of float
-        Popularity of each expert.
+    placements : sequence of Placement
+        Those in force, by layer.
+    popularity : sequence of sequence of float
+        Of each layer's experts.
     speeds : sequence of float
         Of each rank; 1.0 is that of a sound one.
     policy : BalancePolicy
-    loads_per_rank : int
-        Experts that may be new to one rank.
+    limits : LoadLimits
+
+    Yields
+    ------
+    MapPlan or None
+        None after each step, so that other work can go on in between; the plan
+        last.
     """
-    split = even_split(placement, rates, speeds)
-    before = split.skew
-    best, after, best_loads, least_cost = placement, before, 0, 0.0
-    while split.skew > 1.0 + policy.tolerated_excess:
-        if not split.relieve(loads_per_rank) or split.new_loads > policy.max_loads:
-            break
-        gained = policy.price_of_excess * (before - split.skew)
+    layers = [
+        _Layer(even_split(placement, rates, speeds), placement, policy)
+        for placement, rates in zip(placements, popularity, strict=True)
+    ]
+    open_layers = list(layers)
+    while open_layers:
+        layer = max(open_layers, key=_Layer.current_skew)
+        used = [sum(each.loads[rank] for each in layers) for rank in range(len(speeds))]
+        full = {rank for rank, loads in enumerate(used) if loads >= limits.of_a_rank}
+        if not layer.step(limits.of_a_layer, full):
+            open_layers.remove(layer)
+        yield None
+    yield MapPlan(tuple(layer.plan() for layer in layers))
+
+
+def plan_layer(
+    placement: Placement,
+    rates: Sequence[float],
+    speeds: Sequence[float],
+    policy: BalancePolicy,
+    loads_per_rank: int,
+) -> LayerPlan:
+    """Plan one layer by itself; see :func:`plan_layers`."""
+    limits = LoadLimits(loads_per_rank, loads_per_rank)
+    steps = plan_layers([placement], [rates], speeds, policy, limits)
+    *_, plan = steps
+    return plan.layers[0]
+
+
+@dataclass(slots=True)
+class _Layer:
+    """A layer while it is planned, with the best of its placements so far."""
+
+    split: EvenSplit
+    best: Placement
+    policy: BalancePolicy
+    before: float = 0.0
+    after: float = 0.0
+    loads: tuple[int, ...] = ()
+    least_cost: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.before = self.after = self.split.skew
+        self.loads = self.split.loads_of_ranks
+
+    def current_skew(self) -> float:
+        return self.split.skew
+
+    def step(self, most_of_a_rank: int, full: Collection[int]) -> bool:
+        """Take one step; return whether there may be another."""
+        split, policy = self.split, self.policy
+        if split.skew <= 1.0 + policy.tolerated_excess:
+            return False
+        if (
+            not split.relieve(most_of_a_rank, full)
+            or split.new_loads > policy.max_loads
+        ):
+            return False
+        gained = policy.price_of_excess * (self.before - split.skew)
         cost = policy.move_weight * split.new_loads - gained
-        if cost < least_cost:
-            best, after = split.placement(), split.skew
-            best_loads, least_cost = split.new_loads, cost
-    return LayerPlan(best, before, after, best_loads)
+        if cost < self.least_cost:
+            self.best, self.after = split.placement(), split.skew
+            self.loads, self.least_cost = split.loads_of_ranks, cost
+        return True
+
+    def plan(self) -> LayerPlan:
+        return LayerPlan(self.best, self.before, self.after, self.loads)
--- a/src/azurefold/core/groups/map_change.py
+++ b/src/azurefold/core/groups/map_change.py
@@ -2,10 +2,12 @@
 
 All ranks load the new map first. Then the group is held before a pass some way
 ahead, every rank is armed to switch at that pass, and when *all* have confirmed
-the hold is released. The hold is what makes this safe: without it the pass may
-begin while some ranks are armed and others are not, and they would run it under
-two maps. Chosen well, all are armed before the group gets there, and nobody
-waits.
+the hold is released. How long loading takes is known beforehand, so the pass is
+chosen, and the group held before it, while ranks still load.
+
+The hold is what makes this safe: without it the pass may begin while some ranks are
+armed and others are not, and they would run it under two maps. Chosen well, all are
+armed before the group gets there, and nobody waits.
 
 An order without an answer may be carried out seconds later. It then meets a
 pass that has begun, or a rank that is armed already, and is refused or changes
@@ -20,6 +22,7 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.groups.map_orders import (
+    REPORT_AGE_MS,
     Arm,
     AskReport,
     ChangeAction,
@@ -36,7 +39,12 @@
     Verdict,
 )
 
-__all__ = ["MapChange", "may_take_up", "resumed_change"]
+__all__ = ["MapChange"]
+
+
+_LONGEST_SINCE_MS: Millis = 1_500
+"""For which passes are taken to have gone on since the last one that is known: a
+group without requests makes none, and would be armed for a pass that never comes."""
 
 
 class _Phase(Enum):
@@ -72,6 +80,9 @@
     _phase: _Phase = _Phase.PREPARING
     _done: set[int] = field(default_factory=set)
     _out: set[int] = field(default_factory=set)
+    _loading: set[int] = field(default_factory=set)
+    _load_ms: Millis | None = None
+    _loaded_at: Millis = 0
     _unsure: set[int] = field(default_factory=set)
     _next_at: dict[int, Millis] = field(default_factory=dict)
     _began: Millis = 0
@@ -99,7 +110,9 @@
         """Whether nothing is left to do."""
         return self._phase is _Phase.OVER
 
-    def begin(self, pass_ms: float, now: Millis) -> list[ChangeAction]:
+    def begin(
+        self, pass_ms: float, now: Millis, load_ms: Millis | None = None
+    ) -> list[ChangeAction]:
         """Have all ranks load the new map.
 
         Parameters
@@ -107,14 +120,42 @@
         pass_ms : float
             Time that a pass takes at present.
         now : int
+        load_ms : int or None
+            Time that the rank with most to load needs for it. None if that is not
+            known: ranks then have to report that they are done, which they do some
+            200 ms later, and only after that the pass is chosen.
         """
         self._pass_ms = pass_ms
+        self._load_ms = load_ms
         self._began = self._entered = now
         self._look_at = now + self.policy.look_every
         return self._to_all(Prepare(self.version), now)
 
+    def resume(
+        self, step: int, holders: list[int], now: Millis, *, arm: bool
+    ) -> list[ChangeAction]:
+        """Go on with a hold that is in place: arm all ranks, or only release.
+
+        Parameters
+        ----------
+        step : int
+            The pass that the group is held before.
+        holders : list of int
+            Ranks that hold it.
+        now : int
+        arm : bool
+            Whether any rank is armed; then all have to be.
+        """
+        self.step = step
+        self.holders = holders
+        self._tries = 1 if arm else -1
+        if not arm:
+            return self._release(now)
+        self._enter(_Phase.ARMING, now)
+        return self._to_all(Arm(self.version, step), now)
+
     def stepped(self, step: int, now: Millis) -> None:
-        """Take in a pass that has begun."""
+        """Take in a pass that had begun at ``now``."""
         if step > self._newest_step:
             self._newest_step = step
             self._step_seen_at = now
@@ -127,7 +168,10 @@
         match self._phase, order:
             case _Phase.PREPARING, Prepare():
                 # Refused is also what a repeat gets after a lost answer.
-                if verdict is not Verdict.ACCEPTED:
+                if verdict is Verdict.ACCEPTED:
+                    self._loading.add(rank)
+                    self._loaded_at = now + (self._load_ms or 0)
+                else:
                     self._unsure.add(rank)
                     self._orders_lost |= verdict is Verdict.LOST
                 return []
@@ -147,7 +191,7 @@
             return []
         if view.epoch != self.epoch:
             return self._end(ChangeEnd.NEW_EPOCH)
-        self.stepped(view.step, now)
+        self.stepped(view.step, now - REPORT_AGE_MS)
         match self._phase:
             case _Phase.PREPARING if view.prepared == self.version:
                 self._done.add(view.rank)
@@ -173,6 +217,10 @@
     def _tick_preparing(self, now: Millis) -> list[ChangeAction]:
         if now - self._began >= self.policy.prepare_timeout:
             return self._end(ChangeEnd.NOT_PREPARED)
+        if self._knows_when_loaded:
+            # Sooner than its lead the hold would stand for longer than it has to.
+            is_time = now >= self._loaded_at - self.policy.lead
+            return self._hold(now) if is_time else []
         if now < self._look_at:
             return []
         self._look_at = now + self.policy.look_every
@@ -184,6 +232,11 @@
                 actions += self._send(rank, Prepare(self.version), now)
         return actions
 
+    @property
+    def _knows_when_loaded(self) -> bool:
+        """Whether all ranks are loading, and it is known for how long."""
+        return self._load_ms is not None and len(self._loading) == self.size
+
     def _tick_held(self, now: Millis) -> list[ChangeAction]:
         if now - self._entered >= self.policy.patience:
             return self._end(ChangeEnd.STUCK)
@@ -215,8 +268,9 @@
         self._tries += 1
         if self._tries > self.policy.hold_tries:
             return self._end(ChangeEnd.NOT_PREPARED)
-        since = now - self._step_seen_at
+        since = min(now - self._step_seen_at, _LONGEST_SINCE_MS)
         lead = self.policy.lead + (self.policy.lossy_lead if self._orders_lost else 0)
+        lead = max(lead, self._loaded_at - now)
         ahead = ceil((since + lead) / self._pass_ms)
         ahead = max(ahead, self.policy.least_lead_passes) + 2 * (self._tries - 1)
         self.step = self._newest_step + ahead
@@ -230,7 +284,10 @@
         match verdict:
             case Verdict.ACCEPTED:
                 self._enter(_Phase.ARMING, now)
-                return self._to_all(Arm(self.version, self.step), now)
+                if now >= self._loaded_at:
+                    return self._to_all(Arm(self.version, self.step), now)
+                self._next_at = dict.fromkeys(range(self.size), self._loaded_at)
+                return []
             case Verdict.REFUSED:
                 # The pass has begun, and no hold for it can take effect later.
                 return self._hold(now)
@@ -242,15 +299,28 @@
         match verdict:
             case Verdict.ACCEPTED:
                 return self._armed(rank, now)
+            case Verdict.REFUSED if self._may_still_load(now):
+                self._next_at[rank] = now + self.policy.load_repeat
+                return []
             case Verdict.REFUSED:
                 return self._take_back(now)
         return [AskReport(rank)]
 
+    def _may_still_load(self, now: Millis) -> bool:
+        """Whether a rank that refuses to be armed may be loading still.
+
+        For a short time only. Whoever takes over while no rank is armed releases
+        the group at its pass; an order to arm that came at that moment would have
+        one rank run the pass under another map.
+        """
+        in_time = now - self._entered < self.policy.arm_within
+        return self._knows_when_loaded and in_time
+
     def _armed(self, rank: int, now: Millis) -> list[ChangeAction]:
         self._done.add(rank)
         if len(self._done) < self.size:
             return []
-        self._arming_ms = max(1, now - self._entered)
+        self._arming_ms = max(1, now - max(self._entered, self._loaded_at))
         return self._release(now)
 
     def _release(self, now: Millis) -> list[ChangeAction]:
@@ -309,63 +379,3 @@
     def _end(self, end: ChangeEnd) -> list[ChangeAction]:
         self._phase = _Phase.OVER
         return [Ended(end)]
-
-
-def may_take_up(views: list[RankView]) -> bool:
-    """Whether a hold that another coordinator placed may be taken up now.
-
-    With no rank armed there is only a hold to release. What goes wrong if that is
-    done while the pass is still ahead: the other coordinator stood still between
-    the hold and its orders to arm, wakes, and arms the ranks one after the other
-    while the group runs towards that pass with nothing to stop it; two ranks run
-    the pass under two maps. Once the group waits for the pass, its release begins
-    it, and ranks refuse to be armed for it. A group that is not there yet loses
-    nothing by the wait.
-
-    Parameters
-    ----------
-    views : list of RankView
-        Of all ranks of the group, in one epoch.
-    """
-    held = [view.held for view in views if view.held is not None]
-    if not held:
-        return False
-    if any(view.armed is not None for view in views):
-        return True
-    return max(view.step for view in views) >= max(held) - 1
-
-
-def resumed_change(
-    views: list[RankView], policy: ChangePolicy, now: Millis
-) -> tuple[MapChange, list[ChangeAction]] | None:
-    """Take up what another coordinator has left behind.
-
-    What goes wrong without: a coordinator dies while it holds the group, and no
-    pass begins any more. Seen as a group that is whole and silent.
-
-    Parameters
-    ----------
-    views : list of RankView
-        Of all ranks of the group, in one epoch.
-    policy : ChangePolicy
-    now : int
-
-    Returns
-    -------
-    tuple or None
-        A change that is arming where any rank is armed, else one that only
-        releases; None if no rank holds the group.
-    """
-    held = [view for view in views if view.held is not None]
-    if not held:
-        return None
-    step = max(view.held for view in held)
-    versions = {view.armed for view in views if view.armed is not None}
-    change = MapChange(max(versions, default=0), views[0].epoch, len(views), policy)
-    change.step = step
-    change.holders = [view.rank for view in held]
-    change._tries = 1 if versions else -1
-    if not versions:
-        return change, change._release(now)
-    change._enter(_Phase.ARMING, now)
-    return change, change._to_all(Arm(change.version, step), now)
--- a/src/azurefold/core/groups/map_orders.py
+++ b/src/azurefold/core/groups/map_orders.py
@@ -6,7 +6,9 @@
 from azurefold.core.clock import Millis
 
 __all__ = [
+    "ARM_WITHIN_MS",
     "REPEAT_MS",
+    "REPORT_AGE_MS",
     "Arm",
     "AskReport",
     "ChangeAction",
@@ -24,8 +26,11 @@
     "change_policy",
 ]
 
-_REPORT_AGE_MS: Millis = 200
-"""Of the step that the choice of a pass rests on, and that a look finds."""
+REPORT_AGE_MS: Millis = 250
+"""Of what a rank reports: 200 to 300 ms by the passes that it lags behind."""
+
+_EXCHANGE_MS: Millis = 40
+"""For the order to hold and its answer: 3 to 10 ms, and the tick that sends it."""
 
 _ARM_MS: Millis = 3
 """A rank's part in arming all: 16 ranks are armed after some 40 ms, 72 after some
@@ -35,6 +40,10 @@
 """Of 72 orders to arm some get no answer where one in ten gets none, and each is sent
 again twice on average."""
 
+ARM_WITHIN_MS: Millis = 250
+"""The longest that a hold stands before ranks are armed. Another coordinator lets it
+stand for longer before it releases a group in which no rank seems to be armed."""
+
 REPEAT_MS: Millis = 150
 """Until an order other than to prepare that got no answer is sent again: late enough
 for 72 answers, soon enough that one lost order keeps no group from its pass."""
@@ -176,10 +185,13 @@
         answer is waited for.
     look_every : int
         Between two looks at the reports of ranks that are still loading.
+    load_repeat : int
+        Until a rank that may still be loading is told again to be armed.
+    arm_within : int
+        With the group held, for which ranks may still be loading.
     lead : int
-        From the choice of a pass to that pass: the age of the step that the
-        choice rests on, and the exchanges with the ranks. If it is too short the
-        group is held, and all its streams are late.
+        From the choice of a pass to that pass: the exchanges with the ranks. If it
+        is too short the group is held, and all its streams are late.
     lossy_lead : int
         Added where an order to prepare got no answer. Without it the group was held
         for 0.44 s when one order in ten got no answer.
@@ -196,6 +208,8 @@
     prepare_timeout: Millis = 2_500
     prepare_repeat: Millis = 400
     look_every: Millis = 120
+    load_repeat: Millis = 30
+    arm_within: Millis = ARM_WITHIN_MS
     lead: Millis = 260
     lossy_lead: Millis = _LOSSY_LEAD_MS
     least_lead_passes: int = 3
@@ -220,12 +234,13 @@
     Examples
     --------
     >>> change_policy(16).lead, change_policy(72).lead
-    (422, 674)
+    (112, 364)
     >>> change_policy(16, arming_ms=200).lead
-    650
+    340
     """
     arming = arming_ms or _ARM_MS * size
-    lead = _REPORT_AGE_MS + REPEAT_MS + round(_ARMING_MARGIN * arming)
+    lead = _EXCHANGE_MS + round(_ARMING_MARGIN * arming)
     if orders_get_lost:
+        lead += REPEAT_MS
         return ChangePolicy(lead=lead + _LOSSY_LEAD_MS, lossy_lead=0)
     return ChangePolicy(lead=lead)
--- a/src/azurefold/core/groups/samples.py
+++ b/src/azurefold/core/groups/samples.py
@@ -1,12 +1,22 @@
 """Popularity of experts from the counts of a few ranks."""
 
 from dataclasses import dataclass, field
+from math import exp
 
-from azurefold.core.balance.popularity import Popularity, new_popularity, observe
 from azurefold.core.clock import Millis
 
 __all__ = ["CountSample", "SampledPopularity"]
 
+_USUAL_NOISE = 0.12
+"""Total variation between two ranks' counts of half a second and those of all ranks,
+while popularity stayed."""
+
+_NOISE_SMOOTHING = 0.2
+_JUMP_OVER_NOISE = 1.7
+_LEAST_JUMP = 0.2
+"""A jump moved popularity by 0.3 to 0.6, half seconds without one by 0.05 to 0.13. A
+map planned for a popularity that is off by 0.2 has a skew of about 1.4."""
+
 
 @dataclass(frozen=True, slots=True)
 class CountSample:
@@ -28,52 +38,57 @@
 
 @dataclass(slots=True)
 class SampledPopularity:
-    """Decayed shares of the experts of each layer.
+    """Popularity of the experts of each layer, from the growth of ranks' counts.
+
+    Popularity stays nearly still for some seconds and then jumps. While it stays, all
+    growth since the last jump is added up, so that few ranks' counts tell it more and
+    more exactly; a mean that forgets at a steady rate is noise at first and lags for
+    a second after each jump. Growth in which a jump falls tells of before and after
+    alike, and is no popularity to plan for: another sample is wanted soon.
 
     Parameters
     ----------
     time_constant : int
-        Milliseconds after which an old sample weighs 1/e.
-    layers : tuple of Popularity
-        Empty before the first growth of counts was seen.
+        Milliseconds after which growth weighs 1/e, for slow drift.
+    layers : tuple of tuple of float
+        Growth of each expert's counts by layer, added up; empty before the first.
     samples : int
-        Rounds that were taken in.
+        Rounds that were taken in and may be planned for.
+    is_unsettled : bool
+        Whether the last growth may be of before and after a jump.
     """
 
     time_constant: Millis
-    layers: tuple[Popularity, ...] = ()
+    layers: tuple[tuple[float, ...], ...] = ()
     samples: int = 0
+    is_unsettled: bool = False
+    _noise: float = _USUAL_NOISE
     _last: dict[str, CountSample] = field(default_factory=dict)
     _sampled_at: Millis = 0
 
     @property
     def rates(self) -> tuple[tuple[float, ...], ...]:
-        """Choices of each expert a second, by layer."""
-        return tuple(layer.rates for layer in self.layers)
+        """Popularity of each expert beside the others, by layer."""
+        return self.layers
 
     def take(self, samples: list[CountSample], now: Millis) -> bool:
-        """Take in one round of counts; return whether popularity is newer now.
+        """Take in one round of counts; return whether it may be planned for.
 
         Ranks that were not asked last time, or began again, only give a base.
         """
         grown = [g for sample in samples if (g := self._growth(sample)) is not None]
         for sample in samples:
             self._last[sample.endpoint] = sample
-        span = max(1, now - self._sampled_at)
+        span = now - self._sampled_at
         self._sampled_at = now
         if not grown or not any(map(any, grown[0])):
             return False
-        summed = [
-            [sum(of_expert) for of_expert in zip(*layers, strict=True)]
+        summed = tuple(
+            tuple(float(sum(of_expert)) for of_expert in zip(*layers, strict=True))
             for layers in zip(*grown, strict=True)
-        ]
-        known = self.layers or tuple(
-            new_popularity(len(layer), self.time_constant) for layer in summed
-        )
-        self.layers = tuple(
-            observe(popularity, layer, span, now)
-            for popularity, layer in zip(known, summed, strict=True)
         )
+        if not self._settles(summed, span):
+            return False
         self.samples += 1
         return True
 
@@ -81,12 +96,29 @@
         """Forget the counts of an endpoint that has started again or is gone."""
         self._last.pop(endpoint, None)
 
-    def restore(self, rates: list[list[int]], now: Millis) -> None:
+    def restore(self, rates: list[list[int]]) -> None:
         """Begin with a popularity that another coordinator has seen."""
-        self.layers = tuple(
-            Popularity(tuple(map(float, layer)), now, self.time_constant)
-            for layer in rates
-        )
+        self.layers = tuple(tuple(map(float, layer)) for layer in rates)
+
+    def _settles(self, summed: tuple[tuple[float, ...], ...], span: Millis) -> bool:
+        """Add growth up, or begin anew with it; return if no jump falls in it."""
+        distance = _distance(self.layers, summed) if self.layers else 0.0
+        jumped = distance > max(_LEAST_JUMP, _JUMP_OVER_NOISE * self._noise)
+        if jumped and not self.is_unsettled:
+            self.layers = summed
+            self.is_unsettled = True
+            return False
+        if jumped or self.is_unsettled or not self.layers:
+            self.layers = summed
+        else:
+            self._noise += _NOISE_SMOOTHING * (distance - self._noise)
+            kept = exp(-span / self.time_constant)
+            self.layers = tuple(
+                tuple(kept * old + new for old, new in zip(before, grown, strict=True))
+                for before, grown in zip(self.layers, summed, strict=True)
+            )
+        self.is_unsettled = False
+        return True
 
     def _growth(self, sample: CountSample) -> tuple[tuple[int, ...], ...] | None:
         last = self._last.get(sample.endpoint)
@@ -99,3 +131,25 @@
         if any(min(layer) < 0 for layer in grown):
             return None
         return grown
+
+
+def _distance(
+    known: tuple[tuple[float, ...], ...], grown: tuple[tuple[float, ...], ...]
+) -> float:
+    """Return the mean total variation between the layers of two popularities.
+
+    Examples
+    --------
+    >>> _distance(((1.0, 1.0),), ((4.0, 0.0),))
+    0.5
+    """
+    distances = []
+    for before, now in zip(known, grown, strict=True):
+        parts = zip(_shares(before), _shares(now), strict=True)
+        distances.append(sum(abs(a - b) for a, b in parts) / 2)
+    return sum(distances) / len(distances)
+
+
+def _shares(counts: tuple[float, ...]) -> list[float]:
+    total = sum(counts) or 1.0
+    return [count / total for count in counts]
--- a/src/azurefold/core/routes/model.py
+++ b/src/azurefold/core/routes/model.py
@@ -119,6 +119,11 @@
     link_mbps: float = 0.0
     form_ms: Millis = 0
 
+    @property
+    def load_ms(self) -> float:
+        """Milliseconds in which a rank loads one expert."""
+        return self.expert_mb * 8_000.0 / self.link_mbps if self.link_mbps else 0.0
+
     @property
     def splits_experts(self) -> bool:
         """Whether ranks of a group share the experts under a map."""
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -247,6 +247,7 @@
         else:
             timings.event_gaps.of(service).observe(gap)
             self.service.recent_gap.observe(gap, now)
+            self.service.pass_lengths.observe(gap, now)
 
     def _request_bytes(self) -> bytes:
         call = self.call
--- a/src/azurefold/gateway/groups/changes.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -8,18 +8,21 @@
 from azurefold.core.balance.placement import Placement
 from azurefold.core.balance.plan import MapPlan
 from azurefold.core.clock import Millis
-from azurefold.core.groups.map_change import MapChange, may_take_up, resumed_change
+from azurefold.core.groups.map_change import MapChange
 from azurefold.core.groups.map_orders import (
+    ARM_WITHIN_MS,
     AskReport,
     ChangeAction,
     ChangeEnd,
     Ended,
     Prepare,
     RankOrder,
+    RankView,
     SendOrder,
     Verdict,
     change_policy,
 )
+from azurefold.core.groups.resumed_change import may_take_up, resumed_change
 from azurefold.gateway.groups.watch import GroupWatch
 from azurefold.internal.logs import log_event
 
@@ -34,6 +37,14 @@
 """After an order that got no answer, for which more of them are expected."""
 
 
+_UNARMED_HOLD_MS: Millis = ARM_WITHIN_MS + 350
+"""For which a hold without any armed rank is left alone: reports are up to 300 ms
+old."""
+
+_LOAD_MARGIN = 1.05
+"""On the time that loading takes by size and speed of the link."""
+
+
 class Row(Protocol):
     """The coordinator's row, as changes need it."""
 
@@ -62,6 +73,8 @@
     _ended_at: Millis = -1_000_000
     _arming_ms: Millis = 0
     _order_lost_at: Millis = -1_000_000
+    _unarmed_hold: int = -1
+    _unarmed_since: Millis = 0
     _switch_step: int = 0
     _switch_epoch: int = 0
 
@@ -104,7 +117,7 @@
         self._change = MapChange(version, view.epoch, view.size, policy)
         self._change.stepped(view.step, view.step_at)
         self._began = now
-        self._act(self._change.begin(view.pass_ms, now))
+        self._act(self._change.begin(view.pass_ms, now, self._load_ms(plan)))
 
     def take_up_hold(self) -> None:
         """Bring to its end what another coordinator has left behind.
@@ -115,7 +128,9 @@
         if self.watch.view.oldest_report_at - self._ended_at < _STALE_HOLD_MS:
             return
         views = [self.watch.view.views[rank] for rank in range(self.watch.view.size)]
-        if not may_take_up(views) or self.row.next_version() is None:
+        if not may_take_up(views) or self._may_be_armed_soon(views):
+            return
+        if self.row.next_version() is None:
             return
         policy = change_policy(self.watch.view.size)
         resumed = resumed_change(views, policy, self._now)
@@ -136,6 +151,27 @@
         )
         self._act(actions)
 
+    def _may_be_armed_soon(self, views: list[RankView]) -> bool:
+        """Whether whoever placed a hold may be about to arm the ranks.
+
+        What goes wrong without: a coordinator waits for a rank that is still loading
+        while another one, which has not heard of it for a moment, releases the
+        group. Ranks armed at that moment run the pass under another map.
+        """
+        if any(view.armed is not None for view in views):
+            return False
+        held = max(view.held for view in views if view.held is not None)
+        if held != self._unarmed_hold:
+            self._unarmed_hold, self._unarmed_since = held, self._now
+        return self._now - self._unarmed_since < _UNARMED_HOLD_MS
+
+    def _load_ms(self, plan: MapPlan) -> Millis | None:
+        """Return how long the rank with most to load needs; None if it isn't known."""
+        load_ms = self.watch.service.view.engine.load_ms
+        if not load_ms:
+            return None
+        return round(max(plan.loads_of_ranks, default=0) * load_ms * _LOAD_MARGIN)
+
     def _act(self, actions: Iterable[ChangeAction]) -> None:
         for action in actions:
             match action:
@@ -180,7 +216,6 @@
             # The endpoint has moved to another group, whose passes are others.
             return
         now = self._now
-        self.watch.view.stepped(report.view.step, now)
         self._act(change.reported(report.view, now))
 
     def _ended(self, end: ChangeEnd) -> None:
--- a/src/azurefold/gateway/groups/control.py
+++ b/src/azurefold/gateway/groups/control.py
@@ -27,9 +27,13 @@
 _log = logging.getLogger("azurefold.gateway")
 
 _SECOND_MS = 1_000
-_TICK_MS: Millis = 40
+_TICK_MS: Millis = 20
 """The finest step of a change; a group's pass takes some 50 ms."""
 
+_SETTLING_MS: Millis = 180
+"""Between a sample in which popularity jumped, or passes grew longer, and the next
+one: long enough for three passes' counts, and a third of what a change takes."""
+
 
 @dataclass(slots=True)
 class GroupControl:
@@ -184,7 +188,11 @@
         sampling = sampling_of(
             largest, watch.popularity.samples, watch.service.view.engine, longest_gap
         )
-        if now - watch.sampled_at >= sampling.every:
+        every = sampling.every
+        if watch.popularity.is_unsettled or watch.service.pass_lengths.have_grown(now):
+            every = _SETTLING_MS
+        if now - watch.sampled_at >= every:
+            watch.service.pass_lengths.settle(now)
             watch.sample(sampling.ranks)
 
 
@@ -214,5 +222,5 @@
     shape = [engine.experts] * engine.layer_sets
     watch = ServiceWatch(state, service)
     if [len(layer) for layer in popularity] == shape:
-        watch.popularity.restore(popularity, state.clock.now())
+        watch.popularity.restore(popularity)
     return ServiceControl(watch, row)
--- a/src/azurefold/gateway/groups/map_planning.py
+++ b/src/azurefold/gateway/groups/map_planning.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from azurefold.core.balance.plan import MapPlan, plan_layer
+from azurefold.core.balance.plan import LoadLimits, MapPlan, plan_layers
 from azurefold.core.balance.policy import BalancePolicy, Split
 from azurefold.core.clock import Millis
 from azurefold.core.routes.model import Engine, RoutedService
@@ -43,6 +43,14 @@
 _MOST_LOADS = 64
 """Experts of one layer that one change may load."""
 
+_LOADING_MS = 450.0
+"""That one change may take at any rank's link. Popularity stays alike for some four
+seconds: a change that helps most at once, and another one for the rest, serve more
+streams on time than one that takes a second."""
+
+_STEPS_AT_ONCE = 4
+"""Of planning, without letting other work go on; a step takes up to 1 ms."""
+
 _TOLERATED_EXCESS = 0.10
 _GIGABYTE_WEIGHT = 0.0085
 """Price of loading a gigabyte where a layer is all there is: as much as an excess of
@@ -114,17 +122,26 @@
 ) -> MapPlan:
     """Return a group's map for the present popularity.
 
-    Lets other work go on between two layers: a plan of all takes some 50 ms, in
-    which no event of any stream would go out.
+    Lets other work go on between steps: a plan takes some 50 ms, in which no event
+    of any stream would go out.
     """
     speeds = tuple(1.0 / max(1.0, view.views[rank].pace) for rank in range(view.size))
     policy = _policy(engine)
-    layers = []
-    for placement, rates in zip(view.placements, popularity, strict=True):
-        loads = engine.loads_per_change
-        layers.append(plan_layer(placement, rates, speeds, policy, loads))
-        gevent.sleep(0)
-    return MapPlan(tuple(layers))
+    limits = LoadLimits(engine.loads_per_change, _loads_of_a_rank(engine))
+    steps = plan_layers(view.placements, popularity, speeds, policy, limits)
+    for number, plan in enumerate(steps):
+        if plan is not None:
+            return plan
+        if number % _STEPS_AT_ONCE == 0:
+            gevent.sleep(0)
+    raise AssertionError("planning ends with a plan")
+
+
+def _loads_of_a_rank(engine: Engine) -> int:
+    """Return how many experts one change may load at a rank, over all layers."""
+    if not engine.load_ms:
+        return engine.loads_per_change * engine.layer_sets
+    return max(1, round(_LOADING_MS / engine.load_ms))
 
 
 def is_worth_changing(plan: MapPlan, longest_gap: Millis) -> bool:
--- a/src/azurefold/gateway/groups/view.py
+++ b/src/azurefold/gateway/groups/view.py
@@ -4,13 +4,16 @@
 
 from azurefold.core.balance.placement import Placement
 from azurefold.core.clock import Millis
-from azurefold.core.groups.map_orders import RankView
+from azurefold.core.groups.map_orders import REPORT_AGE_MS, RankView
 from azurefold.core.routing.rank_groups import Standing
 
 __all__ = ["GroupView"]
 
 _PASS_SMOOTHING = 0.4
 _USUAL_PASS_MS = 60.0
+_STEP_KEPT_MS: Millis = 2_000
+"""For which a pass that was told with counts goes before those in reports, which are
+behind by a varying time."""
 
 
 @dataclass(slots=True)
@@ -120,7 +123,8 @@
         self.endpoints[view.rank] = endpoint
         self.views[view.rank] = view
         self.heard_at[view.rank] = now
-        self.stepped(view.step, now)
+        if now - self._step_at >= _STEP_KEPT_MS:
+            self.stepped(view.step, now - REPORT_AGE_MS)
 
     def silent(self, endpoint: str) -> None:
         """Note that a rank gave no report."""
--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import zip_longest
 
 from azurefold.core.balance.placement import Placement
 from azurefold.core.balance.plan import map_zero
@@ -29,9 +30,11 @@
 _LOOK_HELD_MS: Millis = 200
 """The same while its group is held: its streams stand still."""
 
-_MEMORY_MS: Millis = 900
-"""Time constant of the popularity. Longer than a second it lags behind a shift, for
-two more samples; much shorter, maps follow the noise of a few ranks' counts."""
+_MEMORY_MS: Millis = 4_000
+"""Time constant of the popularity between two jumps."""
+
+_MOST_SAMPLED = 4
+"""Groups of a service up to which each has a rank that is sampled."""
 
 _LONG_AGO: Millis = -1_000_000
 
@@ -126,20 +129,21 @@
 
     def _choose_sampled(self, count: int) -> None:
         """Keep asking the same ranks while they run: counts tell by their growth."""
-        runs = [
-            endpoint
-            for view in self.groups.values()
-            if view.is_whole
-            for endpoint in view.endpoints.values()
-            if endpoint in self.service.entries
-        ]
-        wanted = min(count, len(runs))
-        if len(self._sampled) == wanted and set(self._sampled) <= set(runs):
+        whole = {view.name: view for view in self.groups.values() if view.is_whole}
+        wanted = max(count, len(whole)) if len(whole) <= _MOST_SAMPLED else count
+        kept = {name for name in self._sampled if self._group_of.get(name) in whole}
+        if kept == set(self._sampled) and len(kept) == wanted:
             return
-        kept = [endpoint for endpoint in self._sampled if endpoint in runs][:wanted]
-        others = [endpoint for endpoint in runs if endpoint not in kept]
-        drawn = self._draw.sample(others, wanted - len(kept))
-        self._sampled = (*kept, *drawn)
+        # Each group has its turn: counts also tell how far its passes are.
+        turns = [self._shuffled(view, kept) for view in whole.values()]
+        ranks = [rank for turn in zip_longest(*turns) for rank in turn if rank]
+        self._sampled = tuple(ranks[:wanted])
+
+    def _shuffled(self, view: GroupView, first: set[str]) -> list[str]:
+        """Return a group's endpoints in any order, those of ``first`` first."""
+        names = [n for n in view.endpoints.values() if n in self.service.entries]
+        self._draw.shuffle(names)
+        return sorted(names, key=lambda name: name not in first)
 
     def _look_every(self, endpoint: str) -> Millis:
         view = self.groups.get(self._group_of.get(endpoint, ""))
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from azurefold.core.admission.queue import FairQueue, QueuePolicy
-from azurefold.core.attempts.events import RecentGap
+from azurefold.core.attempts.events import PassLengths, RecentGap
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import RoutedService
@@ -55,6 +55,8 @@
         Whether its endpoints are dealt out to cells of gateways.
     recent_gap : RecentGap
         Of its streams through this gateway.
+    pass_lengths : PassLengths
+        The same, as a sign that a map fits no longer.
     groups : RankGroups
         Of its endpoints, where they are ranks.
     """
@@ -65,6 +67,7 @@
     entries: dict[str, EndpointEntry] = field(default_factory=dict)
     is_divided: bool = False
     recent_gap: RecentGap = field(default_factory=RecentGap)
+    pass_lengths: PassLengths = field(default_factory=PassLengths)
     groups: RankGroups = field(default_factory=RankGroups)
 
     @property
--- a/src/azurefold_standins/order_ranks.py
+++ b/src/azurefold_standins/order_ranks.py
@@ -20,21 +20,34 @@
 
 @dataclass(slots=True)
 class ModelRank:
-    """One rank: what it has loaded, is armed for and holds."""
+    """One rank: what it has loaded, is armed for and holds.
+
+    With ``is_slow`` set it goes on loading until :meth:`loaded` is called.
+    """
 
     version: int = 0
+    is_slow: bool = False
+    loading: int | None = None
     highest: int = 0
     prepared: int | None = None
     armed: tuple[int | None, int | None] = NOT_ARMED
     held: int | None = None
 
+    def loaded(self) -> None:
+        """Have all weights of the map that was being prepared."""
+        if self.loading is not None:
+            self.prepared, self.loading = self.loading, None
+
     def take(self, order: RankOrder, begun: int) -> Verdict:
         """Carry out an order, where ``begun`` is the last pass that began."""
         match order:
             case Prepare(version=version):
                 if version <= self.highest or self.armed != NOT_ARMED:
                     return Verdict.REFUSED
-                self.highest = self.prepared = version
+                self.highest = self.loading = version
+                self.prepared = None
+                if not self.is_slow:
+                    self.loaded()
             case Hold(step=step):
                 if step <= begun or self.held not in (None, step):
                     return Verdict.REFUSED
--- a/tests/core/balance/test_a_plan_keeps_to_what_one_change_may_load.py
+++ b/tests/core/balance/test_a_plan_keeps_to_what_one_change_may_load.py
@@ -3,7 +3,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from azurefold.core.balance.plan import layer_skew, map_zero, plan_layer
+from azurefold.core.balance.plan import (
+    LoadLimits,
+    layer_skew,
+    map_zero,
+    plan_layer,
+    plan_layers,
+)
 from azurefold.core.balance.policy import BalancePolicy, Split
 
 EXPERTS, PLACES, RANKS, LOADS_PER_RANK = 16, 5, 4, 2
@@ -39,3 +45,18 @@
     assert plan.loads == 0
     assert plan.placement == zero
     assert layer_skew(plan.placement, [3.0] * EXPERTS) == 1.0
+
+
+def test_ranks_load_no_more_than_allowed_over_all_layers():
+    """A change takes more than a second although each layer's part is small.
+
+    A rank loads the experts of all layers over one link, one after the other, and
+    the map is in force when the rank with most to load has done.
+    """
+    layers = [[50.0] + [1.0] * (EXPERTS - 1), [1.0] * (EXPERTS - 2) + [40.0, 30.0]]
+    zero = map_zero(EXPERTS, PLACES, RANKS)
+    limits = LoadLimits(of_a_layer=2, of_a_rank=2)
+    *_, plan = plan_layers([zero, zero], layers, SOUND, POLICY, limits)
+    assert max(plan.loads_of_ranks) <= 2
+    assert plan.skew_after < 0.7 * plan.skew_before
+    assert all(layer.loads for layer in plan.layers)
--- a/tests/core/groups/rank_model.py
+++ b/tests/core/groups/rank_model.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from azurefold.core.groups.map_change import MapChange, may_take_up, resumed_change
+from azurefold.core.groups.map_change import MapChange
 from azurefold.core.groups.map_orders import (
     AskReport,
     Ended,
     SendOrder,
     Verdict,
 )
+from azurefold.core.groups.resumed_change import may_take_up, resumed_change
 from azurefold_standins.order_ranks import ModelGroup
 
 ANSWER_TIMEOUT = 100
@@ -28,6 +29,7 @@
     abandoned: list = field(default_factory=list)
     lose: dict = field(default_factory=dict)
     unanswered: list = field(default_factory=list)
+    load_ms: int | None = None
 
     def begin(self):
         """Begin a change to a new version, if none is under way."""
@@ -36,7 +38,7 @@
         self.version += 1
         self.change = self.change_type(self.version, self.group.epoch, self.group.size)
         self.change.stepped(self.group.step, self.now)
-        self.act(self.change.begin(50.0, self.now))
+        self.act(self.change.begin(50.0, self.now, self.load_ms))
 
     def act(self, actions):
         """Carry out a change's actions at once."""
--- a/tests/gateway/test_changes_pay_for_themselves.py
+++ b/tests/gateway/test_changes_pay_for_themselves.py
@@ -11,7 +11,7 @@
 
 
 def plan_that_gains(gain):
-    layer = LayerPlan(map_zero(4, 2, 2), 1.2 + gain, 1.2, loads=3)
+    layer = LayerPlan(map_zero(4, 2, 2), 1.2 + gain, 1.2, loads_of_ranks=(2, 1))
     return MapPlan((layer,))
 
 
