Keep passes short, leave out what is out of reach, and step aside when cut off

Now: a group's requests are limited by what its passes take, with the engine's fixed part taken out (core/routing/pass_limit.py); an endpoint without a connection is left out at once for a second, its group doubted until an event comes; a gateway that hears half of its peers no more, reaches no store and sees no event of any group is not ready; while orders get lost the pass lies 0.4 s behind the end of loading; a change is ended before its coordinator resigns for a stop; news of an outage does not go before events that came since; a partly done plan is followed at once.

--- a/src/azurefold/core/admission/outage.py
+++ b/src/azurefold/core/admission/outage.py
@@ -16,6 +16,9 @@
 """For a group: callers leave after two seconds without an event, and the first one
 takes some 300 ms from the dispatch, more when all who waited go at once."""
 
+_MOST_OF_LEFT = 0.3
+"""Part of the time left that may be spent on waiting: nobody is held to the end."""
+
 _CAME_BACK_SHARE = 0.8
 """A caller that has less of the route's time than this share has come back once,
 and most come back no second time."""
@@ -82,12 +85,16 @@
     AwaitReturn(at_most=1200)
     """
     if forms_in is not None and forms_in <= _LONGEST_WAIT_MS:
-        return AwaitReturn(min(request.left, _LONGEST_WAIT_MS))
+        return AwaitReturn(_longest_wait(request))
     if request.left < _CAME_BACK_SHARE * request.timeout:
-        return AwaitReturn(min(request.left, _LONGEST_WAIT_MS))
+        return AwaitReturn(_longest_wait(request))
     return TurnAway(latest_return(request.left))
 
 
+def _longest_wait(request: OutageRequest) -> Millis:
+    return min(int(request.left * _MOST_OF_LEFT), _LONGEST_WAIT_MS)
+
+
 def latest_return(left: Millis) -> Millis:
     """Return the longest ``Retry-After`` that a caller heeds.
 
--- a/src/azurefold/core/groups/map_change.py
+++ b/src/azurefold/core/groups/map_change.py
@@ -269,8 +269,9 @@
         if self._tries > self.policy.hold_tries:
             return self._end(ChangeEnd.NOT_PREPARED)
         since = min(now - self._step_seen_at, _LONGEST_SINCE_MS)
-        lead = self.policy.lead + (self.policy.lossy_lead if self._orders_lost else 0)
-        lead = max(lead, self._loaded_at - now)
+        lead = max(self.policy.lead, self._loaded_at - now)
+        if self._orders_lost or self.policy.orders_get_lost:
+            lead += self.policy.lossy_lead
         ahead = ceil((since + lead) / self._pass_ms)
         ahead = max(ahead, self.policy.least_lead_passes) + 2 * (self._tries - 1)
         self.step = self._newest_step + ahead
@@ -290,6 +291,7 @@
                 return []
             case Verdict.REFUSED:
                 # The pass has begun, and no hold for it can take effect later.
+                self.stepped(self.step, now)
                 return self._hold(now)
         # It may hold the group now, or later, so it is released with the rest.
         self.holders.append((rank + 1) % self.size)
--- a/src/azurefold/core/groups/map_orders.py
+++ b/src/azurefold/core/groups/map_orders.py
@@ -40,7 +40,7 @@
 """Of 72 orders to arm some get no answer where one in ten gets none, and each is sent
 again twice on average."""
 
-ARM_WITHIN_MS: Millis = 250
+ARM_WITHIN_MS: Millis = 150
 """The longest that a hold stands before ranks are armed. Another coordinator lets it
 stand for longer before it releases a group in which no rank seems to be armed."""
 
@@ -193,8 +193,10 @@
         From the choice of a pass to that pass: the exchanges with the ranks. If it
         is too short the group is held, and all its streams are late.
     lossy_lead : int
-        Added where an order to prepare got no answer. Without it the group was held
-        for 0.44 s when one order in ten got no answer.
+        Added where orders get no answer. Without it the group was held for 0.44 s
+        when one order in ten got none.
+    orders_get_lost : bool
+        Whether orders got no answer lately.
     least_lead_passes : int
         Passes that lie between at least.
     repeat : int
@@ -212,6 +214,7 @@
     arm_within: Millis = ARM_WITHIN_MS
     lead: Millis = 260
     lossy_lead: Millis = _LOSSY_LEAD_MS
+    orders_get_lost: bool = False
     least_lead_passes: int = 3
     repeat: Millis = 60
     patience: Millis = 1_200
@@ -240,7 +243,4 @@
     """
     arming = arming_ms or _ARM_MS * size
     lead = _EXCHANGE_MS + round(_ARMING_MARGIN * arming)
-    if orders_get_lost:
-        lead += REPEAT_MS
-        return ChangePolicy(lead=lead + _LOSSY_LEAD_MS, lossy_lead=0)
-    return ChangePolicy(lead=lead)
+    return ChangePolicy(lead=lead, orders_get_lost=orders_get_lost)
--- a/src/azurefold/core/groups/samples.py
+++ b/src/azurefold/core/groups/samples.py
@@ -56,16 +56,24 @@
         Rounds that were taken in and may be planned for.
     is_unsettled : bool
         Whether the last growth may be of before and after a jump.
+    last_distance : float
+        Total variation between the last growth and the popularity before it.
     """
 
     time_constant: Millis
     layers: tuple[tuple[float, ...], ...] = ()
     samples: int = 0
     is_unsettled: bool = False
+    last_distance: float = 0.0
     _noise: float = _USUAL_NOISE
     _last: dict[str, CountSample] = field(default_factory=dict)
     _sampled_at: Millis = 0
 
+    @property
+    def noise(self) -> float:
+        """Total variation between two samples while popularity stays."""
+        return self._noise
+
     @property
     def rates(self) -> tuple[tuple[float, ...], ...]:
         """Popularity of each expert beside the others, by layer."""
@@ -103,7 +111,13 @@
     def _settles(self, summed: tuple[tuple[float, ...], ...], span: Millis) -> bool:
         """Add growth up, or begin anew with it; return if no jump falls in it."""
         distance = _distance(self.layers, summed) if self.layers else 0.0
+        self.last_distance = distance
         jumped = distance > max(_LEAST_JUMP, _JUMP_OVER_NOISE * self._noise)
+        if self.samples == 0:
+            # What another coordinator saw is of long ago: there is no jump in this
+            # growth to wait for the end of.
+            self.layers = ()
+            jumped = False
         if jumped and not self.is_unsettled:
             self.layers = summed
             self.is_unsettled = True
--- a/src/azurefold/core/routes/model.py
+++ b/src/azurefold/core/routes/model.py
@@ -96,6 +96,8 @@
         Requests that one rank runs at a time.
     stride : int
         Token steps in one pass of a group.
+    step_ms : float
+        Milliseconds that each of them takes whatever the requests.
     layer_sets, experts, places : int
         Sets of layers that share a placement, experts in each, and weights of
         one set that a rank has room for; 0 where experts are not split up.
@@ -111,6 +113,7 @@
 
     slots: int
     stride: int = 1
+    step_ms: float = 0.0
     layer_sets: int = 0
     experts: int = 0
     places: int = 0
@@ -196,3 +199,16 @@
     holders: dict[str, KeyHolder] = field(default_factory=dict)
     needs_keys: bool = False
     limits: CallerLimits = CallerLimits()
+
+    def promised_gap_ms(self, service: str) -> Millis:
+        """Return the shortest time between events that a service's routes promise.
+
+        0 where none promises any.
+        """
+        gaps = [
+            route.event_gap_ms
+            for route in self.routes
+            if route.event_gap_ms
+            and service in {each.service for each in route.destinations}
+        ]
+        return min(gaps, default=0)
--- a/src/azurefold/core/routing/choice.py
+++ b/src/azurefold/core/routing/choice.py
@@ -32,12 +32,15 @@
         Part of an answer's time that a full batch adds before any queue.
     failure_penalty : int
         Milliseconds added for an endpoint that fails always.
+    doubt_penalty : int
+        Milliseconds added for an endpoint whose group seems to stand still.
     """
 
     prefill: float = 0.1
     prefill_weight: float = 4.0
     sharing: float = 0.25
     failure_penalty: Millis = 4_000
+    doubt_penalty: Millis = 1_500
 
 
 @dataclass(slots=True)
@@ -99,7 +102,9 @@
     # An endpoint that fails at once is always idle. Without the penalty it
     # would draw in most of the traffic until it is ejected.
     penalty = failure_rate * policy.failure_penalty
-    return queue + sharing + prefill + penalty + endpoint.distance
+    # A group that stands still takes requests and refuses them 1.5 s later.
+    doubt = policy.doubt_penalty if endpoint.doubted else 0
+    return queue + sharing + prefill + penalty + doubt + endpoint.distance
 
 
 def draw_two(
--- a/src/azurefold/core/routing/endpoint.py
+++ b/src/azurefold/core/routing/endpoint.py
@@ -65,6 +65,11 @@
         How nodes share its slots.
     distance : int
         Milliseconds of waiting that a nearer endpoint is worth.
+    doubted : bool
+        Whether its group seems to stand still.
+    most : int or None
+        Requests that it may have from all nodes, so that its group's passes stay
+        short; None for as many as it has slots.
     """
 
     name: str
@@ -78,6 +83,8 @@
     counted_capacity: int = 0
     is_counted: bool = False
     leaving: bool = False
+    doubted: bool = False
+    most: int | None = None
     slots: int = _DEFAULT_SLOTS
     others: float = 0.0
     reported: Millis | None = None
@@ -109,7 +116,9 @@
         """
         match self.sharing:
             case ExchangedLoads(beyond_slots=beyond):
-                return max(0, self.slots + beyond - ceil(self.others))
+                usual = self.slots + beyond
+                most = usual if self.most is None else min(usual, self.most)
+                return max(0, most - ceil(self.others))
             case DividedSlots():
                 return self._divided_capacity()
 
--- a/src/azurefold/core/routing/members.py
+++ b/src/azurefold/core/routing/members.py
@@ -3,6 +3,7 @@
 from collections.abc import Set
 
 from azurefold.core.clock import Millis
+from azurefold.core.routing.absences import Absences
 from azurefold.core.routing.concurrency import ConcurrencyLimit, ConcurrencyPolicy
 from azurefold.core.routing.endpoint import DividedSlots, Endpoint, Sharing
 from azurefold.core.routing.messages import LoadReport, Unavailable
@@ -91,12 +92,14 @@
             endpoint.counted_room = endpoint.counted_capacity = 0
             self.recount(endpoint)
 
-    def why_none(self, exclude: Set[str], paused: Set[str]) -> Unavailable:
+    def why_none(self, exclude: Set[str], absences: Absences) -> Unavailable:
         """Return why no endpoint outside ``exclude`` can be chosen."""
         if not self.by_name:
             return Unavailable.NO_ENDPOINTS
-        if self.by_name.keys() <= paused:
+        if self.by_name.keys() <= absences.paused:
             return Unavailable.GROUPS_DOWN
+        if self.by_name.keys() <= absences.paused | absences.out_of_reach:
+            return Unavailable.OUT_OF_REACH
         if all(endpoint.leaving for endpoint in self.by_name.values()):
             return Unavailable.ALL_LEAVING
         if all(endpoint.name in exclude for endpoint in self.eligible):
--- a/src/azurefold/core/routing/messages.py
+++ b/src/azurefold/core/routing/messages.py
@@ -77,6 +77,7 @@
     ALL_EXCLUDED = "all_excluded"
     ALL_FULL = "all_full"
     GROUPS_DOWN = "groups_down"
+    OUT_OF_REACH = "out_of_reach"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -1,9 +1,10 @@
 """The endpoints of one service as one node sees them, and the choice among them."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from math import ceil
 
 from azurefold.core.clock import Millis
+from azurefold.core.routing.absences import Absences
 from azurefold.core.routing.choice import (
     PoolMeans,
     all_with_room,
@@ -57,7 +58,7 @@
         self._ejector = Ejector(self._policy.ejection)
         self._next_return: Millis | None = None
         self._hints = PrefixHints()
-        self._paused: frozenset[str] = frozenset()
+        self._absences = Absences(self._ejector)
         self._means = PoolMeans()
 
     @property
@@ -73,7 +74,18 @@
     @property
     def paused(self) -> frozenset[str]:
         """Endpoints whose group is down."""
-        return self._paused
+        return self._absences.paused
+
+    @property
+    def is_out(self) -> bool:
+        """Whether each endpoint's group is down, or the endpoint out of reach."""
+        names = self._members.by_name.keys()
+        return bool(names) and names <= self._absences.paused | self.out_of_reach
+
+    @property
+    def out_of_reach(self) -> frozenset[str]:
+        """Endpoints to which no connection could be made a moment ago."""
+        return self._absences.out_of_reach
 
     @property
     def in_flight(self) -> int:
@@ -139,7 +151,7 @@
         out of ``names`` or was readmitted, since the list of VMs lags.
         """
         for gone in self._members.replace(frozenset(names), now):
-            self._ejector.forget(gone)
+            self._absences.forget(gone)
         self._means.others = self._members.mean_others
         for name in leaving:
             if name in self._members.by_name:
@@ -152,8 +164,37 @@
         What goes wrong if each request finds out by itself: a group that is down
         takes half of all requests for as long as it is, and refuses them.
         """
-        self._paused = names
-        self._members.select(self._ejector.ejected | names)
+        self._absences.paused = names
+        self._members.select(self._absences.names)
+
+    def set_doubted(self, names: frozenset[str]) -> None:
+        """Prefer others to ``names``: their group seems to stand still."""
+        for name, endpoint in self._members.by_name.items():
+            endpoint.doubted = name in names
+
+    def mean_load(self, names: Collection[str]) -> float:
+        """Return the requests of all nodes that ``names`` have, on average."""
+        members = self._members.by_name
+        loads = [members[name].in_flight + members[name].others for name in names]
+        return sum(loads) / len(loads) if loads else 0.0
+
+    def limit_requests(self, names: Collection[str], mean: float | None) -> None:
+        """Let ``names`` have at most so many requests, on average; None for any.
+
+        A part of a request goes to the first of them in the order of names, which is
+        the same on all nodes.
+        """
+        most, rest = divmod(round((mean or 0.0) * len(names)), max(1, len(names)))
+        for place, name in enumerate(sorted(names)):
+            endpoint = self._members.by_name[name]
+            endpoint.most = None if mean is None else most + (place < rest)
+            self._members.recount(endpoint)
+
+    def lost_reach(self, endpoint: str, now: Millis) -> None:
+        """Note that no connection to an endpoint could be made in time."""
+        if endpoint in self._members.by_name:
+            self._absences.lost_reach(endpoint, now)
+            self._refresh(now)
 
     def mark_leaving(self, endpoint: str, now: Millis) -> None:
         """Choose ``endpoint`` no more; its attempts in flight go on."""
@@ -204,7 +245,7 @@
             return best
         answer = self._means.pace * self._means.tokens
         retry_after = int(_SHORTEST_RETRY + answer * (0.5 + draws[1]))
-        reason = self._members.why_none(request.exclude, self._paused)
+        reason = self._members.why_none(request.exclude, self._absences)
         return NoneAvailable(reason, retry_after)
 
     def started(
@@ -366,7 +407,7 @@
         endpoint.forget_pace()
 
     def _refresh(self, now: Millis) -> None:
-        for name in self._ejector.returned(now):
+        for name in self._absences.returned(now):
             self._members.by_name[name].last_progress = now
-        self._members.select(self._ejector.ejected | self._paused)
-        self._next_return = self._ejector.next_return
+        self._members.select(self._absences.names)
+        self._next_return = self._absences.next_return
--- a/src/azurefold/core/routing/rank_groups.py
+++ b/src/azurefold/core/routing/rank_groups.py
@@ -71,6 +71,8 @@
     refused_at: Millis = 0
     tried_at: Millis = 0
     forms_since: Millis | None = None
+    doubted: bool = False
+    served_at: Millis = -1_000_000
 
 
 @dataclass(slots=True)
@@ -89,10 +91,14 @@
         standing = self._standing(news.group)
         if news.epoch < standing.epoch:
             return False
+        formed = news.epoch > standing.epoch
+        is_old = now - standing.served_at < _NEWS_AGE_MS and not formed
+        if is_old and news.standing is not Standing.RUNS:
+            # The group has given events since: it runs, whatever ranks said before.
+            return False
         moved = any(self._group_of.get(rank) != news.group for rank in news.ranks)
         self._group_of.update(dict.fromkeys(news.ranks, news.group))
         was_down = standing.down_since is not None
-        formed = news.epoch > standing.epoch
         standing.epoch = news.epoch
         if news.standing is not Standing.RUNS:
             self._note_down(standing, now)
@@ -123,12 +129,26 @@
         self._note_down(standing, now)
         standing.refused_at = standing.tried_at = now
 
-    def served(self, endpoint: str, sent_at: Millis) -> bool:
+    def doubt(self, endpoint: str) -> bool:
+        """Note a sign that an endpoint's group stands still; return if that is news."""
+        standing = self._standing(self.group_of(endpoint))
+        is_news = not standing.doubted
+        standing.doubted = True
+        return is_news
+
+    def is_doubted(self, endpoint: str) -> bool:
+        """Whether an endpoint's group seems to stand still."""
+        standing = self._standings.get(self.group_of(endpoint))
+        return standing is not None and standing.doubted
+
+    def served(self, endpoint: str, sent_at: Millis, now: Millis) -> bool:
         """Note an event of a request sent at ``sent_at``; return if that is news."""
         standing = self._standing(self.group_of(endpoint))
+        was_doubted, standing.doubted = standing.doubted, False
         if standing.down_since is None or sent_at < standing.refused_at:
-            return False
+            return was_doubted
         standing.down_since = None
+        standing.served_at = now
         return True
 
     def is_down(self, endpoint: str) -> bool:
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -30,6 +30,7 @@
 _WAITS_MS = (0, 5, 20, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
 
 _NO_REQUEST = RouteRequest()
+_OUTAGES = (Unavailable.GROUPS_DOWN, Unavailable.OUT_OF_REACH)
 _REFUSED_DETAIL = "The request was not run; come back after the time in Retry-After."
 
 
@@ -208,7 +209,7 @@
         chosen = self._choose(ticket.route, now)
         if isinstance(chosen, Chosen):
             return self._granted(ticket, chosen)
-        if chosen.reason is Unavailable.GROUPS_DOWN and ticket.awaits_group:
+        if chosen.reason in _OUTAGES and ticket.awaits_group:
             return None
         if chosen.reason is not Unavailable.ALL_FULL:
             return _failure(chosen.reason.value, chosen.retry_after_ms)
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -47,10 +47,11 @@
 _WORTH_A_RETRY_MS: Millis = 30
 """Time left below which another attempt could not be answered."""
 
-_MOST_GROUP_REFUSALS = 2
-"""Attempts beyond those that a route allows, for as many that were refused because a
-group is down: such a refusal has cost nothing, and another group may run."""
+_MOST_FREE_REFUSALS = 2
+"""Attempts beyond those that a route allows, for as many that cost no endpoint
+anything: those to an endpoint out of reach, or to a rank whose group is down."""
 
+_OUTAGES = (Unavailable.GROUPS_DOWN.value, Unavailable.OUT_OF_REACH.value)
 _DETAIL_DEADLINE = "No answer came in time."
 
 
@@ -183,12 +184,11 @@
 
     def _may_retry(self) -> bool:
         # All ranks of a group stop together: another one would refuse as well.
-        if self.service.down_since is not None and isinstance(
-            self._in_outage(), TurnAway
-        ):
+        is_out = self.service.admission.pool.is_out
+        if is_out and isinstance(self._in_outage(), TurnAway):
             return False
         left = self.call.deadline - self.state.clock.now()
-        refusals = min(self._progress.group_refusals, _MOST_GROUP_REFUSALS)
+        refusals = min(self._progress.free_refusals, _MOST_FREE_REFUSALS)
         most = self.call.route.max_attempts + refusals
         if self.attempts >= most or left < _WORTH_A_RETRY_MS:
             return False
@@ -222,7 +222,7 @@
             self._progress.result = "endpoint_error"
             return self._progress.own_answer
         self._progress.result = f"refused_{failure.reason}"
-        if self.service.down_since is not None:
+        if self.service.admission.pool.is_out:
             left = self.call.deadline - self.state.clock.now()
             failure = replace(failure, retry_after_ms=latest_return(left))
         not_run = failure.ran is Ran.NOT_RUN
@@ -266,4 +266,4 @@
 
 def _is_outage(placed: Chosen | Failure) -> bool:
     is_failure = isinstance(placed, Failure)
-    return is_failure and placed.reason == Unavailable.GROUPS_DOWN.value
+    return is_failure and placed.reason in _OUTAGES
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -56,8 +56,9 @@
         Whether the caller has the head of an answer.
     dispatched : bool
         Whether anything was sent to an endpoint.
-    group_refusals : int
-        Attempts that ranks refused because of another rank.
+    free_refusals : int
+        Attempts that cost no endpoint anything: no connection could be made, or a
+        rank refused because of another one.
     own_answer : Begun or None
         An endpoint's own error, for want of a better answer.
     result : str
@@ -69,7 +70,7 @@
     passed: int = 0
     begun: bool = False
     dispatched: bool = False
-    group_refusals: int = 0
+    free_refusals: int = 0
     own_answer: Begun | None = None
     result: str = "abandoned"
 
@@ -115,6 +116,8 @@
             links = self.state.links
             self._link = links.take(self.endpoint, entry.address, fresh=fresh)
         except (TimeoutError, ConnectionError) as error:
+            self.service.lost_reach(self.endpoint, self.state.clock.now())
+            self.progress.free_refusals += 1
             return self._failed("unreachable", type(error).__name__, sent=False)
         try:
             self._send()
@@ -173,7 +176,7 @@
             now = self.state.clock.now()
             pool.first_token(self.endpoint, self.id, now)
             if self.service.is_group:
-                self.service.group_served(self.endpoint, self._sent_at)
+                self.service.group_served(self.endpoint, self._sent_at, now)
             self._observe_events(now)
             if not self.progress.begun:
                 self.progress.begun = True
@@ -205,7 +208,7 @@
         if head.at_fault not in own_names and self.service.is_group:
             now = self.state.clock.now()
             self.service.group_refused(self.endpoint, head.at_fault, now)
-            self.progress.group_refusals += 1
+            self.progress.free_refusals += 1
         self._log_failure("refused", f"{head.status} at_fault={at_fault}")
         return NotDispatched("endpoint_refused")
 
@@ -246,8 +249,7 @@
             timings.first_events.of(service).observe(now - self.call.arrived)
         else:
             timings.event_gaps.of(service).observe(gap)
-            self.service.recent_gap.observe(gap, now)
-            self.service.pass_lengths.observe(gap, now)
+            self.service.event_gap(self.endpoint, gap, now)
 
     def _request_bytes(self) -> bytes:
         call = self.call
--- a/src/azurefold/gateway/groups/changes.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -90,7 +90,10 @@
         Before it ranks are armed, and would refuse to prepare another map.
         """
         view = self.watch.view
-        return view.epoch != self._switch_epoch or view.step >= self._switch_step
+        # Half a pass of margin: a rank that is armed still would refuse to prepare.
+        at = self._now - round(view.pass_ms / 2)
+        is_begun = view.has_begun(self._switch_step, at)
+        return view.epoch != self._switch_epoch or is_begun
 
     @property
     def _now(self) -> Millis:
--- a/src/azurefold/gateway/groups/control.py
+++ b/src/azurefold/gateway/groups/control.py
@@ -35,6 +35,11 @@
 one: long enough for three passes' counts, and a third of what a change takes."""
 
 
+_GOOD_SKEW = 1.15
+"""Planned skew above which a change is followed by another one for the same
+popularity, without waiting for the next sample."""
+
+
 @dataclass(slots=True)
 class GroupControl:
     """Decides for one group.
@@ -48,6 +53,7 @@
     watch: GroupWatch
     changes: GroupChanges
     _planned_samples: int = 0
+    _is_partly_done: bool = False
     _planned_epoch: int = 0
 
     @property
@@ -81,7 +87,7 @@
         if view.version == 0 and view.epoch != self._planned_epoch:
             return True
         is_newer = popularity.samples != self._planned_samples
-        return is_newer and self.changes.is_switched
+        return (is_newer or self._is_partly_done) and self.changes.is_switched
 
     def _plan(self) -> None:
         """Plan a map for the present popularity, and begin the change if it pays."""
@@ -92,6 +98,8 @@
         plan = plan_map(self.watch.view, popularity.rates, service.view.engine)
         longest_gap = service.recent_gap.longest(self.watch.state.clock.now())
         pays = is_worth_changing(plan, longest_gap)
+        # One change loads for half a second at most; what is left follows at once.
+        self._is_partly_done = pays and plan.skew_after > _GOOD_SKEW
         self._log_plan(plan, longest_gap, pays=pays)
         if pays:
             self.changes.begin(plan)
--- a/src/azurefold/gateway/groups/coordinator.py
+++ b/src/azurefold/gateway/groups/coordinator.py
@@ -121,13 +121,14 @@
         if any(is_worth_balancing(service.view) for service in services):
             self._read_row()
         while True:
-            holds = self.leadership.holds
             gevent.sleep(_TICK_MS / _SECOND_MS)
             if self.state.draining:
-                if holds:
+                if self.leadership.holds and not self.coordination.is_changing:
+                    # A change under way is brought to its end: what ranks have
+                    # loaded would be loaded once more by a successor.
                     self.resign()
                 continue
-            if holds:
+            if self.leadership.holds:
                 self._coordinate()
             elif self.leadership.should_take(self.state.clock.now()):
                 self._take()
@@ -140,7 +141,7 @@
         int or None
             None if this node may not change any map; it then has resigned.
         """
-        if not self.leadership.holds:
+        if not self.leadership.holds or self.state.draining:
             # Another node holds the row: its term is not ours to give up.
             return None
         heard, peers = self.peers_heard()
--- a/src/azurefold/gateway/groups/map_planning.py
+++ b/src/azurefold/gateway/groups/map_planning.py
@@ -34,7 +34,7 @@
 """Counts read from ranks: each has a price, and 400 of them stop the group for half
 a millisecond. Four ranks of 1,728 counts a second cost it 9 ms in each second."""
 
-_FIRST_SAMPLE_MS: Millis = 400
+_FIRST_SAMPLE_MS: Millis = 250
 """Until the first sample after a takeover: the map in force may be of long ago."""
 
 _DRIFT_LIFE_MS: Millis = 4_000
--- a/src/azurefold/gateway/groups/view.py
+++ b/src/azurefold/gateway/groups/view.py
@@ -9,7 +9,7 @@
 
 __all__ = ["GroupView"]
 
-_PASS_SMOOTHING = 0.4
+_PASS_SMOOTHING = 0.7
 _USUAL_PASS_MS = 60.0
 _STEP_KEPT_MS: Millis = 2_000
 """For which a pass that was told with counts goes before those in reports, which are
@@ -101,6 +101,11 @@
         """When the report came that is the oldest of all ranks' last ones."""
         return min((self.heard_at[rank] for rank in self.views), default=0)
 
+    def has_begun(self, step: int, now: Millis) -> bool:
+        """Whether a pass has begun, by the last one known and the time since."""
+        since = min(now - self._step_at, _STEP_KEPT_MS)
+        return step <= self._step + since / self.pass_ms
+
     @property
     def step(self) -> int:
         """The last pass known to have begun."""
--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -125,7 +125,17 @@
                 view.stepped(step, now)
         if not heard:
             return False
-        return self.popularity.take([sample for sample, _ in heard], now)
+        fresh = self.popularity.take([sample for sample, _ in heard], now)
+        log_event(
+            _log,
+            "popularity_sampled",
+            service=self.service.view.name,
+            ranks=len(heard),
+            distance=f"{self.popularity.last_distance:.2f}",
+            noise=f"{self.popularity.noise:.2f}",
+            outcome="fresh" if fresh else "unsettled",
+        )
+        return fresh
 
     def _choose_sampled(self, count: int) -> None:
         """Keep asking the same ranks while they run: counts tell by their growth."""
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -13,6 +13,7 @@
 from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.gateway.groups.coordinator import Coordinator, new_coordinator
 from azurefold.gateway.peers.exchange import Exchange, Peer, PeerMessage, new_exchange
+from azurefold.gateway.peers.reach import Reach
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.news import News
 from azurefold.platform import names
@@ -58,12 +59,14 @@
     store : StoreClient
     exchange : Exchange
     coordinator : Coordinator
+    reach : Reach
     """
 
     state: GatewayState
     store: StoreClient
     exchange: Exchange
     coordinator: Coordinator
+    reach: Reach
 
     def loops(self) -> tuple[Callable[[], None], ...]:
         """Return the loops to run, with the port open."""
@@ -73,6 +76,7 @@
             self.exchange.receive_for_ever,
             self.exchange.send_for_ever,
             self.coordinator.run,
+            self.reach.watch_for_ever,
         )
 
     def leave(self) -> None:
@@ -110,7 +114,10 @@
 
     coordinator = new_coordinator(state, store, incarnation, position, peers_heard)
 
+    reach = Reach(state)
+
     def on_message(message: PeerMessage) -> None:
+        reach.isolation.heard(message.node, state.clock.now())
         coordinator.heard(message)
         for beat in message.groups:
             state.group_told(
@@ -126,7 +133,7 @@
         on_message,
         coordination=lambda: coordinator.coordination,
     )
-    return Peers(state, store, exchange, coordinator)
+    return Peers(state, store, exchange, coordinator, reach)
 
 
 def _position(node: str, link_mbps: float) -> int:
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -11,6 +11,7 @@
 from azurefold.core.routes.model import RoutedService
 from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.endpoint import ExchangedLoads
+from azurefold.core.routing.pass_limit import PassLimit
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.pool import Pool
 from azurefold.core.routing.rank_groups import GroupNews, RankGroups
@@ -59,6 +60,9 @@
         The same, as a sign that a map fits no longer.
     groups : RankGroups
         Of its endpoints, where they are ranks.
+    promised_gap_ms : int
+        Longest time between two events of a stream that is on time; 0 if no route
+        promises any.
     """
 
     view: RoutedService
@@ -69,6 +73,8 @@
     recent_gap: RecentGap = field(default_factory=RecentGap)
     pass_lengths: PassLengths = field(default_factory=PassLengths)
     groups: RankGroups = field(default_factory=RankGroups)
+    promised_gap_ms: Millis = 0
+    _limits: dict[int, PassLimit] = field(default_factory=dict)
 
     @property
     def is_group(self) -> bool:
@@ -77,9 +83,13 @@
         return engine is not None and engine.splits_experts
 
     @property
-    def down_since(self) -> Millis | None:
-        """Since when all groups are down; None if one runs, or there is none."""
-        return self.groups.down_since(self.entries) if self.is_group else None
+    def seems_to_run(self) -> bool:
+        """Whether any group is neither down nor gives cause for doubt."""
+        groups = self.groups
+        return any(
+            not groups.is_down(name) and not groups.is_doubted(name)
+            for name in self.entries
+        )
 
     def forms_in(self, now: Millis) -> Millis | None:
         """Return until when a group that forms anew will run; None if none does."""
@@ -102,11 +112,43 @@
         if not was_down:
             self._pause_groups("rank_refused")
 
-    def group_served(self, endpoint: str, sent_at: Millis) -> None:
+    def group_served(self, endpoint: str, sent_at: Millis, now: Millis) -> None:
         """Note an event of a request that was sent to a rank at ``sent_at``."""
-        if self.groups.served(endpoint, sent_at):
+        if self.groups.served(endpoint, sent_at, now):
             self._pause_groups("rank_served")
 
+    def event_gap(self, endpoint: str, gap: Millis, now: Millis) -> None:
+        """Take in the time between two events of a stream of an endpoint."""
+        self.recent_gap.observe(gap, now)
+        self.pass_lengths.observe(gap, now)
+        if self.is_group and self.promised_gap_ms:
+            self._limit_passes(self.groups.group_of(endpoint), gap, now)
+
+    def _limit_passes(self, group: int, gap: Millis, now: Millis) -> None:
+        """Let a group have fewer requests while its passes are long."""
+        engine = self.view.engine
+        fixed = engine.stride * engine.step_ms
+        limit = self._limits.setdefault(group, PassLimit(fixed))
+        if not limit.is_due(now):
+            return
+        pool = self.admission.pool
+        ranks = [name for name in pool.endpoints if self.groups.group_of(name) == group]
+        limit.observe(gap, pool.mean_load(ranks), now)
+        mean = limit.requests_of_a_rank(self.promised_gap_ms, engine.slots)
+        pool.limit_requests(ranks, None if mean >= engine.slots else mean)
+        if self.admission.waiting:
+            self.admission.pump()
+
+    def lost_reach(self, endpoint: str, now: Millis) -> None:
+        """Note that no connection to an endpoint could be made in time.
+
+        Its group is only doubted: it may be this node alone that does not reach the
+        rank. Events of the group's other ranks show that it runs.
+        """
+        self.admission.pool.lost_reach(endpoint, now)
+        if self.is_group and self.groups.doubt(endpoint):
+            self._pause_groups("rank_out_of_reach")
+
     def _names_at(self, address: str) -> list[str]:
         return [name for name, e in self.entries.items() if e.address == address]
 
@@ -114,6 +156,7 @@
         """Let requests go to ranks whose group is not known to be down."""
         paused = frozenset(filter(self.groups.is_down, self.entries))
         pool = self.admission.pool
+        pool.set_doubted(frozenset(filter(self.groups.is_doubted, self.entries)))
         if paused == pool.paused:
             return
         log_event(
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -62,6 +62,8 @@
     is_current : bool
         Whether the store is being heard: then a route or key that is not known
         here is in force nowhere.
+    is_cut_off : bool
+        Whether this gateway reaches neither store nor peers nor any group.
     """
 
     settings: GatewaySettings
@@ -81,6 +83,7 @@
     cell: Cell = field(default_factory=Cell)
     endpoints_version: int = 0
     is_current: bool = False
+    is_cut_off: bool = False
     _configuration_seen: Millis | None = None
 
     @property
@@ -91,7 +94,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether new requests should be sent here."""
-        return self.configuration is not None and not self.draining
+        is_usable = self.configuration is not None and not self.is_cut_off
+        return is_usable and not self.draining
 
     @property
     def configuration_age_ms(self) -> Millis | None:
@@ -115,6 +119,8 @@
         self.routes = route_table(configuration.routes)
         for view in configuration.services.values():
             self._configure(view)
+        for name, service in self.services.items():
+            service.promised_gap_ms = configuration.promised_gap_ms(name)
         self.spread_endpoints()
 
     def spread_endpoints(self) -> None:
--- a/src/azurefold/platform/configuration.py
+++ b/src/azurefold/platform/configuration.py
@@ -53,6 +53,7 @@
 class _Engine(msgspec.Struct):
     slots: int = msgspec.field(name="Slots")
     stride: int = msgspec.field(name="Stride", default=1)
+    step_ms: float = 0.0
     layer_sets: int = msgspec.field(name="Sets", default=0)
     experts: int = msgspec.field(name="Experts", default=0)
     places: int = msgspec.field(name="Placements", default=0)
@@ -147,6 +148,7 @@
     decoded = Engine(
         slots=engine.slots,
         stride=engine.stride,
+        step_ms=engine.step_ms,
         layer_sets=engine.layer_sets,
         experts=engine.experts,
         places=engine.places,
--- a/tests/core/routing/test_groups_that_are_down.py
+++ b/tests/core/routing/test_groups_that_are_down.py
@@ -53,9 +53,9 @@
 
 def test_an_event_of_a_later_request_shows_that_the_group_runs(groups):
     groups.refused("a0", "a1", now=100)
-    assert not groups.served("a1", sent_at=90)
+    assert not groups.served("a1", sent_at=90, now=120)
     assert groups.is_down("a1")
-    assert groups.served("a1", sent_at=110)
+    assert groups.served("a1", sent_at=110, now=130)
     assert not groups.is_down("a0")
 
 
@@ -72,6 +72,19 @@
     assert not groups.is_down("a0")
 
 
+def test_old_news_of_an_outage_does_not_begin_it_anew(groups):
+    """A group that runs again is paused and resumed three times a second.
+
+    Requests were served already while the coordinator still told what the ranks had
+    reported before the group had formed.
+    """
+    groups.refused("a0", "a1", now=1_000)
+    assert groups.served("a1", sent_at=1_500, now=1_700)
+    assert not groups.told(news_of(11, 1, Standing.FORMS, FIRST), now=1_900)
+    assert not groups.is_down("a0")
+    assert groups.told(news_of(11, 2, Standing.DOWN, FIRST), now=2_000)
+
+
 def test_news_of_a_new_epoch_ends_an_outage_at_once(groups):
     groups.refused("a0", "a1", now=1_000)
     groups.told(news_of(11, 2, Standing.RUNS, FIRST), now=1_100)
--- a/tests/gateway/test_a_coordinator_takes_over_at_once.py
+++ b/tests/gateway/test_a_coordinator_takes_over_at_once.py
@@ -5,6 +5,8 @@
 
 from azurefold.core.clock import manual_clock
 from azurefold.core.routes.model import Engine, RoutedService, RoutingConfiguration
+from azurefold.gateway.groups import coordinator as coordinators
+from azurefold.gateway.groups.control import ServiceControl
 from azurefold.gateway.groups.coordinator import _Holder, new_coordinator
 from azurefold.gateway.peers.exchange import PeerMessage
 from azurefold.gateway.state import new_gateway_state
@@ -65,3 +67,31 @@
     coordinator.heard(beat(term=30))
     coordinator._take()
     assert store.written == []
+
+
+def test_a_coordinator_that_resigns_leaves_no_control_behind(
+    coordinator, store, monkeypatch
+):
+    """Ranks are asked for counts by gateways that coordinate nothing.
+
+    A coordinator gave its row up while its loop slept, and then made the controls
+    anew, as it had looked at who holds the row before it slept.
+    """
+    coordinator.heard(beat(term=30))
+    store.script = [row_of("gateway-2", 30), Applied(31)]
+    coordinator._take()
+    monkeypatch.setattr(ServiceControl, "start", lambda control: None)
+    pauses = []
+
+    def sleep(seconds):
+        pauses.append(seconds)
+        if len(pauses) == 3:
+            coordinator.resign()
+        if len(pauses) == 4:
+            raise KeyboardInterrupt
+
+    monkeypatch.setattr(coordinators.gevent, "sleep", sleep)
+    store.script = [StoredRows((), 1)]
+    with pytest.raises(KeyboardInterrupt):
+        coordinator.run()
+    assert coordinator._controls == {}
