Tell an endpoint's starts apart, and read no endpoint out of others' rows

Cause: an endpoint may start again under its name now; its connections, loads, ejection, counts and requests in flight were those of a process that is gone, and a row of its former start that came late changed it back. Rows of other writers were taken for endpoints with missing fields, kept the entry they had overwritten, or ended the feed's loop (text that is no base64).

Now: 'born' in entries and reports; a newer one forgets all of the former start and closes its connections, also those in use, so that a request learns at once and is treated by its kind; an older one changes nothing. Entries need service, zone, address with a port, slots and a known state; others name no endpoint, with a line and a count.

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -20,13 +20,16 @@
     Parameters
     ----------
     name : str
-        Of this start of the endpoint; a restarted one has another.
+        A restarted endpoint may have another one, or the same.
     service, address, data_centre : str
         The address is ``"ip:port"``.
     slots : int
         Requests that it runs at a time.
     leaving : bool
         Whether it takes no new work.
+    born : int
+        When it started, in Unix milliseconds; 0 if it does not say. Tells its starts
+        apart where it keeps its name.
     """
 
     name: str
@@ -35,6 +38,7 @@
     data_centre: str
     slots: int
     leaving: bool = False
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,17 +103,38 @@
             self._store_lost = False
             self._trust_until = now + self.policy.after_outage
 
-    def replace(self, entries: Iterable[EndpointEntry], now: Millis) -> None:
-        """Take in the whole list."""
+    def replace(self, entries: Iterable[EndpointEntry], now: Millis) -> list[str]:
+        """Take in the whole list; return those that have started again."""
         listed = {entry.name: entry for entry in entries}
         self.remove([name for name in self._entries if name not in listed], now)
-        self.put(listed.values())
+        return self.put(listed.values())
 
-    def put(self, entries: Iterable[EndpointEntry]) -> None:
-        """Take in entries that were written."""
+    def put(self, entries: Iterable[EndpointEntry]) -> list[str]:
+        """Take in entries that were written.
+
+        An entry of an earlier start than the known one changes nothing.
+
+        Returns
+        -------
+        list of str
+            Endpoints that have started again under the name that they had.
+        """
+        restarted = []
         for entry in entries:
+            known = self._entries.get(entry.name)
+            if known is not None and known.born > entry.born:
+                continue
+            if known is not None and 0 < known.born < entry.born:
+                restarted.append(entry.name)
             self._entries[entry.name] = entry
             self._lapsed_until.pop(entry.name, None)
+        return restarted
+
+    def drop(self, names: Iterable[str]) -> None:
+        """Forget entries that name no endpoint to use any more."""
+        for name in names:
+            if name in self._entries:
+                self._forget(name)
 
     def remove(self, names: Iterable[str], now: Millis) -> None:
         """Take in entries that were removed at one time."""
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -196,6 +196,10 @@
             self._absences.lost_reach(endpoint, now)
             self._refresh(now)
 
+    def forget(self, name: str, now: Millis) -> None:
+        """Forget all of an endpoint, which may be added again as a new one."""
+        self.set_endpoints(self._members.by_name.keys() - {name}, now)
+
     def mark_leaving(self, endpoint: str, now: Millis) -> None:
         """Choose ``endpoint`` no more; its attempts in flight go on."""
         known = self._members.by_name.get(endpoint)
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -129,7 +129,7 @@
     def end(self) -> None:
         """Close what is open and give the place back."""
         if self._link is not None:
-            self._link.close()
+            self.state.links.end(self.endpoint, self._link)
         admission = self.service.admission
         admission.finished(self.endpoint, self.id, self._outcome)
 
--- a/src/azurefold/gateway/endpoints/connections.py
+++ b/src/azurefold/gateway/endpoints/connections.py
@@ -26,7 +26,7 @@
 _SECOND_MS = 1_000
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Link:
     """One connection to an endpoint."""
 
@@ -69,6 +69,7 @@
     clock: Clock
     opened: int = 0
     _idle: dict[str, deque[Link]] = field(default_factory=dict)
+    _busy: dict[str, set[Link]] = field(default_factory=dict)
 
     def take(self, endpoint: str, address: str, *, fresh: bool) -> Link:
         """Return a connection to an endpoint.
@@ -86,17 +87,36 @@
         OSError
             If the endpoint cannot be reached; nothing was sent.
         """
+        link = None if fresh else self._idle_link(endpoint)
+        if link is None:
+            link = self._open(address)
+        self._busy.setdefault(endpoint, set()).add(link)
+        return link
+
+    def _idle_link(self, endpoint: str) -> Link | None:
         idle = self._idle.get(endpoint)
-        while idle and not fresh:
+        while idle:
             link = idle.pop()
             if self.clock.now() < link.usable_until and link.is_quiet:
                 link.is_new = False
                 return link
             link.close()
-        return self._open(address)
+        return None
+
+    def end(self, endpoint: str, link: Link) -> None:
+        """Close a connection whose request is over."""
+        self._no_longer_busy(endpoint, link)
+        link.close()
+
+    def _no_longer_busy(self, endpoint: str, link: Link) -> None:
+        busy = self._busy.get(endpoint, set())
+        busy.discard(link)
+        if not busy:
+            self._busy.pop(endpoint, None)
 
     def keep(self, endpoint: str, link: Link, idle_timeout_ms: Millis | None) -> None:
         """Keep a connection for the next request."""
+        self._no_longer_busy(endpoint, link)
         kept_ms = _KEPT_IDLE_MS
         if idle_timeout_ms is not None:
             kept_ms = min(kept_ms, idle_timeout_ms - _IDLE_MARGIN_MS)
@@ -111,6 +131,15 @@
         for link in self._idle.pop(endpoint, ()):
             link.close()
 
+    def sever(self, endpoint: str) -> None:
+        """Close all connections to a process that is gone, also those in use.
+
+        Requests that wait for an answer on one learn at once that none will come.
+        """
+        self.forget(endpoint)
+        for link in self._busy.pop(endpoint, set()):
+            link.close()
+
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
         now = self.clock.now()
--- a/src/azurefold/gateway/groups/coordinator.py
+++ b/src/azurefold/gateway/groups/coordinator.py
@@ -58,6 +58,15 @@
         return (self.node, self.incarnation) == (other.node, other.incarnation)
 
 
+def _holder_in(value: bytes) -> _Holder:
+    """Return the row's content; nobody's where it cannot be read."""
+    try:
+        return msgspec.json.decode(value, type=_Holder)
+    except msgspec.MsgspecError as error:
+        log_event(_log, "lease_unreadable", logging.ERROR, why=error)
+        return _Holder("", 0)
+
+
 @dataclass(slots=True)
 class Coordinator:
     """Leadership, and a control for each service whose ranks share experts.
@@ -169,8 +178,7 @@
         for row in read.rows:
             if row.key == _ROW.key:
                 self._row_version = row.version
-                present = msgspec.json.decode(row.value, type=_Holder)
-                self._popularity = dict(present.popularity)
+                self._popularity = dict(_holder_in(row.value).popularity)
         return True
 
     def _coordinate(self) -> None:
@@ -235,7 +243,7 @@
             self._row_version = 0
             return
         known, self._row_version = self._row_version, row.version
-        present = msgspec.json.decode(row.value, type=_Holder)
+        present = _holder_in(row.value)
         self._popularity = dict(present.popularity)
         if present.is_same_holder(holder):
             # A write of ours took effect and its answer was lost.
--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -179,7 +179,8 @@
                 view.silent(endpoint)
                 self._note_whole(view)
             return
-        born = self._born.get(endpoint, 0)
+        entry = self.service.entries.get(endpoint)
+        born = max(self._born.get(endpoint, 0), entry.born if entry else 0)
         if report.born < born:
             # Sent before the endpoint started again; it came late.
             return
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -35,6 +35,8 @@
         yield _gauge(
             "connections_opened", "Connections to endpoints", state.links.opened
         )
+        unreadable = state.unreadable_entries
+        yield _gauge("unreadable_entries", "Rows that name no endpoint", unreadable)
         yield self._endpoints()
         yield self._waiting()
 
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -16,6 +16,7 @@
 from azurefold.gateway.peers.reach import Reach
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.news import News
+from azurefold.internal.logs import log_event
 from azurefold.platform import names
 from azurefold.platform.store import StoreClient
 from azurefold.platform.store_messages import (
@@ -99,7 +100,8 @@
             if isinstance(listed, Unavailable):
                 gevent.sleep(_RETRY_MS / _SECOND_MS)
                 continue
-            self.exchange.set_peers([_peer(row) for row in listed.rows])
+            peers = [peer for row in listed.rows if (peer := _peer(row))]
+            self.exchange.set_peers(peers)
             self.exchange.send(at_once=True)
             gevent.sleep(_READ_EVERY_MS / _SECOND_MS)
 
@@ -142,6 +144,10 @@
     return place if link_mbps >= _QUICK_LINK_MBPS else place + _POSITIONS
 
 
-def _peer(row: StoredRow) -> Peer:
-    node = msgspec.json.decode(row.value, type=_Node)
+def _peer(row: StoredRow) -> Peer | None:
+    try:
+        node = msgspec.json.decode(row.value, type=_Node)
+    except msgspec.MsgspecError as error:
+        log_event(_log, "peer_unreadable", logging.ERROR, peer=row.key, why=error)
+        return None
     return Peer(row.key, node.ip, node.port)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -64,6 +64,8 @@
         here is in force nowhere.
     is_cut_off : bool
         Whether this gateway reaches neither store nor peers nor any group.
+    unreadable_entries : int
+        Rows that named no endpoint to use, as often as they were read.
     """
 
     settings: GatewaySettings
@@ -84,6 +86,7 @@
     endpoints_version: int = 0
     is_current: bool = False
     is_cut_off: bool = False
+    unreadable_entries: int = 0
     _configuration_seen: Millis | None = None
 
     @property
@@ -123,6 +126,17 @@
             service.promised_gap_ms = configuration.promised_gap_ms(name)
         self.spread_endpoints()
 
+    def endpoint_restarted(self, name: str) -> None:
+        """Forget what is known of an endpoint's former start.
+
+        What goes wrong without: its connections are of a process that is gone, which
+        shows only when a request on one gets no answer, and its requests in flight
+        wait for that until their deadlines.
+        """
+        self.links.sever(name)
+        for service in self.services.values():
+            service.admission.pool.forget(name, self.clock.now())
+
     def spread_endpoints(self) -> None:
         """Hand the present endpoints to their services."""
         now = self.clock.now()
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -3,9 +3,8 @@
 import logging
 from dataclasses import dataclass, field
 
-import msgspec
-
 from azurefold.core.clock import Millis
+from azurefold.core.membership.registry import EndpointEntry
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.followers import TableFollower
 from azurefold.internal.logs import log_event
@@ -105,6 +104,10 @@
             follower.look_again()
 
 
+_LONGEST_REASON = 200
+"""Characters of why an entry cannot be read: what another writer left may be long."""
+
+
 class _Applier:
     """Puts rows in force."""
 
@@ -121,8 +124,8 @@
         """Take ``rows`` for the whole list."""
         before = set(self._state.registry.entries)
         entries = [entry for row in rows if (entry := self._entry(row))]
-        self._state.registry.replace(entries, self._state.clock.now())
-        self._after_endpoints(before, rows)
+        restarted = self._state.registry.replace(entries, self._state.clock.now())
+        self._after_endpoints(before, rows, restarted)
 
     def endpoint_changes(self, rows: tuple[StoredRow, ...]) -> None:
         """Take in entries that changed."""
@@ -131,12 +134,10 @@
         registry.remove(
             [row.key for row in rows if row.removed], self._state.clock.now()
         )
-        registry.put(
-            entry
-            for row in rows
-            if not row.removed and (entry := self._entry(row)) is not None
-        )
-        self._after_endpoints(before, rows)
+        written = {row.key: self._entry(row) for row in rows if not row.removed}
+        registry.drop(name for name, entry in written.items() if entry is None)
+        restarted = registry.put(entry for entry in written.values() if entry)
+        self._after_endpoints(before, rows, restarted)
 
     def _configuration(self, row: StoredRow) -> None:
         state = self._state
@@ -166,18 +167,24 @@
             keys=len(read.holders),
         )
 
-    @staticmethod
-    def _entry(row: StoredRow):
+    def _entry(self, row: StoredRow) -> EndpointEntry | None:
         try:
             return registries.decode_entry(row.key, row.value)
-        except msgspec.MsgspecError as error:
+        except registries.BadEntryError as error:
+            self._state.unreadable_entries += 1
+            why = str(error)[:_LONGEST_REASON]
             log_event(
-                _log, "entry_unreadable", logging.ERROR, endpoint=row.key, why=error
+                _log, "entry_unreadable", logging.ERROR, endpoint=row.key, why=why
             )
             return None
 
-    def _after_endpoints(self, before: set[str], rows: tuple[StoredRow, ...]) -> None:
+    def _after_endpoints(
+        self, before: set[str], rows: tuple[StoredRow, ...], restarted: list[str]
+    ) -> None:
         state = self._state
+        for name in restarted:
+            log_event(_log, "endpoint_restarted", endpoint=name)
+            state.endpoint_restarted(name)
         newest = max((row.version for row in rows), default=0)
         state.endpoints_version = max(state.endpoints_version, newest)
         entries = state.registry.entries
--- a/src/azurefold/platform/registry.py
+++ b/src/azurefold/platform/registry.py
@@ -1,23 +1,36 @@
 """Endpoints' own entries in the platform's store."""
 
+from typing import Literal
+
 import msgspec
 
 from azurefold.core.membership.registry import EndpointEntry
 
-__all__ = ["TABLE", "decode_entry"]
+__all__ = ["TABLE", "BadEntryError", "decode_entry"]
 
 TABLE = "servers"
 """The table in which endpoints register themselves, by their ids."""
 
 _LEAVING = "draining"
+_HIGHEST_PORT = 65_535
+
+
+class BadEntryError(ValueError):
+    """A row that names no endpoint to use, as other writers leave them."""
 
 
 class _Entry(msgspec.Struct):
     service: str = msgspec.field(name="Service")
     address: str = msgspec.field(name="Address")
     zone: str = msgspec.field(name="Zone")
-    slots: int = msgspec.field(name="Slots", default=1)
-    state: str = msgspec.field(name="State", default="ready")
+    slots: int = msgspec.field(name="Slots")
+    state: Literal["ready", "draining"] = msgspec.field(name="State")
+    # Not read, but an entry in which they are of another type is not an endpoint's.
+    software: str = msgspec.field(name="Version", default="")
+    orders: int = msgspec.field(name="SeqNo", default=0)
+    cold_ms: float = msgspec.field(name="ColdLeftMs", default=0)
+    # When the endpoint started, in Unix milliseconds.
+    born: int = 0
 
 
 _decode = msgspec.json.Decoder(_Entry).decode
@@ -28,10 +41,16 @@
 
     Raises
     ------
-    msgspec.MsgspecError
-        If it is not of the known form.
+    BadEntryError
+        If fields are missing or of another type, the address is none, or the state
+        is not known.
     """
-    read = _decode(value)
+    try:
+        read = _decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise BadEntryError(str(error)) from error
+    if not _is_address(read.address) or not read.service or read.slots < 1:
+        raise BadEntryError(f"no service, address or slots of use: {read}")
     return EndpointEntry(
         name=name,
         service=read.service,
@@ -39,4 +58,11 @@
         data_centre=read.zone,
         slots=read.slots,
         leaving=read.state == _LEAVING,
+        born=read.born,
     )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    is_port = port.isascii() and port.isdecimal()
+    return bool(host) and is_port and 0 < int(port) <= _HIGHEST_PORT
--- a/src/azurefold/platform/store.py
+++ b/src/azurefold/platform/store.py
@@ -208,7 +208,11 @@
 
 
 def _stored(row: _Row) -> StoredRow:
-    value = b64decode(row.value) if row.value else b""
+    try:
+        value = b64decode(row.value, validate=True) if row.value else b""
+    except ValueError:
+        # Other writers' bytes; whoever reads the row finds no content and logs so.
+        value = b""
     return StoredRow(row.key, row.version, value, row.deleted)
 
 
