--- a/src/azurefold/core/admission/messages.py
+++ b/src/azurefold/core/admission/messages.py
@@ -45,6 +45,9 @@
         Random number in [0, 1) that spreads its ``retry_after_ms``.
     queued_at : int, default=0
         When it was queued.
+    on_time_by : int or None
+        The last moment at which it can be taken and its answer still be on time;
+        None if there is no such moment.
     """
 
     request_id: str
@@ -55,12 +58,17 @@
     expected_ms: Millis = 0
     draw: float = 0.5
     queued_at: Millis = 0
+    on_time_by: Millis | None = None
 
     @property
     def latest_start(self) -> Millis:
         """The last moment at which it is worth taking."""
         return self.deadline - self.expected_ms
 
+    def may_be_on_time(self, now: Millis) -> bool:
+        """Whether its answer is on time if it is taken now."""
+        return self.on_time_by is None or now <= self.on_time_by
+
 
 class RefusedReason(Enum):
     """Why a request was refused; none of them was run."""
--- a/src/azurefold/core/admission/queue.py
+++ b/src/azurefold/core/admission/queue.py
@@ -149,12 +149,24 @@
         if priority is None:
             return None
         queue = self._classes[priority]
-        item = queue.pop(newest=self._is_overloaded(queue, now))
+        item = self._pop(queue, now)
         del self._items[item.request_id]
         self._drains[priority].taken(item.tokens, now, left=len(queue) > 0)
         self._account(item)
         return item
 
+    def _pop(self, queue: ClassQueue, now: Millis) -> QueueItem | None:
+        """Take the next request of a class; under overload one that can be on time.
+
+        What goes wrong without: each organisation has one or two requests waiting at
+        a node, taken in turn. After a second of overload nearly all of those taken
+        have waited for too long, and no answer is on time until it is over, although
+        as many could be as are served.
+        """
+        if not self._is_overloaded(queue, now):
+            return queue.pop()
+        return queue.pop_on_time(now) or queue.pop(newest=True)
+
     def expire(self, now: Millis) -> list[Refusal]:
         """Take out the requests that can no longer meet their deadline."""
         self._sweep(now)
--- a/src/azurefold/core/admission/shares.py
+++ b/src/azurefold/core/admission/shares.py
@@ -10,10 +10,15 @@
 from dataclasses import dataclass, field
 
 from azurefold.core.admission.messages import QueueItem
+from azurefold.core.clock import Millis
 
 __all__ = ["ClassQueue"]
 
 
+_MOST_TURNS = 10_000
+"""Organisations whose last turn is remembered; the largest site has 8,200."""
+
+
 @dataclass(slots=True)
 class _Share:
     """What one organisation has waiting, and the tokens it may still take."""
@@ -38,6 +43,8 @@
         self._shares: OrderedDict[str, _Share] = OrderedDict()
         self._length = 0
         self._tokens = 0
+        self._turn = 0
+        self._turns: dict[str, int] = {}
 
     def __len__(self) -> int:
         return self._length
@@ -142,6 +149,25 @@
         self.remove(item)
         return item
 
+    def pop_on_time(self, now: Millis) -> QueueItem | None:
+        """Take a request whose answer can still be on time, if there is one.
+
+        Of the organisation whose last one was longest ago; of its requests the
+        newest, which has most time left.
+        """
+        newest = map(self.newest_of, self._shares)
+        in_time = [item for item in newest if item.may_be_on_time(now)]
+        if not in_time:
+            return None
+        item = min(in_time, key=lambda item: self._turns.get(item.organisation, 0))
+        self._turn += 1
+        self._turns[item.organisation] = self._turn
+        if len(self._turns) > _MOST_TURNS:
+            self._turns.clear()
+        self._shares[item.organisation].deficit -= item.tokens
+        self.remove(item)
+        return item
+
     def _front_if_due(self) -> QueueItem | None:
         organisation, share = next(iter(self._shares.items()))
         item = next(iter(share.items.values()))
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -50,6 +50,8 @@
     route : RouteRequest
     awaits_group : bool
         Whether it waits where all groups are down; others are refused at once.
+    on_time_by : int or None
+        The last moment at which it can get an endpoint and be answered on time.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     deadline: Millis
     route: RouteRequest = _NO_REQUEST
     awaits_group: bool = False
+    on_time_by: Millis | None = None
 
 
 def _waits() -> dict[Priority, Counts]:
@@ -227,6 +230,7 @@
             ticket.deadline,
             draw=self.draw.random(),
             queued_at=now,
+            on_time_by=ticket.on_time_by,
         )
         offered = self.queue.offer(item, now)
         if isinstance(offered, Refused):
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -180,8 +180,19 @@
                 may_queue=self._progress.dispatched,
             ),
             awaits_group=awaits_group_ms > 0,
+            on_time_by=self._on_time_by(),
         )
 
+    def _on_time_by(self) -> Millis:
+        """Return when the request has to be sent for its answer to be on time.
+
+        The objective counts from the caller's first attempt. What it has used of the
+        route's time before shows in what is left of it.
+        """
+        route = self.call.route
+        began = self.call.deadline - route.timeout_ms
+        return began + route.objective_ms - round(self.service.usual_first_ms)
+
     def _may_retry(self) -> bool:
         # All ranks of a group stop together: another one would refuse as well.
         is_out = self.service.admission.pool.is_out
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -246,6 +246,7 @@
         timings = self.state.timings
         service = self.call.service
         if gap is None:
+            self.service.first_event(now - self._sent_at)
             timings.first_events.of(service).observe(now - self.call.arrived)
         else:
             timings.event_gaps.of(service).observe(gap)
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -35,6 +35,10 @@
 """A nearer endpoint is taken when it has no more requests than one further
 away; a request more at a rank costs the next one some 80 ms."""
 
+_USUAL_FIRST_MS = 150.0
+_FIRST_SMOOTHING = 0.05
+"""Of the time to a first event: it follows a change of load within some seconds."""
+
 _OWN_RETRY_SHARE = 0.75
 """Part of the allowed retries that is used: nodes count by themselves."""
 
@@ -63,6 +67,8 @@
     promised_gap_ms : int
         Longest time between two events of a stream that is on time; 0 if no route
         promises any.
+    usual_first_ms : float
+        From sending a request to the first event, or the whole answer.
     """
 
     view: RoutedService
@@ -74,6 +80,7 @@
     pass_lengths: PassLengths = field(default_factory=PassLengths)
     groups: RankGroups = field(default_factory=RankGroups)
     promised_gap_ms: Millis = 0
+    usual_first_ms: float = _USUAL_FIRST_MS
     _limits: dict[int, PassLimit] = field(default_factory=dict)
 
     @property
@@ -117,6 +124,10 @@
         if self.groups.served(endpoint, sent_at, now):
             self._pause_groups("rank_served")
 
+    def first_event(self, taken: Millis) -> None:
+        """Take in the time from sending a request to its first event or answer."""
+        self.usual_first_ms += _FIRST_SMOOTHING * (taken - self.usual_first_ms)
+
     def event_gap(self, endpoint: str, gap: Millis, now: Millis) -> None:
         """Take in the time between two events of a stream of an endpoint."""
         self.recent_gap.observe(gap, now)
