Put a group out when two of its ranks refuse with room

Now: a refusal by a rank that has no more requests than slots has its group doubted, a second one by another rank within half a second puts it out. A gateway that is cut off tells callers to come back as late as they do. Ruled out: one refusal alone (a rank that is leaving refuses too).

--- a/src/azurefold/core/routing/pool_knowledge.py
+++ b/src/azurefold/core/routing/pool_knowledge.py
@@ -144,6 +144,11 @@
         for name, endpoint in self._members.by_name.items():
             endpoint.doubted = name in names
 
+    def has_slots(self, endpoint: str) -> bool:
+        """Whether an endpoint has no more requests than slots, from all nodes."""
+        known = self._members.by_name.get(endpoint)
+        return known is not None and known.in_flight + known.others <= known.slots
+
     def mean_load(self, names: Collection[str]) -> float:
         """Return the requests of all nodes that ``names`` have, on average."""
         members = self._members.by_name
--- a/src/azurefold/core/routing/rank_groups.py
+++ b/src/azurefold/core/routing/rank_groups.py
@@ -23,6 +23,10 @@
 """A rank's report is 200 ms old and looked at three times a second: what is told
 within this time of a refusal may be of before it."""
 
+_TWO_REFUSALS_MS: Millis = 500
+"""Between refusals of two ranks with room that put their group out: all ranks of a
+group that stands still refuse what they have at the same moment."""
+
 _UNKNOWN = 0
 """Stands for the group of ranks of which nobody has told yet: they are taken for
 one, as in a service that has a single group."""
@@ -73,6 +77,8 @@
     forms_since: Millis | None = None
     doubted: bool = False
     served_at: Millis = -1_000_000
+    refused_by: str = ""
+    refused_with_room_at: Millis = -1_000_000
 
 
 @dataclass(slots=True)
@@ -129,6 +135,22 @@
         self._note_down(standing, now)
         standing.refused_at = standing.tried_at = now
 
+    def refused_with_room(self, endpoint: str, now: Millis) -> bool:
+        """Note that a rank refused although it had room; return if its group is down.
+
+        Ranks of a group that stands still name themselves as the cause. One rank may
+        have causes of its own, as when it is leaving: two of them within half a
+        second have the group in common.
+        """
+        known = self._standing(self.group_of(endpoint))
+        known.doubted = True
+        is_second = now - known.refused_with_room_at < _TWO_REFUSALS_MS
+        if is_second and known.refused_by != endpoint:
+            self.refused(endpoint, "", now)
+            return True
+        known.refused_by, known.refused_with_room_at = endpoint, now
+        return False
+
     def doubt(self, endpoint: str) -> bool:
         """Note a sign that an endpoint's group stands still; return if that is news."""
         standing = self._standing(self.group_of(endpoint))
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -233,7 +233,7 @@
             self._progress.result = "endpoint_error"
             return self._progress.own_answer
         self._progress.result = f"refused_{failure.reason}"
-        if self.service.admission.pool.is_out:
+        if self.service.admission.pool.is_out or self.state.is_cut_off:
             left = self.call.deadline - self.state.clock.now()
             failure = replace(failure, retry_after_ms=latest_return(left))
         not_run = failure.ran is Ran.NOT_RUN
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -202,12 +202,10 @@
         head = reply.head
         reply.whole_body()
         self._done(reply, Refused())
-        entry = self.service.entries.get(self.endpoint)
-        own_names = ("", self.endpoint, entry.address if entry else "")
         at_fault = head.at_fault or self.endpoint
-        if head.at_fault not in own_names and self.service.is_group:
-            now = self.state.clock.now()
-            self.service.group_refused(self.endpoint, head.at_fault, now)
+        now = self.state.clock.now()
+        service = self.service
+        if service.is_group and service.rank_refused(self.endpoint, at_fault, now):
             self.progress.free_refusals += 1
         self._log_failure("refused", f"{head.status} at_fault={at_fault}")
         return NotDispatched("endpoint_refused")
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -107,14 +107,27 @@
         if self.groups.told(news, now):
             self._pause_groups(f"coordinator_{news.standing.name.lower()}")
 
-    def group_refused(self, endpoint: str, at_fault: str, now: Millis) -> None:
-        """Note that a rank refused because of another one, named by its address."""
+    def rank_refused(self, endpoint: str, at_fault: str, now: Millis) -> bool:
+        """Note that a rank refused; return whether that is put down to its group.
+
+        Parameters
+        ----------
+        endpoint : str
+        at_fault : str
+            Name or address of the rank that is the cause; empty if none was named.
+        now : int
+        """
         named = (at_fault, *self._names_at(at_fault))
-        at_fault = next((name for name in named if name in self.entries), "")
-        was_down = self.groups.is_down(endpoint)
-        self.groups.refused(endpoint, at_fault, now)
-        if not was_down:
-            self._pause_groups("rank_refused")
+        cause = next((name for name in named if name in self.entries), "")
+        if at_fault and cause != endpoint:
+            self.groups.refused(endpoint, cause, now)
+        elif not self.admission.pool.has_slots(endpoint):
+            return False
+        elif not self.groups.refused_with_room(endpoint, now):
+            self._pause_groups("rank_refused_with_room")
+            return True
+        self._pause_groups("rank_refused")
+        return True
 
     def group_served(self, endpoint: str, sent_at: Millis, now: Millis) -> None:
         """Note an event of a request that was sent to a rank at ``sent_at``."""
--- a/tests/core/routing/test_groups_that_are_down.py
+++ b/tests/core/routing/test_groups_that_are_down.py
@@ -149,3 +149,24 @@
     assert refused.reason is Unavailable.GROUPS_DOWN
     pool.set_paused(frozenset())
     assert isinstance(pool.choose(RouteRequest(), (0.1, 0.5), now=0), Chosen)
+
+
+def test_two_ranks_that_refuse_with_room_have_their_group_in_common(groups):
+    """Requests are refused by one rank after the other of a group that stands still.
+
+    Ranks named themselves as the cause, as full ones do, so nothing put their group
+    out. In a data centre that was cut off, where no coordinator told of it, callers
+    were sent back after a second each time, and refused again.
+    """
+    assert not groups.refused_with_room("a0", now=1_000)
+    assert groups.is_doubted("a1")
+    assert groups.refused_with_room("a1", now=1_100)
+    assert groups.is_down("a0")
+    assert not groups.is_down("b0")
+
+
+@pytest.mark.parametrize(("rank", "now"), [("a0", 1_100), ("a1", 1_700)])
+def test_one_rank_that_refuses_with_room_is_not_its_group(groups, rank, now):
+    groups.refused_with_room("a0", now=1_000)
+    assert not groups.refused_with_room(rank, now)
+    assert not groups.is_down("a0")
