Test what callers get while one group of two, or all, stand still

The relay's part of refusals by group had only the tests of its decisions: a refusal by one group tried at another beyond the route's attempts, nobody asked while all are down, who came back served when one runs again, places by the length of passes, and late returns at a gateway that is cut off.

--- /dev/null
+++ b/tests/gateway/test_requests_go_to_groups_that_run.py
@@ -0,0 +1,148 @@
+"""What callers get while one group of a service, or all of them, stand still."""
+
+from dataclasses import replace
+
+import pytest
+from tests.gateway.test_relays_answer_truthfully import (
+    EVENT,
+    NOT_RUN,
+    TIMEOUT_MS,
+    answer,
+    parts_of,
+    relay_of,
+)
+
+from azurefold.core.admission.outage import latest_return
+from azurefold.core.routes.model import AnswerKind
+from azurefold.core.routing.peer_loads import endpoint_mark
+from azurefold.core.routing.rank_groups import GroupNews, Standing
+from azurefold.gateway.callers.relay import Relay
+
+FIRST, SECOND = ("e0",), ("e1", "e2")
+
+
+@pytest.fixture
+def script(monkeypatch):
+    """Answers by endpoint, and the endpoints that were asked."""
+    answers, asked = {}, []
+
+    def run(attempt):
+        asked.append(attempt.endpoint)
+        attempt._link = None
+        attempt._sent_at = attempt.state.clock.now()
+        return (yield from attempt._answer(answers[attempt.endpoint]()))
+
+    monkeypatch.setattr("azurefold.gateway.endpoints.attempt.Attempt.run", run)
+    return answers, asked
+
+
+def news_of(group, standing, ranks, epoch=1):
+    marks = tuple(map(endpoint_mark, ranks))
+    return GroupNews(endpoint_mark("desk"), group, epoch, standing, marks)
+
+
+@pytest.fixture
+def relay(state):
+    relay = relay_of(state, AnswerKind.STREAMING, max_attempts=1, resumable=True)
+    state.group_told(news_of(1, Standing.RUNS, FIRST))
+    state.group_told(news_of(2, Standing.RUNS, SECOND))
+    return relay
+
+
+def refusing(at_fault):
+    return lambda: _once(answer(**NOT_RUN, at_fault=at_fault, forwarded=()))
+
+
+def streaming():
+    return _once(answer(200, [EVENT % 1]))
+
+
+def _once(reply):
+    reply.may_reuse = False
+    return reply
+
+
+def test_a_refusal_by_one_group_is_tried_at_another_at_once(relay, script):
+    """Callers are refused although half of all ranks are idle.
+
+    A rank of the group that stood still refused, and the one attempt that the route
+    allows was used up, though nothing had run.
+    """
+    answers, asked = script
+    answers["e0"] = refusing("10.9.9.9:80")
+    answers["e1"] = answers["e2"] = streaming
+    relay.service.admission.pool.set_distance("e1", 5_000)
+    relay.service.admission.pool.set_distance("e2", 5_000)
+    begun, _ = parts_of(relay)
+    assert begun.status == 200
+    assert asked[0] == "e0"
+    assert asked[1] in SECOND
+
+
+def test_later_requests_do_not_ask_the_group_that_stands_still(relay, script, state):
+    answers, asked = script
+    answers["e0"] = refusing("10.9.9.9:80")
+    answers["e1"] = answers["e2"] = streaming
+    state.services["desk"].rank_refused("e0", "10.9.9.9:80", state.clock.now())
+    parts_of(relay)
+    assert asked[0] in SECOND
+
+
+def test_with_all_groups_down_nobody_is_asked(relay, script, state):
+    """Each request finds out by itself that a group is down, after 1.5 s."""
+    answers, asked = script
+    state.group_told(news_of(1, Standing.DOWN, FIRST))
+    state.group_told(news_of(2, Standing.DOWN, SECOND))
+    [given_up] = parts_of(relay)
+    assert asked == []
+    assert given_up.failure.retry_after_ms == latest_return(TIMEOUT_MS)
+
+
+def test_who_has_come_back_is_served_when_a_group_runs_again(
+    relay, script, state, monkeypatch
+):
+    """Callers come back once, to a group down for a moment more, and are lost."""
+    answers, asked = script
+    answers["e1"] = answers["e2"] = streaming
+    state.group_told(news_of(1, Standing.DOWN, FIRST))
+    state.group_told(news_of(2, Standing.DOWN, SECOND))
+    service = state.services["desk"]
+    call = replace(relay.call, deadline=state.clock.now() + TIMEOUT_MS // 2)
+    original = service.admission._wait
+
+    def wait(ticket, now):
+        # The group forms anew while the request waits.
+        service.admission.pool.set_paused(frozenset(FIRST))
+        service.admission.resume()
+        return original(ticket, now)
+
+    monkeypatch.setattr(type(service.admission), "_wait", lambda _, *a: wait(*a))
+    begun, _ = parts_of(Relay(call, state, service))
+    assert begun.status == 200
+    assert asked[0] in SECOND
+
+
+def test_long_passes_leave_fewer_places_and_short_ones_all(relay, state, time):
+    service = state.services["desk"]
+    service.promised_gap_ms = 120
+    room = service.admission.pool.room
+    for number in range(6):
+        service.admission.pool.started("e1", f"r{number}", time.at)
+    for _ in range(30):
+        time.at += 150
+        service.event_gap("e1", 150, time.at)
+    assert service.admission.pool.room < room - 6
+    for _ in range(30):
+        time.at += 40
+        service.event_gap("e1", 40, time.at)
+    assert service.admission.pool.room == room - 6
+
+
+def test_a_gateway_that_is_cut_off_sends_callers_back_late(relay, script, state):
+    """Callers come back after a second to a data centre that is still cut off."""
+    answers, _ = script
+    for name in (*FIRST, *SECOND):
+        answers[name] = refusing(f"10.0.0.{name[1]}:80")
+    state.is_cut_off = True
+    [given_up] = parts_of(relay)
+    assert given_up.failure.retry_after_ms == latest_return(TIMEOUT_MS)
