End a request when its caller leaves, not only its attempt

It was taken for a reset of that endpoint's connection, so the attempt ended and the request went to another endpoint, where it ran for nobody. The code of before did the same; only sending was guarded. Ruled out: the new groups' waits (the trace shows the second sending 1 ms after the client's leaving).

--- a/src/azurefold/gateway/endpoints/reply.py
+++ b/src/azurefold/gateway/endpoints/reply.py
@@ -9,6 +9,7 @@
 )
 
 from azurefold.core.clock import Millis
+from azurefold.gateway.callers.calls import CutOffError
 from azurefold.gateway.endpoints.connections import Link
 from azurefold.platform.headers import AnswerHead, read_answer
 
@@ -139,6 +140,10 @@
     """Read once; return whether the connection still makes sense."""
     try:
         data = link.sock.recv(_BLOCK_BYTES)
+    except CutOffError:
+        # Ends the whole request, not this attempt. Taken for a connection that broke,
+        # a caller's leaving had the request sent to another endpoint.
+        raise
     except TimeoutError as error:
         raise BrokenReplyError("silent", begun) from error
     except OSError as error:
