Log each decision to retry, and show the retry budget

Cause: the record and the play cannot tell apart whether the budget counts wrongly, its parts add up wrongly, or something sends without asking it: no line said why a request was or was not sent on, nor what the budget had left.

Change: retry_decided with outcome and inputs, nodes_counted, and two metrics of the gateway. No decision is changed. Ruled out by reading on the way: attempts beyond the first that no budget is asked for; they come from one place. A parametrised test holds the line.

--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 
 import gevent
 
@@ -55,6 +56,15 @@
 _DETAIL_DEADLINE = "No answer came in time."
 
 
+class _RetryDenial(StrEnum):
+    """Why a request is not sent to another endpoint."""
+
+    ALL_GROUPS_DOWN = "all_groups_down"
+    ATTEMPTS_USED = "attempts_used"
+    NO_TIME_LEFT = "no_time_left"
+    BUDGET_SPENT = "budget_spent"
+
+
 @dataclass(slots=True)
 class Relay:
     """The course of one request; :meth:`run` yields its answer.
@@ -194,16 +204,35 @@
         return began + route.objective_ms - round(self.service.usual_first_ms)
 
     def _may_retry(self) -> bool:
+        denial = self._retry_denial()
+        now = self.state.clock.now()
+        log_event(
+            _log,
+            "retry_decided",
+            request=self.call.id,
+            service=self.call.service,
+            outcome=denial or "made",
+            attempts=self.attempts,
+            left_ms=self.call.deadline - now,
+            budget_left=f"{self.service.admission.retries.left(now):.1f}",
+            nodes=self.state.nodes,
+        )
+        return denial is None
+
+    def _retry_denial(self) -> _RetryDenial | None:
+        """Return what forbids another attempt; None after paying for one."""
         # All ranks of a group stop together: another one would refuse as well.
         is_out = self.service.admission.pool.is_out
         if is_out and isinstance(self._in_outage(), TurnAway):
-            return False
-        left = self.call.deadline - self.state.clock.now()
+            return _RetryDenial.ALL_GROUPS_DOWN
         refusals = min(self._progress.free_refusals, _MOST_FREE_REFUSALS)
-        most = self.call.route.max_attempts + refusals
-        if self.attempts >= most or left < _WORTH_A_RETRY_MS:
-            return False
-        return self.service.admission.try_retry()
+        if self.attempts >= self.call.route.max_attempts + refusals:
+            return _RetryDenial.ATTEMPTS_USED
+        if self.call.deadline - self.state.clock.now() < _WORTH_A_RETRY_MS:
+            return _RetryDenial.NO_TIME_LEFT
+        if not self.service.admission.try_retry():
+            return _RetryDenial.BUDGET_SPENT
+        return None
 
     def _attempt(self, endpoint: str) -> Iterator[Part]:
         """Send the request once; return what went wrong, or None.
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -39,6 +39,8 @@
         yield _gauge("unreadable_entries", "Rows that name no endpoint", unreadable)
         yield self._endpoints()
         yield self._waiting()
+        yield self._retries()
+        yield self._retry_budget()
 
     def _endpoints(self) -> Metric:
         family = GaugeMetricFamily(
@@ -64,6 +66,28 @@
             family.add_metric([name], service.admission.waiting)
         return family
 
+    def _retries(self) -> Metric:
+        family = CounterMetricFamily(
+            "azurefold_gateway_retries",
+            "Further attempts that were made, or denied for want of budget",
+            labels=["service", "result"],
+        )
+        for name, service in self._state.services.items():
+            for result, number in service.admission.seen.retries.items():
+                family.add_metric([name, result], number)
+        return family
+
+    def _retry_budget(self) -> Metric:
+        family = GaugeMetricFamily(
+            "azurefold_gateway_retry_budget",
+            "Further attempts that the budget would pay for now",
+            labels=["service"],
+        )
+        now = self._state.clock.now()
+        for name, service in self._state.services.items():
+            family.add_metric([name], service.admission.retries.left(now))
+        return family
+
 
 def _gauge(name: str, text: str, value: float) -> Metric:
     return GaugeMetricFamily(f"azurefold_gateway_{name}", text, value=value)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -1,5 +1,6 @@
 """What one gateway process holds."""
 
+import logging
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -20,9 +21,12 @@
 )
 from azurefold.gateway.settings import GatewaySettings
 from azurefold.gateway.timings import Timings
+from azurefold.internal.logs import log_event
 
 __all__ = ["GatewayState", "new_gateway_state"]
 
+_log = logging.getLogger("azurefold.gateway")
+
 _USUAL_NODES = 6
 """Nodes to share the retries with while none has been heard: each user has six
 to nine."""
@@ -163,6 +167,7 @@
         """Take in how many gateways there are, this one included."""
         if nodes == self.nodes:
             return
+        log_event(_log, "nodes_counted", nodes=nodes, before=self.nodes)
         self.nodes = nodes
         for service in self.services.values():
             service.admission.retries.set_policy(self._retry_policy())
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -291,3 +291,28 @@
     parts_of(relay)
     assert relay.service.admission.pool.in_flight == 0
     assert all(sock.closed for sock in sockets[:1])
+
+
+@pytest.mark.parametrize(
+    ("max_attempts", "paid_for", "outcome"),
+    [(2, 0, "made"), (1, 0, "attempts_used"), (2, 50, "budget_spent")],
+)
+def test_each_decision_on_a_retry_is_told(
+    state, script, sockets, caplog, max_attempts, paid_for, outcome
+):
+    """Nobody can tell why a request was, or was not, sent to another endpoint.
+
+    The line of the failed attempt tells what the endpoint did; whether another one
+    was asked depends on attempts, time and the budget at that moment.
+    """
+    caplog.set_level("INFO", "azurefold.gateway")
+    script += [answer(**NOT_RUN), answer(200, [b"whole"])]
+    relay = relay_of(state, AnswerKind.NON_IDEMPOTENT, max_attempts=max_attempts)
+    for _ in range(paid_for):
+        relay.service.admission.try_retry()
+    parts_of(relay)
+    [line] = [each for each in caplog.messages if "retry_decided" in each]
+    assert f"outcome={outcome} " in line
+    assert "request=a1 service=desk" in line
+    assert "budget_left=" in line
+    assert "nodes=" in line
