Keep all gateways' retries within the allowance in any window

Cause: the budget remembered requests and retries as sums that decay with a time constant of the window. What has decayed is spent again within the same window: up to twice the limit, which three quarters of it did not make up for. Its class is a limit of the whole site, for any window, kept by something that only approximates one node's share of it. Two faults more of that class: a process that starts again has a full budget, and a part grows the moment that fewer gateways are counted. And retries were charged when decided on, though they may wait for seconds until a group runs again.

Change: steps of 100 ms counted exactly; a window's requests are a mean that adds up over gateways however load moves; larger parts count a window and 2 s later, at once only when the whole site starts for the first time; a retry is charged when it is sent, a first sending never; a reloaded allowance holds.

Before, after (fleet on one clock, 184 allowed): 234, 184 at most; restarts 198, within; a short list 303, within.

Ruled out: sends that no budget is asked for; requests of the window up to now as the measure (twice the load counts when callers move: a mutant).

--- a/src/azurefold/core/routing/retries.py
+++ b/src/azurefold/core/routing/retries.py
@@ -1,17 +1,36 @@
-"""A budget that keeps retries a small share of the requests.
+"""A budget that keeps retries a small share of the requests, in any window.
 
 When many endpoints fail, every request fails at first, and naive retries
 multiply the load on those that are left, which then fail too. Seen as load
 that stays high long after the first fault is gone. Retries paid for from
 recent first attempts cannot do that (Google SRE book, "Handling overload").
+
+The limit is on each window of time, wherever it begins, and on all nodes
+together. Both are why the budget counts steps of time exactly: a sum that
+decays lets what has decayed be spent again within the same window, up to twice
+the limit (234 retries in ten seconds where 184 were allowed, with nine nodes
+on one clock).
 """
 
+from collections import deque
 from dataclasses import dataclass
-from math import exp
+from itertools import accumulate
 
 from azurefold.core.clock import Millis
 
-__all__ = ["RetryBudget", "RetryPolicy"]
+__all__ = ["RetryBudget", "RetryPart", "RetryPolicy"]
+
+_STEP_MS: Millis = 100
+"""Requests and retries are counted in steps this long: a hundred in a window of ten
+seconds, and what is lost to rounding is a hundredth of the limit."""
+
+_DELIVERY_STEPS = 5
+"""Half a second in which a retry that was paid for reaches its endpoint, with one
+packet sent again on the way."""
+
+_SKIPPED_STEPS = 2
+"""At the beginning of a window: it may begin anywhere in its first step, and a request
+is counted when it has been read, some milliseconds after it was sent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,18 +40,51 @@
     Parameters
     ----------
     share : float
-        Retries allowed for each first attempt.
-    allowance : float
-        Retries a second allowed besides, so that a quiet node can retry.
+        Retries allowed for each request.
     window : int
-        Milliseconds over which attempts are remembered (time constant).
+        Milliseconds; the limit holds for each span of this length.
     """
 
     share: float = 0.08
-    allowance: float = 0.2
     window: Millis = 10_000
 
 
+class RetryPart:
+    """This node's part in the retries that are allowed beside the share of requests.
+
+    A part that grows counts only after a while. What goes wrong without: somebody
+    else has just spent what the larger part is made of, within the same window. That
+    is a process that was killed and has started again, a node that has left, or one
+    that was missing on a list for a moment. Seen as more retries than all nodes may
+    make, while each keeps to its part: 198 and 303 where 184 are allowed, with nine
+    nodes that start again, and with nine that take themselves for three.
+
+    Parameters
+    ----------
+    retries : float
+        In one window.
+    settling : int, default=0
+        Milliseconds until a larger part counts.
+    now : int, default=0
+        The present time.
+    """
+
+    def __init__(self, retries: float, settling: Millis = 0, now: Millis = 0) -> None:
+        self._settling = settling
+        self._told = deque([(now, retries)])
+
+    def set(self, retries: float, now: Millis) -> None:
+        """Take in another part."""
+        if retries != self._told[-1][1]:
+            self._told.append((now, retries))
+
+    def at(self, now: Millis) -> float:
+        """Return the least part that was in force within the settling time."""
+        while len(self._told) > 1 and self._told[1][0] <= now - self._settling:
+            self._told.popleft()
+        return min(retries for _, retries in self._told)
+
+
 class RetryBudget:
     """Recent requests and the retries they pay for.
 
@@ -40,13 +92,17 @@
     ----------
     policy : RetryPolicy, optional
         Size of the budget.
+    part : RetryPart, optional
+        Retries allowed besides, so that a quiet node can retry; 2 by default.
     """
 
-    def __init__(self, policy: RetryPolicy | None = None) -> None:
+    def __init__(
+        self, policy: RetryPolicy | None = None, part: RetryPart | None = None
+    ) -> None:
         self._policy = policy or RetryPolicy()
-        self._requests = 0.0
-        self._retries = 0.0
-        self._at: Millis = 0
+        self._part = part or RetryPart(2.0)
+        self._requests = _StepCounts()
+        self._retries = _StepCounts()
 
     def set_policy(self, policy: RetryPolicy) -> None:
         """Take in another size of the budget."""
@@ -54,27 +110,76 @@
 
     def request_started(self, now: Millis) -> None:
         """Note a request's first attempt."""
-        self._decay(now)
-        self._requests += 1.0
+        self._requests.add(now // _STEP_MS)
 
     def left(self, now: Millis) -> float:
-        """Return how many retries the budget would pay for now."""
-        self._decay(now)
-        idle = self._policy.allowance * self._policy.window / 1_000
-        return max(0.0, self._policy.share * self._requests + idle - self._retries)
+        """Return how many retries the budget would pay for now.
+
+        It is the least that any window leaves in which ``now`` can lie: those that
+        begin now, and all that began up to a window ago.
+
+        A window's requests are the mean of those within it, as far as it has passed,
+        and of those in the window that begins half a window sooner. Such a mean is
+        the same sum for one node and for all: however load moves between nodes,
+        their means add up to that of all requests, and so to no more than the
+        greater of the two. The requests of the window up to now would add up to
+        twice the load when callers move from one node to another.
+        """
+        window = self._policy.window // _STEP_MS
+        half = window // 2
+        present = now // _STEP_MS
+        oldest = present - window - _DELIVERY_STEPS
+        starts = present + 1 - oldest
+        arrival = half + _DELIVERY_STEPS
+        begin = oldest - half
+        # By step from ``begin``; what is still to come counts nothing.
+        requests = self._requests.totals(begin, present + 1)
+        requests += requests[-1:] * window
+        retries = self._retries.totals(oldest, present + 1)
+        windows = zip(
+            requests[arrival + _SKIPPED_STEPS :],
+            requests[arrival + window :],
+            requests[arrival - half + _SKIPPED_STEPS :],
+            requests[arrival - half + window :],
+            retries[:starts],
+            strict=False,
+        )
+        paid_each = self._policy.share / 2
+        least = min(
+            paid_each * (end - start + sooner_end - sooner_start) + made
+            for start, end, sooner_start, sooner_end, made in windows
+        )
+        return max(0.0, least - retries[-1] + self._part.at(now))
 
     def try_retry(self, now: Millis) -> bool:
         """Take one retry out of the budget, if it has one left."""
         if self.left(now) < 1.0:
             return False
-        self._retries += 1.0
+        self._retries.add(now // _STEP_MS)
         return True
 
-    def _decay(self, now: Millis) -> None:
-        elapsed = now - self._at
-        if elapsed <= 0:
-            return
-        kept = exp(-elapsed / self._policy.window)
-        self._requests *= kept
-        self._retries *= kept
-        self._at = now
+
+class _StepCounts:
+    """Numbers of events by steps of time, the oldest forgotten."""
+
+    def __init__(self) -> None:
+        self._counts: deque[list[int]] = deque()
+
+    def add(self, step: int) -> None:
+        """Count an event; steps never go back."""
+        if self._counts and self._counts[-1][0] >= step:
+            self._counts[-1][1] += 1
+        else:
+            self._counts.append([step, 1])
+
+    def totals(self, begin: int, end: int) -> list[int]:
+        """Return the running totals from ``begin`` to ``end``; the first is 0.
+
+        Events before ``begin`` are forgotten.
+        """
+        while self._counts and self._counts[0][0] < begin:
+            self._counts.popleft()
+        by_step = [0] * (end - begin)
+        for step, number in self._counts:
+            by_step[step - begin] += number
+        return list(accumulate(by_step, initial=0))
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -164,9 +164,16 @@
     def try_retry(self) -> bool:
         """Take one retry out of the budget, if it has one left."""
         allowed = self.retries.try_retry(self.clock.now())
-        self.seen.retries["made" if allowed else "denied"] += 1
+        if allowed:
+            self.seen.retries["made"] += 1
+        else:
+            self.deny_retry()
         return allowed
 
+    def deny_retry(self) -> None:
+        """Count a retry that was not made for want of budget."""
+        self.seen.retries["denied"] += 1
+
     def finished(self, endpoint: str, attempt_id: str, outcome: Outcome) -> None:
         """Note how an attempt ended, and hand on its place."""
         now = self.clock.now()
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -204,8 +204,11 @@
         return began + route.objective_ms - round(self.service.usual_first_ms)
 
     def _may_retry(self) -> bool:
-        denial = self._retry_denial()
         now = self.state.clock.now()
+        budget_left = self.service.admission.retries.left(now)
+        denial = self._retry_denial(budget_left)
+        if denial is _RetryDenial.BUDGET_SPENT:
+            self.service.admission.deny_retry()
         log_event(
             _log,
             "retry_decided",
@@ -214,13 +217,19 @@
             outcome=denial or "made",
             attempts=self.attempts,
             left_ms=self.call.deadline - now,
-            budget_left=f"{self.service.admission.retries.left(now):.1f}",
+            budget_left=f"{budget_left:.1f}",
             nodes=self.state.nodes,
         )
         return denial is None
 
-    def _retry_denial(self) -> _RetryDenial | None:
-        """Return what forbids another attempt; None after paying for one."""
+    def _retry_denial(self, budget_left: float) -> _RetryDenial | None:
+        """Return what forbids another attempt; None if nothing does.
+
+        The budget is asked here and charged when the attempt is sent. Between the two
+        a request may wait for seconds until its group forms anew: charged before, all
+        who wait would be sent within a window that their charges had left. An
+        endpoint that was out of reach got nothing, so the next one is not a repeat.
+        """
         # All ranks of a group stop together: another one would refuse as well.
         is_out = self.service.admission.pool.is_out
         if is_out and isinstance(self._in_outage(), TurnAway):
@@ -230,7 +239,7 @@
             return _RetryDenial.ATTEMPTS_USED
         if self.call.deadline - self.state.clock.now() < _WORTH_A_RETRY_MS:
             return _RetryDenial.NO_TIME_LEFT
-        if not self.service.admission.try_retry():
+        if self._progress.dispatched and budget_left < 1.0:
             return _RetryDenial.BUDGET_SPENT
         return None
 
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -119,6 +119,8 @@
             self.service.lost_reach(self.endpoint, self.state.clock.now())
             self.progress.free_refusals += 1
             return self._failed("unreachable", type(error).__name__, sent=False)
+        if self.progress.dispatched and not self.service.admission.try_retry():
+            return NotDispatched("retry_budget_spent")
         try:
             self._send()
             reply = read_reply(self._link, self.call.method)
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -117,7 +117,7 @@
     changed = changed_settings(state.settings, settings)
     if settings.store != state.settings.store:
         news.use_store(store_client(settings.store))
-    state.settings = settings
+    state.take_settings(settings)
     log_event(_log, "reloaded", changed=",".join(changed) or "nothing")
 
 
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -15,11 +15,11 @@
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.pool import Pool
 from azurefold.core.routing.rank_groups import GroupNews, RankGroups
-from azurefold.core.routing.retries import RetryBudget, RetryPolicy
+from azurefold.core.routing.retries import RetryBudget
 from azurefold.entry.admission import Admission
 from azurefold.internal.logs import log_event
 
-__all__ = ["GatewayService", "new_gateway_service", "retry_policy"]
+__all__ = ["GatewayService", "new_gateway_service"]
 
 _log = logging.getLogger("azurefold.gateway")
 
@@ -39,9 +39,6 @@
 _FIRST_SMOOTHING = 0.05
 """Of the time to a first event: it follows a change of load within some seconds."""
 
-_OWN_RETRY_SHARE = 0.75
-"""Part of the allowed retries that is used: nodes count by themselves."""
-
 
 @dataclass(slots=True)
 class GatewayService:
@@ -229,7 +226,7 @@
     data_centre: str,
     clock: Clock,
     seed: int,
-    retry_policy: RetryPolicy,
+    retries: RetryBudget,
 ) -> GatewayService:
     """Return a service that has no endpoints yet."""
     pool = Pool(PoolPolicy(reserve=0.0, sharing=ExchangedLoads(_BEYOND_SLOTS)))
@@ -238,21 +235,6 @@
         random.Random(seed),
         pool=pool,
         queue=FairQueue(_QUEUE),
-        retries=RetryBudget(retry_policy),
+        retries=retries,
     )
     return GatewayService(view, data_centre, admission)
-
-
-def retry_policy(
-    share: float, slack: int, window_ms: Millis, nodes: int
-) -> RetryPolicy:
-    """Return this node's part in the retries that all nodes may make.
-
-    Examples
-    --------
-    >>> retry_policy(0.2, 90, 10_000, nodes=9)
-    RetryPolicy(share=0.15000000000000002, allowance=0.75, window=10000)
-    """
-    own_slack = _OWN_RETRY_SHARE * slack / max(1, nodes)
-    per_second = own_slack * 1_000 / window_ms
-    return RetryPolicy(share * _OWN_RETRY_SHARE, per_second, window_ms)
--- a/src/azurefold/gateway/settings.py
+++ b/src/azurefold/gateway/settings.py
@@ -37,6 +37,9 @@
         The window.
     fenced_orders : bool
         Whether engines refuse orders of an older fence.
+    is_first_start : bool
+        Whether the whole system starts for the first time, so that no process of it
+        has been there before.
     link_mbps : float
         Megabits a second of the VM's own link; 0 if it is not told.
     """
@@ -54,6 +57,7 @@
     retry_slack: int
     retry_window_ms: Millis
     fenced_orders: bool
+    is_first_start: bool = False
     link_mbps: float = 0.0
 
     @property
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -12,13 +12,9 @@
 from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.peer_loads import endpoint_mark
 from azurefold.core.routing.rank_groups import GroupNews
-from azurefold.core.routing.retries import RetryPolicy
+from azurefold.core.routing.retries import RetryBudget, RetryPart, RetryPolicy
 from azurefold.gateway.endpoints.connections import EndpointLinks
-from azurefold.gateway.service_state import (
-    GatewayService,
-    new_gateway_service,
-    retry_policy,
-)
+from azurefold.gateway.service_state import GatewayService, new_gateway_service
 from azurefold.gateway.settings import GatewaySettings
 from azurefold.gateway.timings import Timings
 from azurefold.internal.logs import log_event
@@ -28,8 +24,11 @@
 _log = logging.getLogger("azurefold.gateway")
 
 _USUAL_NODES = 6
-"""Nodes to share the retries with while none has been heard: each user has six
-to nine."""
+"""Nodes that are taken to be there while none has been heard: each user has six to
+nine."""
+
+_JOINED_HEARD_MS: Millis = 2_000
+"""Nodes that join tell the others twice a second; three messages may be lost."""
 
 
 @dataclass(slots=True)
@@ -61,6 +60,8 @@
         Gateways, this one included.
     cell : Cell
         The gateways whose loads are known here.
+    retry_part : RetryPart
+        Of the retries that all gateways may make beside a share of the requests.
     endpoints_version : int
         Of the newest endpoint's row in the store.
     is_current : bool
@@ -87,6 +88,7 @@
     timings: Timings = field(default_factory=Timings)
     nodes: int = _USUAL_NODES
     cell: Cell = field(default_factory=Cell)
+    retry_part: RetryPart = field(kw_only=True)
     endpoints_version: int = 0
     is_current: bool = False
     is_cut_off: bool = False
@@ -165,12 +167,21 @@
 
     def set_nodes(self, nodes: int) -> None:
         """Take in how many gateways there are, this one included."""
-        if nodes == self.nodes:
-            return
-        log_event(_log, "nodes_counted", nodes=nodes, before=self.nodes)
+        if nodes != self.nodes:
+            log_event(_log, "nodes_counted", nodes=nodes, before=self.nodes)
         self.nodes = nodes
+        self._set_retry_part()
+
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take in settings that have changed."""
+        self.settings = settings
+        self._set_retry_part()
         for service in self.services.values():
-            service.admission.retries.set_policy(self._retry_policy())
+            service.admission.retries.set_policy(_retry_policy(settings))
+
+    def _set_retry_part(self) -> None:
+        part = self.settings.retry_slack / self.nodes
+        self.retry_part.set(part, self.clock.now())
 
     def _configure(self, view) -> None:
         known = self.services.get(view.name)
@@ -182,19 +193,23 @@
             self.settings.data_centre,
             self.clock,
             self.draw.getrandbits(32),
-            self._retry_policy(),
-        )
-
-    def _retry_policy(self) -> RetryPolicy:
-        settings = self.settings
-        return retry_policy(
-            settings.retry_share,
-            settings.retry_slack,
-            settings.retry_window_ms,
-            self.nodes,
+            RetryBudget(_retry_policy(self.settings), self.retry_part),
         )
 
 
 def new_gateway_state(settings: GatewaySettings, clock: Clock) -> GatewayState:
     """Return the state of a process that has just started."""
-    return GatewayState(settings, clock, random.Random(), EndpointLinks(clock))
+    # Of a process that may have been here before nobody knows what it has spent.
+    first = settings.retry_slack / _USUAL_NODES if settings.is_first_start else 0.0
+    settling = settings.retry_window_ms + _JOINED_HEARD_MS
+    return GatewayState(
+        settings,
+        clock,
+        random.Random(),
+        EndpointLinks(clock),
+        retry_part=RetryPart(first, settling, clock.now()),
+    )
+
+
+def _retry_policy(settings: GatewaySettings) -> RetryPolicy:
+    return RetryPolicy(settings.retry_share, settings.retry_window_ms)
--- a/src/azurefold/platform/settings.py
+++ b/src/azurefold/platform/settings.py
@@ -50,6 +50,8 @@
     bounds: _Bounds = msgspec.field(name="Bounds", default_factory=_Bounds)
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
     heartbeat_ms: float = msgspec.field(name="HeartbeatMs", default=1_200)
+    # Of the whole system, not of this process.
+    is_first_start: bool = msgspec.field(name="Bootstrap", default=False)
 
 
 def load_settings(path: str) -> GatewaySettings:
@@ -83,5 +85,6 @@
         retry_slack=bounds.retry_slack,
         retry_window_ms=int(bounds.retry_window_s * _SECOND_MS),
         fenced_orders=bounds.fenced_orders,
+        is_first_start=settings.is_first_start,
         link_mbps=settings.limits.link_mbps,
     )
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -60,6 +60,13 @@
             self.processes[name].start()
         for name in self.gateways:
             self.wait_ready(name)
+            self._has_started(name)
+
+    def _has_started(self, gateway: str) -> None:
+        """Tell later starts of a gateway that they are not the site's first."""
+        [path] = self.processes[gateway].arguments[-1:]
+        settings = json.loads(Path(path).read_text("utf-8")) | {"Bootstrap": False}
+        Path(path).write_text(json.dumps(settings), "utf-8")
 
     def wait_ready(self, gateway: str) -> None:
         """Wait until a gateway is ready."""
@@ -238,6 +245,7 @@
         "Zone": "dc-a",
         "Listen": {"Frontend": site.gateways[name], "Ready": site.admins[name]},
         "PortRange": [port, port],
+        "Bootstrap": True,
         "HeartbeatMs": 1200,
         "Bounds": {"GraceS": 8, "RetryRatio": 0.2, "RetrySlack": 200},
         "Platform": {"Address": site.links[f"store-{name}"][0]},
--- a/tests/core/routing/test_retry_budget.py
+++ b/tests/core/routing/test_retry_budget.py
@@ -53,3 +53,27 @@
             budget.request_started(now)
             requests += 1
         assert retries <= 0.08 * requests + 0.2 * (10 + now / 1_000)
+
+
+@given(st.lists(st.tuples(st.integers(0, 500), st.integers(0, 12)), max_size=300))
+def test_no_window_has_more_retries_than_are_allowed(events):
+    """Retries in some ten seconds exceed the limit, though all since the start do not.
+
+    The budget was spent, and what had decayed of it was spent again at once: within
+    the same window, up to twice the limit.
+    """
+    budget = RetryBudget()
+    now = 0
+    requests, retries = [], []
+    for elapsed, wanted in events:
+        now += elapsed
+        budget.request_started(now)
+        requests.append(now)
+        retries += [now for _ in range(wanted) if budget.try_retry(now)]
+    for start in retries:
+        made = sum(start <= at < start + 10_000 for at in retries)
+        counted = max(
+            sum(start - sooner <= at < start - sooner + 10_000 for at in requests)
+            for sooner in (0, 5_000)
+        )
+        assert made <= 0.08 * counted + 2
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -81,4 +81,9 @@
 
 @pytest.fixture
 def state(settings, time):
-    return new_gateway_state(settings, manual_clock(time))
+    """Return a gateway that has been up for a minute, alone."""
+    now, time.at = time.at, time.at - 60_000
+    state = new_gateway_state(settings, manual_clock(time))
+    state.set_nodes(1)
+    time.at = now
+    return state
--- a/tests/gateway/test_groups_of_a_service_are_kept_apart.py
+++ b/tests/gateway/test_groups_of_a_service_are_kept_apart.py
@@ -9,9 +9,10 @@
 from azurefold.core.routes.model import Engine, RoutedService
 from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.rank_groups import Standing
+from azurefold.core.routing.retries import RetryBudget
 from azurefold.gateway.groups.control import ServiceControl
 from azurefold.gateway.groups.watch import ServiceWatch
-from azurefold.gateway.service_state import new_gateway_service, retry_policy
+from azurefold.gateway.service_state import new_gateway_service
 from azurefold.gateway.state import new_gateway_state
 from azurefold.platform.ranks import RankClient, RankReport
 
@@ -37,7 +38,7 @@
         "dc-a",
         state.clock,
         seed=1,
-        retry_policy=retry_policy(0.2, 90, 10_000, nodes=1),
+        retries=RetryBudget(),
     )
     entries = [entry_of(group, rank) for group in GROUPS for rank in range(SIZE)]
     service.set_endpoints(entries, Cell(), now=1_000)
--- a/tests/gateway/test_retries_of_all_gateways_stay_allowed.py
+++ b/tests/gateway/test_retries_of_all_gateways_stay_allowed.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_left
 from dataclasses import dataclass, field
+from math import exp
 
 import pytest
 from hypothesis import given, settings
@@ -9,6 +10,7 @@
 
 from azurefold.core.clock import ManualTime, manual_clock
 from azurefold.core.routes.model import RoutedService, RoutingConfiguration
+from azurefold.core.routing.retries import RetryBudget, RetryPart
 from azurefold.gateway.settings import GatewaySettings
 from azurefold.gateway.state import new_gateway_state
 
@@ -208,6 +210,67 @@
     site.check()
 
 
+def sums_that_decay(monkeypatch):
+    """Remember requests and retries with a time constant of the window."""
+
+    def decayed(counts, now, window):
+        return sum(
+            number * exp((100 * step - now) / window) for step, number in counts._counts
+        )
+
+    def left(budget, now):
+        window = budget._policy.window
+        requests = decayed(budget._requests, now, window)
+        retries = decayed(budget._retries, now, window)
+        return budget._policy.share * requests + budget._part.at(now) - retries
+
+    monkeypatch.setattr(RetryBudget, "left", left)
+
+
+def parts_that_grow_at_once(monkeypatch):
+    monkeypatch.setattr(RetryPart, "at", lambda part, now: part._told[-1][1])
+
+
+def a_share_of_what_has_arrived(monkeypatch):
+    """Count the requests of the window up to now, whatever window is judged."""
+
+    def left(budget, now):
+        window = budget._policy.window
+        requests = budget._requests.totals((now - window) // 100, now // 100 + 1)
+        retries = budget._retries.totals((now - window) // 100, now // 100 + 1)
+        paid = budget._policy.share * requests[-1]
+        return max(0.0, paid + budget._part.at(now) - retries[-1])
+
+    monkeypatch.setattr(RetryBudget, "left", left)
+
+
+@pytest.mark.parametrize(
+    ("mutant", "story"),
+    [
+        (
+            sums_that_decay,
+            test_one_endpoint_that_refuses_all_keeps_to_the_allowance,
+        ),
+        (
+            parts_that_grow_at_once,
+            test_gateways_that_start_again_do_not_spend_anew,
+        ),
+        (
+            parts_that_grow_at_once,
+            test_a_list_that_lacks_gateways_for_a_moment_gives_no_larger_part,
+        ),
+        (
+            a_share_of_what_has_arrived,
+            test_callers_that_move_to_another_gateway_count_once,
+        ),
+    ],
+)
+def test_the_checks_find_budgets_that_are_too_large(site, monkeypatch, mutant, story):
+    mutant(monkeypatch)
+    with pytest.raises(AssertionError, match="allowed"):
+        story(site)
+
+
 _WHICH = st.integers(0, 3)
 _EVENTS = st.lists(
     st.tuples(
