Leave out endpoints that refuse all, and let the coordinator hear itself

Cause, of what set the incident off: an endpoint that no group takes in refuses each request at once, so it is always the emptiest and chosen first. After one refusal the gateways doubted it, but not the coordinator: it does not hear its own messages, took all endpoints for one group, and each event of a rank took the doubt away (40 of 49 refusals in ten seconds were its own). Nor did gateways that had just started (96 in two seconds).

The coordinator takes in what it tells. Ejections are logged.

Ruled out: doubting alone (endpoints start in one group until they are told). Tests failed first; gateway tests pass.

--- a/src/azurefold/core/routing/messages.py
+++ b/src/azurefold/core/routing/messages.py
@@ -13,6 +13,7 @@
     "EjectionCause",
     "Failed",
     "LoadReport",
+    "Misdirected",
     "NoneAvailable",
     "Outcome",
     "Prefix",
@@ -134,7 +135,15 @@
     """The caller gave up, or the connection went silent; says nothing of health."""
 
 
-Outcome = Answered | Failed | TimedOut | Refused | Cancelled
+@dataclass(frozen=True, slots=True)
+class Misdirected:
+    """The endpoint is not the one it was taken for, or cannot serve as it is.
+
+    It ran nothing and will refuse the next request as well, whatever its load.
+    """
+
+
+Outcome = Answered | Failed | TimedOut | Refused | Misdirected | Cancelled
 
 
 class EjectionCause(Enum):
@@ -143,6 +152,7 @@
     FAILING = "failing"
     SLOW = "slow"
     STUCK = "stuck"
+    MISDIRECTED = "misdirected"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -18,7 +18,9 @@
     Cancelled,
     Chosen,
     Ejected,
+    EjectionCause,
     Failed,
+    Misdirected,
     NoneAvailable,
     Outcome,
     Refused,
@@ -147,6 +149,10 @@
             case Refused():
                 known.concurrency.observe_refusal(now)
                 known.fill_up()
+            case Misdirected():
+                # It answers at once, so it is always the emptiest: without this it
+                # is chosen for each request, and each is a retry somewhere else.
+                return self._eject(known, EjectionCause.MISDIRECTED, now)
             case Cancelled():
                 return None
         return None
@@ -209,12 +215,16 @@
 
     def _judge(self, endpoint: Endpoint, usual: float, now: Millis) -> Ejected | None:
         cause = cause_to_eject(endpoint, usual, self._policy.ejection, now)
-        if cause is None:
-            return None
+        return None if cause is None else self._eject(endpoint, cause, now)
+
+    def _eject(
+        self, endpoint: Endpoint, cause: EjectionCause, now: Millis
+    ) -> Ejected | None:
         size = len(self._members.by_name)
         ejected = self._ejector.eject(endpoint.name, cause, size, now)
         if ejected is not None:
             self._after_ejection(endpoint)
+            self._refresh(now)
         return ejected
 
     def _after_ejection(self, endpoint: Endpoint) -> None:
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -1,5 +1,6 @@
 """Admission of requests to one service: a fair queue before a pool of endpoints."""
 
+import logging
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -24,9 +25,12 @@
 from azurefold.core.routing.pool import Pool
 from azurefold.core.routing.retries import RetryBudget
 from azurefold.entry.histogram import Counts
+from azurefold.internal.logs import log_event
 
 __all__ = ["Admission", "EndpointAnswer", "Seen", "Ticket", "new_admission"]
 
+_log = logging.getLogger("azurefold.admission")
+
 _WAITS_MS = (0, 5, 20, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
 
 _NO_REQUEST = RouteRequest()
@@ -211,6 +215,13 @@
 
     def _count_ejection(self, ejected: Ejected) -> None:
         self.seen.ejections[ejected.cause.value] += 1
+        log_event(
+            _log,
+            "endpoint_ejected",
+            endpoint=ejected.endpoint,
+            why=ejected.cause.value,
+            for_ms=ejected.until - self.clock.now(),
+        )
 
     def _straight_through(self, ticket: Ticket, now: Millis) -> Chosen | Failure | None:
         """Return an endpoint while nobody waits; None if the ticket has to."""
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -13,6 +13,7 @@
     Answered,
     Cancelled,
     Failed,
+    Misdirected,
     Outcome,
     Refused,
 )
@@ -203,15 +204,23 @@
     def _refused(self, reply: Reply) -> Event:
         head = reply.head
         reply.whole_body()
-        self._done(reply, Refused())
         at_fault = head.at_fault or self.endpoint
-        now = self.state.clock.now()
-        service = self.service
-        if service.is_group and service.rank_refused(self.endpoint, at_fault, now):
+        is_own = at_fault in (self.endpoint, self.service.address_of(self.endpoint))
+        if head.misdirected and is_own:
+            self._done(reply, Misdirected())
             self.progress.free_refusals += 1
+        else:
+            self._done(reply, Refused())
+            self._put_down_to_group(at_fault)
         self._log_failure("refused", f"{head.status} at_fault={at_fault}")
         return NotDispatched("endpoint_refused")
 
+    def _put_down_to_group(self, at_fault: str) -> None:
+        service = self.service
+        now = self.state.clock.now()
+        if service.is_group and service.rank_refused(self.endpoint, at_fault, now):
+            self.progress.free_refusals += 1
+
     def _done(self, reply: Reply, outcome: Outcome) -> None:
         """Note an answer that has come whole, and keep its connection."""
         self._outcome = outcome
--- a/src/azurefold/gateway/groups/coordinator.py
+++ b/src/azurefold/gateway/groups/coordinator.py
@@ -207,6 +207,13 @@
                 control = new_service_control(self.state, service, self, known)
                 self._controls[name] = control
                 control.start()
+        self._tell_itself()
+
+    def _tell_itself(self) -> None:
+        """Take in what this node tells the others, as it does not hear itself."""
+        for control in self._controls.values():
+            for news in control.news:
+                self.state.group_told(news)
 
     def resign(self) -> None:
         """Let another gateway coordinate."""
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -166,6 +166,11 @@
         if self.is_group and self.groups.doubt(endpoint):
             self._pause_groups("rank_out_of_reach")
 
+    def address_of(self, endpoint: str) -> str:
+        """Return an endpoint's address; empty if it is gone."""
+        entry = self.entries.get(endpoint)
+        return entry.address if entry else ""
+
     def _names_at(self, address: str) -> list[str]:
         return [name for name, e in self.entries.items() if e.address == address]
 
--- a/src/azurefold/platform/headers.py
+++ b/src/azurefold/platform/headers.py
@@ -26,6 +26,7 @@
 _SEAL = "server-seal"
 _NOT_RUN = "not-executed"
 _AT_FAULT = "at-server"
+_MISDIRECTED = 421
 
 _OF_ONE_CONNECTION = frozenset(
     {
@@ -100,6 +101,8 @@
         Whether the body is not in the form in which the endpoint made it.
     forwarded : tuple of (str, str)
         Headers that go to the caller as they came.
+    misdirected : bool
+        Whether the endpoint says that the request was not for it, whatever its load.
     """
 
     status: int
@@ -109,6 +112,7 @@
     at_fault: str
     encoded: bool
     forwarded: tuple[tuple[str, str], ...]
+    misdirected: bool = False
 
 
 def read_request(headers: Headers) -> RequestHead:
@@ -181,7 +185,7 @@
         attempt_id=by_name.get(ATTEMPT_ID.lower(), ""),
         sealed=bool(by_name.get(_SEAL)),
         # 421 says the same without the header.
-        not_run=_NOT_RUN in by_name or status == 421,
+        not_run=_NOT_RUN in by_name or status == _MISDIRECTED,
         at_fault=by_name.get(_AT_FAULT, ""),
         encoded=encoding not in ("", "identity"),
         forwarded=tuple(
@@ -189,6 +193,7 @@
             for name, value in pairs
             if name.lower() not in _OF_ONE_CONNECTION
         ),
+        misdirected=status == _MISDIRECTED,
     )
 
 
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -87,3 +87,18 @@
     state.set_nodes(1)
     time.at = now
     return state
+
+
+@pytest.fixture
+def endpoint_script(monkeypatch):
+    """Answers by endpoint, and the endpoints that were asked."""
+    answers, asked = {}, []
+
+    def run(attempt):
+        asked.append(attempt.endpoint)
+        attempt._link = None
+        attempt._sent_at = attempt.state.clock.now()
+        return (yield from attempt._answer(answers[attempt.endpoint]()))
+
+    monkeypatch.setattr("azurefold.gateway.endpoints.attempt.Attempt.run", run)
+    return answers, asked
--- a/tests/gateway/test_a_coordinator_takes_over_at_once.py
+++ b/tests/gateway/test_a_coordinator_takes_over_at_once.py
@@ -4,12 +4,16 @@
 import pytest
 
 from azurefold.core.clock import manual_clock
+from azurefold.core.groups.map_orders import RankView
+from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import Engine, RoutedService, RoutingConfiguration
+from azurefold.core.routing.cells import Cell
 from azurefold.gateway.groups import coordinator as coordinators
 from azurefold.gateway.groups.control import ServiceControl
 from azurefold.gateway.groups.coordinator import _Holder, new_coordinator
 from azurefold.gateway.peers.messages import PeerMessage
 from azurefold.gateway.state import new_gateway_state
+from azurefold.platform.ranks import RankReport
 from azurefold.platform.store_messages import Applied, StoredRow, StoredRows
 
 ENGINE = Engine(slots=4, layer_sets=1, experts=4, places=2)
@@ -20,6 +24,15 @@
     return StoredRows((StoredRow("coordinator", version, value, False),), version)
 
 
+def entry_of(number):
+    return EndpointEntry(f"e{number}", "drafts", f"10.0.0.{number}:80", "dc-a", 4)
+
+
+def report_of(rank):
+    view = RankView(rank, 1, True, 1, 0, None, None, None)
+    return RankReport("pair", 2, view)
+
+
 def beat(term):
     return PeerMessage("gateway-2", 1, term, 7_000, 1, 1, term, 0, (), {}, True)
 
@@ -126,3 +139,29 @@
     with pytest.raises(KeyboardInterrupt):
         coordinator.run()
     assert held == [True, True, True, False, False]
+
+
+def test_the_coordinator_knows_the_groups_that_it_tells_of(
+    coordinator, store, monkeypatch
+):
+    """One gateway of all goes on asking an endpoint that no group takes in.
+
+    The others had learned from the coordinator which endpoints are ranks of which
+    group, and doubted the odd one after its first refusal: 40 of 49 requests that it
+    refused in ten seconds came from the coordinator. It does not hear its own
+    messages, and took all endpoints for one group.
+    """
+    monkeypatch.setattr(ServiceControl, "start", lambda control: None)
+    state = coordinator.state
+    service = state.services["drafts"]
+    service.set_endpoints([entry_of(n) for n in range(3)], Cell(), now=1_000)
+    coordinator.heard(beat(term=30))
+    store.script = [row_of("gateway-2", 30), Applied(31)]
+    coordinator._take()
+    coordinator._coordinate()
+    watch = coordinator._controls["drafts"].watch
+    for rank in range(2):
+        watch.take_report(f"e{rank}", report_of(rank), 1_000)
+    coordinator._coordinate()
+    assert service.groups.group_of("e0") == service.groups.group_of("e1") != 0
+    assert service.groups.group_of("e2") == 0
--- a/tests/gateway/test_requests_go_to_groups_that_run.py
+++ b/tests/gateway/test_requests_go_to_groups_that_run.py
@@ -21,21 +21,6 @@
 FIRST, SECOND = ("e0",), ("e1", "e2")
 
 
-@pytest.fixture
-def script(monkeypatch):
-    """Answers by endpoint, and the endpoints that were asked."""
-    answers, asked = {}, []
-
-    def run(attempt):
-        asked.append(attempt.endpoint)
-        attempt._link = None
-        attempt._sent_at = attempt.state.clock.now()
-        return (yield from attempt._answer(answers[attempt.endpoint]()))
-
-    monkeypatch.setattr("azurefold.gateway.endpoints.attempt.Attempt.run", run)
-    return answers, asked
-
-
 def news_of(group, standing, ranks, epoch=1):
     marks = tuple(map(endpoint_mark, ranks))
     return GroupNews(endpoint_mark("desk"), group, epoch, standing, marks)
@@ -62,13 +47,13 @@
     return reply
 
 
-def test_a_refusal_by_one_group_is_tried_at_another_at_once(relay, script):
+def test_a_refusal_by_one_group_is_tried_at_another_at_once(relay, endpoint_script):
     """Callers are refused although half of all ranks are idle.
 
     A rank of the group that stood still refused, and the one attempt that the route
     allows was used up, though nothing had run.
     """
-    answers, asked = script
+    answers, asked = endpoint_script
     answers["e0"] = refusing("10.9.9.9:80")
     answers["e1"] = answers["e2"] = streaming
     relay.service.admission.pool.set_distance("e1", 5_000)
@@ -79,8 +64,10 @@
     assert asked[1] in SECOND
 
 
-def test_later_requests_do_not_ask_the_group_that_stands_still(relay, script, state):
-    answers, asked = script
+def test_later_requests_do_not_ask_the_group_that_stands_still(
+    relay, endpoint_script, state
+):
+    answers, asked = endpoint_script
     answers["e0"] = refusing("10.9.9.9:80")
     answers["e1"] = answers["e2"] = streaming
     state.services["desk"].rank_refused("e0", "10.9.9.9:80", state.clock.now())
@@ -88,9 +75,9 @@
     assert asked[0] in SECOND
 
 
-def test_with_all_groups_down_nobody_is_asked(relay, script, state):
+def test_with_all_groups_down_nobody_is_asked(relay, endpoint_script, state):
     """Each request finds out by itself that a group is down, after 1.5 s."""
-    answers, asked = script
+    answers, asked = endpoint_script
     state.group_told(news_of(1, Standing.DOWN, FIRST))
     state.group_told(news_of(2, Standing.DOWN, SECOND))
     [given_up] = parts_of(relay)
@@ -99,10 +86,10 @@
 
 
 def test_who_has_come_back_is_served_when_a_group_runs_again(
-    relay, script, state, monkeypatch
+    relay, endpoint_script, state, monkeypatch
 ):
     """Callers come back once, to a group down for a moment more, and are lost."""
-    answers, asked = script
+    answers, asked = endpoint_script
     answers["e1"] = answers["e2"] = streaming
     state.group_told(news_of(1, Standing.DOWN, FIRST))
     state.group_told(news_of(2, Standing.DOWN, SECOND))
@@ -138,9 +125,11 @@
     assert service.admission.pool.room == room - 6
 
 
-def test_a_gateway_that_is_cut_off_sends_callers_back_late(relay, script, state):
+def test_a_gateway_that_is_cut_off_sends_callers_back_late(
+    relay, endpoint_script, state
+):
     """Callers come back after a second to a data centre that is still cut off."""
-    answers, _ = script
+    answers, _ = endpoint_script
     for name in (*FIRST, *SECOND):
         answers[name] = refusing(f"10.0.0.{name[1]}:80")
     state.is_cut_off = True
