--- a/src/azurefold/core/routing/rank_groups.py
+++ b/src/azurefold/core/routing/rank_groups.py
@@ -178,15 +178,6 @@
         standing = self._standings.get(self.group_of(endpoint))
         return standing is not None and standing.down_since is not None
 
-    def down_since(self, endpoints: Iterable[str]) -> Millis | None:
-        """Return since when all groups of ``endpoints`` are down; None if one runs."""
-        groups = {self.group_of(endpoint) for endpoint in endpoints}
-        known = [self._standings.get(group) for group in groups]
-        since = [each.down_since if each else None for each in known]
-        if not since or None in since:
-            return None
-        return max(since)
-
     def forms_since(self, endpoints: Iterable[str]) -> Millis | None:
         """Return since when a group of ``endpoints`` forms anew; None if none does."""
         groups = {self.group_of(endpoint) for endpoint in endpoints}
--- a/tests/core/routing/test_groups_that_are_down.py
+++ b/tests/core/routing/test_groups_that_are_down.py
@@ -36,13 +36,12 @@
     """
     groups.refused("a0", "a1", now=100)
     assert [name for name in ALL if groups.is_down(name)] == ["a0", "a1"]
-    assert groups.down_since(ALL) is None
 
 
-def test_all_groups_are_down_since_the_last_of_them_is(groups):
+def test_all_groups_are_down_when_each_of_them_is(groups):
     groups.refused("a0", "a1", now=100)
     groups.refused("b0", "b1", now=300)
-    assert groups.down_since(ALL) == 300
+    assert all(groups.is_down(name) for name in ALL)
 
 
 def test_ranks_of_which_nobody_has_told_count_as_one_group():
