--- a/Makefile
+++ b/Makefile
@@ -42,9 +42,11 @@
 SEED ?= 1
 SEEDS ?= 1
 SECONDS ?= 15
+GATEWAYS ?= 3
 soak-faults: setup
 	PYTHONPATH=src $(BIN)/python -m azurefold_standins.fault_soak \
-		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
+		--gateways $(GATEWAYS)
 
 demo: setup
 	PYTHONPATH=src $(BIN)/python -m azurefold_standins.demo
--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -253,10 +253,10 @@
             yield Finding("retries stay allowed", f"{service}: {excess}")
 
 
-def run_soak(seed: int, seconds: float, folder: Path) -> Soak:
+def run_soak(seed: int, seconds: float, folder: Path, gateways: int = 3) -> Soak:
     """Run one seed and return what came of it."""
     draw = random.Random(seed)
-    site = new_gateway_site(folder, retries=_RETRIES)
+    site = new_gateway_site(folder, gateways, retries=_RETRIES)
     soak = Soak(site, draw, seconds)
     try:
         site.start()
@@ -272,6 +272,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="so many from --seed on")
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--keep", help="folder for logs of seeds that failed")
     arguments = parser.parse_args()
     failed = 0
@@ -279,7 +280,7 @@
         with tempfile.TemporaryDirectory() as scratch:
             folder = Path(arguments.keep or scratch) / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-            soak = run_soak(seed, arguments.seconds, folder)
+            soak = run_soak(seed, arguments.seconds, folder, arguments.gateways)
         results = Counter(call.result.value for call in soak.calls)
         faults = sum(soak.faults.values())
         verdict = "failed" if soak.findings else "held"
