--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,6 +1,6 @@
 """Stand-ins at the gateway's interfaces: a store, a clock and a settings value."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 
@@ -60,9 +60,9 @@
     return ManualTime(at=1_000)
 
 
-@pytest.fixture
-def settings():
-    return GatewaySettings(
+def settings_of(**changes):
+    """Return the settings of a gateway, with some of them changed."""
+    settings = GatewaySettings(
         name="gateway-1",
         data_centre="dc-a",
         callers="127.0.0.1:0",
@@ -77,6 +77,12 @@
         retry_window_ms=10_000,
         fenced_orders=False,
     )
+    return replace(settings, **changes)
+
+
+@pytest.fixture
+def settings():
+    return settings_of()
 
 
 @pytest.fixture
--- a/tests/gateway/test_retries_are_charged_once.py
+++ b/tests/gateway/test_retries_are_charged_once.py
@@ -1,5 +1,7 @@
 """What is sent to a second endpoint is charged to the budget, when it is sent."""
 
+from dataclasses import replace
+
 import pytest
 
 from azurefold.core.attempts.course import NotDispatched
@@ -123,10 +125,7 @@
 
 def test_a_smaller_allowance_holds_from_the_reload_on(state, service, settings):
     """A changed settings file was read, and the budget kept the old allowance."""
-    fewer = type(settings)(
-        **{name: getattr(settings, name) for name in settings.__slots__}
-        | {"retry_slack": 20, "retry_share": 0.1}
-    )
+    fewer = replace(settings, retry_slack=20, retry_share=0.1)
     assert changed_settings(settings, fewer) == ["retry_share", "retry_slack"]
     state.take_settings(fewer)
     assert left(state, service) == 20
@@ -134,8 +133,7 @@
 
 def test_only_the_first_start_of_all_has_its_part_at_once(settings):
     """A process that starts again does not know what the one before has spent."""
-    fields = {name: getattr(settings, name) for name in settings.__slots__}
-    first = type(settings)(**fields | {"is_first_start": True})
+    first = replace(settings, is_first_start=True)
     time = ManualTime(at=0)
     states = [new_gateway_state(each, manual_clock(time)) for each in (first, settings)]
     for state in states:
--- a/tests/gateway/test_retries_of_all_gateways_stay_allowed.py
+++ b/tests/gateway/test_retries_of_all_gateways_stay_allowed.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from tests.gateway.conftest import settings_of
 
 from azurefold.core.clock import ManualTime, manual_clock
 from azurefold.core.routes.model import RoutedService, RoutingConfiguration
@@ -19,24 +20,6 @@
 TOLD_WITHIN_MS = 1_900
 
 
-def settings_with(slack):
-    return GatewaySettings(
-        name="gateway",
-        data_centre="dc-a",
-        callers="127.0.0.1:0",
-        admin="127.0.0.1:0",
-        peers_port=0,
-        store="127.0.0.1:1",
-        stop_grace_ms=8_000,
-        stall_ms=1_500,
-        heartbeat_ms=1_200,
-        retry_share=0.2,
-        retry_slack=slack,
-        retry_window_ms=WINDOW_MS,
-        fenced_orders=False,
-    )
-
-
 @dataclass
 class Site:
     """Gateways on one clock, and what callers and endpoints see of them."""
@@ -114,7 +97,7 @@
 
 def site_of(gateways, slack):
     """Return a site that has been up for a minute."""
-    site = Site(settings_with(slack))
+    site = Site(settings_of(retry_slack=slack))
     site.gateways = [site.start() for _ in range(gateways)]
     for gateway in site.gateways:
         gateway.set_nodes(gateways)
