Keep to the quota that an endpoint in need names, all gateways together

Endpoints in need name in their answers how many requests a second they take from all gateways together. Nothing read it: in a soak a stand-in that named 2.0 got 16 requests in four seconds where 17 are allowed at 1.5 times and 5 more for it, and one that named 0.5 got 16 where 8 are.

The quota is dealt to a few gateways by rendezvous hashing over those of the cell that are heard and have callers; the others leave the endpoint out. A new holder sends nothing for four seconds. The word goes with the messages that gateways send anyway, with its age; for a service whose endpoints are not dealt to cells it goes to all. A request that no quota allows is refused at once.

Ruled out: a count at each gateway (breaks the bound with nine); equal parts (at 98 gateways a part of 3 a second is one request in half a minute); one holder with a burst of two (27 in 100 of a quota used where each gateway has 0.8 requests a second, for no part of a cell's callers reach it); holders by requests in flight (none are when all endpoints of a service are in need: 0 in 100 used).

What the coordinator tells now fits one packet whatever the group's size: ranks are told in portions, all at once after a change and a few at a time after it, and a message that does not fit is logged and counted at its sender. Before, a message about 240 ranks was cut off by each receiver.

--- a/src/azurefold/core/routing/absences.py
+++ b/src/azurefold/core/routing/absences.py
@@ -1,4 +1,4 @@
-"""Endpoints that get no requests for now: ejected, paused or out of reach."""
+"""Endpoints that get no requests for now, and when they will again."""
 
 from dataclasses import dataclass, field
 
@@ -22,16 +22,20 @@
     ejector : Ejector
     paused : frozenset of str
         Endpoints whose group is down, until told otherwise.
+    over_quota : dict of str to int
+        Endpoints in need that this node may send nothing, and when to look again.
     """
 
     ejector: Ejector
     paused: frozenset[str] = frozenset()
+    over_quota: dict[str, Millis] = field(default_factory=dict)
     _out_of_reach: dict[str, Millis] = field(default_factory=dict)
 
     @property
     def names(self) -> frozenset[str]:
         """All that are left out."""
-        return self.ejector.ejected | self.paused | self._out_of_reach.keys()
+        left_out = self.ejector.ejected | self.paused
+        return left_out | self._out_of_reach.keys() | self.over_quota.keys()
 
     @property
     def out_of_reach(self) -> frozenset[str]:
@@ -41,7 +45,7 @@
     @property
     def next_return(self) -> Millis | None:
         """When the next one comes back by itself."""
-        times = [*self._out_of_reach.values()]
+        times = [*self._out_of_reach.values(), *self.over_quota.values()]
         if self.ejector.next_return is not None:
             times.append(self.ejector.next_return)
         return min(times, default=None)
@@ -60,4 +64,5 @@
     def forget(self, endpoint: str) -> None:
         """Drop all that is known of an endpoint that is gone."""
         self._out_of_reach.pop(endpoint, None)
+        self.over_quota.pop(endpoint, None)
         self.ejector.forget(endpoint)
--- a/src/azurefold/core/routing/members.py
+++ b/src/azurefold/core/routing/members.py
@@ -102,6 +102,8 @@
             return Unavailable.OUT_OF_REACH
         if all(endpoint.leaving for endpoint in self.by_name.values()):
             return Unavailable.ALL_LEAVING
+        if not self.eligible and absences.over_quota:
+            return Unavailable.OVER_QUOTA
         if all(endpoint.name in exclude for endpoint in self.eligible):
             return Unavailable.ALL_EXCLUDED
         return Unavailable.ALL_FULL
--- a/src/azurefold/core/routing/messages.py
+++ b/src/azurefold/core/routing/messages.py
@@ -79,6 +79,7 @@
     ALL_FULL = "all_full"
     GROUPS_DOWN = "groups_down"
     OUT_OF_REACH = "out_of_reach"
+    OVER_QUOTA = "over_quota"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/core/routing/peer_loads.py
+++ b/src/azurefold/core/routing/peer_loads.py
@@ -31,12 +31,15 @@
         Rises with each digest of one incarnation.
     loads : mapping of int to int
         By :func:`endpoint_mark`; endpoints without requests are left out.
+    has_callers : bool
+        Whether it has had requests lately, also such as it refused.
     """
 
     node: str
     incarnation: int
     sequence: int
     loads: Mapping[int, int]
+    has_callers: bool = False
 
 
 @dataclass(slots=True)
@@ -72,6 +75,13 @@
         self._add(digest.loads, 1)
         return True
 
+    @property
+    def nodes_with_callers(self) -> frozenset[str]:
+        """Other nodes that have had requests lately."""
+        return frozenset(
+            node for node, heard in self._heard.items() if heard.digest.has_callers
+        )
+
     def expire(self, now: Millis) -> list[str]:
         """Drop nodes that have fallen silent, and name them."""
         silent = [
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -26,13 +26,16 @@
     Refused,
     RouteRequest,
     TimedOut,
+    Unavailable,
 )
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.pool_knowledge import PoolKnowledge
 
 __all__ = ["Pool", "PoolPolicy"]
 
+_SECOND_MS = 1_000
 _SHORTEST_RETRY: Millis = 100
+_LONGEST_RETRY: Millis = 2_000
 _LEAST_PACE = 0.01
 _NO_REQUEST = RouteRequest()
 
@@ -82,8 +85,16 @@
         answer = self._means.pace * self._means.tokens
         retry_after = int(_SHORTEST_RETRY + answer * (0.5 + draws[1]))
         reason = self._members.why_none(request.exclude, self._absences)
+        if reason is Unavailable.OVER_QUOTA:
+            retry_after = self._quota_return(draws[1])
         return NoneAvailable(reason, retry_after)
 
+    def _quota_return(self, draw: float) -> Millis:
+        """Return when a caller may find an endpoint's quota unused, spread out."""
+        taken = sum(part.quota for part in self._quotas.parts.values())
+        usual = _SECOND_MS / max(taken, _SECOND_MS / _LONGEST_RETRY)
+        return int(_SHORTEST_RETRY + usual * (0.5 + draw))
+
     def started(
         self,
         endpoint: str,
@@ -100,6 +111,8 @@
         prefill = uncached * self._policy.choice.prefill
         known.start(attempt_id, Attempt(now, request.prefixes, prefill))
         self._members.recount(known)
+        if self._quotas.sent(endpoint, now):
+            self._refresh(now)
 
     def first_token(self, endpoint: str, attempt_id: str, now: Millis) -> None:
         """Note that an attempt's answer has begun; a repeat changes nothing."""
@@ -159,6 +172,7 @@
 
     def tick(self, now: Millis) -> tuple[Ejected, ...]:
         """Look for slow and stuck endpoints; call it about once a second."""
+        self._quotas.prune(self._members.by_name.keys(), now)
         self._refresh(now)
         usual = median_pace(self._members.eligible, self._means.pace)
         found = [
--- a/src/azurefold/core/routing/pool_knowledge.py
+++ b/src/azurefold/core/routing/pool_knowledge.py
@@ -11,6 +11,12 @@
 from azurefold.core.routing.messages import LoadReport
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.prefixes import PrefixHints
+from azurefold.core.routing.quotas import (
+    EndpointQuotas,
+    QuotaPart,
+    QuotaSharers,
+    QuotaWord,
+)
 
 __all__ = ["PoolKnowledge"]
 
@@ -31,6 +37,7 @@
         self._next_return: Millis | None = None
         self._hints = PrefixHints()
         self._absences = Absences(self._ejector)
+        self._quotas = EndpointQuotas()
         self._means = PoolMeans()
 
     @property
@@ -59,6 +66,16 @@
         """Endpoints to which no connection could be made a moment ago."""
         return self._absences.out_of_reach
 
+    @property
+    def over_quota(self) -> frozenset[str]:
+        """Endpoints in need that this node may send nothing for now."""
+        return frozenset(self._absences.over_quota)
+
+    @property
+    def quota_parts(self) -> dict[str, QuotaPart]:
+        """What this node may send to endpoints in need."""
+        return self._quotas.parts
+
     @property
     def in_flight(self) -> int:
         """Attempts of this node that have not ended."""
@@ -173,8 +190,48 @@
             self._absences.lost_reach(endpoint, now)
             self._refresh(now)
 
+    def share_quotas(self, sharers: QuotaSharers, now: Millis) -> None:
+        """Take in the nodes among which the quotas of endpoints are dealt out."""
+        if self._quotas.set_sharers(sharers, now):
+            self._refresh(now)
+
+    def quota_answered(
+        self, endpoint: str, rate: float | None, sent_at: Millis, now: Millis
+    ) -> bool:
+        """Take in the quota that an answer names; return whether that is news.
+
+        Parameters
+        ----------
+        endpoint : str
+        rate : float or None
+            Requests a second from all nodes; None if the answer names none.
+        sent_at : int
+            When the request was sent.
+        now : int
+        """
+        if not self._quotas.answered(endpoint, rate, sent_at, now):
+            return False
+        self._refresh(now)
+        return True
+
+    def quota_told(self, endpoint: str, word: QuotaWord, now: Millis) -> bool:
+        """Take in the quota that another node was told; return whether it is news."""
+        if not self._quotas.told(endpoint, word, now):
+            return False
+        self._refresh(now)
+        return True
+
+    def quota_words(self, now: Millis) -> dict[str, QuotaWord]:
+        """Return what other nodes should be told of quotas."""
+        return self._quotas.words(now)
+
+    def quota_heard_since(self, then: Millis) -> bool:
+        """Whether an endpoint told this node itself of its quota after ``then``."""
+        return self._quotas.heard_since(then)
+
     def forget(self, name: str, now: Millis) -> None:
         """Forget all of an endpoint, which may be added again as a new one."""
+        self._quotas.forget(name)
         self.set_endpoints(self._members.by_name.keys() - {name}, now)
 
     def mark_leaving(self, endpoint: str, now: Millis) -> None:
@@ -211,5 +268,6 @@
     def _refresh(self, now: Millis) -> None:
         for name in self._absences.returned(now):
             self._members.by_name[name].last_progress = now
+        self._absences.over_quota = self._quotas.closed(now)
         self._members.select(self._absences.names)
         self._next_return = self._absences.next_return
--- a/src/azurefold/gateway/callers/app.py
+++ b/src/azurefold/gateway/callers/app.py
@@ -76,6 +76,7 @@
         arrived = self.state.clock.now()
         head = read_request(connection.headers)
         self.state.in_flight += 1
+        self.state.note_request()
         ended = False
         try:
             call = self._call(environ, connection, head, arrived)
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -143,7 +143,8 @@
         admission = self.service.admission
         if admission.pool.paused:
             now = self.state.clock.now()
-            trial = self.service.groups.take_trial(admission.pool.paused, now)
+            candidates = admission.pool.paused - admission.pool.over_quota
+            trial = self.service.groups.take_trial(candidates, now)
             if trial is not None:
                 return admission.try_out(self._ticket(), trial)
         placed = admission.acquire(self._ticket())
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -150,6 +150,9 @@
         head = reply.head
         if head.attempt_id and head.attempt_id != self.call.id:
             return self._failed("foreign_answer", head.attempt_id, sent=True)
+        if head.sealed or head.not_run:
+            now = self.state.clock.now()
+            self.service.quota_answered(self.endpoint, head, self._sent_at, now)
         if head.not_run:
             return self._refused(reply)
         if not head.sealed or head.encoded:
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -17,8 +17,13 @@
 from azurefold.core.routing.cells import Cell, cell_of
 from azurefold.core.routing.messages import LoadReport
 from azurefold.core.routing.peer_loads import LoadDigest, PeerLoads, endpoint_mark
-from azurefold.core.routing.rank_groups import GroupNews
-from azurefold.gateway.peers.messages import Coordination, GroupBeat, PeerMessage
+from azurefold.gateway.peers.messages import Coordination, PeerMessage
+from azurefold.gateway.peers.portions import (
+    MOST_BYTES,
+    GroupPortions,
+    QuotaPortions,
+    heaviest,
+)
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
 
@@ -39,12 +44,8 @@
 """The same while this node changes a group's map: others take over after 450 ms then,
 so three messages have to be lost in a row."""
 
-_MOST_BYTES = 1_400
-
-_MOST_RANKS = 96
-"""Of the groups that one message tells of: some 500 bytes of it. Loads of a cell's
-endpoints take as much."""
-
+_READ_BYTES = 2_048
+"""More than any message has, so that none is cut off on its way in."""
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(PeerMessage).decode
@@ -89,7 +90,10 @@
     _sent: tuple = ()
     _sent_to_all: Coordination | None = None
     _sent_to_all_at: Millis = 0
-    _next_group: int = 0
+    _sent_quotas_at: Millis = 0
+    _groups: GroupPortions = field(default_factory=GroupPortions)
+    _quotas: QuotaPortions = field(default_factory=QuotaPortions)
+    oversized: int = 0
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -124,7 +128,7 @@
     def receive_for_ever(self) -> None:
         """Take in messages."""
         while True:
-            data, (ip, _) = self._sock.recvfrom(_MOST_BYTES)
+            data, (ip, _) = self._sock.recvfrom(_READ_BYTES)
             try:
                 message = _decode(data)
             except msgspec.MsgspecError as error:
@@ -137,6 +141,7 @@
         while True:
             gevent.sleep(_LOOK_MS / _SECOND_MS)
             self._forget_silent()
+            self._share_quotas()
             self.send()
 
     def send(self, *, at_once: bool = False) -> None:
@@ -144,14 +149,18 @@
         now = self.state.clock.now()
         loads = self._own_loads()
         coordination = self.coordination()
-        told = (loads, self.state.version, coordination)
-        to_all = at_once or self._owes_all(coordination, now)
+        quotas = self.state.quota_words()
+        rates = {mark: word.rate for mark, word in quotas.items()}
+        told = (loads, self.state.version, coordination, rates)
+        owes_quotas = self._owes_quotas(now)
+        to_all = at_once or owes_quotas or self._owes_all(coordination, now)
         is_due = now - self._sent_at >= _QUIET_MS
         if told == self._sent and not is_due and not to_all:
             return
         self._sent, self._sent_at = told, now
         if to_all:
             self._sent_to_all, self._sent_to_all_at = coordination, now
+            self._sent_quotas_at = now
         self._sequence += 1
         settings = self.state.settings
         message = PeerMessage(
@@ -163,31 +172,50 @@
             self.state.endpoints_version,
             coordination.term,
             coordination.ended_term,
-            self._group_beats(coordination.groups),
-            loads,
+            self._groups.next(coordination.groups, now),
+            heaviest(loads),
             coordination.is_changing,
+            self._quotas.next(quotas, now),
+            self.state.has_callers,
         )
-        data = _encode(message)
+        data = self._fitting(message)
         for peer in self._peers.values():
             if to_all or peer.node in self.cell.nodes:
                 self._send_to(peer, data)
 
-    def _group_beats(self, groups: tuple[GroupNews, ...]) -> tuple[GroupBeat, ...]:
-        """Return as many groups as a message has room for, each in its turn."""
-        beats = []
-        room = _MOST_RANKS
-        for turn in range(len(groups)):
-            news = groups[(self._next_group + turn) % len(groups)]
-            room -= len(news.ranks)
-            if beats and room < 0:
-                break
-            beats.append(
-                GroupBeat(
-                    news.service, news.group, news.epoch, news.standing, news.ranks
-                )
-            )
-        self._next_group += len(beats)
-        return tuple(beats)
+    def _fitting(self, message: PeerMessage) -> bytes:
+        """Return a message's bytes, without what gateways can do without if too many.
+
+        What goes wrong with one that is too large: it is lost on the way or cut off
+        by its receivers, all of them and each time. Nobody hears of the coordinator,
+        and it is succeeded again and again.
+        """
+        data = _encode(message)
+        if len(data) <= MOST_BYTES:
+            return data
+        self.oversized += 1
+        log_event(
+            _log,
+            "peer_message_too_large",
+            logging.ERROR,
+            bytes=len(data),
+            most=MOST_BYTES,
+            groups=len(message.groups),
+            loads=len(message.loads),
+        )
+        return _encode(msgspec.structs.replace(message, groups=(), quotas=()))
+
+    def _owes_quotas(self, now: Millis) -> bool:
+        """Whether other cells need to be told of a quota that was named here."""
+        is_due = now - self._sent_quotas_at >= _QUIET_MS
+        return is_due and self.state.owes_quotas_to_all(self._sent_quotas_at)
+
+    def _share_quotas(self) -> None:
+        """Deal the quotas of endpoints to gateways that have requests for them."""
+        nodes = self.loads.nodes_with_callers
+        if self.state.has_callers:
+            nodes |= {self.state.settings.name}
+        self.state.share_quotas(nodes)
 
     def _owes_all(self, coordination: Coordination, now: Millis) -> bool:
         """Whether gateways outside the cell need to be told, too.
@@ -223,7 +251,11 @@
             return
         now = self.state.clock.now()
         digest = LoadDigest(
-            message.node, message.incarnation, message.sequence, message.loads
+            message.node,
+            message.incarnation,
+            message.sequence,
+            message.loads,
+            message.has_callers,
         )
         if message.node not in self._peers:
             log_event(_log, "peer_joined", peer=message.node, ip=ip)
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from azurefold.core.clock import Millis
+from azurefold.core.routing.quotas import QuotaWord
 from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.gateway.groups.coordinator import Coordinator, new_coordinator
 from azurefold.gateway.peers.exchange import Exchange, Peer, new_exchange
@@ -128,6 +129,9 @@
                     beat.service, beat.group, beat.epoch, beat.standing, beat.ranks
                 )
             )
+        for beat in message.quotas:
+            word = QuotaWord(beat.rate, state.clock.now() - beat.age)
+            state.quota_told(beat.endpoint, word, message.node)
         news.peers_have(message.version, message.endpoints_version)
 
     exchange = new_exchange(
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -6,7 +6,7 @@
 
 from azurefold.core.routing.rank_groups import GroupNews, Standing
 
-__all__ = ["Coordination", "GroupBeat", "PeerMessage"]
+__all__ = ["Coordination", "GroupBeat", "PeerMessage", "QuotaBeat"]
 
 
 class GroupBeat(msgspec.Struct, array_like=True, frozen=True):
@@ -28,6 +28,24 @@
     ranks: tuple[int, ...]
 
 
+class QuotaBeat(msgspec.Struct, array_like=True, frozen=True):
+    """What an endpoint in need said of its quota, as it is sent.
+
+    Parameters
+    ----------
+    endpoint : int
+        Mark of its name.
+    rate : float or None
+        Requests a second from all gateways; None if it names no quota any more.
+    age : int
+        Milliseconds since the endpoint said so.
+    """
+
+    endpoint: int
+    rate: float | None
+    age: int
+
+
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
     """What one gateway tells the others.
 
@@ -48,6 +66,10 @@
         Requests in flight by endpoint.
     is_changing : bool
         Whether the sender is changing a group's map.
+    quotas : tuple of QuotaBeat
+        Of some endpoints; of the others next time.
+    has_callers : bool
+        Whether the sender has had requests lately.
     """
 
     node: str
@@ -61,6 +83,8 @@
     groups: tuple[GroupBeat, ...]
     loads: dict[int, int]
     is_changing: bool = False
+    quotas: tuple[QuotaBeat, ...] = ()
+    has_callers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -132,7 +132,7 @@
         if gone:
             state.spread_endpoints()
         for service in state.services.values():
-            service.admission.tick()
+            service.tick()
         state.links.sweep()
         if state.configuration is not None:
             limits = state.configuration.limits
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -12,12 +12,15 @@
 from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.endpoint import ExchangedLoads
 from azurefold.core.routing.pass_limit import PassLimit
+from azurefold.core.routing.peer_loads import endpoint_mark
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.pool import Pool
+from azurefold.core.routing.quotas import QuotaPart, QuotaSharers, QuotaWord
 from azurefold.core.routing.rank_groups import GroupNews, RankGroups
 from azurefold.core.routing.retries import RetryBudget
 from azurefold.entry.admission import Admission
 from azurefold.internal.logs import log_event
+from azurefold.platform.headers import AnswerHead
 
 __all__ = ["GatewayService", "new_gateway_service"]
 
@@ -76,6 +79,9 @@
     promised_gap_ms: Millis = 0
     usual_first_ms: float = _USUAL_FIRST_MS
     _limits: dict[int, PassLimit] = field(default_factory=dict)
+    _names: dict[int, str] = field(default_factory=dict)
+    _bad_quotas: set[str] = field(default_factory=set)
+    _logged_parts: dict[str, QuotaPart] = field(default_factory=dict)
 
     @property
     def is_group(self) -> bool:
@@ -166,6 +172,79 @@
         if self.is_group and self.groups.doubt(endpoint):
             self._pause_groups("rank_out_of_reach")
 
+    def quota_answered(
+        self, endpoint: str, head: AnswerHead, sent_at: Millis, now: Millis
+    ) -> None:
+        """Take in the quota that an endpoint's own answer names, or names no more."""
+        if head.bad_quota:
+            self._quota_unreadable(endpoint, head.bad_quota)
+            return
+        if head.quota is None and not head.sealed:
+            # A refusal is made before the endpoint looks at its need.
+            return
+        pool = self.admission.pool
+        if pool.quota_answered(endpoint, head.quota, sent_at, now):
+            self._log_quota(endpoint, QuotaWord(head.quota, now), "answer", now)
+
+    def quota_told(self, mark: int, word: QuotaWord, by: str, now: Millis) -> None:
+        """Take in what another gateway was told of a quota.
+
+        Parameters
+        ----------
+        mark : int
+            Of the endpoint's name.
+        word : QuotaWord
+        by : str
+            The gateway that tells.
+        now : int
+        """
+        endpoint = self._names.get(mark)
+        if endpoint and self.admission.pool.quota_told(endpoint, word, now):
+            self._log_quota(endpoint, word, by, now)
+
+    def share_quotas(self, sharers: QuotaSharers, now: Millis) -> None:
+        """Take in the gateways among which endpoints' quotas are dealt out."""
+        self.admission.pool.share_quotas(sharers, now)
+
+    def tick(self) -> None:
+        """Look at what time changes; call it a few times a second."""
+        self.admission.tick()
+        self._log_parts()
+
+    def _quota_unreadable(self, endpoint: str, text: str) -> None:
+        if endpoint in self._bad_quotas:
+            return
+        self._bad_quotas.add(endpoint)
+        log_event(_log, "quota_unreadable", logging.ERROR, endpoint=endpoint, text=text)
+
+    def _log_quota(self, endpoint: str, word: QuotaWord, by: str, now: Millis) -> None:
+        ended = word.rate is None
+        log_event(
+            _log,
+            "quota_ended" if ended else "quota_named",
+            service=self.view.name,
+            endpoint=endpoint,
+            per_second="none" if ended else word.rate,
+            by=by,
+            age_ms=now - word.said_at,
+        )
+
+    def _log_parts(self) -> None:
+        """Log which quotas this gateway holds, where that has changed."""
+        parts = self.admission.pool.quota_parts
+        for endpoint, part in parts.items():
+            known = self._logged_parts.get(endpoint)
+            if (part.rate > 0) != (known is not None and known.rate > 0):
+                log_event(
+                    _log,
+                    "quota_dealt",
+                    service=self.view.name,
+                    endpoint=endpoint,
+                    here_per_second=f"{part.rate:.2f}",
+                    all_per_second=part.quota,
+                )
+        self._logged_parts = parts
+
     def address_of(self, endpoint: str) -> str:
         """Return an endpoint's address; empty if it is gone."""
         entry = self.entries.get(endpoint)
@@ -205,6 +284,8 @@
     ) -> None:
         """Take in the present endpoints, of which the cell's get requests."""
         self.entries = {entry.name: entry for entry in entries}
+        self._names = {endpoint_mark(name): name for name in self.entries}
+        self._bad_quotas &= self.entries.keys()
         staying = [entry.name for entry in entries if not entry.leaving]
         self.is_divided = cell.divides(staying)
         used = cell.endpoints_of(staying)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -11,6 +11,7 @@
 from azurefold.core.routes.table import RouteTable, route_table
 from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.peer_loads import endpoint_mark
+from azurefold.core.routing.quotas import QuotaSharers, QuotaWord
 from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.core.routing.retries import RetryBudget, RetryPart, RetryPolicy
 from azurefold.gateway.endpoints.connections import EndpointLinks
@@ -31,6 +32,11 @@
 """Nodes that join tell the others twice a second; three messages may be lost."""
 
 
+_CALLERS_GONE_MS: Millis = 10_000
+"""A gateway with a caller or two gets no request for seconds now and then, and each
+time that quotas are dealt to others those of some endpoints rest for four seconds."""
+
+
 @dataclass(slots=True)
 class GatewayState:
     """Configuration, endpoints, and the requests in flight.
@@ -93,6 +99,7 @@
     is_current: bool = False
     is_cut_off: bool = False
     unreadable_entries: int = 0
+    _requested_at: Millis | None = None
     _configuration_seen: Millis | None = None
 
     @property
@@ -113,6 +120,17 @@
             return None
         return self.clock.now() - self._configuration_seen
 
+    @property
+    def has_callers(self) -> bool:
+        """Whether there have been requests lately."""
+        if self._requested_at is None:
+            return False
+        return self.clock.now() - self._requested_at < _CALLERS_GONE_MS
+
+    def note_request(self) -> None:
+        """Note that a caller has sent a request."""
+        self._requested_at = self.clock.now()
+
     def confirm_configuration(self) -> None:
         """Note that the store has nothing newer, and would tell of it."""
         self._configuration_seen = self.clock.now()
@@ -159,6 +177,40 @@
             if endpoint_mark(name) == news.service:
                 service.group_told(news, self.clock.now())
 
+    def quota_words(self) -> dict[int, QuotaWord]:
+        """Return what the other gateways should be told of quotas, by endpoint."""
+        now = self.clock.now()
+        return {
+            endpoint_mark(endpoint): word
+            for service in self.services.values()
+            for endpoint, word in service.admission.pool.quota_words(now).items()
+        }
+
+    def quota_told(self, endpoint: int, word: QuotaWord, by: str) -> None:
+        """Take in what another gateway was told of the quota of a marked endpoint."""
+        for service in self.services.values():
+            service.quota_told(endpoint, word, by, self.clock.now())
+
+    def owes_quotas_to_all(self, told_at: Millis) -> bool:
+        """Whether other cells need to hear of a quota that was named here."""
+        return self.cell.count > 1 and any(
+            service.admission.pool.quota_heard_since(told_at)
+            for service in self.services.values()
+            if not service.is_divided
+        )
+
+    def share_quotas(self, nodes: frozenset[str]) -> None:
+        """Take in the gateways of the cell that can use endpoints' quotas."""
+        for service in self.services.values():
+            sharers = QuotaSharers(
+                self.settings.name,
+                nodes,
+                self.cell.number,
+                self.cell.count,
+                service.is_divided,
+            )
+            service.share_quotas(sharers, self.clock.now())
+
     def set_cell(self, cell: Cell) -> None:
         """Take in another division of the gateways."""
         if cell != self.cell:
--- a/src/azurefold/platform/headers.py
+++ b/src/azurefold/platform/headers.py
@@ -1,5 +1,6 @@
 """Header names of callers' requests and endpoints' answers."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -28,6 +29,17 @@
 _AT_FAULT = "at-server"
 _MISDIRECTED = 421
 
+_QUOTA = "server-limit"
+"""Not a limit on one connection or caller: requests a second that the endpoint takes
+from all gateways together, as long as its answers say so."""
+
+_LARGEST_QUOTA = 1e6
+"""Requests a second; what names more was not meant as a quota."""
+
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
+_LONGEST_SHOWN = 40
+"""Characters of what cannot be read, for a log line."""
+
 _OF_ONE_CONNECTION = frozenset(
     {
         "connection",
@@ -103,6 +115,11 @@
         Headers that go to the caller as they came.
     misdirected : bool
         Whether the endpoint says that the request was not for it, whatever its load.
+    quota : float or None
+        Requests a second that the endpoint takes from all gateways together; None if
+        it names no quota.
+    bad_quota : str
+        A quota that cannot be read, as it came; empty if there is none.
     """
 
     status: int
@@ -113,6 +130,8 @@
     encoded: bool
     forwarded: tuple[tuple[str, str], ...]
     misdirected: bool = False
+    quota: float | None = None
+    bad_quota: str = ""
 
 
 def read_request(headers: Headers) -> RequestHead:
@@ -180,6 +199,7 @@
     pairs = list(headers)
     by_name = {name.lower(): value for name, value in pairs}
     encoding = by_name.get("content-encoding", "identity").strip().lower()
+    quota, bad_quota = _quota(by_name.get(_QUOTA))
     return AnswerHead(
         status=status,
         attempt_id=by_name.get(ATTEMPT_ID.lower(), ""),
@@ -191,9 +211,11 @@
         forwarded=tuple(
             (name, value)
             for name, value in pairs
-            if name.lower() not in _OF_ONE_CONNECTION
+            if name.lower() not in _OF_ONE_CONNECTION and name.lower() != _QUOTA
         ),
         misdirected=status == _MISDIRECTED,
+        quota=quota,
+        bad_quota=bad_quota,
     )
 
 
@@ -220,6 +242,15 @@
     return int(text)
 
 
+def _quota(text: str | None) -> tuple[float | None, str]:
+    """Return the quota, or what stands in its place."""
+    if text is None:
+        return None, ""
+    if _DECIMAL.fullmatch(text.strip()) and float(text) <= _LARGEST_QUOTA:
+        return float(text), ""
+    return None, text[:_LONGEST_SHOWN] or "empty"
+
+
 def _token_counts(text: str) -> tuple[int, int]:
     prompt, _, answer = text.partition(",")
     return _whole_number(prompt.strip()) or 0, _whole_number(answer.strip()) or 0
--- a/src/azurefold_standins/bare_endpoints.py
+++ b/src/azurefold_standins/bare_endpoints.py
@@ -63,6 +63,9 @@
     arrivals: defaultdict[str, list[tuple[str, float]]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    times: defaultdict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     _held_since: float | None = None
     _counts: list[list[int]] = field(default_factory=list)
 
@@ -99,6 +102,7 @@
             self.group.split_at,
             self.held_s,
             dict(self.arrivals),
+            dict(self.times),
         )
 
 
@@ -118,6 +122,10 @@
         if req.get_header("Expect-Instance") != self.endpoint.name:
             resp.status = "421 Misdirected Request"
             return
+        site.times[self.endpoint.name].append(time.monotonic())
+        quota = site.faults.quotas.get(self.endpoint.name)
+        if quota is not None:
+            resp.set_header("Server-Limit", str(quota))
         if site.happens(site.faults.refuse):
             resp.status = falcon.HTTP_503
             resp.set_header("Not-Executed", "1")
--- a/src/azurefold_standins/bare_layout.py
+++ b/src/azurefold_standins/bare_layout.py
@@ -48,12 +48,15 @@
         Requests that are refused and not run.
     late_orders : float, default=0.0
         Orders that get no answer and are carried out later.
+    quotas : dict of str to float
+        Requests a second that endpoints in need name in their answers.
     """
 
     break_off: float = 0.0
     lose: float = 0.0
     refuse: float = 0.0
     late_orders: float = 0.0
+    quotas: dict[str, float] = {}
 
 
 class Journal(msgspec.Struct):
@@ -73,6 +76,8 @@
         The longest time that a pass was held.
     arrivals : dict of str to list of (str, float)
         Requests' ids and times by service, also of those that were refused.
+    times : dict of str to list of float
+        Of the requests for each endpoint, as in ``arrivals``.
     """
 
     runs: dict[str, int]
@@ -81,6 +86,7 @@
     split_at: int | None
     held_s: float
     arrivals: dict[str, list[tuple[str, float]]] = {}
+    times: dict[str, list[float]] = {}
 
 
 def expected_event(path: str, number: int) -> bytes:
--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -28,6 +28,7 @@
 from azurefold_standins.bare_layout import EndpointFaults, Journal
 from azurefold_standins.gateway_caller import Call, Caller, Kind, Result
 from azurefold_standins.gateway_site import GatewaySite, new_gateway_site
+from azurefold_standins.quota_allowance import Need, quota_excesses
 from azurefold_standins.retry_allowance import Allowance, excesses, repeats_among
 
 __all__ = ["Finding", "Soak", "check", "main", "run_soak"]
@@ -35,7 +36,10 @@
 
 _CALLERS = 6
 _PAUSE_S = 0.03
-_QUIET_S = 6.0
+_QUIET_S = 8.0
+_STABLE_S = 3.0
+"""Until all must be well again, and a quota that was named must be kept to."""
+
 _LONGEST_FAULT_S = 3.0
 _LONGEST_ANSWER_S = 5.3
 """The routes' timeout of 4 s, and 1.3 s for a busy machine."""
@@ -77,6 +81,8 @@
     faults: Counter = field(default_factory=Counter)
     left_at: dict[str, float] = field(default_factory=dict)
     callers: list[Caller] = field(default_factory=list)
+    needy: str = ""
+    need: Need | None = None
     _stop: threading.Event = field(default_factory=threading.Event)
     _paused: set[str] = field(default_factory=set)
     _undo: list[tuple[float, Callable[[], None]]] = field(default_factory=list)
@@ -95,7 +101,8 @@
             time.sleep(self.draw.uniform(0.1, 0.7))
             self._undo_due(time.monotonic())
         self._undo_due(float("inf"))
-        quiet_from = time.monotonic() + 3.0
+        quiet_from = time.monotonic() + _STABLE_S
+        self._name_quota()
         time.sleep(_QUIET_S)
         self._stop.set()
         for thread in threads:
@@ -195,6 +202,13 @@
         self.site.register(endpoint, leaving=True)
         self._later(lambda: self.site.register(endpoint))
 
+    def _name_quota(self) -> None:
+        """Have one endpoint name a quota from now on."""
+        self.needy = self.draw.choice(self.site.endpoints).name
+        rate = self.draw.choice([0.5, 2.0])
+        self.need = Need([(round(time.monotonic() * 1_000), rate)])
+        self.site.endpoint_faults(EndpointFaults(quotas={self.needy: rate}))
+
     def _configure(self) -> None:
         self._serial += 1
         self.site.configure(f"/extra-{self._serial}/")
@@ -238,6 +252,7 @@
     if journal.split_at is not None:
         found.append(Finding("one map in each pass", f"pass {journal.split_at}"))
     found += _retry_findings(soak.calls, journal)
+    found += _quota_findings(soak, journal)
     versions = {name: soak.site.status(name)["version"] for name in soak.site.gateways}
     if set(versions.values()) != {soak.site.version}:
         found.append(Finding("in force everywhere", f"{versions}"))
@@ -253,6 +268,18 @@
             yield Finding("retries stay allowed", f"{service}: {excess}")
 
 
+def _quota_findings(soak: Soak, journal: Journal) -> Iterator[Finding]:
+    """Yield the first window in which the endpoint in need got too much."""
+    need = soak.need
+    if need is None:
+        return
+    arrivals = [(round(at * 1_000), "") for at in journal.times.get(soak.needy, ())]
+    need.told[""] = need.begin
+    since = need.begin + round(_STABLE_S * 1_000)
+    for excess in islice(quota_excesses(need, arrivals, since), 1):
+        yield Finding("a quota is kept to", f"{soak.needy}: {excess}")
+
+
 def run_soak(seed: int, seconds: float, folder: Path, gateways: int = 3) -> Soak:
     """Run one seed and return what came of it."""
     draw = random.Random(seed)
