--- a/tests/gateway/test_a_site_of_gateways.py
+++ b/tests/gateway/test_a_site_of_gateways.py
@@ -10,6 +10,7 @@
 from azurefold_standins.gateway_caller import Caller, Kind, Result
 from azurefold_standins.gateway_site import new_gateway_site
 from azurefold_standins.processes import wait_until
+from azurefold_standins.quota_allowance import Need
 
 pytestmark = pytest.mark.scenario
 
@@ -115,6 +116,7 @@
         def __init__(self):
             self.site = site
             self.calls = []
+            self.need = None
 
     return Broken()
 
@@ -142,6 +144,17 @@
     assert [finding.promise for finding in found] == [promise]
 
 
+def test_the_soak_finds_a_quota_that_is_not_kept(site, broken_soak, monkeypatch):
+    journal = site.journal()
+    journal.times["desk-0"] = [100.0 + number / 10 for number in range(20)]
+    monkeypatch.setattr(type(site), "journal", lambda self: journal)
+    monkeypatch.setattr(site, "version", site.status("gateway-0")["version"])
+    broken_soak.needy = "desk-0"
+    broken_soak.need = Need([(96_000, 2.0)])
+    found = check(broken_soak, quiet_from=time.monotonic())
+    assert [finding.promise for finding in found] == ["a quota is kept to"]
+
+
 def test_answers_show_at_the_metrics(site, caller):
     call(site, caller, Kind.DRAFT)
     page = site.metrics("gateway-0")
