Tell operators why requests failed, and how endpoints' quotas are kept

`azurefold explain` sorts the requests of gateways' logs by what became of them, with the worst span of time, the gateways and some ids; before, each walk began with an id that one had to find by hand.

Metrics show quotas and messages that did not fit.

--- a/src/azurefold/commands/operator.py
+++ b/src/azurefold/commands/operator.py
@@ -1,5 +1,6 @@
 """``azurefold``: the operators' command line."""
 
+import fileinput
 import getpass
 import sys
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from azurefold.commands.check import show as show_accepted
 from azurefold.commands.drain import control_callers
 from azurefold.commands.drain import drain as drain_endpoint
+from azurefold.commands.explain import Lateness, explain
 from azurefold.commands.fleet import Fleet, fleet
 from azurefold.commands.rebalance import rebalance as rebalance_group
 from azurefold.commands.reports import Exit, Report, render_json
@@ -116,6 +118,17 @@
         say = _nothing if json else _say
         _finish(lambda: _drain(endpoint, _load(settings), timeout_ms, say), json)
 
+    def explain(
+        self,
+        *logs: str,
+        first_ms: Millis = 500,
+        gap_ms: Millis = 150,
+        json: bool = False,
+    ) -> None:
+        """Sort the requests of gateways' logs by what became of them; - for input."""
+        with fileinput.input(logs, encoding="utf-8", errors="replace") as lines:
+            _finish(lambda: explain(lines, Lateness(first_ms, gap_ms)), json)
+
     def rebalance(
         self,
         group: str,
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -37,7 +37,10 @@
         )
         unreadable = state.unreadable_entries
         yield _gauge("unreadable_entries", "Rows that name no endpoint", unreadable)
+        oversized = state.oversized_messages
+        yield _gauge("oversized_messages", "Messages cut down to fit", oversized)
         yield self._endpoints()
+        yield self._quotas()
         yield self._waiting()
         yield self._retries()
         yield self._retry_budget()
@@ -56,6 +59,18 @@
             family.add_metric([name, "all"], len(service.entries))
         return family
 
+    def _quotas(self) -> Metric:
+        family = GaugeMetricFamily(
+            "azurefold_gateway_quotas",
+            "Requests a second: named by endpoints in need, and this gateway's parts",
+            labels=["service", "of"],
+        )
+        for name, service in self._state.services.items():
+            parts = service.admission.pool.quota_parts.values()
+            family.add_metric([name, "all"], sum(part.quota for part in parts))
+            family.add_metric([name, "here"], sum(part.rate for part in parts))
+        return family
+
     def _waiting(self) -> Metric:
         family = GaugeMetricFamily(
             "azurefold_gateway_waiting",
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -93,7 +93,6 @@
     _sent_quotas_at: Millis = 0
     _groups: GroupPortions = field(default_factory=GroupPortions)
     _quotas: QuotaPortions = field(default_factory=QuotaPortions)
-    oversized: int = 0
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -193,7 +192,7 @@
         data = _encode(message)
         if len(data) <= MOST_BYTES:
             return data
-        self.oversized += 1
+        self.state.oversized_messages += 1
         log_event(
             _log,
             "peer_message_too_large",
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -77,6 +77,8 @@
         Whether this gateway reaches neither store nor peers nor any group.
     unreadable_entries : int
         Rows that named no endpoint to use, as often as they were read.
+    oversized_messages : int
+        Messages to other gateways from which something was left out to fit.
     """
 
     settings: GatewaySettings
@@ -99,6 +101,7 @@
     is_current: bool = False
     is_cut_off: bool = False
     unreadable_entries: int = 0
+    oversized_messages: int = 0
     _requested_at: Millis | None = None
     _configuration_seen: Millis | None = None
 
--- a/tests/gateway/test_messages_fit_at_any_size.py
+++ b/tests/gateway/test_messages_fit_at_any_size.py
@@ -104,7 +104,7 @@
     messages, _ = made.pass_time(1_000 * seconds)
     assert messages
     assert max(map(len, messages)) <= PACKET_BYTES
-    assert made.exchange.oversized == 0
+    assert made.state.oversized_messages == 0
     receiver = RankGroups()
     for message in decoded(messages):
         for beat in message.groups:
@@ -145,7 +145,7 @@
     made = Site(time, 9, coordination_of(384, 1))
     with caplog.at_level(logging.ERROR, "azurefold.gateway"):
         messages, _ = made.pass_time(60)
-    assert made.exchange.oversized == 1
+    assert made.state.oversized_messages == 1
     assert "peer_message_too_large" in caplog.text
     (message,) = decoded(messages)
     assert len(messages[0]) <= PACKET_BYTES
