Follow configurations that do not fit into one answer of the store's feed

Cause: the answer has room for the first changes only but names the store's newest version; the feed went on from there, behind the four versions that it had not been given.

A feed now goes on behind the last row that it was given. A table that is read in several answers is followed from the first one's version. A gateway that the store had turned away, and whose peers have a newer configuration, reads the newest one alone instead of all that were written; who has asked anew in vain reads the whole table. Of several configurations in one answer only the newest is decoded. A removed entry, which no row of the table shows, no longer makes a gateway take itself for behind.

Ruled out: the pause after changes (the others had each version in force 0.1 to 0.3 s after it was acknowledged, the last of them 1.3 s), silent connections, the links. The tests failed before: the stand-in's feed answers are now as large as the store's at most.

--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -59,6 +59,8 @@
         Called when a call fails.
     on_lost : callable
         Called when calls go on failing: the store is away.
+    is_behind : callable
+        Returns whether peers have newer rows of this table.
     """
 
     store: StoreClient
@@ -72,6 +74,7 @@
     on_heard: Callable[[], None]
     on_doubt: Callable[[], None]
     on_lost: Callable[[], None]
+    is_behind: Callable[[], bool] = lambda: False
     version: int | None = None
     _feed: Feed | None = None
     _failures: int = 0
@@ -88,14 +91,21 @@
             # A loop that starts again begins with a connection of its own.
             self._close_feed()
 
-    def look_again(self) -> None:
+    def look_again(self, *, whole: bool = False) -> None:
         """Ask the store anew: others have heard what should have come here.
 
+        Parameters
+        ----------
+        whole : bool
+            Read all of the table. A feed that has skipped a change never tells of it.
+
         What goes wrong without: a connection has gone silent, and the feed on
         it tells nothing until its wait is over.
         """
         if self._waiting is None or self._woken or self._failures:
             return
+        if whole:
+            self.version = None
         self._woken = True
         gevent.kill(self._waiting, ConnectionAbortedError("asked anew"))
 
@@ -161,5 +171,9 @@
         # away when the next try fails too.
         if self._failures > 1:
             self.on_lost()
+            if self.is_behind():
+                # The feed would give all that was written in an outage, one after
+                # the other; the table holds the newest rows alone.
+                self.version = None
         pause = min(_LONGEST_PAUSE_MS, _FIRST_PAUSE_MS << min(self._failures - 1, 8))
         gevent.sleep(pause * (0.5 + self.draw.random()) / _SECOND_MS)
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -41,18 +41,32 @@
 
 @dataclass(slots=True)
 class _Behind:
-    """Since when other nodes have had something newer."""
+    """Since when other nodes have had something newer.
+
+    Parameters
+    ----------
+    newest : int
+    since : int or None
+    asked_in_vain : bool
+        Whether this node has asked before and has nothing newer since.
+    """
 
     newest: int = 0
     since: Millis | None = None
+    asked_in_vain: bool = False
+    _asked_with: int | None = None
 
     def told(self, version: int) -> None:
         """Take in what another node has."""
         self.newest = max(self.newest, version)
 
+    def has_newer(self, own: int) -> bool:
+        """Whether a node has something newer than this one's ``own``."""
+        return self.newest > own
+
     def is_overdue(self, own: int, now: Millis) -> bool:
         """Whether this node has been behind for too long; asks once each time."""
-        if own >= self.newest:
+        if not self.has_newer(own):
             self.since = None
             return False
         if self.since is None:
@@ -60,6 +74,8 @@
         if now - self.since < _BEHIND_FOR_MS:
             return False
         self.since = now
+        self.asked_in_vain = self._asked_with == own
+        self._asked_with = own
         return True
 
 
@@ -97,10 +113,14 @@
         state = self.state
         if self._configuration_behind.is_overdue(state.version, now):
             log_event(_log, "behind_peers", table=self.configuration.table)
-            self.configuration.look_again()
-        if self._endpoints_behind.is_overdue(state.endpoints_version, now):
+            in_vain = self._configuration_behind.asked_in_vain
+            self.configuration.look_again(whole=in_vain)
+        # A row that was removed shows in no table, only by how far it was read.
+        endpoints = max(state.endpoints_version, self.endpoints.version or 0)
+        if self._endpoints_behind.is_overdue(endpoints, now):
             log_event(_log, "behind_peers", table=self.endpoints.table)
-            self.endpoints.look_again()
+            in_vain = self._endpoints_behind.asked_in_vain
+            self.endpoints.look_again(whole=in_vain)
 
     def use_store(self, store: StoreClient) -> None:
         """Follow the tables of another store from now on."""
@@ -120,10 +140,12 @@
         self._state = state
 
     def configuration_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Apply the configuration among ``rows``, if it is newer."""
-        for row in rows:
-            if row.key == configurations.KEY and not row.removed:
-                self._configuration(row)
+        """Apply the newest configuration among ``rows`` that can be read."""
+        for row in reversed(rows):
+            if row.key != configurations.KEY or row.removed:
+                continue
+            if self._configuration(row):
+                return
 
     def endpoint_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Take ``rows`` for the whole list."""
@@ -144,13 +166,14 @@
         restarted = registry.put(entry for entry in written.values() if entry)
         self._after_endpoints(before, rows, restarted)
 
-    def _configuration(self, row: StoredRow) -> None:
+    def _configuration(self, row: StoredRow) -> bool:
+        """Apply a configuration if it is newer; return whether it can be read."""
         state = self._state
         try:
             read = configurations.decode_configuration(row.value)
         except configurations.BadConfigurationError as error:
             log_event(_log, "configuration_unreadable", logging.ERROR, why=error)
-            return
+            return False
         if read.version <= state.version:
             log_event(
                 _log,
@@ -159,7 +182,7 @@
                 in_force=state.version,
                 row=row.version,
             )
-            return
+            return True
         before = state.version
         state.apply(read)
         log_event(
@@ -171,6 +194,7 @@
             routes=len(read.routes),
             keys=len(read.holders),
         )
+        return True
 
     def _entry(self, row: StoredRow) -> EndpointEntry | None:
         try:
@@ -251,7 +275,7 @@
     def heard_of_endpoints() -> None:
         state.registry.store_regained(state.clock.now())
 
-    return News(
+    news = News(
         state,
         configuration=follower(
             configurations.TABLE,
@@ -268,3 +292,6 @@
             heard_of_endpoints,
         ),
     )
+    behind = news._configuration_behind
+    news.configuration.is_behind = lambda: behind.has_newer(state.version)
+    return news
--- a/src/azurefold/platform/store.py
+++ b/src/azurefold/platform/store.py
@@ -71,6 +71,7 @@
         """Read all rows of a table that have no partition."""
         rows: list[StoredRow] = []
         start = ""
+        version = None
         while True:
             query = {"Table": table, "part": ""}
             if start:
@@ -79,8 +80,11 @@
             if isinstance(page, Unavailable):
                 return page
             rows += [_stored(row) for row in page.rows]
+            # What changes between two pages in rows that were read already would be
+            # skipped if the feed went on from the last page's version.
+            version = page.version if version is None else version
             if not page.has_more or not page.rows:
-                return StoredRows(tuple(rows), page.version)
+                return StoredRows(tuple(rows), version)
             # The range includes its first key, so the next one is the least
             # text above the last.
             start = page.rows[-1].key + "\0"
@@ -176,7 +180,11 @@
         page = _rows(status, body)
         if isinstance(page, Unavailable):
             return page
-        return FeedChanges(tuple(_stored(row) for row in page.rows), page.version)
+        # An answer has room for some of the changes only, while the version it names is
+        # that of the newest one: from there, all changes between would be skipped, and
+        # the gateway would be behind its peers for good.
+        version = max((row.version for row in page.rows), default=page.version)
+        return FeedChanges(tuple(_stored(row) for row in page.rows), version)
 
     def close(self) -> None:
         """Close the connection; a reader that waits on it fails."""
--- a/src/azurefold_standins/feed_store.py
+++ b/src/azurefold_standins/feed_store.py
@@ -33,6 +33,9 @@
 __all__ = ["FeedStore", "StoreFaults", "StoreHttp", "main"]
 
 _SECOND_MS = 1_000
+_PAGE_BYTES = 1_000_000
+"""Of the rows in one answer of a feed; the next call gives those that follow."""
+
 _FOR_EVER_S = 3_600
 
 
@@ -79,7 +82,7 @@
     version: int = 0
     oldest: int = 0
     rows: dict[tuple[str, str], tuple[bytes, int]] = field(default_factory=dict)
-    changes: list[tuple[int, str, str]] = field(default_factory=list)
+    changes: list[tuple[int, str, str, bytes | None]] = field(default_factory=list)
     changed: Event = field(default_factory=Event)
 
     def apply(self, transaction: _Transaction) -> bool:
@@ -102,7 +105,7 @@
                 self.rows.pop((table, key), None)
             else:
                 self.rows[table, key] = (value, self.version)
-            self.changes.append((self.version, table, key))
+            self.changes.append((self.version, table, key, value))
         self.changed.set()
         self.changed = Event()
 
@@ -112,14 +115,21 @@
         return [self._row(name, key) for key in keys]
 
     def since(self, name: str, after: int) -> list[dict[str, object]]:
-        """Return the rows of a table that changed after a version."""
-        changed = [(v, k) for v, t, k in self.changes if t == name and v > after]
-        return [
-            self._row(name, key)
-            if (name, key) in self.rows
-            else {"Table": name, "Key": key, "Ver": version, "Deleted": True}
-            for version, key in changed
-        ]
+        """Return the rows of a table that changed after a version, up to a size.
+
+        Each as it was written: a key that was written twice is there twice.
+        """
+        page, size = [], 0
+        for version, table, key, value in self.changes:
+            if table != name or version <= after:
+                continue
+            size += len(value or b"")
+            if page and size > _PAGE_BYTES:
+                break
+            row = {"Table": name, "part": "", "Key": key, "Ver": version}
+            text = {"Deleted": True} if value is None else {"Value": _text(value)}
+            page.append(row | text)
+        return page
 
     def forget(self) -> None:
         """Drop all history."""
@@ -128,10 +138,14 @@
 
     def _row(self, table: str, key: str) -> dict[str, object]:
         value, version = self.rows[table, key]
-        text = b64encode(value).decode()
+        text = _text(value)
         return {"Table": table, "part": "", "Key": key, "Value": text, "Ver": version}
 
 
+def _text(value: bytes) -> str:
+    return b64encode(value).decode()
+
+
 @dataclass(slots=True)
 class StoreHttp:
     """The store over HTTP, and how it misbehaves."""
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -10,6 +10,7 @@
 from azurefold.core.routes.model import AnswerKind
 from azurefold.core.routing.messages import Failed
 from azurefold.gateway.endpoints.connections import EndpointLinks
+from azurefold.gateway.store.followers import TableFollower
 from azurefold.gateway.store.news import new_news
 from azurefold.platform import configuration as configurations
 from azurefold.platform import registry as registries
@@ -298,3 +299,21 @@
     news = new_news(state, store)
     assert news.endpoints.gather_ms() == longest
     assert news.configuration.gather_ms() <= 600
+
+
+def test_a_removal_that_no_row_shows_is_not_asked_for(state, store, time, monkeypatch):
+    """A gateway reads all endpoints twice a second, for good.
+
+    Its peers had seen an entry's removal. It had read the whole table after that, which
+    has no row with the removal's version, and took itself for behind.
+    """
+    news = new_news(state, store)
+    news.peers_have(0, 37)
+    news.endpoints.version = 40
+    looked = []
+    look_again = lambda follower, **how: looked.append(how)  # noqa: E731
+    monkeypatch.setattr(TableFollower, "look_again", look_again)
+    for _ in range(10):
+        time.at += 600
+        news.tick(time.at)
+    assert not looked
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -20,6 +20,7 @@
     StoredRows,
     Unavailable,
 )
+from azurefold_standins import feed_store as feed_stores
 from azurefold_standins.feed_store import FeedStore, StoreFaults, StoreHttp
 
 USUAL_WAIT = 6_000
@@ -179,3 +180,88 @@
     assert behind.is_overdue(own=5, now=500)
     assert not behind.is_overdue(own=5, now=600)
     assert not behind.is_overdue(own=7, now=2_000)
+
+
+@pytest.fixture
+def feed_store(monkeypatch):
+    """A store over HTTP whose answers hold two large rows at most."""
+    monkeypatch.setattr(feed_stores, "_PAGE_BYTES", 2_500)
+    http = StoreHttp(FeedStore())
+    app = falcon.App()
+    app.add_route("/rows-get", http)
+    app.add_route("/rows-feed", http, suffix="feed")
+    server = http_server("127.0.0.1:0", app, "store")
+    server.start()
+    yield http, store_client(f"127.0.0.1:{server.server_port}")
+    server.stop(timeout=0.1)
+
+
+def test_changes_that_do_not_fit_into_one_answer_are_fetched_as_well(feed_store):
+    """Gateways refuse requests as a configuration of ten seconds ago would.
+
+    The store turned some gateways away while one large configuration followed the
+    other. Its first answer after that held the first ones, as many as fit, and named
+    the newest version there was. They went on from that version, and the
+    configurations between were never asked for, however often they looked again.
+    """
+    http, store = feed_store
+    for number in range(7):
+        http.store.put([("op", "config", b"%d" % number * 1_000)])
+    feed = store.open_feed()
+    got, after = [], 0
+    while (changes := feed.changes("op", after, 20)).rows:
+        got += [row.value[:1] for row in changes.rows]
+        after = changes.version
+    assert got == [b"%d" % number for number in range(7)]
+
+
+def test_a_feed_goes_on_behind_the_last_row_that_it_gave(feed_store):
+    http, store = feed_store
+    for number in range(7):
+        http.store.put([("op", "config", b"%d" % number * 1_000)])
+    changes = store.open_feed().changes("op", 0, 20)
+    assert changes.version == changes.rows[-1].version < http.store.version
+    assert store.open_feed().changes("op", 99, 20).version == http.store.version
+
+
+def test_a_second_look_in_vain_reads_the_whole_table(follower, store, monkeypatch):
+    """A feed that has skipped a change never tells of it, though peers have it."""
+    monkeypatch.setattr(gevent, "kill", lambda waiting, error: None)
+    store.script = [StoredRows((), 4), Unavailable("asked anew"), StoredRows((), 9)]
+    follower._step()
+    store.while_waiting = lambda: follower.look_again(whole=True)
+    steps(follower, 2)
+    assert store.asked[-1] == ("all", "servers")
+    assert follower.version == 9
+
+
+def test_asking_in_vain_shows_by_the_version():
+    behind = _Behind()
+    behind.told(9)
+    assert not behind.is_overdue(5, 0)
+    assert behind.is_overdue(5, 1_000)
+    assert not behind.asked_in_vain
+    assert behind.is_overdue(5, 2_000)
+    assert behind.asked_in_vain
+    assert behind.is_overdue(7, 3_000)
+    assert not behind.asked_in_vain
+
+
+def test_who_was_turned_away_reads_what_is_newest_at_once(follower, store):
+    """A gateway that is back takes seconds to read each configuration of an outage.
+
+    Its peers have a newer one: the whole table holds that one alone.
+    """
+    follower.is_behind = lambda: True
+    store.script = [StoredRows((), 4), Unavailable("429"), Unavailable("429")]
+    steps(follower, 3)
+    store.script = [StoredRows((), 30)]
+    steps(follower, 1)
+    assert store.asked[-1] == ("all", "servers")
+    assert follower.version == 30
+
+
+def test_a_gateway_that_is_not_behind_asks_for_changes_only(follower, store):
+    store.script = [StoredRows((), 4), Unavailable("429"), Unavailable("429")]
+    steps(follower, 4)
+    assert store.asked[-1] == (4, followers._RETURN_WAIT_MS)
