--- a/src/azurefold_standins/scenario/runner.py
+++ b/src/azurefold_standins/scenario/runner.py
@@ -182,6 +182,27 @@
                 drain.kill()
 
 
+@dataclass(slots=True)
+class _StepTimes:
+    """When each step began, for a failure's message.
+
+    A fault that comes after the requests which it was meant for shows in no answer: on
+    a machine that stands still for a moment, steps are late and answers are not.
+    """
+
+    file: str
+    _began: list[tuple[int, float]] = field(default_factory=list)
+
+    def began(self, line: int) -> None:
+        """Note that the step in a line begins."""
+        self._began.append((line, time.monotonic()))
+
+    def __str__(self) -> str:
+        first = self._began[0][1]
+        times = [f"line {line} +{at - first:.2f} s" for line, at in self._began]
+        return "steps began: " + ", ".join(times)
+
+
 def run_scenario(scenario: steps.Scenario, world: World, name: str) -> None:
     """Run all steps after the given ones.
 
@@ -195,16 +216,18 @@
         f"{name}-{world.runs}", lambda entry: world.site.address(entry, "listen")
     )
     run = _Run(world, callers)
+    taken = _StepTimes(scenario.file)
     try:
         for line, step in scenario.steps:
             if not isinstance(step, steps.Given):
-                _take(run, scenario.file, line, step)
+                _take(run, taken, line, step)
     finally:
         run.close()
 
 
-def _take(run: _Run, file: str, line: int, step: steps.Step) -> None:
+def _take(run: _Run, taken: _StepTimes, line: int, step: steps.Step) -> None:
+    taken.began(line)
     try:
         run.take(step)
     except (AssertionError, TimeoutError, RuntimeError) as error:
-        raise StepFailedError(f"{file}:{line}: {error}") from error
+        raise StepFailedError(f"{taken.file}:{line}: {error}\n{taken}") from error
--- a/tests/scenarios/test_checks_bite.py
+++ b/tests/scenarios/test_checks_bite.py
@@ -11,6 +11,7 @@
 from azurefold_standins.scenario.callers import Booking, Draft
 from azurefold_standins.scenario.expectations import Outcome
 from azurefold_standins.scenario.revisions import RevisionWatch
+from azurefold_standins.scenario.runner import StepFailedError, _StepTimes, _take
 
 NOT_RUN = Answer(503, b'{"error":{"ran":"not_run"}}', {"retry-after": "1"})
 UNKNOWN = Answer(502, b'{"error":{"ran":"unknown"}}', {"retry-after": "1"})
@@ -108,3 +109,17 @@
     ]
     with pytest.raises(AssertionError):
         operators.check_truth(SimpleNamespace(site=None), told, base=4)
+
+
+def test_a_failed_step_tells_when_each_step_began():
+    """A scenario failed once, and nothing told whether its fault came in time."""
+
+    class Run:
+        def take(self, step):
+            assert step != "check", "no draft was resumed"
+
+    taken = _StepTimes("cut.scenario")
+    _take(Run(), taken, 17, "cut")
+    with pytest.raises(StepFailedError, match=r"cut.scenario:22: no draft") as failed:
+        _take(Run(), taken, 22, "check")
+    assert "line 17 +0.00 s, line 22 +0.0" in str(failed.value)
