Decode only the routes of a configuration that have changed

All streams of a group show the same passes (113 ms by the coordinator's log); before second 24 none was late between events. Decoding took a gateway 20 ms of processor time, more at its share of a core, in which no event goes out.

Routes whose text is that of the last configuration are taken over: 20 ms to 2 ms for 1,297 routes of 400 KB (process time of this machine, mean of ten). Ruled out: the list of endpoints (0.65 ms for 192), loads (0.15 ms), the table of routes (0.8 ms), the map changes (19 of them, all in force within 0.52 s).

--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -138,6 +138,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
+        self._decoder = configurations.ConfigurationDecoder()
 
     def configuration_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply the newest configuration among ``rows`` that can be read."""
@@ -170,7 +171,7 @@
         """Apply a configuration if it is newer; return whether it can be read."""
         state = self._state
         try:
-            read = configurations.decode_configuration(row.value)
+            read = self._decoder.decode(row.value)
         except configurations.BadConfigurationError as error:
             log_event(_log, "configuration_unreadable", logging.ERROR, why=error)
             return False
--- a/src/azurefold/platform/configuration.py
+++ b/src/azurefold/platform/configuration.py
@@ -13,7 +13,13 @@
     RoutingConfiguration,
 )
 
-__all__ = ["KEY", "TABLE", "BadConfigurationError", "decode_configuration"]
+__all__ = [
+    "KEY",
+    "TABLE",
+    "BadConfigurationError",
+    "ConfigurationDecoder",
+    "decode_configuration",
+]
 
 TABLE = "op"
 """The table in which operators write."""
@@ -86,31 +92,69 @@
 
 class _Configuration(msgspec.Struct):
     version: int = msgspec.field(name="Version")
-    routes: list[_Route] = msgspec.field(name="Routes", default_factory=list)
+    routes: list[msgspec.Raw] = msgspec.field(name="Routes", default_factory=list)
     services: list[_Service] = msgspec.field(name="Services", default_factory=list)
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
     tenants: list[_Tenant] | None = msgspec.field(name="Tenants", default=None)
 
 
 _decode = msgspec.json.Decoder(_Configuration).decode
+_decode_route = msgspec.json.Decoder(_Route).decode
+
+
+class ConfigurationDecoder:
+    """Decodes configurations that follow one another, of which little changes.
+
+    Each comes whole. What goes wrong if all of it is decoded each time: no event of any
+    stream goes out meanwhile, for tens of milliseconds at a thousand routes, and while
+    configurations come in quick succession a stream of four has a pause that is too
+    long. So routes whose text is that of the last time are taken over.
+    """
+
+    def __init__(self) -> None:
+        self._routes: dict[bytes, Route] = {}
+
+    def decode(self, data: bytes) -> RoutingConfiguration:
+        """Decode a configuration.
+
+        Raises
+        ------
+        BadConfigurationError
+            If it is not of the known form.
+        """
+        try:
+            read = _decode(data)
+            self._routes = self._decode_routes(read.routes)
+        except msgspec.MsgspecError as error:
+            raise BadConfigurationError(str(error)) from error
+        return _configuration(read, tuple(self._routes.values()))
+
+    def _decode_routes(self, texts: list[msgspec.Raw]) -> dict[bytes, Route]:
+        decoded = {}
+        for text in map(bytes, texts):
+            known = self._routes.get(text)
+            decoded[text] = known or _route(_decode_route(text))
+        return decoded
 
 
 def decode_configuration(data: bytes) -> RoutingConfiguration:
-    """Decode a configuration.
+    """Decode one configuration by itself.
 
     Raises
     ------
     BadConfigurationError
         If it is not of the known form.
     """
-    try:
-        read = _decode(data)
-    except msgspec.MsgspecError as error:
-        raise BadConfigurationError(str(error)) from error
+    return ConfigurationDecoder().decode(data)
+
+
+def _configuration(
+    read: _Configuration, routes: tuple[Route, ...]
+) -> RoutingConfiguration:
     tenants = read.tenants or []
     return RoutingConfiguration(
         version=read.version,
-        routes=tuple(_route(each) for each in read.routes),
+        routes=routes,
         services={each.name: _service(each) for each in read.services},
         holders={
             key: KeyHolder(tenant.name, tenant.priority)
