Start where the site's allowance of retries is a fraction

So would any site end whose allowance is one. All bounds are numbers now; two of the new tests failed before.

--- a/src/azurefold/gateway/settings.py
+++ b/src/azurefold/gateway/settings.py
@@ -31,7 +31,7 @@
         Between two heartbeats of an endpoint.
     retry_share : float
         Retries that all nodes together may make for each request.
-    retry_slack : int
+    retry_slack : float
         Retries besides, in one window over all nodes.
     retry_window_ms : int
         The window.
@@ -56,7 +56,7 @@
     stall_ms: Millis
     heartbeat_ms: Millis
     retry_share: float
-    retry_slack: int
+    retry_slack: float
     retry_window_ms: Millis
     fenced_orders: bool
     is_first_start: bool = False
--- a/src/azurefold/platform/settings.py
+++ b/src/azurefold/platform/settings.py
@@ -29,7 +29,7 @@
     drain_ms: float = msgspec.field(name="DrainMs", default=2_000)
     retry_share: float = msgspec.field(name="RetryRatio", default=0.2)
     retry_window_s: float = msgspec.field(name="RetryWindowS", default=10)
-    retry_slack: int = msgspec.field(name="RetrySlack", default=40)
+    retry_slack: float = msgspec.field(name="RetrySlack", default=40.0)
     stall_ms: float = 1_500
     fenced_orders: bool = msgspec.field(name="Fencing", default=False)
 
--- /dev/null
+++ b/tests/gateway/test_settings_of_a_vm.py
@@ -0,0 +1,54 @@
+"""The settings file that the platform gives a gateway."""
+
+import json
+
+import pytest
+
+from azurefold.platform.settings import BadSettingsError, load_settings
+
+FILE = {
+    "NodeName": "edge-1",
+    "Zone": "dc-a",
+    "Listen": {"Frontend": "10.1.0.40:8227", "Ready": "10.1.0.40:8220"},
+    "PortRange": [7340, 7355],
+    "Platform": {"Address": "10.200.1.7:8223"},
+    "HeartbeatMs": 1200,
+    "Bounds": {
+        "GraceS": 8,
+        "DrainMs": 4000,
+        "RetryRatio": 0.2,
+        "RetryWindowS": 10,
+        "RetrySlack": 94,
+        "stall_ms": 1500,
+        "Fencing": False,
+    },
+}
+
+
+def loaded(tmp_path, bounds):
+    path = tmp_path / "settings.yaml"
+    path.write_text(json.dumps(FILE | {"Bounds": FILE["Bounds"] | bounds}))
+    return load_settings(str(path))
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["GraceS", "DrainMs", "RetryRatio", "RetryWindowS", "RetrySlack", "stall_ms"],
+)
+def test_bounds_may_be_fractions(tmp_path, name):
+    """No gateway of a site starts.
+
+    Its allowance of retries was 37.3 in a window. Only whole numbers were read, and the
+    process ended with exit code 2, again and again.
+    """
+    assert loaded(tmp_path, {name: 2.75})
+
+
+def test_the_allowance_of_retries_is_kept_as_it_is_told(tmp_path):
+    assert loaded(tmp_path, {"RetrySlack": 37.3}).retry_slack == 37.3
+    assert loaded(tmp_path, {"DrainMs": 2500}).drain_ms == 2_500
+
+
+def test_what_is_no_number_is_named(tmp_path):
+    with pytest.raises(BadSettingsError, match="RetrySlack"):
+        loaded(tmp_path, {"RetrySlack": "many"})
