Split quotas into what deals them and what a gateway hears of them

core/routing/quotas.py held both the dealing to holders and what they may spend, and gateway/service_state.py had taken on the words and their log lines: each is a module of its own now. No behaviour changes; the quota tests pass as before.

--- a/src/azurefold/core/routing/pool_knowledge.py
+++ b/src/azurefold/core/routing/pool_knowledge.py
@@ -11,12 +11,8 @@
 from azurefold.core.routing.messages import LoadReport
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.prefixes import PrefixHints
-from azurefold.core.routing.quotas import (
-    EndpointQuotas,
-    QuotaPart,
-    QuotaSharers,
-    QuotaWord,
-)
+from azurefold.core.routing.quota_sharers import QuotaSharers
+from azurefold.core.routing.quotas import EndpointQuotas, QuotaPart, QuotaWord
 
 __all__ = ["PoolKnowledge"]
 
--- a/src/azurefold/core/routing/quotas.py
+++ b/src/azurefold/core/routing/quotas.py
@@ -9,11 +9,11 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 from azurefold.core.clock import Millis
+from azurefold.core.routing.quota_sharers import QuotaSharers
 
-__all__ = ["EndpointQuotas", "QuotaPart", "QuotaSharers", "QuotaWord"]
+__all__ = ["EndpointQuotas", "QuotaPart", "QuotaWord"]
 
 _SECOND_MS = 1_000
 
@@ -21,12 +21,6 @@
 """Quotas hold in any span of this length. What a former holder has sent within it
 counts as well, so a new holder sends nothing for as long."""
 
-_LEAST_HOLDERS = 3
-_HOLDERS_FOR_EACH = 1.5
-"""For each request a second of a quota. More holders find more callers; but each may
-have one request more in a window than its part, and what endpoints bear, half of the
-quota and five requests beyond it, has to have room for one holder too many."""
-
 _LEAST_RATE = 0.2
 """Requests a second that an endpoint gets even if it names less: without an answer
 nobody learns that its need is over."""
@@ -78,58 +72,6 @@
     rate: float
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaSharers:
-    """The nodes among which quotas are dealt out.
-
-    Parameters
-    ----------
-    node : str
-        This one.
-    nodes : frozenset of str
-        Those of the cell that are heard and have callers.
-    cell, cells : int
-        Number of the cell, and how many there are.
-    is_divided : bool
-        Whether each endpoint gets requests of one cell only.
-    """
-
-    node: str = ""
-    nodes: frozenset[str] = frozenset()
-    cell: int = 0
-    cells: int = 1
-    is_divided: bool = False
-
-    def holders(self, endpoint: str, rate: float, turn: int = 0) -> frozenset[str]:
-        """Return the nodes to which an endpoint's quota is dealt.
-
-        They are found by rendezvous hashing: when a node comes or goes, no other one
-        changes its place.
-
-        Parameters
-        ----------
-        endpoint : str
-        rate : float
-            Requests a second of all holders together.
-        turn : int, default=0
-            How often other holders are to be tried.
-        """
-        if not self._is_of_this_cell(endpoint) or not self.nodes:
-            return frozenset()
-        ranked = sorted(self.nodes, key=lambda node: _place(endpoint, node))
-        number = min(len(ranked), _LEAST_HOLDERS + int(_HOLDERS_FOR_EACH * rate))
-        first = turn * number
-        return frozenset(
-            ranked[(first + place) % len(ranked)] for place in range(number)
-        )
-
-    def _is_of_this_cell(self, endpoint: str) -> bool:
-        if self.is_divided or self.cells <= 1:
-            return True
-        cells = range(self.cells)
-        return self.cell == min(cells, key=lambda cell: _place(endpoint, str(cell)))
-
-
 @dataclass(slots=True)
 class _Quota:
     """One endpoint's quota, and what this node holds of it."""
@@ -299,7 +241,3 @@
         holders = self._sharers.holders(endpoint, rate, turn)
         is_holder = self._sharers.node in holders
         quota.hold(rate / len(holders) if is_holder else 0.0, now)
-
-
-def _place(endpoint: str, sharer: str) -> bytes:
-    return blake2b(f"{endpoint}/{sharer}".encode(), digest_size=8).digest()
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -15,10 +15,12 @@
 from azurefold.core.routing.peer_loads import endpoint_mark
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.pool import Pool
-from azurefold.core.routing.quotas import QuotaPart, QuotaSharers, QuotaWord
+from azurefold.core.routing.quota_sharers import QuotaSharers
+from azurefold.core.routing.quotas import QuotaWord
 from azurefold.core.routing.rank_groups import GroupNews, RankGroups
 from azurefold.core.routing.retries import RetryBudget
 from azurefold.entry.admission import Admission
+from azurefold.gateway.quota_news import QuotaNews
 from azurefold.internal.logs import log_event
 from azurefold.platform.headers import AnswerHead
 
@@ -80,8 +82,10 @@
     usual_first_ms: float = _USUAL_FIRST_MS
     _limits: dict[int, PassLimit] = field(default_factory=dict)
     _names: dict[int, str] = field(default_factory=dict)
-    _bad_quotas: set[str] = field(default_factory=set)
-    _logged_parts: dict[str, QuotaPart] = field(default_factory=dict)
+    _quota_news: QuotaNews = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._quota_news = QuotaNews(self.view.name, self.admission.pool)
 
     @property
     def is_group(self) -> bool:
@@ -176,31 +180,13 @@
         self, endpoint: str, head: AnswerHead, sent_at: Millis, now: Millis
     ) -> None:
         """Take in the quota that an endpoint's own answer names, or names no more."""
-        if head.bad_quota:
-            self._quota_unreadable(endpoint, head.bad_quota)
-            return
-        if head.quota is None and not head.sealed:
-            # A refusal is made before the endpoint looks at its need.
-            return
-        pool = self.admission.pool
-        if pool.quota_answered(endpoint, head.quota, sent_at, now):
-            self._log_quota(endpoint, QuotaWord(head.quota, now), "answer", now)
+        self._quota_news.answered(endpoint, head, sent_at, now)
 
     def quota_told(self, mark: int, word: QuotaWord, by: str, now: Millis) -> None:
-        """Take in what another gateway was told of a quota.
-
-        Parameters
-        ----------
-        mark : int
-            Of the endpoint's name.
-        word : QuotaWord
-        by : str
-            The gateway that tells.
-        now : int
-        """
+        """Take in what another gateway was told of the quota of a marked endpoint."""
         endpoint = self._names.get(mark)
-        if endpoint and self.admission.pool.quota_told(endpoint, word, now):
-            self._log_quota(endpoint, word, by, now)
+        if endpoint:
+            self._quota_news.told(endpoint, word, by, now)
 
     def share_quotas(self, sharers: QuotaSharers, now: Millis) -> None:
         """Take in the gateways among which endpoints' quotas are dealt out."""
@@ -209,41 +195,7 @@
     def tick(self) -> None:
         """Look at what time changes; call it a few times a second."""
         self.admission.tick()
-        self._log_parts()
-
-    def _quota_unreadable(self, endpoint: str, text: str) -> None:
-        if endpoint in self._bad_quotas:
-            return
-        self._bad_quotas.add(endpoint)
-        log_event(_log, "quota_unreadable", logging.ERROR, endpoint=endpoint, text=text)
-
-    def _log_quota(self, endpoint: str, word: QuotaWord, by: str, now: Millis) -> None:
-        ended = word.rate is None
-        log_event(
-            _log,
-            "quota_ended" if ended else "quota_named",
-            service=self.view.name,
-            endpoint=endpoint,
-            per_second="none" if ended else word.rate,
-            by=by,
-            age_ms=now - word.said_at,
-        )
-
-    def _log_parts(self) -> None:
-        """Log which quotas this gateway holds, where that has changed."""
-        parts = self.admission.pool.quota_parts
-        for endpoint, part in parts.items():
-            known = self._logged_parts.get(endpoint)
-            if (part.rate > 0) != (known is not None and known.rate > 0):
-                log_event(
-                    _log,
-                    "quota_dealt",
-                    service=self.view.name,
-                    endpoint=endpoint,
-                    here_per_second=f"{part.rate:.2f}",
-                    all_per_second=part.quota,
-                )
-        self._logged_parts = parts
+        self._quota_news.log_parts()
 
     def address_of(self, endpoint: str) -> str:
         """Return an endpoint's address; empty if it is gone."""
@@ -285,7 +237,7 @@
         """Take in the present endpoints, of which the cell's get requests."""
         self.entries = {entry.name: entry for entry in entries}
         self._names = {endpoint_mark(name): name for name in self.entries}
-        self._bad_quotas &= self.entries.keys()
+        self._quota_news.forget_all_but(self.entries)
         staying = [entry.name for entry in entries if not entry.leaving]
         self.is_divided = cell.divides(staying)
         used = cell.endpoints_of(staying)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -11,7 +11,8 @@
 from azurefold.core.routes.table import RouteTable, route_table
 from azurefold.core.routing.cells import Cell
 from azurefold.core.routing.peer_loads import endpoint_mark
-from azurefold.core.routing.quotas import QuotaSharers, QuotaWord
+from azurefold.core.routing.quota_sharers import QuotaSharers
+from azurefold.core.routing.quotas import QuotaWord
 from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.core.routing.retries import RetryBudget, RetryPart, RetryPolicy
 from azurefold.gateway.endpoints.connections import EndpointLinks
--- a/tests/core/routing/test_quotas_of_endpoints.py
+++ b/tests/core/routing/test_quotas_of_endpoints.py
@@ -9,7 +9,8 @@
 from azurefold.core.routing import quotas
 from azurefold.core.routing.messages import NoneAvailable, RouteRequest, Unavailable
 from azurefold.core.routing.pool import Pool
-from azurefold.core.routing.quotas import EndpointQuotas, QuotaSharers, QuotaWord
+from azurefold.core.routing.quota_sharers import QuotaSharers
+from azurefold.core.routing.quotas import EndpointQuotas, QuotaWord
 from azurefold_standins.quota_allowance import Need, quota_excesses
 
 NEEDY = "rank-1"
--- a/tests/gateway/test_quotas_of_endpoints_hold.py
+++ b/tests/gateway/test_quotas_of_endpoints_hold.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 from tests.gateway.quota_world import QuotaSite
 
-from azurefold.core.routing.quotas import EndpointQuotas, QuotaSharers
+from azurefold.core.routing.quota_sharers import QuotaSharers
+from azurefold.core.routing.quotas import EndpointQuotas
 from azurefold.gateway.state import GatewayState
 
 NEEDY = "rank-005"
