Stop telling the end of a need once it has been told

Each answer without a quota from an endpoint whose need was over counted as news of it: gateways went on telling one another (and, of services that all cells send to, all other gateways twice a second) for good, and never forgot the endpoint. Found by reading the code again; the test failed before.

--- a/src/azurefold/core/routing/quotas.py
+++ b/src/azurefold/core/routing/quotas.py
@@ -141,7 +141,7 @@
         now : int
         """
         known = self._quotas.get(endpoint)
-        if rate is None and (known is None or sent_at < known.word.said_at):
+        if rate is None and not _may_end(known, sent_at):
             return False
         return self._take(endpoint, QuotaWord(rate, now), now, is_own=True)
 
@@ -241,3 +241,10 @@
         holders = self._sharers.holders(endpoint, rate, turn)
         is_holder = self._sharers.node in holders
         quota.hold(rate / len(holders) if is_holder else 0.0, now)
+
+
+def _may_end(known: _Quota | None, sent_at: Millis) -> bool:
+    """Whether an answer without a quota to a request sent then ends a need."""
+    if known is None or known.word.rate is None:
+        return False
+    return sent_at >= known.word.said_at
--- a/tests/core/routing/test_quotas_of_endpoints.py
+++ b/tests/core/routing/test_quotas_of_endpoints.py
@@ -139,6 +139,23 @@
     assert known.answered(NEEDY, None, sent_at=5_150, now=5_300)
 
 
+def test_the_end_of_a_need_is_told_for_a_while_only():
+    """Gateways tell each other for good that an endpoint names no quota.
+
+    Each answer without one was taken for news of the need's end.
+    """
+    known = EndpointQuotas()
+    known.answered(NEEDY, 2.0, sent_at=5_000, now=5_100)
+    known.answered(NEEDY, None, sent_at=5_200, now=5_300)
+    for now in range(5_400, 90_000, 100):
+        assert not known.answered(NEEDY, None, sent_at=now - 50, now=now)
+    assert known.words(now=15_200)
+    assert not known.words(now=15_400)
+    assert not known.heard_since(5_300)
+    known.prune([NEEDY], now=90_000)
+    assert not known.words(now=5_400)
+
+
 def test_requests_are_refused_at_once_where_all_endpoints_are_over_their_quota():
     """Requests waited for an endpoint that may get none, until their deadlines."""
     pool = Pool()
