--- a/src/azurefold/platform/configuration.py
+++ b/src/azurefold/platform/configuration.py
@@ -106,9 +106,10 @@
     """Decodes configurations that follow one another, of which little changes.
 
     Each comes whole. What goes wrong if all of it is decoded each time: no event of any
-    stream goes out meanwhile, for tens of milliseconds at a thousand routes, and while
-    configurations come in quick succession a stream of four has a pause that is too
-    long. So routes whose text is that of the last time are taken over.
+    stream goes out meanwhile. At a thousand routes that is longer than what a pass
+    leaves of the pause that callers are promised, and shows as streams that are late
+    at the gateways that read configurations, and at no other. So routes whose text is
+    that of the last time are taken over.
     """
 
     def __init__(self) -> None:
