--- a/src/azurefold/core/groups/map_change.py
+++ b/src/azurefold/core/groups/map_change.py
@@ -86,6 +86,8 @@
     _tries: int = 0
     _passes: Passes = field(default_factory=Passes)
     _arming_ms: Millis = 0
+    _preparing_ms: Millis = 0
+    _last_rank: int | None = None
     _orders_lost: bool = False
 
     @property
@@ -93,6 +95,16 @@
         """What arming all ranks took; 0 if it did not come to that."""
         return self._arming_ms
 
+    @property
+    def preparing_ms(self) -> Millis:
+        """From the first order until a pass was chosen; 0 if none was."""
+        return self._preparing_ms
+
+    @property
+    def last_rank(self) -> int | None:
+        """The rank that confirmed the newest phase's order last; None for none."""
+        return self._last_rank
+
     @property
     def phase(self) -> str:
         """The phase's name, for logs."""
@@ -160,6 +172,7 @@
             case _Phase.PREPARING, Prepare():
                 # Refused is also what a repeat gets after a lost answer.
                 if verdict is Verdict.ACCEPTED:
+                    self._last_rank = rank
                     self._loading.add(rank)
                     self._loaded_at = now + (self._load_ms or 0)
                 else:
@@ -259,6 +272,8 @@
         self._tries += 1
         if self._tries > self.policy.hold_tries:
             return self._end(ChangeEnd.NOT_PREPARED)
+        if self._phase is _Phase.PREPARING:
+            self._preparing_ms = now - self._began
         lead = max(self.policy.lead, self._loaded_at - now)
         if self._orders_lost or self.policy.orders_get_lost:
             lead += self.policy.lossy_lead
@@ -309,6 +324,7 @@
 
     def _armed(self, rank: int, now: Millis) -> list[ChangeAction]:
         self._done.add(rank)
+        self._last_rank = rank
         if len(self._done) < self.size:
             return []
         self._arming_ms = max(1, now - max(self._entered, self._loaded_at))
--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -42,6 +42,16 @@
     _requests: float = 0.0
     _at: Millis = 0
 
+    @property
+    def pass_ms(self) -> float:
+        """Mean time that a pass takes at present."""
+        return self._pass_ms
+
+    @property
+    def requests(self) -> float:
+        """Mean requests of a rank at present."""
+        return self._requests
+
     def is_due(self, now: Millis) -> bool:
         """Whether another gap would tell more than the last one did."""
         return now - self._at >= _OBSERVED_EVERY_MS
--- a/src/azurefold/gateway/groups/changes.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -233,6 +233,8 @@
             end=end.value,
             step=change.step,
             took_ms=now - self._began,
+            preparing_ms=change.preparing_ms,
+            last_rank=change.last_rank,
             arming_ms=change.arming_ms,
             lead_ms=change.policy.lead,
         )
--- a/src/azurefold/gateway/groups/control.py
+++ b/src/azurefold/gateway/groups/control.py
@@ -17,7 +17,7 @@
     plan_map,
     sampling_of,
 )
-from azurefold.gateway.groups.watch import GroupWatch, ServiceWatch
+from azurefold.gateway.groups.watch import GroupWatch, SampleCause, ServiceWatch
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
@@ -203,12 +203,19 @@
             watch.service.view.engine,
             pass_share(longest, watch.service.promised_gap_ms),
         )
-        every = sampling.every
-        if watch.popularity.is_unsettled or watch.service.pass_lengths.have_grown(now):
-            every = _SETTLING_MS
+        why = self._why_sooner(now)
+        every = sampling.every if why is SampleCause.REGULAR else _SETTLING_MS
         if now - watch.sampled_at >= every:
             watch.service.pass_lengths.settle(now)
-            watch.sample(sampling.ranks)
+            watch.sample(sampling.ranks, why)
+
+    def _why_sooner(self, now: Millis) -> SampleCause:
+        """Return what calls for a sample before the regular one, if anything does."""
+        if self.watch.popularity.is_unsettled:
+            return SampleCause.UNSETTLED
+        if self.watch.service.pass_lengths.have_grown(now):
+            return SampleCause.PASSES_GREW
+        return SampleCause.REGULAR
 
 
 def _for_ever(step: Callable[[], None]) -> None:
--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from itertools import zip_longest
 
 from azurefold.core.balance.placement import Placement
@@ -17,7 +18,7 @@
 from azurefold.internal.logs import log_event
 from azurefold.platform.ranks import RankClient, RankReport
 
-__all__ = ["GroupWatch", "ServiceWatch"]
+__all__ = ["GroupWatch", "SampleCause", "ServiceWatch"]
 
 _log = logging.getLogger("azurefold.gateway")
 
@@ -39,6 +40,14 @@
 _LONG_AGO: Millis = -1_000_000
 
 
+class SampleCause(StrEnum):
+    """Why ranks are asked for their counts."""
+
+    REGULAR = "regular"
+    UNSETTLED = "unsettled"
+    PASSES_GREW = "passes_grew"
+
+
 @dataclass(slots=True)
 class ServiceWatch:
     """Reports and counts of all ranks of one service, as they were last asked for.
@@ -118,9 +127,11 @@
         """Return the client of an endpoint."""
         return self.calls.client(endpoint, self.service.entries[endpoint].address)
 
-    def sample(self, count: int) -> bool:
+    def sample(self, count: int, why: SampleCause) -> bool:
         """Ask a few ranks for their counts; return whether popularity is newer."""
-        self.sampled_at = self.state.clock.now()
+        asked_at = self.state.clock.now()
+        age_ms = asked_at - self.sampled_at if self._sampled else 0
+        self.sampled_at = asked_at
         self._choose_sampled(count)
         if not self._sampled:
             return False
@@ -143,6 +154,9 @@
             "popularity_sampled",
             service=self.service.view.name,
             ranks=len(heard),
+            why=why,
+            since_last_ms=age_ms,
+            took_ms=now - asked_at,
             distance=f"{self.popularity.last_distance:.2f}",
             noise=f"{self.popularity.noise:.2f}",
             outcome="fresh" if fresh else "unsettled",
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -40,6 +40,8 @@
 """A nearer endpoint is taken when it has no more requests than one further
 away; a request more at a rank costs the next one some 80 ms."""
 
+_LIMIT_LOGGED_EVERY_MS: Millis = 1_000
+
 _USUAL_FIRST_MS = 150.0
 _FIRST_SMOOTHING = 0.05
 """Of the time to a first event: it follows a change of load within some seconds."""
@@ -81,6 +83,7 @@
     promised_gap_ms: Millis = 0
     usual_first_ms: float = _USUAL_FIRST_MS
     _limits: dict[int, PassLimit] = field(default_factory=dict)
+    _limit_logged_at: dict[int, Millis] = field(default_factory=dict)
     _names: dict[int, str] = field(default_factory=dict)
     _quota_news: QuotaNews = field(init=False)
 
@@ -163,9 +166,30 @@
         limit.observe(gap, pool.mean_load(ranks), now)
         mean = limit.requests_of_a_rank(self.promised_gap_ms, engine.slots)
         pool.limit_requests(ranks, None if mean >= engine.slots else mean)
+        self._log_limit(group, limit, mean, now)
         if self.admission.waiting:
             self.admission.pump()
 
+    def _log_limit(
+        self, group: int, limit: PassLimit, mean: float, now: Millis
+    ) -> None:
+        logged_at = self._limit_logged_at.get(group)
+        if logged_at is not None and now - logged_at < _LIMIT_LOGGED_EVERY_MS:
+            return
+        self._limit_logged_at[group] = now
+        log_event(
+            _log,
+            "requests_limited",
+            service=self.view.name,
+            group=group,
+            pass_ms=f"{limit.pass_ms:.0f}",
+            promised_gap_ms=self.promised_gap_ms,
+            requests=f"{limit.requests:.2f}",
+            limit=f"{mean:.2f}",
+            slots=self.view.engine.slots,
+            waiting=self.admission.waiting,
+        )
+
     def lost_reach(self, endpoint: str, now: Millis) -> None:
         """Note that no connection to an endpoint could be made in time.
 
