--- a/src/azurefold/core/groups/map_change.py
+++ b/src/azurefold/core/groups/map_change.py
@@ -79,6 +79,7 @@
     _load_ms: Millis | None = None
     _loaded_at: Millis = 0
     _unsure: set[int] = field(default_factory=set)
+    _repeated: set[int] = field(default_factory=set)
     _next_at: dict[int, Millis] = field(default_factory=dict)
     _began: Millis = 0
     _entered: Millis = 0
@@ -87,6 +88,7 @@
     _passes: Passes = field(default_factory=Passes)
     _arming_ms: Millis = 0
     _preparing_ms: Millis = 0
+    _answering_ms: Millis = 0
     _last_rank: int | None = None
     _orders_lost: bool = False
 
@@ -100,6 +102,11 @@
         """From the first order until a pass was chosen; 0 if none was."""
         return self._preparing_ms
 
+    @property
+    def answering_ms(self) -> Millis:
+        """What all ranks took to answer the first order; lost answers left out."""
+        return self._answering_ms
+
     @property
     def last_rank(self) -> int | None:
         """The rank that confirmed the newest phase's order last; None for none."""
@@ -170,14 +177,7 @@
         self._out.discard(rank)
         match self._phase, order:
             case _Phase.PREPARING, Prepare():
-                # Refused is also what a repeat gets after a lost answer.
-                if verdict is Verdict.ACCEPTED:
-                    self._last_rank = rank
-                    self._loading.add(rank)
-                    self._loaded_at = now + (self._load_ms or 0)
-                else:
-                    self._unsure.add(rank)
-                    self._orders_lost |= verdict is Verdict.LOST
+                self._on_prepare(rank, verdict, now)
                 return []
             case _Phase.HOLDING, Hold(step=step) if step == self.step:
                 return self._on_hold(rank, verdict, now)
@@ -225,15 +225,16 @@
             # Sooner than its lead the hold would stand for longer than it has to.
             is_time = now >= self._loaded_at - self.policy.lead
             return self._hold(now) if is_time else []
-        if now < self._look_at:
-            return []
-        self._look_at = now + self.policy.look_every
         missing = [rank for rank in range(self.size) if rank not in self._done]
-        actions: list[ChangeAction] = [AskReport(rank) for rank in missing]
+        actions: list[ChangeAction] = []
         for rank in missing:
             if rank in self._unsure and now >= self._next_at[rank]:
                 self._unsure.discard(rank)
+                self._repeated.add(rank)
                 actions += self._send(rank, Prepare(self.version), now)
+        if now >= self._look_at:
+            self._look_at = now + self.policy.look_every
+            actions += [AskReport(rank) for rank in missing]
         return actions
 
     @property
@@ -285,6 +286,20 @@
         self._enter(_Phase.HOLDING, now)
         return self._send(self.holders[0], Hold(self.step), now)
 
+    def _on_prepare(self, rank: int, verdict: Verdict, now: Millis) -> None:
+        # A repeat is refused where the order before it was carried out and only its
+        # answer was lost: the rank loads at the latest since now.
+        is_repeat = rank in self._repeated
+        if verdict is Verdict.ACCEPTED or (verdict is Verdict.REFUSED and is_repeat):
+            self._last_rank = rank
+            self._loading.add(rank)
+            self._loaded_at = now + (self._load_ms or 0)
+            if not is_repeat:
+                self._answering_ms = max(self._answering_ms, now - self._began)
+        else:
+            self._unsure.add(rank)
+            self._orders_lost |= verdict is Verdict.LOST
+
     def _on_hold(self, rank: int, verdict: Verdict, now: Millis) -> list[ChangeAction]:
         match verdict:
             case Verdict.ACCEPTED:
--- a/src/azurefold/core/groups/map_orders.py
+++ b/src/azurefold/core/groups/map_orders.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "ARM_WITHIN_MS",
+    "PREPARE_WITHIN_MS",
     "REPEAT_MS",
     "REPORT_AGE_MS",
     "Arm",
@@ -48,6 +49,13 @@
 """Until an order other than to prepare that got no answer is sent again: late enough
 for 72 answers, soon enough that one lost order keeps no group from its pass."""
 
+PREPARE_WITHIN_MS: Millis = 400
+"""The longest that an answer to a whole map is waited for: 72 maps on a slow link take
+200."""
+
+_ANSWERING_MARGIN = 2
+"""On the time that all ranks took to answer, for slower ones."""
+
 _ARMING_MARGIN = 1.5
 """On the time that arming all ranks took, for its tail."""
 
@@ -182,7 +190,8 @@
         repeat for a lost order.
     prepare_repeat : int
         Until an order to prepare that got no answer is sent again; as long as its
-        answer is waited for.
+        answer is waited for. Loading begins so much later at a rank that did not get
+        it, and all others wait.
     look_every : int
         Between two looks at the reports of ranks that are still loading.
     load_repeat : int
@@ -208,7 +217,7 @@
     """
 
     prepare_timeout: Millis = 2_500
-    prepare_repeat: Millis = 400
+    prepare_repeat: Millis = PREPARE_WITHIN_MS
     look_every: Millis = 120
     load_repeat: Millis = 30
     arm_within: Millis = ARM_WITHIN_MS
@@ -222,7 +231,11 @@
 
 
 def change_policy(
-    size: int, arming_ms: Millis = 0, *, orders_get_lost: bool = False
+    size: int,
+    arming_ms: Millis = 0,
+    answering_ms: Millis = 0,
+    *,
+    orders_get_lost: bool = False,
 ) -> ChangePolicy:
     """Return the waits of a change for a group of ``size`` ranks.
 
@@ -231,6 +244,9 @@
     size : int
     arming_ms : int
         What arming all ranks took lately; 0 if that is not known.
+    answering_ms : int
+        What all ranks took lately to answer an order to prepare; 0 if that is not
+        known.
     orders_get_lost : bool
         Whether orders got no answer lately.
 
@@ -240,7 +256,14 @@
     (112, 364)
     >>> change_policy(16, arming_ms=200).lead
     340
+    >>> change_policy(16).prepare_repeat, change_policy(16, 40, 50).prepare_repeat
+    (400, 150)
     """
     arming = arming_ms or _ARM_MS * size
     lead = _EXCHANGE_MS + round(_ARMING_MARGIN * arming)
-    return ChangePolicy(lead=lead, orders_get_lost=orders_get_lost)
+    repeat = min(PREPARE_WITHIN_MS, max(REPEAT_MS, _ANSWERING_MARGIN * answering_ms))
+    if not answering_ms:
+        repeat = PREPARE_WITHIN_MS
+    return ChangePolicy(
+        prepare_repeat=repeat, lead=lead, orders_get_lost=orders_get_lost
+    )
--- a/src/azurefold/gateway/groups/changes.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -72,6 +72,7 @@
     _began: Millis = 0
     _ended_at: Millis = -1_000_000
     _arming_ms: Millis = 0
+    _answering_ms: Millis = 0
     _order_lost_at: Millis = -1_000_000
     _unarmed_hold: int = -1
     _unarmed_since: Millis = 0
@@ -116,7 +117,9 @@
         view = self.watch.view
         self._planned = plan.placements
         lossy = now - self._order_lost_at < _LOSSY_FOR_MS
-        policy = change_policy(view.size, self._arming_ms, orders_get_lost=lossy)
+        policy = change_policy(
+            view.size, self._arming_ms, self._answering_ms, orders_get_lost=lossy
+        )
         self._change = MapChange(version, view.epoch, view.size, policy)
         self._change.stepped(view.step, view.step_at)
         self._began = now
@@ -187,10 +190,12 @@
 
     def _give(self, change: MapChange, rank: int, order: RankOrder) -> None:
         client = self.watch.client_of(rank)
-        placements = self._planned if isinstance(order, Prepare) else ()
         verdict = Verdict.LOST
-        if client is not None:
-            verdict = client.give(order, change.epoch, placements)
+        if client is not None and isinstance(order, Prepare):
+            within = change.policy.prepare_repeat
+            verdict = client.give(order, change.epoch, self._planned, within)
+        elif client is not None:
+            verdict = client.give(order, change.epoch)
         if change is not self._change:
             return
         if verdict is Verdict.LOST:
@@ -239,6 +244,7 @@
             lead_ms=change.policy.lead,
         )
         self._learn_arming(change.arming_ms)
+        self._answering_ms = max(change.answering_ms, self._answering_ms // 2)
         self.watch.look_soon()
         self._ended_at = now
         if end is ChangeEnd.IN_FORCE:
--- a/src/azurefold/platform/ranks.py
+++ b/src/azurefold/platform/ranks.py
@@ -143,12 +143,15 @@
         return HeldExperts(in_force.version, tuple(map(tuple, in_force.experts)))
 
     def give(
-        self, order: RankOrder, epoch: int, placements: tuple[Placement, ...] = ()
+        self,
+        order: RankOrder,
+        epoch: int,
+        placements: tuple[Placement, ...] = (),
+        timeout_ms: Millis = REPEAT_MS,
     ) -> Verdict:
         """Give an order and return what came of it."""
         body = msgspec.json.encode(_order(order, epoch, placements))
-        timeout = _CALL_TIMEOUT_MS if placements else REPEAT_MS
-        answer = self._ask("POST", "/order", body, timeout)
+        answer = self._ask("POST", "/order", body, timeout_ms)
         if answer is None:
             return Verdict.LOST
         status = answer[0]
--- a/tests/core/groups/test_changes_are_quick.py
+++ b/tests/core/groups/test_changes_are_quick.py
@@ -1,5 +1,7 @@
 """A map is in force as soon as its weights are loaded; a hold stands for moments."""
 
+import pytest
+
 from azurefold.core.groups.map_change import MapChange
 from azurefold.core.groups.map_orders import (
     Arm,
@@ -8,7 +10,9 @@
     Hold,
     Prepare,
     Release,
+    SendOrder,
     Verdict,
+    change_policy,
 )
 from azurefold_standins.order_ranks import ModelGroup
 
@@ -104,6 +108,38 @@
     assert any(isinstance(action, AskReport) for action in actions)
 
 
+@pytest.mark.parametrize("size", [32, 192, 384])
+def test_a_lost_order_to_prepare_is_repeated_as_soon_as_an_answer_is_overdue(size):
+    """Guards against maps that wait most of a second for one rank's lost answer."""
+    answering_ms, load_ms = 40, 100
+    policy = change_policy(size, answering_ms=answering_ms)
+    change = MapChange(1, epoch=1, size=size, policy=policy)
+    lost_at = policy.prepare_repeat
+    for action in change.begin(50.0, now=0, load_ms=load_ms):
+        is_lost = action.rank == 0
+        verdict = Verdict.LOST if is_lost else Verdict.ACCEPTED
+        now = lost_at if is_lost else answering_ms
+        change.answered(action.rank, action.order, verdict, now)
+    repeats = [
+        action for action in change.tick(lost_at) if isinstance(action, SendOrder)
+    ]
+    assert [(action.rank, action.order) for action in repeats] == [(0, Prepare(1))]
+    # Refused, as the first order was carried out.
+    change.answered(0, Prepare(1), Verdict.REFUSED, now=lost_at + 5)
+    change.tick(lost_at + 5 + load_ms)
+    assert change.phase == "holding"
+    assert lost_at + 5 <= 5 * answering_ms
+
+
+def test_a_rank_that_refuses_the_first_order_to_prepare_is_not_taken_to_load():
+    change = MapChange(1, epoch=1, size=SIZE)
+    for action in change.begin(50.0, now=0, load_ms=100):
+        verdict = Verdict.REFUSED if action.rank == 2 else Verdict.ACCEPTED
+        change.answered(action.rank, action.order, verdict, now=5)
+    change.tick(390)
+    assert change.phase == "preparing"
+
+
 def test_a_group_without_requests_is_not_armed_for_a_pass_far_away():
     """A group's map is never changed again, and half of all streams are late.
 
