--- a/src/azurefold/core/routing/choice.py
+++ b/src/azurefold/core/routing/choice.py
@@ -12,7 +12,14 @@
 from azurefold.core.routing.endpoint import Endpoint
 from azurefold.core.routing.messages import RouteRequest
 
-__all__ = ["ChoicePolicy", "PoolMeans", "all_with_room", "draw_two", "expected_wait"]
+__all__ = [
+    "ChoicePolicy",
+    "PoolMeans",
+    "all_with_room",
+    "draw_by_room",
+    "draw_two",
+    "expected_wait",
+]
 
 
 _ANSWER_SMOOTHING = 0.02
@@ -142,6 +149,20 @@
     ]
 
 
+def draw_by_room(endpoints: list[Endpoint], draw: float) -> Endpoint:
+    """Return one of ``endpoints``, each as likely as it has room.
+
+    Nodes that choose at the same moment take different ones, and those with most
+    room get most of their requests.
+    """
+    left = draw * sum(endpoint.room for endpoint in endpoints)
+    for endpoint in endpoints:
+        left -= endpoint.room
+        if left < 0:
+            return endpoint
+    return endpoints[-1]
+
+
 def _next_with_room(
     eligible: list[Endpoint], request: RouteRequest, draw: float, taken: Endpoint | None
 ) -> Endpoint | None:
--- a/src/azurefold/core/routing/messages.py
+++ b/src/azurefold/core/routing/messages.py
@@ -54,12 +54,16 @@
         Endpoints that a retry must not go back to.
     may_queue : bool, default=False
         Whether it may wait in an endpoint's own queue where all places are taken.
+    is_contended : bool, default=False
+        Whether other nodes choose at this moment, too: the emptiest endpoint would be
+        chosen by all of them.
     """
 
     prefixes: tuple[Prefix, ...] = ()
     prompt_tokens: int = 0
     exclude: frozenset[str] = frozenset()
     may_queue: bool = False
+    is_contended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/core/routing/peer_loads.py
+++ b/src/azurefold/core/routing/peer_loads.py
@@ -33,6 +33,8 @@
         By :func:`endpoint_mark`; endpoints without requests are left out.
     has_callers : bool
         Whether it has had requests lately, also such as it refused.
+    is_waiting : bool
+        Whether requests wait there for a place at an endpoint.
     """
 
     node: str
@@ -40,6 +42,7 @@
     sequence: int
     loads: Mapping[int, int]
     has_callers: bool = False
+    is_waiting: bool = False
 
 
 @dataclass(slots=True)
@@ -82,6 +85,18 @@
             node for node, heard in self._heard.items() if heard.digest.has_callers
         )
 
+    @property
+    def nodes_waiting(self) -> int:
+        """How many other nodes have requests that wait."""
+        return sum(heard.digest.is_waiting for heard in self._heard.values())
+
+    def give(self, node: str, other: "PeerLoads") -> None:
+        """Let ``other`` have what a node has told, if it has told anything."""
+        heard = self._heard.pop(node, None)
+        if heard is not None:
+            self._add(heard.digest.loads, -1)
+            other.hear(heard.digest, heard.at)
+
     def expire(self, now: Millis) -> list[str]:
         """Drop nodes that have fallen silent, and name them."""
         silent = [
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -3,6 +3,7 @@
 from azurefold.core.clock import Millis
 from azurefold.core.routing.choice import (
     all_with_room,
+    draw_by_room,
     draw_two,
     expected_wait,
 )
@@ -89,6 +90,13 @@
             retry_after = self._quota_return(draws[1])
         return NoneAvailable(reason, retry_after)
 
+    def offers(self, endpoint: str, request: RouteRequest) -> bool:
+        """Whether ``request`` may go to a certain endpoint now."""
+        known = self._members.by_name.get(endpoint)
+        if known is None or endpoint in request.exclude:
+            return False
+        return known.is_counted and known.has_room
+
     def _quota_return(self, draw: float) -> Millis:
         """Return when a caller may find an endpoint's quota unused, spread out."""
         taken = sum(part.quota for part in self._quotas.parts.values())
@@ -187,7 +195,7 @@
     ) -> list[Endpoint]:
         match self._policy.sharing:
             case ExchangedLoads():
-                return self._with_room(request, draws[0])
+                return self._with_room(request, draws)
             case DividedSlots():
                 drawn = list(draw_two(self._members.eligible, request, draws))
         holders = self._hints.holders(request.prefixes, now)
@@ -198,9 +206,13 @@
             drawn.append(holder)
         return drawn
 
-    def _with_room(self, request: RouteRequest, draw: float) -> list[Endpoint]:
+    def _with_room(
+        self, request: RouteRequest, draws: tuple[float, float]
+    ) -> list[Endpoint]:
         eligible = self._members.eligible
-        found = all_with_room(eligible, request, draw)
+        found = all_with_room(eligible, request, draws[0])
+        if found and request.is_contended:
+            return [draw_by_room(found, draws[1])]
         if found or not request.may_queue:
             return found
         return [each for each in eligible if each.name not in request.exclude]
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -3,7 +3,8 @@
 import logging
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 from gevent.event import AsyncResult
 
@@ -33,6 +34,14 @@
 
 _WAITS_MS = (0, 5, 20, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000)
 
+_CONTENDED_SHARE = 0.5
+"""Of the room that nodes take together in one such span: some of it is taken by
+requests that come meanwhile and find nobody waiting at their node."""
+
+_PART_EVERY_MS: Millis = 20
+"""Between two parts of the room that a node takes while others want it, too: some
+times as long as it takes until all have heard of a dispatch."""
+
 _NO_REQUEST = RouteRequest()
 _OUTAGES = (Unavailable.GROUPS_DOWN, Unavailable.OUT_OF_REACH)
 _REFUSED_DETAIL = "The request was not run; come back after the time in Retry-After."
@@ -104,7 +113,15 @@
 
 @dataclass(slots=True)
 class Admission:
-    """The queue, the pool and the retry budget of one service."""
+    """The queue, the pool and the retry budget of one service.
+
+    Parameters
+    ----------
+    on_grant : callable
+        Called whenever a request has got an endpoint.
+    contenders : int
+        Nodes that have requests waiting for these endpoints, this one included.
+    """
 
     clock: Clock
     draw: random.Random
@@ -112,6 +129,9 @@
     pool: Pool = field(default_factory=Pool)
     queue: FairQueue = field(default_factory=FairQueue)
     retries: RetryBudget = field(default_factory=RetryBudget)
+    on_grant: Callable[[], None] = lambda: None
+    contenders: int = 1
+    _next_part_at: Millis = 0
     _waiting: dict[str, tuple[Ticket, AsyncResult]] = field(default_factory=dict)
 
     @property
@@ -185,6 +205,7 @@
         ejected = self.pool.finished(endpoint, attempt_id, outcome, now)
         if ejected is not None:
             self._count_ejection(ejected)
+        self._refill(endpoint)
         self.pump()
 
     def pump(self) -> None:
@@ -192,14 +213,49 @@
         now = self.clock.now()
         for refusal in self.queue.expire(now):
             self._answer_refusal(refusal)
-        # The last room is left to confirmations: a draft that took it would
-        # make the next one wait for as long as the draft runs.
-        while self._waiting and self.pool.room > 0:
-            item = self.queue.take(now, drafts=self.pool.draft_room > 0)
+        for _ in range(self._part_of_room(now)):
+            if not self._waiting or self.pool.room <= 0:
+                return
+            item = self._take(now)
             if item is None:
                 return
             self._grant_waiting(item, now)
 
+    def _take(self, now: Millis) -> QueueItem | None:
+        # The last room is left to confirmations: a draft that took it would
+        # make the next one wait for as long as the draft runs.
+        return self.queue.take(now, drafts=self.pool.draft_room > 0)
+
+    def _part_of_room(self, now: Millis) -> int:
+        """Return how many requests may go now to places that all nodes see.
+
+        What goes wrong if each node takes all the room: a place that falls free is
+        taken by every node that has a request waiting, before any hears of the
+        others. Ten requests then share an endpoint's slots, and wait there for each
+        other while other endpoints have room.
+        """
+        room = self.pool.room
+        if self.contenders <= 1:
+            return room
+        if now < self._next_part_at:
+            return 0
+        self._next_part_at = now + _PART_EVERY_MS
+        part = _CONTENDED_SHARE * room / self.contenders
+        return int(part + self.draw.random())
+
+    def _refill(self, endpoint: str) -> None:
+        """Give a place that this node has freed to the next who waits here.
+
+        The other nodes do not know of it yet, so none of them takes it, too.
+        """
+        if not self._waiting or self.contenders <= 1 or self.pool.room <= 0:
+            return
+        now = self.clock.now()
+        if self.pool.offers(endpoint, _NO_REQUEST):
+            item = self._take(now)
+            if item is not None:
+                self._grant_waiting(item, now, endpoint)
+
     def tick(self) -> None:
         """Look for slow and stuck endpoints; call it about once a second."""
         for ejected in self.pool.tick(self.clock.now()):
@@ -265,9 +321,15 @@
             self._waiting.pop(ticket.request_id, None)
             self.queue.withdraw(ticket.request_id, self.clock.now())
 
-    def _grant_waiting(self, item: QueueItem, now: Millis) -> None:
+    def _grant_waiting(
+        self, item: QueueItem, now: Millis, preferred: str | None = None
+    ) -> None:
         ticket, result = self._waiting.pop(item.request_id)
-        chosen = self._choose(ticket.route, now)
+        route = replace(ticket.route, is_contended=self.contenders > 1)
+        if preferred is not None and self.pool.offers(preferred, route):
+            chosen = Chosen(preferred)
+        else:
+            chosen = self._choose(route, now)
         match chosen:
             case Chosen():
                 result.set(self._granted(ticket, chosen))
@@ -288,6 +350,7 @@
         # greenlet may yield, and others would choose the same free place.
         now = self.clock.now()
         self.pool.started(chosen.endpoint, ticket.request_id, now, ticket.route)
+        self.on_grant()
         return chosen
 
 
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -33,9 +33,10 @@
 
 _SECOND_MS = 1_000
 _LOOK_MS: Millis = 60
-"""Between two looks at whether loads have changed. A dispatch that the others
-do not know of yet makes them choose the same endpoint; some five requests a
-second arrive at each gateway."""
+"""Between two looks at whether loads have fallen, or anything else has changed."""
+
+_SPACING_MS: Millis = 5
+"""Between two messages about dispatches: some at the same moment are told in one."""
 
 _QUIET_MS: Millis = 500
 """At the latest a message is sent although nothing has changed."""
@@ -138,11 +139,25 @@
     def send_for_ever(self) -> None:
         """Send messages when there is something to tell."""
         while True:
-            gevent.sleep(_LOOK_MS / _SECOND_MS)
+            self._await_dispatch()
             self._forget_silent()
             self._share_quotas()
             self.send()
 
+    def _await_dispatch(self) -> None:
+        """Wait for a dispatch, or until the next look is due.
+
+        What goes wrong if a dispatch is told with the next look only: meanwhile the
+        endpoint is the emptiest to all gateways of the cell, and each of them that
+        has a request sends it there.
+        """
+        dispatched = self.state.dispatched
+        if not dispatched.wait(_LOOK_MS / _SECOND_MS):
+            return
+        early = self._sent_at + _SPACING_MS - self.state.clock.now()
+        gevent.sleep(max(0, early) / _SECOND_MS)
+        dispatched.clear()
+
     def send(self, *, at_once: bool = False) -> None:
         """Send a message to all peers if there is news, or it is time."""
         now = self.state.clock.now()
@@ -150,7 +165,8 @@
         coordination = self.coordination()
         quotas = self.state.quota_words()
         rates = {mark: word.rate for mark, word in quotas.items()}
-        told = (loads, self.state.version, coordination, rates)
+        is_waiting = self.state.is_waiting
+        told = (loads, self.state.version, coordination, rates, is_waiting)
         owes_quotas = self._owes_quotas(now)
         to_all = at_once or owes_quotas or self._owes_all(coordination, now)
         is_due = now - self._sent_at >= _QUIET_MS
@@ -176,6 +192,7 @@
             coordination.is_changing,
             self._quotas.next(quotas, now),
             self.state.has_callers,
+            is_waiting,
         )
         data = self._fitting(message)
         for peer in self._peers.values():
@@ -255,6 +272,7 @@
             message.sequence,
             message.loads,
             message.has_callers,
+            message.is_waiting,
         )
         if message.node not in self._peers:
             log_event(_log, "peer_joined", peer=message.node, ip=ip)
@@ -278,7 +296,9 @@
             self._report_loads(self.state.clock.now())
 
     def _report_loads(self, now: Millis) -> None:
+        contenders = self.loads.nodes_waiting + 1
         for service in self.state.services.values():
+            service.admission.contenders = contenders
             pool = service.admission.pool
             # Where all cells send to all endpoints, the others have about as
             # many requests there as this one.
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -70,6 +70,8 @@
         Of some endpoints; of the others next time.
     has_callers : bool
         Whether the sender has had requests lately.
+    is_waiting : bool
+        Whether requests wait there for a place at an endpoint.
     """
 
     node: str
@@ -85,6 +87,7 @@
     is_changing: bool = False
     quotas: tuple[QuotaBeat, ...] = ()
     has_callers: bool = False
+    is_waiting: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from gevent.event import Event
+
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.registry import EndpointRegistry
 from azurefold.core.routes.model import RoutingConfiguration
@@ -80,6 +82,9 @@
         Rows that named no endpoint to use, as often as they were read.
     oversized_messages : int
         Messages to other gateways from which something was left out to fit.
+    dispatched : Event
+        Set when a request has got an endpoint, which the other gateways of the cell
+        do not know of yet.
     """
 
     settings: GatewaySettings
@@ -103,6 +108,7 @@
     is_cut_off: bool = False
     unreadable_entries: int = 0
     oversized_messages: int = 0
+    dispatched: Event = field(default_factory=Event)
     _requested_at: Millis | None = None
     _configuration_seen: Millis | None = None
 
@@ -131,6 +137,11 @@
             return False
         return self.clock.now() - self._requested_at < _CALLERS_GONE_MS
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether requests wait for a place at an endpoint."""
+        return any(service.admission.waiting for service in self.services.values())
+
     def note_request(self) -> None:
         """Note that a caller has sent a request."""
         self._requested_at = self.clock.now()
@@ -244,13 +255,15 @@
         if known is not None:
             known.configure(view)
             return
-        self.services[view.name] = new_gateway_service(
+        service = new_gateway_service(
             view,
             self.settings.data_centre,
             self.clock,
             self.draw.getrandbits(32),
             RetryBudget(_retry_policy(self.settings), self.retry_part),
         )
+        service.admission.on_grant = self.dispatched.set
+        self.services[view.name] = service
 
 
 def new_gateway_state(settings: GatewaySettings, clock: Clock) -> GatewayState:
--- a/tests/gateway/quota_world.py
+++ b/tests/gateway/quota_world.py
@@ -1,12 +1,15 @@
 """Gateways on one clock before endpoints that name quotas while they are in need."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
 
+import gevent
 from tests.gateway.conftest import settings_of
 
+from azurefold.core.admission.messages import Priority
 from azurefold.core.clock import ManualTime, manual_clock
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import RoutedService, RoutingConfiguration
@@ -14,16 +17,18 @@
     Answered,
     Cancelled,
     Chosen,
-    RouteRequest,
 )
 from azurefold.core.routing.quotas import QuotaWord
+from azurefold.entry.admission import Ticket
 from azurefold.gateway.peers.exchange import Exchange, Peer, _decode, new_exchange
 from azurefold.gateway.peers.messages import Coordination
 from azurefold.gateway.state import new_gateway_state
 from azurefold.platform.headers import AnswerHead
 from azurefold_standins.quota_allowance import Need, quota_excesses, share_used
 
-LOOK_MS = 20
+STEP_MS = 20
+LOOK_MS = 60
+TICK_MS = 240
 HEAD_AFTER_MS = 100
 ENDS_AFTER_MS = 400
 STABLE_MS = 3_000
@@ -58,6 +63,12 @@
     gateways, endpoints : int
     per_second : float
         Requests of each gateway's callers.
+    ends_after_ms : int
+        That an endpoint takes for a request.
+    step_ms : int
+        By which time goes on.
+    waits_ms : int
+        For which requests wait for a place at an endpoint.
     seed : int
     """
 
@@ -67,9 +78,13 @@
     seed: int = 1
     loss: float = 0.0
     delay_ms: tuple[int, int] = (1, 3)
+    ends_after_ms: int = ENDS_AFTER_MS
+    step_ms: int = STEP_MS
+    waits_ms: int = 0
     time: ManualTime = field(default_factory=lambda: ManualTime(at=100_000))
     needs: dict[str, list[Need]] = field(default_factory=dict)
     arrivals: dict[str, list[tuple[int, str]]] = field(default_factory=dict)
+    requests_of_ranks: Counter[str] = field(default_factory=Counter)
     refused: int = 0
     asked: int = 0
     by_name: dict[str, Gateway] = field(default_factory=dict)
@@ -90,18 +105,22 @@
         """Let callers come and gateways talk for ``ms`` milliseconds."""
         end = self.time.at + ms
         while self.time.at < end:
-            self.time.at += LOOK_MS
+            self.time.at += self.step_ms
             while self._events and self._events[0][0] <= self.time.at:
                 heappop(self._events)[2]()
-            turn = self.time.at // LOOK_MS
+            gevent.sleep(0)
+            turn = self.time.at // self.step_ms
             for place, gateway in enumerate(self.by_name.values()):
                 if gateway.stands_until > self.time.at:
                     continue
-                if (turn + place) % 3 == 0:
+                dispatched = gateway.exchange.state.dispatched
+                is_look_due = (turn + place) % (LOOK_MS // self.step_ms) == 0
+                if is_look_due or dispatched.is_set():
+                    dispatched.clear()
                     self._look(gateway)
-                if (turn + place) % 12 == 0:
+                if (turn + place) % (TICK_MS // self.step_ms) == 0:
                     gateway.exchange.state.services[SERVICE].tick()
-                if self._draw.random() < self.per_second * LOOK_MS / 1_000:
+                if self._draw.random() < self.per_second * self.step_ms / 1_000:
                     self._ask(gateway)
 
     def needs_help(self, endpoint, rate):
@@ -169,20 +188,34 @@
             (due, next(self._numbers), lambda: self._deliver(data, address[0])),
         )
 
+    def list_endpoints(self):
+        """Have all gateways see the endpoints that there are now."""
+        for gateway in self.by_name.values():
+            self._list_endpoints(gateway.exchange.state)
+
+    def remove(self, name):
+        """Have a gateway leave once its requests have ended, and all others see it."""
+        self.by_name[name].has_callers = False
+        self._peers = [peer for peer in self._peers if peer.node != name]
+        for gateway in self.by_name.values():
+            if gateway.name != name:
+                gateway.exchange.set_peers(self._peers)
+
+    def _list_endpoints(self, state):
+        entries = [
+            EndpointEntry(rank, SERVICE, f"{rank}:1", "dc-a", SLOTS)
+            for rank in self.ranks
+        ]
+        state.registry.replace(entries, self.time.at)
+        state.spread_endpoints()
+
     def _start(self, name):
         settings = settings_of(name=name, is_first_start=True)
         state = new_gateway_state(settings, manual_clock(self.time))
         state.apply(
             RoutingConfiguration(1, (), {SERVICE: RoutedService(SERVICE, 64, None)})
         )
-        state.registry.replace(
-            [
-                EndpointEntry(rank, SERVICE, f"{rank}:1", "dc-a", SLOTS)
-                for rank in self.ranks
-            ],
-            self.time.at,
-        )
-        state.spread_endpoints()
+        self._list_endpoints(state)
 
         def on_message(message):
             for beat in message.quotas:
@@ -214,13 +247,20 @@
         self.asked += 1
         gateway.exchange.state.note_request()
         admission = gateway.exchange.state.services[SERVICE].admission
-        chosen = admission._choose(RouteRequest(), self.time.at)
+        number, now = f"r{next(self._numbers)}", self.time.at
+        ticket = Ticket(number, "o1", Priority.DRAFT, 1, now + self.waits_ms)
+        if self.waits_ms:
+            gevent.spawn(lambda: self._sent(gateway, number, admission.acquire(ticket)))
+            return
+        self._sent(gateway, number, admission._straight_through(ticket, now))
+
+    def _sent(self, gateway, number, chosen):
+        """Note where a request went, and have it answered."""
         if not isinstance(chosen, Chosen):
             self.refused += 1
             return
-        number = f"r{next(self._numbers)}"
         endpoint, sent_at = chosen.endpoint, self.time.at
-        gateway.pool.started(endpoint, number, sent_at)
+        self.requests_of_ranks[endpoint] += 1
         if sent_at >= gateway.excused_until:
             self.arrivals.setdefault(endpoint, []).append((sent_at, gateway.name))
 
@@ -236,10 +276,11 @@
                 told.setdefault(gateway.name, self.time.at)
 
         def end():
+            self.requests_of_ranks[endpoint] -= 1
             outcome = Answered() if gateway.cut_until < self.time.at else Cancelled()
             gateway.pool.finished(endpoint, number, outcome, self.time.at)
 
-        for after, event in ((HEAD_AFTER_MS, answer), (ENDS_AFTER_MS, end)):
+        for after, event in ((HEAD_AFTER_MS, answer), (self.ends_after_ms, end)):
             heappush(self._events, (sent_at + after, next(self._numbers), event))
 
 
