--- a/src/azurefold/core/routing/cells.py
+++ b/src/azurefold/core/routing/cells.py
@@ -3,12 +3,16 @@
 With every node telling every other, messages grow with the square of the nodes:
 31 nodes sent some 15,000 a second. Nodes and endpoints are therefore dealt into
 as many cells as there are times nine nodes; the nodes of a cell send to its
-endpoints, and tell their loads to one another. Each cell has nodes and endpoints
-of all data centres, since names are dealt in their order.
+endpoints, and tell their loads to one another.
+
+Cells are of the same size, and a name that comes or goes moves few others. What a
+node has sent to an endpoint goes on when either of them moves, so each move is a
+request more that the endpoint's new cell has to be told of.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection
 from dataclasses import dataclass
+from zlib import crc32
 
 __all__ = ["Cell", "cell_of"]
 
@@ -19,6 +23,8 @@
 """With fewer endpoints in a cell, one that is slow or gone is too much of it;
 all nodes then send to all endpoints of the service."""
 
+_ALONE = (frozenset[str](),)
+
 
 @dataclass(frozen=True, slots=True)
 class Cell:
@@ -26,30 +32,37 @@
 
     Parameters
     ----------
-    number, count : int
+    number : int
         This cell among all.
-    nodes : frozenset of str
-        Nodes of the cell, this one included.
+    cells : tuple of frozenset of str
+        Nodes of each cell.
     """
 
     number: int = 0
-    count: int = 1
-    nodes: frozenset[str] = frozenset()
+    cells: tuple[frozenset[str], ...] = _ALONE
+
+    @property
+    def count(self) -> int:
+        """How many cells there are."""
+        return len(self.cells)
+
+    @property
+    def nodes(self) -> frozenset[str]:
+        """Nodes of this cell, this one included."""
+        return self.cells[self.number]
 
-    def endpoints_of(self, endpoints: Sequence[str]) -> frozenset[str]:
-        """Return those of a service's endpoints that the cell sends to.
+    def deal(self, endpoints: Collection[str]) -> dict[str, int]:
+        """Return the number of the cell that sends to each endpoint of a service.
 
         Examples
         --------
-        >>> cell = Cell(1, 2)
-        >>> sorted(cell.endpoints_of([f"e{number:02}" for number in range(16)]))[:3]
-        ['e01', 'e03', 'e05']
-        >>> len(cell.endpoints_of(["e1", "e2", "e3"]))
-        3
+        >>> cell = Cell(1, (frozenset({"n1"}), frozenset({"n2"})))
+        >>> dealt = cell.deal([f"e{number:02}" for number in range(16)])
+        >>> list(dealt.values()).count(0), list(dealt.values()).count(1)
+        (8, 8)
         """
-        if not self.divides(endpoints):
-            return frozenset(endpoints)
-        return frozenset(sorted(endpoints)[self.number :: self.count])
+        cells = _dealt(endpoints, self.count)
+        return {name: number for number, names in enumerate(cells) for name in names}
 
     def divides(self, endpoints: Collection[str]) -> bool:
         """Whether the endpoints of a service are dealt out to the cells."""
@@ -61,11 +74,28 @@
 
     Examples
     --------
-    >>> cell_of("n03", [f"n{number:02}" for number in range(27)])
-    ... # doctest: +ELLIPSIS
-    Cell(number=0, count=3, nodes=frozenset({...}))
+    >>> cell = cell_of("n03", [f"n{number:02}" for number in range(27)])
+    >>> cell.count, len(cell.nodes), "n03" in cell.nodes
+    (3, 9, True)
+    """
+    names = {node, *nodes}
+    count = max(1, round(len(names) / _NODES_OF_A_CELL))
+    cells = _dealt(names, count)
+    number = next(n for n, members in enumerate(cells) if node in members)
+    return Cell(number, tuple(map(frozenset, cells)))
+
+
+def _dealt(names: Collection[str], count: int) -> list[set[str]]:
+    """Deal names to cells by hash; what a full cell has no room for goes to the next.
+
+    Names are taken in the order of their hashes, so that one that is gone only makes
+    room for some of those behind it.
     """
-    ordered = sorted({node, *nodes})
-    count = max(1, round(len(ordered) / _NODES_OF_A_CELL))
-    number = ordered.index(node) % count
-    return Cell(number, count, frozenset(ordered[number::count]))
+    least, larger = divmod(len(names), count)
+    cells: list[set[str]] = [set() for _ in range(count)]
+    for mark, name in sorted((crc32(name.encode()), name) for name in names):
+        number = mark % count
+        while len(cells[number]) >= least + (number < larger):
+            number = (number + 1) % count
+        cells[number].add(name)
+    return cells
--- a/src/azurefold/core/routing/endpoint.py
+++ b/src/azurefold/core/routing/endpoint.py
@@ -169,6 +169,12 @@
         self._remember(now)
         return attempt
 
+    def take_over(self, former: "Endpoint") -> None:
+        """Go on with the attempts that ``former``, the same endpoint, still has."""
+        self.attempts = former.attempts
+        self.awaiting = former.awaiting
+        self._history = former._history
+
     def report(self, report: LoadReport, now: Millis) -> None:
         """Take in a load report, which is old by ``report.age``."""
         measured = now - report.age
--- a/src/azurefold/core/routing/members.py
+++ b/src/azurefold/core/routing/members.py
@@ -16,6 +16,10 @@
 class Members:
     """Endpoints by name, with sums that are kept up at each change.
 
+    An endpoint that other nodes send to from now on is kept in ``former`` until this
+    node's attempts there have ended. It still runs them, and goes on with them if it
+    is dealt to this node again.
+
     Parameters
     ----------
     policy : ConcurrencyPolicy
@@ -32,6 +36,7 @@
         self._position = 0
         self._slots: int | None = None
         self.by_name: dict[str, Endpoint] = {}
+        self.former: dict[str, Endpoint] = {}
         self.eligible: list[Endpoint] = []
         self.room = 0
         self.capacity = 0
@@ -45,16 +50,32 @@
         """Take in the present names; return those that are gone."""
         gone = sorted(self.by_name.keys() - names)
         for name in gone:
-            del self.by_name[name]
+            endpoint = self.by_name.pop(name)
+            endpoint.is_counted = False
+            if endpoint.attempts:
+                self.former[name] = endpoint
         for name in sorted(names - self.by_name.keys()):
             limit = ConcurrencyLimit(self._policy)
             endpoint = Endpoint(name, limit, self._sharing, last_progress=now)
+            if name in self.former:
+                endpoint.take_over(self.former.pop(name))
             endpoint.share_slots(self._nodes, self._position)
             self._bound(endpoint)
             self.by_name[name] = endpoint
         self._others = sum(one.others for one in self.by_name.values())
         return gone
 
+    def with_attempts(self, name: str) -> Endpoint | None:
+        """Return an endpoint that this node may have attempts at; None if unknown."""
+        return self.by_name.get(name) or self.former.get(name)
+
+    def ended(self, endpoint: Endpoint) -> None:
+        """Note that an attempt has ended, and forget a former endpoint without any."""
+        if self.by_name.get(endpoint.name) is endpoint:
+            self.recount(endpoint)
+        elif not endpoint.attempts:
+            self.former.pop(endpoint.name, None)
+
     def share_slots(self, nodes: int, position: int) -> None:
         """Divide the slots of all endpoints between ``nodes`` nodes."""
         self._nodes = max(1, nodes)
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -124,7 +124,7 @@
 
     def first_token(self, endpoint: str, attempt_id: str, now: Millis) -> None:
         """Note that an attempt's answer has begun; a repeat changes nothing."""
-        known = self._members.by_name.get(endpoint)
+        known = self._members.with_attempts(endpoint)
         attempt = known.attempts.get(attempt_id) if known else None
         if attempt is None or attempt.first_token is not None:
             return
@@ -149,12 +149,14 @@
         Ejected or None
             The ejection that this outcome led to.
         """
-        known = self._members.by_name.get(endpoint)
+        known = self._members.with_attempts(endpoint)
         attempt = known.end(attempt_id, now) if known else None
         if attempt is None:
             return None
-        ejected = self._learn_outcome(known, attempt, outcome, now)
-        self._members.recount(known)
+        ejected = None
+        if endpoint in self._members.by_name:
+            ejected = self._learn_outcome(known, attempt, outcome, now)
+        self._members.ended(known)
         return ejected
 
     def _learn_outcome(
--- a/src/azurefold/core/routing/pool_knowledge.py
+++ b/src/azurefold/core/routing/pool_knowledge.py
@@ -75,7 +75,7 @@
     @property
     def in_flight(self) -> int:
         """Attempts of this node that have not ended."""
-        return sum(endpoint.in_flight for endpoint in self._members.by_name.values())
+        return sum(self.loads.values())
 
     @property
     def room(self) -> int:
@@ -116,10 +116,15 @@
 
     @property
     def loads(self) -> dict[str, int]:
-        """Attempts of this node by endpoint, those without any left out."""
+        """Attempts of this node by endpoint, those without any left out.
+
+        Also at endpoints that this node sends nothing to any more.
+        """
+        known = (self._members.by_name, self._members.former)
         return {
             name: endpoint.in_flight
-            for name, endpoint in self._members.by_name.items()
+            for endpoints in known
+            for name, endpoint in endpoints.items()
             if endpoint.in_flight
         }
 
@@ -229,6 +234,7 @@
         """Forget all of an endpoint, which may be added again as a new one."""
         self._quotas.forget(name)
         self.set_endpoints(self._members.by_name.keys() - {name}, now)
+        self._members.former.pop(name, None)
 
     def mark_leaving(self, endpoint: str, now: Millis) -> None:
         """Choose ``endpoint`` no more; its attempts in flight go on."""
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -35,6 +35,9 @@
 _LOOK_MS: Millis = 60
 """Between two looks at whether loads have fallen, or anything else has changed."""
 
+_TOLD_WITHIN_MS: Millis = 2 * _LOOK_MS
+"""After cells were dealt anew, until gateways of other cells have told their loads."""
+
 _SPACING_MS: Millis = 5
 """Between two messages about dispatches: some at the same moment are told in one."""
 
@@ -76,6 +79,11 @@
         Returns what is to be told of this node's coordination.
     cell : Cell
         The gateways that this one tells its loads.
+    loads : PeerLoads
+        Of the gateways of the cell.
+    visitors : PeerLoads
+        Of gateways of other cells that still have requests at endpoints which were
+        dealt to this one.
     """
 
     state: GatewayState
@@ -83,6 +91,7 @@
     on_message: Callable[[PeerMessage], None]
     coordination: Callable[[], Coordination]
     loads: PeerLoads = field(default_factory=PeerLoads)
+    visitors: PeerLoads = field(default_factory=PeerLoads)
     cell: Cell = field(default_factory=Cell)
     _peers: dict[str, Peer] = field(default_factory=dict)
     _sock: gevent_socket.socket | None = None
@@ -92,6 +101,7 @@
     _sent_to_all: Coordination | None = None
     _sent_to_all_at: Millis = 0
     _sent_quotas_at: Millis = 0
+    _visited: frozenset[str] = frozenset()
     _groups: GroupPortions = field(default_factory=GroupPortions)
     _quotas: QuotaPortions = field(default_factory=QuotaPortions)
 
@@ -122,6 +132,10 @@
 
     def _deal_cells(self) -> None:
         self.cell = cell_of(self.state.settings.name, self._peers)
+        for node in self.loads.nodes - self.cell.nodes:
+            self.loads.give(node, self.visitors)
+        for node in self.visitors.nodes & self.cell.nodes:
+            self.visitors.give(node, self.loads)
         self.state.set_nodes(len(self._peers) + 1)
         self.state.set_cell(self.cell)
 
@@ -195,10 +209,26 @@
             is_waiting,
         )
         data = self._fitting(message)
+        hosts = self._hosts()
+        # Once more after the last request there has ended, so that it counts no longer.
+        told_loads = self.cell.nodes | hosts | self._visited
+        self._visited = hosts
         for peer in self._peers.values():
-            if to_all or peer.node in self.cell.nodes:
+            if to_all or peer.node in told_loads:
                 self._send_to(peer, data)
 
+    def _hosts(self) -> frozenset[str]:
+        """Return the gateways of other cells at whose endpoints requests run.
+
+        What goes wrong if they are not told: to them an endpoint that was dealt to
+        their cell has room, while it still runs what others sent before. It gets as
+        many again, and callers wait there for each other's answers.
+        """
+        services = self.state.services.values()
+        cells = self.cell.cells
+        visited = {number for each in services for number in each.cells_visited}
+        return frozenset(n for c in visited if c < len(cells) for n in cells[c])
+
     def _fitting(self, message: PeerMessage) -> bytes:
         """Return a message's bytes, without what gateways can do without if too many.
 
@@ -279,7 +309,10 @@
             self._peers[message.node] = Peer(message.node, ip, message.port)
             self._deal_cells()
         self._peers[message.node] = Peer(message.node, ip, message.port)
-        if message.node in self.cell.nodes:
+        if message.node not in self.cell.nodes:
+            if self.visitors.hear(digest, now):
+                self._report_loads(now)
+        else:
             is_known = message.node in self.loads.nodes
             if not self.loads.hear(digest, now):
                 return
@@ -289,23 +322,30 @@
         self.on_message(message)
 
     def _forget_silent(self) -> None:
-        silent = self.loads.expire(self.state.clock.now())
+        now = self.state.clock.now()
+        silent = self.loads.expire(now)
         for node in silent:
             log_event(_log, "peer_silent", peer=node)
-        if silent:
-            self._report_loads(self.state.clock.now())
+        if self.visitors.expire(now) or silent:
+            self._report_loads(now)
 
     def _report_loads(self, now: Millis) -> None:
         contenders = self.loads.nodes_waiting + 1
         for service in self.state.services.values():
             service.admission.contenders = contenders
             pool = service.admission.pool
-            # Where all cells send to all endpoints, the others have about as
-            # many requests there as this one.
-            cells = 1 if service.is_divided else self.cell.count
             for endpoint in pool.endpoints:
-                own = pool.load_of(endpoint)
-                all_nodes = cells * (self.loads.of(endpoint) + own)
+                if now - service.dealt_at(endpoint) < _TOLD_WITHIN_MS:
+                    # Until those who sent there before have told, it is not empty
+                    # but unknown: taken for as busy as the others.
+                    continue
+                of_cell = self.loads.of(endpoint) + pool.load_of(endpoint)
+                if service.is_divided:
+                    all_nodes = of_cell + self.visitors.of(endpoint)
+                else:
+                    # All cells send to all endpoints: the others have about as
+                    # many requests there as this one.
+                    all_nodes = of_cell * self.cell.count
                 pool.load_reported(endpoint, LoadReport(all_nodes, 0), now)
             if service.admission.waiting:
                 service.admission.pump()
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -82,6 +82,9 @@
     groups: RankGroups = field(default_factory=RankGroups)
     promised_gap_ms: Millis = 0
     usual_first_ms: float = _USUAL_FIRST_MS
+    _dealt_at: dict[str, Millis] = field(default_factory=dict)
+    _cell_number: int = 0
+    _dealt: dict[str, int] = field(default_factory=dict)
     _limits: dict[int, PassLimit] = field(default_factory=dict)
     _limit_logged_at: dict[int, Millis] = field(default_factory=dict)
     _names: dict[int, str] = field(default_factory=dict)
@@ -96,6 +99,18 @@
         engine = self.view.engine
         return engine is not None and engine.splits_experts
 
+    def dealt_at(self, endpoint: str) -> Millis:
+        """Return since when this node's cell sends to an endpoint."""
+        return self._dealt_at.get(endpoint, 0)
+
+    @property
+    def cells_visited(self) -> set[int]:
+        """Other cells, by number, whose endpoints run requests of this node."""
+        if not self.is_divided:
+            return set()
+        homes = map(self._dealt.get, self.admission.pool.loads)
+        return {home for home in homes if home not in (None, self._cell_number)}
+
     @property
     def seems_to_run(self) -> bool:
         """Whether any group is neither down nor gives cause for doubt."""
@@ -264,7 +279,8 @@
         self._quota_news.forget_all_but(self.entries)
         staying = [entry.name for entry in entries if not entry.leaving]
         self.is_divided = cell.divides(staying)
-        used = cell.endpoints_of(staying)
+        used = self._deal(staying, cell)
+        self._dealt_at = {name: self._dealt_at.get(name, now) for name in used}
         pool = self.admission.pool
         pool.set_endpoints(used, now)
         for entry in entries:
@@ -277,6 +293,31 @@
         self._pause_groups("endpoints_changed")
         self.admission.pump()
 
+    def _deal(self, staying: list[str], cell: Cell) -> frozenset[str]:
+        """Return the endpoints that this node's cell sends to."""
+        if not self.is_divided:
+            return frozenset(staying)
+        before = self._dealt if self._cell_number == cell.number else {}
+        self._cell_number = cell.number
+        self._dealt = cell.deal(staying)
+        moved = sum(
+            before.get(name, home) != home for name, home in self._dealt.items()
+        )
+        used = frozenset(n for n, home in self._dealt.items() if home == cell.number)
+        log_event(
+            _log,
+            "endpoints_dealt",
+            service=self.view.name,
+            cell=cell.number,
+            of=cell.count,
+            nodes=len(cell.nodes),
+            endpoints=len(used),
+            of_endpoints=len(staying),
+            moved=moved,
+            visited=len(self.cells_visited),
+        )
+        return used
+
     def _set_slots(self) -> None:
         engine = self.view.engine
         listed = max((entry.slots for entry in self.entries.values()), default=1)
--- a/tests/gateway/quota_world.py
+++ b/tests/gateway/quota_world.py
@@ -212,6 +212,7 @@
     def _start(self, name):
         settings = settings_of(name=name, is_first_start=True)
         state = new_gateway_state(settings, manual_clock(self.time))
+        state.draw.seed(f"{self.seed} {name}")
         state.apply(
             RoutingConfiguration(1, (), {SERVICE: RoutedService(SERVICE, 64, None)})
         )
