--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -24,6 +24,11 @@
 _OBSERVED_EVERY_MS: Millis = 30
 """All streams of a group show the same passes; two looks at each are enough."""
 
+_USUAL_MS: Millis = 1_000
+"""Time constant of requests that are compared with what a coordinator tells."""
+
+_TOLD_KEPT_MS: Millis = 3_000
+_LARGEST_SHARE = 2.0
 _FEWEST = 1.0
 
 
@@ -35,12 +40,21 @@
     ----------
     fixed_ms : float
         Part of a pass that does not depend on the requests.
+
+    Notes
+    -----
+    Nodes know the requests of a part of the ranks only, and passes depend on those of
+    all ranks. Were each part limited in proportion to its own requests, one that has
+    got more than others once would keep them, and the others fewer.
     """
 
     fixed_ms: float = 0.0
     _pass_ms: float = 0.0
     _requests: float = 0.0
     _at: Millis = 0
+    _usual_requests: float = 0.0
+    _group_share: float = 1.0
+    _told_at: Millis | None = None
 
     @property
     def pass_ms(self) -> float:
@@ -68,12 +82,35 @@
         """
         if not self._at:
             self._pass_ms, self._requests = float(gap), requests
-        weight = 1.0 - exp(-max(1, now - self._at) / _MEMORY_MS)
+            self._usual_requests = requests
+        elapsed = max(1, now - self._at)
+        weight = 1.0 - exp(-elapsed / _MEMORY_MS)
+        usual_weight = 1.0 - exp(-elapsed / _USUAL_MS)
+        self._usual_requests += usual_weight * (requests - self._usual_requests)
         self._at = now
         self._pass_ms += weight * (gap - self._pass_ms)
         self._requests += weight * (requests - self._requests)
 
-    def requests_of_a_rank(self, promised_gap: Millis, slots: int) -> float:
+    def told(self, of_group: float, now: Millis) -> None:
+        """Take in the mean requests of all the group's ranks, a second old."""
+        if self._usual_requests <= 0 or of_group <= 0:
+            return
+        share = of_group / self._usual_requests
+        share = min(_LARGEST_SHARE, max(1 / _LARGEST_SHARE, share))
+        elapsed = now - self._told_at if self._told_at is not None else _USUAL_MS
+        weight = 1.0 - exp(-elapsed / _USUAL_MS)
+        self._told_at = now
+        self._group_share += weight * (share - self._group_share)
+
+    def group_share(self, now: Millis) -> float:
+        """Return the requests of all the group's ranks over those known here."""
+        if self._told_at is None or now - self._told_at >= _TOLD_KEPT_MS:
+            return 1.0
+        return self._group_share
+
+    def requests_of_a_rank(
+        self, promised_gap: Millis, slots: int, now: Millis = 0
+    ) -> float:
         """Return how many requests each rank should have at most, on average.
 
         Parameters
@@ -82,6 +119,7 @@
             Longest time between two events of a stream that is on time.
         slots : int
             Requests that a rank runs at a time.
+        now : int
 
         Examples
         --------
@@ -96,5 +134,6 @@
         if not promised_gap or variable <= 0:
             return float(slots)
         allowed = _TARGET_SHARE * promised_gap - self.fixed_ms
-        wanted = self._requests * allowed / variable
+        requests = self._requests * self.group_share(now)
+        wanted = requests * allowed / variable
         return min(float(slots), max(_FEWEST, wanted))
--- a/src/azurefold/core/routing/pool_knowledge.py
+++ b/src/azurefold/core/routing/pool_knowledge.py
@@ -167,11 +167,14 @@
         known = self._members.by_name.get(endpoint)
         return known is not None and known.in_flight + known.others <= known.slots
 
-    def mean_load(self, names: Collection[str]) -> float:
-        """Return the requests of all nodes that ``names`` have, on average."""
-        members = self._members.by_name
-        loads = [members[name].in_flight + members[name].others for name in names]
-        return sum(loads) / len(loads) if loads else 0.0
+    def mean_running(self, names: Collection[str]) -> float:
+        """Return the requests of all nodes that ``names`` run, on average.
+
+        What an endpoint has beyond its slots waits there and makes no pass longer.
+        """
+        members = [self._members.by_name[name] for name in names]
+        running = [min(each.in_flight + each.others, each.slots) for each in members]
+        return sum(running) / len(running) if running else 0.0
 
     def limit_requests(self, names: Collection[str], mean: float | None) -> None:
         """Let ``names`` have at most so many requests, on average; None for any.
--- a/src/azurefold/core/routing/rank_groups.py
+++ b/src/azurefold/core/routing/rank_groups.py
@@ -54,6 +54,8 @@
     standing : Standing
     ranks : tuple of int
         Marks of its endpoints.
+    running : float or None
+        Requests that each of all its ranks runs, on average; None if not known.
     """
 
     service: int
@@ -61,6 +63,7 @@
     epoch: int
     standing: Standing
     ranks: tuple[int, ...] = ()
+    running: float | None = field(default=None, compare=False)
 
 
 @dataclass(slots=True)
--- a/src/azurefold/gateway/groups/control.py
+++ b/src/azurefold/gateway/groups/control.py
@@ -163,6 +163,7 @@
                 view.epoch,
                 view.standing,
                 tuple(sorted(map(endpoint_mark, view.endpoints.values()))),
+                view.running,
             )
             for view in self.watch.groups.values()
             if view.views
--- a/src/azurefold/gateway/groups/view.py
+++ b/src/azurefold/gateway/groups/view.py
@@ -72,6 +72,12 @@
             return Standing.RUNS
         return Standing.FORMS if len(self.views) == self.size else Standing.DOWN
 
+    @property
+    def running(self) -> float | None:
+        """Requests that each rank runs, on average; None without any report."""
+        views = self.views.values()
+        return sum(view.active for view in views) / len(views) if views else None
+
     @property
     def epoch(self) -> int:
         """The latest that any rank reports."""
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -11,10 +11,10 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.routing.quotas import QuotaWord
-from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.gateway.groups.coordinator import Coordinator, new_coordinator
 from azurefold.gateway.peers.exchange import Exchange, Peer, new_exchange
 from azurefold.gateway.peers.messages import PeerMessage
+from azurefold.gateway.peers.portions import news_of_group
 from azurefold.gateway.peers.reach import Reach
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.news import News
@@ -124,11 +124,7 @@
         reach.isolation.heard(message.node, state.clock.now())
         coordinator.heard(message)
         for beat in message.groups:
-            state.group_told(
-                GroupNews(
-                    beat.service, beat.group, beat.epoch, beat.standing, beat.ranks
-                )
-            )
+            state.group_told(news_of_group(beat))
         for beat in message.quotas:
             word = QuotaWord(beat.rate, state.clock.now() - beat.age)
             state.quota_told(beat.endpoint, word, message.node)
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -19,6 +19,8 @@
     epoch, standing : int
     ranks : tuple of int
         Marks of its endpoints.
+    running : int or None
+        Hundredths of a request that each of all its ranks runs, on average.
     """
 
     service: int
@@ -26,6 +28,7 @@
     epoch: int
     standing: Standing
     ranks: tuple[int, ...]
+    running: int | None = None
 
 
 class QuotaBeat(msgspec.Struct, array_like=True, frozen=True):
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -14,15 +14,23 @@
 from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.gateway.peers.messages import GroupBeat, QuotaBeat
 
-__all__ = ["MOST_BYTES", "GroupPortions", "QuotaPortions", "heaviest"]
+__all__ = [
+    "MOST_BYTES",
+    "GroupPortions",
+    "QuotaPortions",
+    "heaviest",
+    "news_of_group",
+]
 
 MOST_BYTES = 1_400
 """Of a message: what a packet of an ordinary network carries."""
 
 _MOST_GROUP_BYTES = 640
-_BYTES_OF_A_GROUP = 24
+_BYTES_OF_A_GROUP = 27
 _BYTES_OF_A_RANK = 5
 
+_HUNDREDTHS = 100
+
 _MOST_LOADS = 80
 _MOST_QUOTAS = 12
 
@@ -42,6 +50,14 @@
     return dict(nlargest(_MOST_LOADS, loads.items(), key=lambda load: load[1]))
 
 
+def news_of_group(beat: GroupBeat) -> GroupNews:
+    """Return what a portion tells of its group."""
+    running = None if beat.running is None else beat.running / _HUNDREDTHS
+    return GroupNews(
+        beat.service, beat.group, beat.epoch, beat.standing, beat.ranks, running
+    )
+
+
 @dataclass(slots=True)
 class GroupPortions:
     """Deals the coordinator's news of groups out to messages."""
@@ -100,9 +116,12 @@
 
 
 def _slices(news: GroupNews, largest: int) -> Iterator[GroupBeat]:
+    running = None if news.running is None else round(_HUNDREDTHS * news.running)
     for first in range(0, len(news.ranks) or 1, largest):
         ranks = news.ranks[first : first + largest]
-        yield GroupBeat(news.service, news.group, news.epoch, news.standing, ranks)
+        yield GroupBeat(
+            news.service, news.group, news.epoch, news.standing, ranks, running
+        )
 
 
 def _ranks_that_fit() -> int:
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -131,6 +131,9 @@
         """Take in what the coordinator tells of a group."""
         if self.groups.told(news, now):
             self._pause_groups(f"coordinator_{news.standing.name.lower()}")
+        limit = self._limits.get(news.group)
+        if limit is not None and news.running is not None:
+            limit.told(news.running, now)
 
     def rank_refused(self, endpoint: str, at_fault: str, now: Millis) -> bool:
         """Note that a rank refused; return whether that is put down to its group.
@@ -178,9 +181,9 @@
             return
         pool = self.admission.pool
         ranks = [name for name in pool.endpoints if self.groups.group_of(name) == group]
-        limit.observe(gap, pool.mean_load(ranks), now)
-        mean = limit.requests_of_a_rank(self.promised_gap_ms, engine.slots)
-        pool.limit_requests(ranks, None if mean >= engine.slots else mean)
+        limit.observe(gap, pool.mean_running(ranks), now)
+        mean = limit.requests_of_a_rank(self.promised_gap_ms, engine.slots, now)
+        pool.limit_requests(ranks, mean)
         self._log_limit(group, limit, mean, now)
         if self.admission.waiting:
             self.admission.pump()
@@ -201,6 +204,7 @@
             promised_gap_ms=self.promised_gap_ms,
             requests=f"{limit.requests:.2f}",
             limit=f"{mean:.2f}",
+            group_share=f"{limit.group_share(now):.2f}",
             slots=self.view.engine.slots,
             waiting=self.admission.waiting,
         )
--- a/tests/core/routing/test_passes_stay_short.py
+++ b/tests/core/routing/test_passes_stay_short.py
@@ -77,7 +77,7 @@
     assert pool.room == 10
     pool.load_reported("a", LoadReport(2, 0), now=0)
     assert pool.room == 8
-    assert pool.mean_load(pool.endpoints) == 0.5
+    assert pool.mean_running(pool.endpoints) == 0.5
 
 
 def test_no_limit_leaves_the_slots_and_one_beyond(pool):
--- a/tests/gateway/test_requests_go_to_groups_that_run.py
+++ b/tests/gateway/test_requests_go_to_groups_that_run.py
@@ -109,7 +109,7 @@
     assert asked[0] in SECOND
 
 
-def test_long_passes_leave_fewer_places_and_short_ones_all(relay, state, time):
+def test_long_passes_leave_fewer_places_and_short_ones_all_slots(relay, state, time):
     service = state.services["desk"]
     service.promised_gap_ms = 120
     room = service.admission.pool.room
@@ -122,7 +122,8 @@
     for _ in range(30):
         time.at += 40
         service.event_gap("e1", 40, time.at)
-    assert service.admission.pool.room == room - 6
+    beyond_slots = len(SECOND)
+    assert service.admission.pool.room == room - 6 - beyond_slots
 
 
 def test_a_gateway_that_is_cut_off_sends_callers_back_late(
