--- a/tests/core/routing/test_passes_stay_short.py
+++ b/tests/core/routing/test_passes_stay_short.py
@@ -44,6 +44,33 @@
     assert served >= 0.87 * served_with_all
 
 
+def test_cells_that_share_a_group_are_limited_alike():
+    """Guards against a cell that keeps the places it has got before the others."""
+    limits = [PassLimit(FIXED_MS) for _ in range(3)]
+    requests, now = [6.0, 2.0, 2.0], 1_000
+    for _ in range(120):
+        mean = sum(requests) / len(requests)
+        length = round(pass_ms(mean, skew=2.2))
+        now += length
+        for number, limit in enumerate(limits):
+            limit.observe(length, requests[number], now)
+            limit.told(mean, now)
+        requests = [
+            limit.requests_of_a_rank(PROMISED_MS, SLOTS, now) for limit in limits
+        ]
+    assert max(requests) - min(requests) <= 0.1 * mean
+    assert pass_ms(mean, skew=2.2) <= 0.75 * PROMISED_MS
+
+
+def test_without_a_coordinator_a_cell_goes_by_its_own_requests():
+    limit = PassLimit(FIXED_MS)
+    limit.observe(100, requests=4.0, now=1_000)
+    alone = limit.requests_of_a_rank(PROMISED_MS, SLOTS, now=1_000)
+    limit.told(2.0, now=1_000)
+    assert limit.requests_of_a_rank(PROMISED_MS, SLOTS, now=1_100) < alone
+    assert limit.requests_of_a_rank(PROMISED_MS, SLOTS, now=9_000) == alone
+
+
 def test_short_passes_leave_all_slots():
     requests, _ = settled(skew=1.0, wanted=3)
     assert requests == 3
@@ -80,6 +107,12 @@
     assert pool.mean_running(pool.endpoints) == 0.5
 
 
+def test_what_waits_at_a_full_endpoint_does_not_count(pool):
+    """Guards against limits that rise with requests which run nowhere."""
+    pool.load_reported("a", LoadReport(3 * SLOTS, 0), now=0)
+    assert pool.mean_running(["a"]) == SLOTS
+
+
 def test_no_limit_leaves_the_slots_and_one_beyond(pool):
     pool.limit_requests(pool.endpoints, mean=1.0)
     pool.limit_requests(pool.endpoints, mean=None)
