--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -117,8 +117,8 @@
 
     Parameters
     ----------
-    on_grant : callable
-        Called whenever a request has got an endpoint.
+    on_demand : callable
+        Called whenever a request has got an endpoint, or begins to wait for one.
     contenders : int
         Nodes that have requests waiting for these endpoints, this one included.
     """
@@ -129,7 +129,7 @@
     pool: Pool = field(default_factory=Pool)
     queue: FairQueue = field(default_factory=FairQueue)
     retries: RetryBudget = field(default_factory=RetryBudget)
-    on_grant: Callable[[], None] = lambda: None
+    on_demand: Callable[[], None] = lambda: None
     contenders: int = 1
     _next_part_at: Millis = 0
     _waiting: dict[str, tuple[Ticket, AsyncResult]] = field(default_factory=dict)
@@ -313,6 +313,7 @@
             self._answer_refusal(refusal)
         result = AsyncResult()
         self._waiting[ticket.request_id] = (ticket, result)
+        self.on_demand()
         # Room that drafts must leave is free for a confirmation at once.
         self.pump()
         try:
@@ -350,7 +351,7 @@
         # greenlet may yield, and others would choose the same free place.
         now = self.clock.now()
         self.pool.started(chosen.endpoint, ticket.request_id, now, ticket.route)
-        self.on_grant()
+        self.on_demand()
         return chosen
 
 
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -39,7 +39,7 @@
 """After cells were dealt anew, until gateways of other cells have told their loads."""
 
 _SPACING_MS: Millis = 5
-"""Between two messages about dispatches: some at the same moment are told in one."""
+"""Between two messages at once: some dispatches at the same moment are told in one."""
 
 _QUIET_MS: Millis = 500
 """At the latest a message is sent although nothing has changed."""
@@ -153,24 +153,24 @@
     def send_for_ever(self) -> None:
         """Send messages when there is something to tell."""
         while True:
-            self._await_dispatch()
+            self._await_demand()
             self._forget_silent()
             self._share_quotas()
             self.send()
 
-    def _await_dispatch(self) -> None:
-        """Wait for a dispatch, or until the next look is due.
+    def _await_demand(self) -> None:
+        """Wait for a dispatch or a request that waits, or until the next look is due.
 
-        What goes wrong if a dispatch is told with the next look only: meanwhile the
+        What goes wrong if they are told with the next look only: meanwhile the
         endpoint is the emptiest to all gateways of the cell, and each of them that
         has a request sends it there.
         """
-        dispatched = self.state.dispatched
-        if not dispatched.wait(_LOOK_MS / _SECOND_MS):
+        changed = self.state.demand_changed
+        if not changed.wait(_LOOK_MS / _SECOND_MS):
             return
         early = self._sent_at + _SPACING_MS - self.state.clock.now()
         gevent.sleep(max(0, early) / _SECOND_MS)
-        dispatched.clear()
+        changed.clear()
 
     def send(self, *, at_once: bool = False) -> None:
         """Send a message to all peers if there is news, or it is time."""
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -82,9 +82,9 @@
         Rows that named no endpoint to use, as often as they were read.
     oversized_messages : int
         Messages to other gateways from which something was left out to fit.
-    dispatched : Event
-        Set when a request has got an endpoint, which the other gateways of the cell
-        do not know of yet.
+    demand_changed : Event
+        Set when a request has got an endpoint, or waits for one, which the other
+        gateways of the cell do not know of yet.
     """
 
     settings: GatewaySettings
@@ -108,7 +108,7 @@
     is_cut_off: bool = False
     unreadable_entries: int = 0
     oversized_messages: int = 0
-    dispatched: Event = field(default_factory=Event)
+    demand_changed: Event = field(default_factory=Event)
     _requested_at: Millis | None = None
     _configuration_seen: Millis | None = None
 
@@ -262,7 +262,7 @@
             self.draw.getrandbits(32),
             RetryBudget(_retry_policy(self.settings), self.retry_part),
         )
-        service.admission.on_grant = self.dispatched.set
+        service.admission.on_demand = self.demand_changed.set
         self.services[view.name] = service
 
 
--- a/tests/gateway/quota_world.py
+++ b/tests/gateway/quota_world.py
@@ -113,10 +113,10 @@
             for place, gateway in enumerate(self.by_name.values()):
                 if gateway.stands_until > self.time.at:
                     continue
-                dispatched = gateway.exchange.state.dispatched
+                changed = gateway.exchange.state.demand_changed
                 is_look_due = (turn + place) % (LOOK_MS // self.step_ms) == 0
-                if is_look_due or dispatched.is_set():
-                    dispatched.clear()
+                if is_look_due or changed.is_set():
+                    changed.clear()
                     self._look(gateway)
                 if (turn + place) % (TICK_MS // self.step_ms) == 0:
                     gateway.exchange.state.services[SERVICE].tick()
