--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -3,11 +3,12 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent
 
 from azurefold.core.clock import Clock, Millis
+from azurefold.core.membership.eras import StoreEra
 from azurefold.internal.logs import log_event
 from azurefold.platform.store import Feed, StoreClient
 from azurefold.platform.store_messages import (
@@ -76,6 +77,7 @@
     on_lost: Callable[[], None]
     is_behind: Callable[[], bool] = lambda: False
     version: int | None = None
+    _era: StoreEra = field(default_factory=StoreEra)
     _feed: Feed | None = None
     _failures: int = 0
     _failing_since: Millis = 0
@@ -113,10 +115,16 @@
         answer = self._read_all() if self.version is None else self._read_changes()
         woken, self._woken = self._woken, False
         match answer:
-            case StoredRows(rows=rows, version=version):
+            case StoredRows(rows=rows, version=version, era=era):
                 self._heard()
+                self._era.has_ended(era)
                 self.on_rows(rows)
                 self.version = version
+            case FeedChanges(era=era) if self._era.has_ended(era):
+                self._heard()
+                # Its changes are of another history than the version asked for.
+                log_event(_log, "store_era_rose", table=self.table, era=era)
+                self.version = None
             case FeedChanges(rows=rows, version=version):
                 self._heard()
                 # What cannot be taken in must not be skipped either: should it
--- a/src/azurefold/platform/store.py
+++ b/src/azurefold/platform/store.py
@@ -1,7 +1,10 @@
 """Client of the platform's store: rows, conditional writes and feeds."""
 
+import logging
 from base64 import b64decode, b64encode
 from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import cache
 from http import HTTPStatus
 from urllib.parse import urlencode
 
@@ -11,6 +14,7 @@
 
 from azurefold.core.clock import Millis
 from azurefold.internal.http_client import CONNECTION_ERRORS, http_client
+from azurefold.internal.logs import log_event
 from azurefold.platform.store_messages import (
     Applied,
     Conflicted,
@@ -28,6 +32,8 @@
 
 __all__ = ["FEED_SLACK_MS", "LONGEST_WAIT_MS", "StoreClient", "store_client"]
 
+_log = logging.getLogger("azurefold.platform")
+
 FEED_SLACK_MS: Millis = 1_000
 """Added to a feed's wait before its connection counts as silent: the store
 answers within some 300 ms when it is slow."""
@@ -38,6 +44,9 @@
 _CALL_TIMEOUT_MS: Millis = 1_500
 """For all calls but feeds: five times the slowest answer seen, 270 ms."""
 
+_ERA = "Store-Era"
+_MOST_ERA_DIGITS = 18
+
 _CONNECT_TIMEOUT_MS: Millis = 1_000
 _SECOND_MS = 1_000
 _REFUSALS = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
@@ -57,7 +66,13 @@
 
 
 _decode_rows = msgspec.json.Decoder(_Rows).decode
-_Answer = tuple[int, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+    era: int | None
 
 
 class StoreClient:
@@ -71,20 +86,28 @@
         """Read all rows of a table that have no partition."""
         rows: list[StoredRow] = []
         start = ""
-        version = None
+        version = era = None
         while True:
             query = {"Table": table, "part": ""}
             if start:
                 query["From"] = start
-            page = self._read(f"/rows-get?{urlencode(query)}")
+            uri = f"/rows-get?{urlencode(query)}"
+            try:
+                answer = self._ask(self._calls, "GET", uri)
+            except CONNECTION_ERRORS as error:
+                return Unavailable(_reason(error))
+            page = _rows(answer)
             if isinstance(page, Unavailable):
                 return page
+            if start and answer.era != era:
+                return Unavailable("pages of two eras")
             rows += [_stored(row) for row in page.rows]
             # What changes between two pages in rows that were read already would be
             # skipped if the feed went on from the last page's version.
             version = page.version if version is None else version
+            era = answer.era
             if not page.has_more or not page.rows:
-                return StoredRows(tuple(rows), version)
+                return StoredRows(tuple(rows), version, era)
             # The range includes its first key, so the next one is the least
             # text above the last.
             start = page.rows[-1].key + "\0"
@@ -118,22 +141,15 @@
             }
         )
         try:
-            status, answer = self._ask(self._calls, "POST", "/rows-tx", body)
+            answer = self._ask(self._calls, "POST", "/rows-tx", body)
         except CONNECTION_ERRORS as error:
             return Uncertain(_reason(error))
-        return _outcome(status, answer)
+        return _outcome(answer.status, answer.body)
 
     def open_feed(self) -> "Feed":
         """Return a feed with a connection of its own."""
         return Feed(self._address)
 
-    def _read(self, uri: str) -> _Rows | Unavailable:
-        try:
-            status, body = self._ask(self._calls, "GET", uri)
-        except CONNECTION_ERRORS as error:
-            return Unavailable(_reason(error))
-        return _rows(status, body)
-
     @staticmethod
     def _ask(client: HTTPClient, method: str, uri: str, body: bytes = b"") -> _Answer:
         # The library's timeout is for each read; an answer that trickles would
@@ -172,19 +188,20 @@
         seconds = (wait_ms + FEED_SLACK_MS) / _SECOND_MS
         try:
             with gevent.Timeout(seconds, TimeoutError("no answer")):
-                status, body = _exchange(self._client, "GET", uri, b"")
+                answer = _exchange(self._client, "GET", uri, b"")
         except CONNECTION_ERRORS as error:
             return Unavailable(_reason(error))
-        if status == HTTPStatus.GONE:
+        if answer.status == HTTPStatus.GONE:
             return HistoryLost()
-        page = _rows(status, body)
+        page = _rows(answer)
         if isinstance(page, Unavailable):
             return page
         # An answer has room for some of the changes only, while the version it names is
         # that of the newest one: from there, all changes between would be skipped, and
         # the gateway would be behind its peers for good.
         version = max((row.version for row in page.rows), default=page.version)
-        return FeedChanges(tuple(_stored(row) for row in page.rows), version)
+        rows = tuple(_stored(row) for row in page.rows)
+        return FeedChanges(rows, version, answer.era)
 
     def close(self) -> None:
         """Close the connection; a reader that waits on it fails."""
@@ -203,14 +220,30 @@
 def _exchange(client: HTTPClient, method: str, uri: str, body: bytes) -> _Answer:
     headers = {"Content-Type": "application/json"} if body else {}
     response = client.request(method, uri, body, headers)
-    return response.status_code, bytes(response.read())
+    era = _era_in(response.get(_ERA))
+    return _Answer(response.status_code, bytes(response.read()), era)
+
+
+def _era_in(header: str | None) -> int | None:
+    """Return the era that an answer tells; None if it tells none, or no number."""
+    if header is None:
+        return None
+    if header.isascii() and header.isdecimal() and len(header) <= _MOST_ERA_DIGITS:
+        return int(header)
+    _log_unreadable_era(header)
+    return None
+
+
+@cache
+def _log_unreadable_era(header: str) -> None:
+    log_event(_log, "store_era_unreadable", logging.WARNING, header=header[:32])
 
 
-def _rows(status: int, body: bytes) -> _Rows | Unavailable:
-    if status != HTTPStatus.OK:
-        return Unavailable(f"status {status}")
+def _rows(answer: _Answer) -> _Rows | Unavailable:
+    if answer.status != HTTPStatus.OK:
+        return Unavailable(f"status {answer.status}")
     try:
-        return _decode_rows(body)
+        return _decode_rows(answer.body)
     except msgspec.MsgspecError as error:
         return Unavailable(f"an answer not understood: {error}")
 
--- a/src/azurefold/platform/store_messages.py
+++ b/src/azurefold/platform/store_messages.py
@@ -57,18 +57,28 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredRows:
-    """The rows of a table at one version of the store."""
+    """The rows of a table at one version of the store.
+
+    Parameters
+    ----------
+    rows : tuple of StoredRow
+    version : int
+    era : int or None
+        Rises whenever the store comes back from an older copy; None if not told.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class FeedChanges:
-    """Rows that changed, in order, and the version to go on from."""
+    """Rows that changed, in order, and the version and era to go on from."""
 
     rows: tuple[StoredRow, ...]
     version: int
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
