--- a/src/azurefold/platform/store.py
+++ b/src/azurefold/platform/store.py
@@ -4,7 +4,7 @@
 from base64 import b64decode, b64encode
 from collections.abc import Sequence
 from dataclasses import dataclass
-from functools import cache
+from functools import lru_cache
 from http import HTTPStatus
 from urllib.parse import urlencode
 
@@ -46,6 +46,8 @@
 
 _ERA = "Store-Era"
 _MOST_ERA_DIGITS = 18
+_MOST_UNREADABLE_ERAS = 16
+"""That are remembered, so that each is logged once."""
 
 _CONNECT_TIMEOUT_MS: Millis = 1_000
 _SECOND_MS = 1_000
@@ -99,13 +101,13 @@
             page = _rows(answer)
             if isinstance(page, Unavailable):
                 return page
-            if start and answer.era != era:
+            if None not in (era, answer.era) and answer.era != era:
                 return Unavailable("pages of two eras")
             rows += [_stored(row) for row in page.rows]
             # What changes between two pages in rows that were read already would be
             # skipped if the feed went on from the last page's version.
             version = page.version if version is None else version
-            era = answer.era
+            era = answer.era if era is None else era
             if not page.has_more or not page.rows:
                 return StoredRows(tuple(rows), version, era)
             # The range includes its first key, so the next one is the least
@@ -234,7 +236,7 @@
     return None
 
 
-@cache
+@lru_cache(maxsize=_MOST_UNREADABLE_ERAS)
 def _log_unreadable_era(header: str) -> None:
     log_event(_log, "store_era_unreadable", logging.WARNING, header=header[:32])
 
