Log request identities and endpoint crashes in the gateway

The record of an incident did not show whether a request that broke off at several endpoints in turn was the same request, nor whether those endpoints had ended or had only closed a connection. Each failed attempt now logs the identity of the request: a digest of method, host, target, organisation and body that is the same for each repeat at any gateway. After an answer breaks off, unless reading timed out, the gateway opens a new connection to the endpoint. If it is refused, the endpoint has ended and an endpoint_crashed event is logged. A connection that succeeds is kept for a later request.

Alternatives ruled out: removal of the entry from the registry, which comes three heartbeats later, after the retries; and a connection reset alone, which healthy endpoints also cause.

Whether a request is sent again is decided as before.

--- a/src/azurefold/gateway/callers/calls.py
+++ b/src/azurefold/gateway/callers/calls.py
@@ -3,6 +3,7 @@
 import errno
 from dataclasses import dataclass
 
+from azurefold.core.attempts.identity import request_identity
 from azurefold.core.attempts.outcome import Failure
 from azurefold.core.clock import Millis
 from azurefold.core.routes.model import Route
@@ -66,6 +67,13 @@
         """The caller's name for this request."""
         return self.head.attempt_id
 
+    @property
+    def identity(self) -> int:
+        """Digest that is equal for all repeats of this request, at any gateway."""
+        return request_identity(
+            self.method, self.head.host, self.target, self.organisation, self.body
+        )
+
     @property
     def tokens(self) -> int:
         """Tokens of work that it stands for; 1 for a plain call."""
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -127,7 +127,9 @@
             reply = read_reply(self._link, self.call.method)
             return (yield from self._answer(reply))
         except BrokenReplyError as error:
-            return self._failed("broken_reply", error.reason, sent=True)
+            event = self._failed("broken_reply", error.reason, sent=True)
+            self._log_if_crashed(entry.address, error)
+            return event
 
     def end(self) -> None:
         """Close what is open and give the place back."""
@@ -232,6 +234,27 @@
             links.keep(self.endpoint, self._link, reply.idle_timeout_ms)
             self._link = None
 
+    def _log_if_crashed(self, address: str, error: BrokenReplyError) -> None:
+        """Log a crash if the endpoint refuses a new connection.
+
+        A healthy endpoint may also close a connection, but accepts a new one. A
+        timeout is not evidence of a crash, so no connection is tried after one.
+        """
+        if error.is_timeout:
+            return
+        if not self.state.links.refuses_connections(self.endpoint, address):
+            return
+        log_event(
+            _log,
+            "endpoint_crashed",
+            logging.WARNING,
+            endpoint=self.endpoint,
+            address=address,
+            request=self.call.id,
+            identity=f"{self.call.identity:016x}",
+            after_ms=self.state.clock.now() - self._sent_at,
+        )
+
     def _failed(self, event: str, detail: str, *, sent: bool) -> Event:
         self._outcome = Failed()
         self._log_failure(event, detail)
@@ -245,6 +268,7 @@
             "attempt_failed",
             logging.WARNING,
             request=self.call.id,
+            identity=f"{self.call.identity:016x}",
             attempt=self.number,
             endpoint=self.endpoint,
             why=event,
--- a/src/azurefold/gateway/endpoints/connections.py
+++ b/src/azurefold/gateway/endpoints/connections.py
@@ -7,6 +7,7 @@
 from gevent import socket as gevent_socket
 
 from azurefold.core.clock import Clock, Millis
+from azurefold.gateway.callers.calls import CutOffError
 from azurefold.internal.http_server import split_address
 from azurefold.internal.sockets import tune_connection
 from azurefold.internal.stream_socket import StreamSocket
@@ -126,6 +127,24 @@
         if len(idle) > _KEPT_PER_ENDPOINT:
             idle.popleft().close()
 
+    def refuses_connections(self, endpoint: str, address: str) -> bool:
+        """Return whether an endpoint refuses a new connection, as after a crash.
+
+        A connection that succeeds is kept for the next request. Other errors, such
+        as a timeout, do not count as a refusal.
+        """
+        try:
+            link = self._open(address)
+        except CutOffError:
+            # An OSError too, but it ends the whole request.
+            raise
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        self.keep(endpoint, link, None)
+        return False
+
     def forget(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint that is gone."""
         for link in self._idle.pop(endpoint, ()):
--- a/src/azurefold/gateway/endpoints/reply.py
+++ b/src/azurefold/gateway/endpoints/reply.py
@@ -18,6 +18,7 @@
 _BLOCK_BYTES = 16_384
 _SECOND_MS = 1_000
 _FIRST_FINAL_STATUS = 200
+_TIMEOUT_REASON = "silent"
 
 
 class BrokenReplyError(Exception):
@@ -36,6 +37,11 @@
         self.reason = reason
         self.begun = begun
 
+    @property
+    def is_timeout(self) -> bool:
+        """Whether reading timed out while the connection was still open."""
+        return self.reason == _TIMEOUT_REASON
+
 
 class _Parser(HTTPResponse):
     """A parser for one final answer.
@@ -145,7 +151,7 @@
         # a caller's leaving had the request sent to another endpoint.
         raise
     except TimeoutError as error:
-        raise BrokenReplyError("silent", begun) from error
+        raise BrokenReplyError(_TIMEOUT_REASON, begun) from error
     except OSError as error:
         raise BrokenReplyError("reset", begun) from error
     try:
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -110,6 +110,9 @@
 
     monkeypatch.setattr(type(state.links), "take", lambda self, *a, **k: take(*a, **k))
     monkeypatch.setattr(type(state.links), "keep", lambda self, *a: None)
+    monkeypatch.setattr(
+        type(state.links), "refuses_connections", lambda self, *a: False
+    )
     return made
 
 
--- a/tests/gateway/test_retries_are_charged_once.py
+++ b/tests/gateway/test_retries_are_charged_once.py
@@ -62,6 +62,9 @@
         raise BrokenReplyError("reset", begun=False)
 
     monkeypatch.setattr(attempts, "read_reply", unanswered)
+    monkeypatch.setattr(
+        type(state.links), "refuses_connections", lambda self, *a: False
+    )
 
     def attempt(progress, opened=None):
         sock = SilentSocket()
