--- /dev/null
+++ b/tests/gateway/crash_world.py
@@ -0,0 +1,305 @@
+"""Gateways on one clock before endpoints that some requests crash."""
+
+import random
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+
+from tests.gateway.conftest import ScriptedStore, settings_of
+from tests.gateway.test_relays_answer_truthfully import EVENT, answer
+
+from azurefold.core.clock import ManualTime, manual_clock
+from azurefold.core.membership.registry import EndpointEntry
+from azurefold.core.routes.model import (
+    AnswerKind,
+    Destination,
+    Route,
+    RoutedService,
+    RoutingConfiguration,
+)
+from azurefold.gateway.callers.calls import Call, CutOffError
+from azurefold.gateway.callers.relay import Relay
+from azurefold.gateway.endpoints.connections import EndpointLinks, Link
+from azurefold.gateway.endpoints.reply import BrokenReplyError
+from azurefold.gateway.peers.exchange import Peer, _decode
+from azurefold.gateway.peers.membership import new_peers
+from azurefold.gateway.state import new_gateway_state
+from azurefold.platform.headers import read_request
+
+SERVICE = "drafts"
+SLOTS = 6
+STEP_MS = 20
+TIMEOUT_MS = 8_000
+RESTART_MS = 3_000
+STABLE_MS = 3_000
+ROUTE = Route(
+    "r",
+    "h",
+    "/r/",
+    AnswerKind.STREAMING,
+    (Destination(SERVICE),),
+    TIMEOUT_MS,
+    400,
+    max_attempts=3,
+    resumable=True,
+)
+
+
+@dataclass(eq=False)
+class Gateway:
+    """One process, and until when the page's bounds excuse it."""
+
+    name: str
+    peers: object
+    excused_until: int = 0
+    cut_until: int = 0
+
+    @property
+    def state(self):
+        return self.peers.state
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached an endpoint."""
+
+    at: int
+    body: bytes
+    endpoint: str
+    is_excused: bool
+
+
+class _News:
+    def peers_have(self, version, endpoints_version):
+        pass
+
+
+@dataclass
+class _Socket:
+    """One connection to one start of an endpoint."""
+
+    site: "CrashSite"
+    gateway: Gateway
+    endpoint: str
+    body: bytes = b""
+
+    def sendall(self, data):
+        self.body = data.partition(b"\r\n\r\n")[2]
+        self.site.arrive(self)
+
+    def close(self):
+        pass
+
+
+@dataclass
+class _PeerSocket:
+    site: "CrashSite"
+    name: str
+
+    def sendto(self, data, address):
+        self.site.post(data, self.name, address[0])
+
+
+@dataclass
+class CrashSite:
+    """Gateways, endpoints, and the messages between gateways.
+
+    Parameters
+    ----------
+    gateways, endpoints : int
+    seed : int
+    loss : float
+        Share of messages between gateways that are lost.
+    delay_ms : (int, int)
+        Least and longest time that such a message takes.
+    """
+
+    gateways: int
+    endpoints: int
+    seed: int = 1
+    loss: float = 0.0
+    delay_ms: tuple[int, int] = (1, 3)
+    time: ManualTime = field(default_factory=lambda: ManualTime(at=100_000))
+    deadly: set[bytes] = field(default_factory=set)
+    arrivals: list[Arrival] = field(default_factory=list)
+    crashes: list[tuple[int, bytes]] = field(default_factory=list)
+    by_name: dict[str, Gateway] = field(default_factory=dict)
+    up: dict[str, str] = field(default_factory=dict)
+
+    def __post_init__(self):
+        self._draw = random.Random(self.seed)
+        self._events = []
+        self._numbers = count(1)
+        for n in range(self.endpoints):
+            self.up[f"rank-{n}.0"] = f"10.0.0.{n}:80"
+        names = [f"gw-{n:03}" for n in range(self.gateways)]
+        self._listed = [Peer(name, name, 7_000) for name in names]
+        for name in names:
+            self.by_name[name] = self._start(name)
+        self.run(1_000)
+
+    def run(self, ms):
+        """Let gateways talk, and endpoints start again, for ``ms`` milliseconds."""
+        end = self.time.at + ms
+        while self.time.at < end:
+            self.time.at += STEP_MS
+            while self._events and self._events[0][0] <= self.time.at:
+                heappop(self._events)[2]()
+            for gateway in self.by_name.values():
+                changed = gateway.state.demand_changed
+                if changed.is_set() or self.time.at % 60 == 0:
+                    changed.clear()
+                    gateway.peers.exchange.send()
+
+    def open(self, name, body):
+        """Send a request to a gateway, and return the answer with its first part."""
+        gateway = self.by_name[name]
+        number, now = next(self._numbers), self.time.at
+        head = read_request([("Attempt-Id", f"a{number}"), ("Host", "h")])
+        call = Call(
+            "POST", "/r/x", body, head, ROUTE, SERVICE, "o", 1, now, now + TIMEOUT_MS, 1
+        )
+        service = gateway.state.services[SERVICE]
+        parts = Relay(call, gateway.state, service).run()
+        return next(parts), parts
+
+    def send(self, name, body):
+        """Send a request to a gateway and return the first part of its answer."""
+        first, parts = self.open(name, body)
+        finish(parts)
+        return first
+
+    def restart(self, name):
+        """Kill a gateway; its successor knows nothing of it."""
+        self.by_name[name] = self._start(name)
+        self.by_name[name].excused_until = self.time.at + STABLE_MS
+
+    def cut(self, name, ms):
+        """Cut a gateway off from its peers and from the store."""
+        gateway = self.by_name[name]
+        gateway.cut_until = self.time.at + ms
+        gateway.excused_until = gateway.cut_until + STABLE_MS
+
+    def crash(self, endpoint):
+        """End an endpoint, which starts again under another name."""
+        address = self.up.pop(endpoint)
+        name, _, start = endpoint.partition(".")
+        successor = f"{name}.{int(start) + 1}"
+
+        def start_again():
+            self.up[successor] = address
+            self._list_endpoints()
+
+        self._at(self.time.at + RESTART_MS, start_again)
+
+    def sent_after_third_crash(self, body):
+        """Return how often a request reached endpoints although three had crashed."""
+        crashes = [at for at, each in self.crashes if each == body]
+        if len(crashes) < 3:
+            return 0
+        since = crashes[2] + STABLE_MS
+        return sum(
+            each.body == body and each.at > since and not each.is_excused
+            for each in self.arrivals
+        )
+
+    def arrive(self, connection):
+        """Note a request at an endpoint."""
+        excused = connection.gateway.excused_until > self.time.at
+        self.arrivals.append(
+            Arrival(self.time.at, connection.body, connection.endpoint, excused)
+        )
+
+    def reply(self, link, method):
+        """Return an endpoint's answer: a stream of two events, unless it crashes."""
+        connection = link.sock
+        if connection.body in self.deadly:
+            self.crashes.append((self.time.at, connection.body))
+            self.crash(connection.endpoint)
+            raise BrokenReplyError("closed", begun=False)
+        reply = answer(pieces=[EVENT % 1, EVENT % 2], attempt_id="")
+        take_piece = reply.next_bytes
+
+        def next_bytes():
+            if connection.endpoint not in self.up:
+                raise BrokenReplyError("reset", begun=True)
+            return take_piece()
+
+        reply.next_bytes = next_bytes
+        return reply
+
+    def post(self, data, sender, receiver):
+        """Deliver a message between gateways, unless it is lost, late or cut off."""
+        if self._draw.random() >= self.loss:
+            due = self.time.at + self._draw.randint(*self.delay_ms)
+            self._at(due, lambda: self._deliver(data, sender, receiver))
+
+    def _deliver(self, data, sender, receiver):
+        ends = [self.by_name[sender], self.by_name[receiver]]
+        if all(each.cut_until <= self.time.at for each in ends):
+            ends[1].peers.exchange._take(_decode(data), sender)
+
+    def connect(self, links, endpoint, address):
+        """Return a connection to an endpoint's present start."""
+        if self.up.get(endpoint) != address:
+            raise ConnectionRefusedError
+        [gateway] = [g for g in self.by_name.values() if g.state.links is links]
+        return Link(_Socket(self, gateway, endpoint))
+
+    def _at(self, due, event):
+        heappush(self._events, (due, next(self._numbers), event))
+
+    def _start(self, name):
+        settings = settings_of(name=name, is_first_start=True)
+        state = new_gateway_state(settings, manual_clock(self.time))
+        state.draw.seed(f"{self.seed} {name}")
+        view = RoutedService(SERVICE, 64, None)
+        state.apply(RoutingConfiguration(1, (ROUTE,), {SERVICE: view}))
+        peers = new_peers(state, ScriptedStore(), _News())
+        peers.exchange.incarnation = self.time.at
+        peers.exchange._sock = _PeerSocket(self, name)
+        peers.exchange.set_peers(self._listed)
+        gateway = Gateway(name, peers)
+        self._list(state)
+        return gateway
+
+    def _list_endpoints(self):
+        for gateway in self.by_name.values():
+            self._list(gateway.state)
+
+    def _list(self, state):
+        entries = [
+            EndpointEntry(name, SERVICE, address, "dc-a", SLOTS)
+            for name, address in self.up.items()
+        ]
+        state.registry.replace(entries, self.time.at)
+        state.registry.tick(self.time.at + 60_000)
+        state.spread_endpoints()
+
+
+def finish(parts):
+    """Read an answer to its end, whole or cut off."""
+    try:
+        for _ in parts:
+            pass
+    except CutOffError:
+        pass
+
+
+def install(monkeypatch, site):
+    """Have all gateways reach the site's endpoints, and only those."""
+
+    def take(links, endpoint, address, *, fresh):
+        return site.connect(links, endpoint, address)
+
+    def refuses(links, endpoint, address):
+        return address not in site.up.values()
+
+    monkeypatch.setattr(EndpointLinks, "take", take)
+    monkeypatch.setattr(EndpointLinks, "keep", lambda self, *a: None)
+    monkeypatch.setattr(EndpointLinks, "refuses_connections", refuses)
+    monkeypatch.setattr(
+        "azurefold.gateway.endpoints.attempt.read_reply",
+        lambda link, method: site.reply(link, method),
+    )
+    return site
