Quarantine requests that crash endpoints at all gateways

Symptom: a request that crashes every endpoint that runs it was repeated by its caller and dispatched each time, and also to the next endpoint within the same call. Each crash stops the whole group of ranks for about five seconds.

Cause: limits on attempts apply within one call, a repeat has a new id and may reach any gateway, and a crash was treated as a broken connection. Such a request is known as a query of death.

Each gateway now counts the endpoints that crashed under a request, by the identity of the request, and reports them to the other gateways. From the second crash on, the request is refused immediately with 503, without queueing, retries or a Retry-After header, for ten minutes. The quarantine is checked again before dispatch, as endpoints may crash while the request is queued.

Requests that were running on the same endpoint are interrupted by the same crash. An answer at any gateway, within the minute before a crash or at any time after it, clears a request. A crash reported by several gateways counts once. The end of an endpoint that was leaving is planned and does not count. Up to 256 requests with crashes and 2048 answered requests are stored; those with the fewest crashes are evicted first. A message between gateways carries the reports of up to three requests and omits loads in exchange, so that it fits into one packet.

Alternatives rejected: - Refusing from the third crash on costs one more stop of the group per request. - Rows in the store: the store is unavailable at times. - Registry entries as evidence of a crash arrive three heartbeats late. - Clearing requests by the age of their crashes.

Mutants, each caught by a test: identity without the body, crashes not shared, no clearing by an answer, crashes counted once per reporting gateway, unbounded memory, other cells not informed, no check after queueing, planned ends counted, loads not omitted, a refusal treated as an answer.

--- a/src/azurefold/gateway/callers/calls.py
+++ b/src/azurefold/gateway/callers/calls.py
@@ -1,7 +1,7 @@
 """One caller's request, and the parts of the answer to it."""
 
 import errno
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from azurefold.core.attempts.identity import request_identity
 from azurefold.core.attempts.outcome import Failure
@@ -47,6 +47,8 @@
         The version that decided all this.
     passes_key : bool
         Whether the caller's key is meant for the endpoint and not for us.
+    identity : int
+        Digest that is equal for all repeats of the request, at any gateway.
     """
 
     method: str
@@ -61,19 +63,19 @@
     deadline: Millis
     configuration: int
     passes_key: bool = False
+    identity: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        identity = request_identity(
+            self.method, self.head.host, self.target, self.organisation, self.body
+        )
+        object.__setattr__(self, "identity", identity)
 
     @property
     def id(self) -> str:
         """The caller's name for this request."""
         return self.head.attempt_id
 
-    @property
-    def identity(self) -> int:
-        """Digest that is equal for all repeats of this request, at any gateway."""
-        return request_identity(
-            self.method, self.head.host, self.target, self.organisation, self.body
-        )
-
     @property
     def tokens(self) -> int:
         """Tokens of work that it stands for; 1 for a plain call."""
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -16,6 +16,7 @@
     latest_return,
 )
 from azurefold.core.attempts.course import Course, DispatchAgain, Fail
+from azurefold.core.attempts.crashes import CRASHES_ENDPOINTS
 from azurefold.core.attempts.outcome import Failure, Ran
 from azurefold.core.clock import Millis
 from azurefold.core.routes.model import AnswerKind
@@ -53,6 +54,7 @@
 anything: those to an endpoint out of reach, or to a rank whose group is down."""
 
 _OUTAGES = (Unavailable.GROUPS_DOWN.value, Unavailable.OUT_OF_REACH.value)
+_DETAIL_CRASHES = "The request was not run: endpoints that ran it crashed."
 _DETAIL_DEADLINE = "No answer came in time."
 
 
@@ -63,6 +65,7 @@
     ATTEMPTS_USED = "attempts_used"
     NO_TIME_LEFT = "no_time_left"
     BUDGET_SPENT = "budget_spent"
+    CRASHES_ENDPOINTS = CRASHES_ENDPOINTS
 
 
 @dataclass(slots=True)
@@ -117,6 +120,11 @@
             self._log_end()
 
     def _run(self) -> Iterator[Part]:
+        if self._is_quarantined():
+            yield self._give_up(
+                Failure(Ran.NOT_RUN, CRASHES_ENDPOINTS, _DETAIL_CRASHES)
+            )
+            return
         placed = self._place()
         self._queued_ms = self.state.clock.now() - self.call.arrived
         if isinstance(placed, Failure):
@@ -172,6 +180,26 @@
         request = OutageRequest(self.call.deadline - now, self.call.route.timeout_ms)
         return in_outage(request, self.service.forms_in(now))
 
+    def _is_quarantined(self) -> bool:
+        """Whether the request is quarantined; if so, log that it is refused."""
+        now = self.state.clock.now()
+        quarantine = self.state.crashes.quarantine(self.call.identity, now)
+        if quarantine is None:
+            return False
+        log_event(
+            _log,
+            "request_quarantined",
+            logging.WARNING,
+            request=self.call.id,
+            identity=f"{self.call.identity:016x}",
+            service=self.call.service,
+            crashes=quarantine.crashes,
+            age_ms=now - quarantine.since,
+            left_ms=quarantine.until - now,
+            attempts=self.attempts,
+        )
+        return True
+
     def _ticket(self, awaits_group_ms: Millis = 0) -> Ticket:
         call = self.call
         now = self.state.clock.now()
@@ -231,6 +259,8 @@
         who wait would be sent within a window that their charges had left. An
         endpoint that was out of reach got nothing, so the next one is not a repeat.
         """
+        if self._is_quarantined():
+            return _RetryDenial.CRASHES_ENDPOINTS
         # All ranks of a group stop together: another one would refuse as well.
         is_out = self.service.admission.pool.is_out
         if is_out and isinstance(self._in_outage(), TurnAway):
@@ -272,7 +302,10 @@
             self._progress.result = "endpoint_error"
             return self._progress.own_answer
         self._progress.result = f"refused_{failure.reason}"
-        if self.service.admission.pool.is_out or self.state.is_cut_off:
+        if failure.reason == CRASHES_ENDPOINTS:
+            # A retry would crash another endpoint, so no Retry-After is sent.
+            failure = replace(failure, retry_after_ms=None)
+        elif self.service.admission.pool.is_out or self.state.is_cut_off:
             left = self.call.deadline - self.state.clock.now()
             failure = replace(failure, retry_after_ms=latest_return(left))
         not_run = failure.ran is Ran.NOT_RUN
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass, field
 
 from azurefold.core.attempts.course import EndpointFailed, Event, NotDispatched
+from azurefold.core.attempts.crashes import CRASHES_ENDPOINTS
 from azurefold.core.attempts.events import EventPace, EventSplitter
 from azurefold.core.attempts.outcome import Ran
 from azurefold.core.clock import Millis
+from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import AnswerKind
 from azurefold.core.routing.messages import (
     Answered,
@@ -112,6 +114,9 @@
         entry = self.service.entries.get(self.endpoint)
         if entry is None:
             return NotDispatched("endpoint_gone")
+        if self.state.crashes.quarantine(self.call.identity, self.state.clock.now()):
+            # Endpoints may have crashed while the request was queued.
+            return NotDispatched(CRASHES_ENDPOINTS)
         fresh = not self.call.route.may_run_twice
         try:
             links = self.state.links
@@ -128,7 +133,7 @@
             return (yield from self._answer(reply))
         except BrokenReplyError as error:
             event = self._failed("broken_reply", error.reason, sent=True)
-            self._log_if_crashed(entry.address, error)
+            self._note_if_crashed(entry, error)
             return event
 
     def end(self) -> None:
@@ -229,30 +234,39 @@
     def _done(self, reply: Reply, outcome: Outcome) -> None:
         """Note an answer that has come whole, and keep its connection."""
         self._outcome = outcome
+        if reply.head.sealed and not reply.head.not_run:
+            self.state.crashes.note_answer(self.call.identity, self.state.clock.now())
         if reply.may_reuse:
             links = self.state.links
             links.keep(self.endpoint, self._link, reply.idle_timeout_ms)
             self._link = None
 
-    def _log_if_crashed(self, address: str, error: BrokenReplyError) -> None:
-        """Log a crash if the endpoint refuses a new connection.
+    def _note_if_crashed(self, entry: EndpointEntry, error: BrokenReplyError) -> None:
+        """Note a crash if the endpoint refuses a new connection.
 
         A healthy endpoint may also close a connection, but accepts a new one. A
-        timeout is not evidence of a crash, so no connection is tried after one.
+        timeout is not evidence of a crash, so no connection is tried after one. The
+        end of an endpoint that was leaving, or is no longer listed, was planned; it is
+        logged but not counted.
         """
         if error.is_timeout:
             return
-        if not self.state.links.refuses_connections(self.endpoint, address):
+        if not self.state.links.refuses_connections(self.endpoint, entry.address):
             return
+        listed = self.service.entries.get(self.endpoint)
+        is_planned = listed is None or listed.leaving
+        if not is_planned:
+            self.state.note_crash(self.call.identity, entry)
         log_event(
             _log,
             "endpoint_crashed",
             logging.WARNING,
             endpoint=self.endpoint,
-            address=address,
+            address=entry.address,
             request=self.call.id,
             identity=f"{self.call.identity:016x}",
             after_ms=self.state.clock.now() - self._sent_at,
+            planned=is_planned,
         )
 
     def _failed(self, event: str, detail: str, *, sent: bool) -> Event:
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -39,6 +39,10 @@
         yield _gauge("unreadable_entries", "Rows that name no endpoint", unreadable)
         oversized = state.oversized_messages
         yield _gauge("oversized_messages", "Messages cut down to fit", oversized)
+        crashes = state.crashes
+        yield _gauge("crash_suspects", "Requests with crashes", crashes.size)
+        quarantined = crashes.count_quarantined(state.clock.now())
+        yield _gauge("quarantined_requests", "Requests that are refused", quarantined)
         yield self._endpoints()
         yield self._quotas()
         yield self._waiting()
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -20,6 +20,7 @@
 from azurefold.gateway.peers.messages import Coordination, PeerMessage
 from azurefold.gateway.peers.portions import (
     MOST_BYTES,
+    CrashPortions,
     GroupPortions,
     QuotaPortions,
     heaviest,
@@ -44,6 +45,9 @@
 _QUIET_MS: Millis = 500
 """At the latest a message is sent although nothing has changed."""
 
+_CRASH_REPEAT_MS: Millis = 2_000
+"""How long a crash or an answer observed here is repeated to other cells."""
+
 _CHANGING_MS: Millis = 150
 """The same while this node changes a group's map: others take over after 450 ms then,
 so three messages have to be lost in a row."""
@@ -101,9 +105,11 @@
     _sent_to_all: Coordination | None = None
     _sent_to_all_at: Millis = 0
     _sent_quotas_at: Millis = 0
+    _sent_crashes_at: Millis = 0
     _visited: frozenset[str] = frozenset()
     _groups: GroupPortions = field(default_factory=GroupPortions)
     _quotas: QuotaPortions = field(default_factory=QuotaPortions)
+    _crashes: CrashPortions = field(default_factory=CrashPortions)
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -180,17 +186,26 @@
         quotas = self.state.quota_words()
         rates = {mark: word.rate for mark, word in quotas.items()}
         is_waiting = self.state.is_waiting
-        told = (loads, self.state.version, coordination, rates, is_waiting)
-        owes_quotas = self._owes_quotas(now)
-        to_all = at_once or owes_quotas or self._owes_all(coordination, now)
+        crashes = self.state.crashes
+        told = (
+            loads,
+            self.state.version,
+            coordination,
+            rates,
+            is_waiting,
+            crashes.version,
+        )
+        owes_reports = self._owes_quotas(now) or self._owes_crashes(now)
+        to_all = at_once or owes_reports or self._owes_all(coordination, now)
         is_due = now - self._sent_at >= _QUIET_MS
         if told == self._sent and not is_due and not to_all:
             return
         self._sent, self._sent_at = told, now
         if to_all:
             self._sent_to_all, self._sent_to_all_at = coordination, now
-            self._sent_quotas_at = now
+            self._sent_quotas_at = self._sent_crashes_at = now
         self._sequence += 1
+        crash_beats = self._crashes.next(crashes.reports(), now)
         settings = self.state.settings
         message = PeerMessage(
             settings.name,
@@ -202,11 +217,12 @@
             coordination.term,
             coordination.ended_term,
             self._groups.next(coordination.groups, now),
-            heaviest(loads),
+            heaviest(loads, len(crash_beats)),
             coordination.is_changing,
             self._quotas.next(quotas, now),
             self.state.has_callers,
             is_waiting,
+            crash_beats,
         )
         data = self._fitting(message)
         hosts = self._hosts()
@@ -256,6 +272,19 @@
         is_due = now - self._sent_quotas_at >= _QUIET_MS
         return is_due and self.state.owes_quotas_to_all(self._sent_quotas_at)
 
+    def _owes_crashes(self, now: Millis) -> bool:
+        """Whether to send other cells a crash or an answer that was observed here.
+
+        The message is repeated because some may be lost.
+        """
+        if self.cell.count <= 1:
+            return False
+        crashes = self.state.crashes
+        if crashes.changed_locally_since(self._sent_crashes_at):
+            return True
+        is_due = now - self._sent_crashes_at >= _QUIET_MS
+        return is_due and crashes.changed_locally_since(now - _CRASH_REPEAT_MS)
+
     def _share_quotas(self) -> None:
         """Deal the quotas of endpoints to gateways that have requests for them."""
         nodes = self.loads.nodes_with_callers
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -14,7 +14,7 @@
 from azurefold.gateway.groups.coordinator import Coordinator, new_coordinator
 from azurefold.gateway.peers.exchange import Exchange, Peer, new_exchange
 from azurefold.gateway.peers.messages import PeerMessage
-from azurefold.gateway.peers.portions import news_of_group
+from azurefold.gateway.peers.portions import crash_report, news_of_group
 from azurefold.gateway.peers.reach import Reach
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.news import News
@@ -128,6 +128,9 @@
         for beat in message.quotas:
             word = QuotaWord(beat.rate, state.clock.now() - beat.age)
             state.quota_told(beat.endpoint, word, message.node)
+        for beat in message.crashes:
+            now = state.clock.now()
+            state.crashes.merge(beat.identity, crash_report(beat, now), now)
         news.peers_have(message.version, message.endpoints_version)
 
     exchange = new_exchange(
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -6,7 +6,7 @@
 
 from azurefold.core.routing.rank_groups import GroupNews, Standing
 
-__all__ = ["Coordination", "GroupBeat", "PeerMessage", "QuotaBeat"]
+__all__ = ["Coordination", "CrashBeat", "GroupBeat", "PeerMessage", "QuotaBeat"]
 
 
 class GroupBeat(msgspec.Struct, array_like=True, frozen=True):
@@ -49,6 +49,24 @@
     age: int
 
 
+class CrashBeat(msgspec.Struct, array_like=True, frozen=True):
+    """The crash report of one request, as it is sent.
+
+    Parameters
+    ----------
+    identity : int
+        Identity of the request.
+    answered : int or None
+        Milliseconds since the last known answer.
+    crashes : tuple of (int, int)
+        Mark of the endpoint's incarnation and milliseconds since the crash, each.
+    """
+
+    identity: int
+    answered: int | None
+    crashes: tuple[tuple[int, int], ...]
+
+
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
     """What one gateway tells the others.
 
@@ -75,6 +93,8 @@
         Whether the sender has had requests lately.
     is_waiting : bool
         Whether requests wait there for a place at an endpoint.
+    crashes : tuple of CrashBeat
+        Crash reports of some requests; others follow in later messages.
     """
 
     node: str
@@ -91,6 +111,7 @@
     quotas: tuple[QuotaBeat, ...] = ()
     has_callers: bool = False
     is_waiting: bool = False
+    crashes: tuple[CrashBeat, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -9,15 +9,18 @@
 from heapq import nlargest
 from itertools import zip_longest
 
+from azurefold.core.attempts.crashes import CrashReport
 from azurefold.core.clock import Millis
 from azurefold.core.routing.quotas import QuotaWord
 from azurefold.core.routing.rank_groups import GroupNews
-from azurefold.gateway.peers.messages import GroupBeat, QuotaBeat
+from azurefold.gateway.peers.messages import CrashBeat, GroupBeat, QuotaBeat
 
 __all__ = [
     "MOST_BYTES",
+    "CrashPortions",
     "GroupPortions",
     "QuotaPortions",
+    "crash_report",
     "heaviest",
     "news_of_group",
 ]
@@ -33,6 +36,9 @@
 
 _MOST_LOADS = 80
 _MOST_QUOTAS = 12
+_MOST_CRASH_BEATS = 3
+_LOADS_PER_CRASH_BEAT = 16
+"""Number of loads omitted for each crash report to keep within ``MOST_BYTES``."""
 
 _SETTLED_MS: Millis = 3_000
 """After this time without a change all that are there have heard of the ranks."""
@@ -43,11 +49,25 @@
 a slow link."""
 
 
-def heaviest(loads: dict[int, int]) -> dict[int, int]:
-    """Return the loads by endpoint that a message has room for, the largest."""
-    if len(loads) <= _MOST_LOADS:
+def heaviest(loads: dict[int, int], crash_beats: int = 0) -> dict[int, int]:
+    """Return the loads by endpoint that a message has room for, the largest.
+
+    Parameters
+    ----------
+    loads : dict of int to int
+    crash_beats : int, default=0
+        Number of crash reports in the same message.
+    """
+    most = _MOST_LOADS - crash_beats * _LOADS_PER_CRASH_BEAT
+    if len(loads) <= most:
         return loads
-    return dict(nlargest(_MOST_LOADS, loads.items(), key=lambda load: load[1]))
+    return dict(nlargest(most, loads.items(), key=lambda load: load[1]))
+
+
+def crash_report(beat: CrashBeat, now: Millis) -> CrashReport:
+    """Return the crash report that a message carries for one request."""
+    answered_at = None if beat.answered is None else now - beat.answered
+    return CrashReport({mark: now - age for mark, age in beat.crashes}, answered_at)
 
 
 def news_of_group(beat: GroupBeat) -> GroupNews:
@@ -115,6 +135,40 @@
         )
 
 
+@dataclass(slots=True)
+class CrashPortions:
+    """Distributes crash reports over successive messages."""
+
+    _next: int = 0
+
+    def next(
+        self, reports: Mapping[int, CrashReport], now: Millis
+    ) -> tuple[CrashBeat, ...]:
+        """Return the next message's reports: the latest ones and another in rotation.
+
+        Parameters
+        ----------
+        reports : mapping of int to CrashReport
+            By identity of the request, most recently changed first.
+        now : int
+        """
+        identities = list(reports)
+        chosen, others = (
+            identities[: _MOST_CRASH_BEATS - 1],
+            identities[_MOST_CRASH_BEATS - 1 :],
+        )
+        if others:
+            chosen.append(others[self._next % len(others)])
+            self._next += 1
+        return tuple(_crash_beat(each, reports[each], now) for each in chosen)
+
+
+def _crash_beat(identity: int, report: CrashReport, now: Millis) -> CrashBeat:
+    answered = None if report.answered_at is None else max(0, now - report.answered_at)
+    crashes = tuple((mark, max(0, now - at)) for mark, at in report.crashes.items())
+    return CrashBeat(identity, answered, crashes)
+
+
 def _slices(news: GroupNews, largest: int) -> Iterator[GroupBeat]:
     running = None if news.running is None else round(_HUNDREDTHS * news.running)
     for first in range(0, len(news.ranks) or 1, largest):
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -7,8 +7,9 @@
 
 from gevent.event import Event
 
+from azurefold.core.attempts.crashes import CrashTracker
 from azurefold.core.clock import Clock, Millis
-from azurefold.core.membership.registry import EndpointRegistry
+from azurefold.core.membership.registry import EndpointEntry, EndpointRegistry
 from azurefold.core.routes.model import RoutingConfiguration
 from azurefold.core.routes.table import RouteTable, route_table
 from azurefold.core.routing.cells import Cell
@@ -71,6 +72,8 @@
         The gateways whose loads are known here.
     retry_part : RetryPart
         Of the retries that all gateways may make beside a share of the requests.
+    crashes : CrashTracker
+        Endpoint crashes by request, including those reported by other gateways.
     endpoints_version : int
         Of the newest endpoint's row in the store.
     is_current : bool
@@ -103,6 +106,7 @@
     nodes: int = _USUAL_NODES
     cell: Cell = field(default_factory=Cell)
     retry_part: RetryPart = field(kw_only=True)
+    crashes: CrashTracker = field(default_factory=CrashTracker)
     endpoints_version: int = 0
     is_current: bool = False
     is_cut_off: bool = False
@@ -165,6 +169,19 @@
             service.promised_gap_ms = configuration.promised_gap_ms(name)
         self.spread_endpoints()
 
+    def note_crash(self, identity: int, entry: EndpointEntry) -> None:
+        """Note that an endpoint crashed while running a request, and report it.
+
+        Parameters
+        ----------
+        identity : int
+            Identity of the request.
+        entry : EndpointEntry
+        """
+        incarnation = endpoint_mark(f"{entry.name}@{entry.born}")
+        self.crashes.note_crash(identity, incarnation, self.clock.now())
+        self.demand_changed.set()
+
     def endpoint_restarted(self, name: str) -> None:
         """Forget what is known of an endpoint's former start.
 
--- a/tests/gateway/crash_world.py
+++ b/tests/gateway/crash_world.py
@@ -1,4 +1,4 @@
-"""Gateways on one clock before endpoints that some requests crash."""
+"""Simulation of gateways whose endpoints are crashed by some requests."""
 
 import random
 from dataclasses import dataclass, field
@@ -47,7 +47,7 @@
 
 @dataclass(eq=False)
 class Gateway:
-    """One process, and until when the page's bounds excuse it."""
+    """One gateway process, and until when its sends are exempt from the bound."""
 
     name: str
     peers: object
@@ -69,14 +69,14 @@
     is_excused: bool
 
 
-class _News:
+class _StubNews:
     def peers_have(self, version, endpoints_version):
         pass
 
 
 @dataclass
 class _Socket:
-    """One connection to one start of an endpoint."""
+    """A connection to one incarnation of an endpoint."""
 
     site: "CrashSite"
     gateway: Gateway
@@ -109,9 +109,9 @@
     gateways, endpoints : int
     seed : int
     loss : float
-        Share of messages between gateways that are lost.
+        Fraction of messages between gateways that are lost.
     delay_ms : (int, int)
-        Least and longest time that such a message takes.
+        Minimum and maximum delay of such a message.
     """
 
     gateways: int
@@ -120,18 +120,18 @@
     loss: float = 0.0
     delay_ms: tuple[int, int] = (1, 3)
     time: ManualTime = field(default_factory=lambda: ManualTime(at=100_000))
-    deadly: set[bytes] = field(default_factory=set)
+    crashing: set[bytes] = field(default_factory=set)
     arrivals: list[Arrival] = field(default_factory=list)
     crashes: list[tuple[int, bytes]] = field(default_factory=list)
     by_name: dict[str, Gateway] = field(default_factory=dict)
-    up: dict[str, str] = field(default_factory=dict)
+    running: dict[str, str] = field(default_factory=dict)
 
     def __post_init__(self):
         self._draw = random.Random(self.seed)
         self._events = []
         self._numbers = count(1)
         for n in range(self.endpoints):
-            self.up[f"rank-{n}.0"] = f"10.0.0.{n}:80"
+            self.running[f"rank-{n}.0"] = f"10.0.0.{n}:80"
         names = [f"gw-{n:03}" for n in range(self.gateways)]
         self._listed = [Peer(name, name, 7_000) for name in names]
         for name in names:
@@ -139,7 +139,7 @@
         self.run(1_000)
 
     def run(self, ms):
-        """Let gateways talk, and endpoints start again, for ``ms`` milliseconds."""
+        """Advance the clock by ``ms``, with due messages and restarts of endpoints."""
         end = self.time.at + ms
         while self.time.at < end:
             self.time.at += STEP_MS
@@ -152,7 +152,7 @@
                     gateway.peers.exchange.send()
 
     def open(self, name, body):
-        """Send a request to a gateway, and return the answer with its first part."""
+        """Send a request and return the first and the remaining parts of its answer."""
         gateway = self.by_name[name]
         number, now = next(self._numbers), self.time.at
         head = read_request([("Attempt-Id", f"a{number}"), ("Host", "h")])
@@ -170,30 +170,34 @@
         return first
 
     def restart(self, name):
-        """Kill a gateway; its successor knows nothing of it."""
+        """Replace a gateway by a new process without its state."""
         self.by_name[name] = self._start(name)
         self.by_name[name].excused_until = self.time.at + STABLE_MS
 
     def cut(self, name, ms):
-        """Cut a gateway off from its peers and from the store."""
+        """Cut a gateway off from its peers."""
         gateway = self.by_name[name]
         gateway.cut_until = self.time.at + ms
         gateway.excused_until = gateway.cut_until + STABLE_MS
 
     def crash(self, endpoint):
-        """End an endpoint, which starts again under another name."""
-        address = self.up.pop(endpoint)
+        """Crash an endpoint, which restarts under another name."""
+        address = self.running.pop(endpoint)
         name, _, start = endpoint.partition(".")
         successor = f"{name}.{int(start) + 1}"
 
-        def start_again():
-            self.up[successor] = address
+        def restart_endpoint():
+            self.running[successor] = address
             self._list_endpoints()
 
-        self._at(self.time.at + RESTART_MS, start_again)
+        self._schedule(self.time.at + RESTART_MS, restart_endpoint)
 
     def sent_after_third_crash(self, body):
-        """Return how often a request reached endpoints although three had crashed."""
+        """Return how often a request reached endpoints after its third crash.
+
+        Requests within ``STABLE_MS`` of that crash, and through exempt gateways, are
+        not counted.
+        """
         crashes = [at for at, each in self.crashes if each == body]
         if len(crashes) < 3:
             return 0
@@ -204,7 +208,7 @@
         )
 
     def arrive(self, connection):
-        """Note a request at an endpoint."""
+        """Record a request that reached an endpoint."""
         excused = connection.gateway.excused_until > self.time.at
         self.arrivals.append(
             Arrival(self.time.at, connection.body, connection.endpoint, excused)
@@ -213,7 +217,7 @@
     def reply(self, link, method):
         """Return an endpoint's answer: a stream of two events, unless it crashes."""
         connection = link.sock
-        if connection.body in self.deadly:
+        if connection.body in self.crashing:
             self.crashes.append((self.time.at, connection.body))
             self.crash(connection.endpoint)
             raise BrokenReplyError("closed", begun=False)
@@ -221,7 +225,7 @@
         take_piece = reply.next_bytes
 
         def next_bytes():
-            if connection.endpoint not in self.up:
+            if connection.endpoint not in self.running:
                 raise BrokenReplyError("reset", begun=True)
             return take_piece()
 
@@ -229,24 +233,24 @@
         return reply
 
     def post(self, data, sender, receiver):
-        """Deliver a message between gateways, unless it is lost, late or cut off."""
+        """Deliver a message between gateways after a delay, unless it is lost."""
         if self._draw.random() >= self.loss:
             due = self.time.at + self._draw.randint(*self.delay_ms)
-            self._at(due, lambda: self._deliver(data, sender, receiver))
+            self._schedule(due, lambda: self._deliver(data, sender, receiver))
 
     def _deliver(self, data, sender, receiver):
-        ends = [self.by_name[sender], self.by_name[receiver]]
-        if all(each.cut_until <= self.time.at for each in ends):
-            ends[1].peers.exchange._take(_decode(data), sender)
+        gateways = [self.by_name[sender], self.by_name[receiver]]
+        if all(each.cut_until <= self.time.at for each in gateways):
+            gateways[1].peers.exchange._take(_decode(data), sender)
 
     def connect(self, links, endpoint, address):
-        """Return a connection to an endpoint's present start."""
-        if self.up.get(endpoint) != address:
+        """Return a connection to the running incarnation of an endpoint."""
+        if self.running.get(endpoint) != address:
             raise ConnectionRefusedError
         [gateway] = [g for g in self.by_name.values() if g.state.links is links]
         return Link(_Socket(self, gateway, endpoint))
 
-    def _at(self, due, event):
+    def _schedule(self, due, event):
         heappush(self._events, (due, next(self._numbers), event))
 
     def _start(self, name):
@@ -255,7 +259,7 @@
         state.draw.seed(f"{self.seed} {name}")
         view = RoutedService(SERVICE, 64, None)
         state.apply(RoutingConfiguration(1, (ROUTE,), {SERVICE: view}))
-        peers = new_peers(state, ScriptedStore(), _News())
+        peers = new_peers(state, ScriptedStore(), _StubNews())
         peers.exchange.incarnation = self.time.at
         peers.exchange._sock = _PeerSocket(self, name)
         peers.exchange.set_peers(self._listed)
@@ -270,7 +274,7 @@
     def _list(self, state):
         entries = [
             EndpointEntry(name, SERVICE, address, "dc-a", SLOTS)
-            for name, address in self.up.items()
+            for name, address in self.running.items()
         ]
         state.registry.replace(entries, self.time.at)
         state.registry.tick(self.time.at + 60_000)
@@ -278,7 +282,7 @@
 
 
 def finish(parts):
-    """Read an answer to its end, whole or cut off."""
+    """Read the remaining parts of an answer, which may break off."""
     try:
         for _ in parts:
             pass
@@ -287,13 +291,13 @@
 
 
 def install(monkeypatch, site):
-    """Have all gateways reach the site's endpoints, and only those."""
+    """Connect all gateways to the simulated endpoints."""
 
     def take(links, endpoint, address, *, fresh):
         return site.connect(links, endpoint, address)
 
     def refuses(links, endpoint, address):
-        return address not in site.up.values()
+        return address not in site.running.values()
 
     monkeypatch.setattr(EndpointLinks, "take", take)
     monkeypatch.setattr(EndpointLinks, "keep", lambda self, *a: None)
