Parse and log the Retry-After of endpoints' 503 answers

The record of an incident could not show whether a gateway had sent requests to an endpoint although it knew of the backoff that the endpoint had requested, or had never read it: no log line says that a 503 carried a Retry-After. The header is now parsed, as seconds or as a date relative to the Date of the same answer, capped at one hour, and logged as endpoint_backoff with its duration. A value that cannot be parsed is logged once per endpoint as backoff_unreadable. Retry-After is ignored for other statuses, and in answers that no endpoint vouches for. No request is sent differently.

--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -158,6 +158,7 @@
         if head.attempt_id and head.attempt_id != self.call.id:
             return self._failed("foreign_answer", head.attempt_id, sent=True)
         if head.sealed or head.not_run:
+            self.service.log_backoff(self.endpoint, self.call.id, head)
             now = self.state.clock.now()
             self.service.quota_answered(self.endpoint, head, self._sent_at, now)
         if head.not_run:
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -20,6 +20,7 @@
 from azurefold.core.routing.rank_groups import GroupNews, RankGroups
 from azurefold.core.routing.retries import RetryBudget
 from azurefold.entry.admission import Admission
+from azurefold.gateway.endpoint_notices import EndpointNotices
 from azurefold.gateway.quota_news import QuotaNews
 from azurefold.internal.logs import log_event
 from azurefold.platform.headers import AnswerHead
@@ -89,9 +90,11 @@
     _limit_logged_at: dict[int, Millis] = field(default_factory=dict)
     _names: dict[int, str] = field(default_factory=dict)
     _quota_news: QuotaNews = field(init=False)
+    _endpoint_notices: EndpointNotices = field(init=False)
 
     def __post_init__(self) -> None:
         self._quota_news = QuotaNews(self.view.name, self.admission.pool)
+        self._endpoint_notices = EndpointNotices(self.view.name)
 
     @property
     def is_group(self) -> bool:
@@ -219,6 +222,10 @@
         if self.is_group and self.groups.doubt(endpoint):
             self._pause_groups("rank_out_of_reach")
 
+    def log_backoff(self, endpoint: str, request: str, head: AnswerHead) -> None:
+        """Log the backoff that an endpoint's answer requests, if any."""
+        self._endpoint_notices.log_backoff(endpoint, request, head)
+
     def quota_answered(
         self, endpoint: str, head: AnswerHead, sent_at: Millis, now: Millis
     ) -> None:
@@ -281,6 +288,7 @@
         self.entries = {entry.name: entry for entry in entries}
         self._names = {endpoint_mark(name): name for name in self.entries}
         self._quota_news.forget_all_but(self.entries)
+        self._endpoint_notices.forget_all_but(self.entries)
         staying = [entry.name for entry in entries if not entry.leaving]
         self.is_divided = cell.divides(staying)
         used = self._deal(staying, cell)
--- a/src/azurefold/platform/headers.py
+++ b/src/azurefold/platform/headers.py
@@ -3,6 +3,8 @@
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
+from email.utils import parsedate_to_datetime
+from math import ceil
 
 __all__ = [
     "AnswerHead",
@@ -28,14 +30,22 @@
 _NOT_RUN = "not-executed"
 _AT_FAULT = "at-server"
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_DATE = "date"
 
 _QUOTA = "server-limit"
 """Not a limit on one connection or caller: requests a second that the endpoint takes
 from all gateways together, as long as its answers say so."""
 
+_SECOND_MS = 1_000
+
 _LARGEST_QUOTA = 1e6
 """Requests a second; what names more was not meant as a quota."""
 
+_LONGEST_BACKOFF_MS = 3_600_000
+"""Longer values are capped, so that a wrong one, such as from a skewed clock, does not
+exclude an endpoint indefinitely."""
+
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
 _LONGEST_SHOWN = 40
 """Characters of what cannot be read, for a log line."""
@@ -120,6 +130,10 @@
         it names no quota.
     bad_quota : str
         A quota that cannot be read, as it came; empty if there is none.
+    backoff_ms : int or None
+        The Retry-After of a 503 answer; None if there is none or it cannot be read.
+    bad_backoff : str
+        A Retry-After that cannot be read, truncated; empty if there is none.
     """
 
     status: int
@@ -132,6 +146,8 @@
     misdirected: bool = False
     quota: float | None = None
     bad_quota: str = ""
+    backoff_ms: int | None = None
+    bad_backoff: str = ""
 
 
 def read_request(headers: Headers) -> RequestHead:
@@ -200,6 +216,10 @@
     by_name = {name.lower(): value for name, value in pairs}
     encoding = by_name.get("content-encoding", "identity").strip().lower()
     quota, bad_quota = _quota(by_name.get(_QUOTA))
+    backoff_ms, bad_backoff = None, ""
+    if status == _UNAVAILABLE:
+        retry_after = by_name.get(RETRY_AFTER.lower())
+        backoff_ms, bad_backoff = _backoff(retry_after, by_name.get(_DATE))
     return AnswerHead(
         status=status,
         attempt_id=by_name.get(ATTEMPT_ID.lower(), ""),
@@ -216,6 +236,8 @@
         misdirected=status == _MISDIRECTED,
         quota=quota,
         bad_quota=bad_quota,
+        backoff_ms=backoff_ms,
+        bad_backoff=bad_backoff,
     )
 
 
@@ -251,6 +273,28 @@
     return None, text[:_LONGEST_SHOWN] or "empty"
 
 
+def _backoff(text: str | None, date: str | None) -> tuple[int | None, str]:
+    """Return a Retry-After in milliseconds, or its text if it cannot be read.
+
+    Parameters
+    ----------
+    text : str or None
+        The Retry-After header: seconds or an HTTP date.
+    date : str or None
+        The Date header, against which a Retry-After date is resolved.
+    """
+    if text is None:
+        return None, ""
+    if _DECIMAL.fullmatch(text.strip()):
+        return min(ceil(float(text) * _SECOND_MS), _LONGEST_BACKOFF_MS), ""
+    try:
+        delay = parsedate_to_datetime(text) - parsedate_to_datetime(date or "")
+    except (OverflowError, TypeError, ValueError):
+        return None, text[:_LONGEST_SHOWN] or "empty"
+    milliseconds = ceil(delay.total_seconds() * _SECOND_MS)
+    return max(0, min(milliseconds, _LONGEST_BACKOFF_MS)), ""
+
+
 def _token_counts(text: str) -> tuple[int, int]:
     prompt, _, answer = text.partition(",")
     return _whole_number(prompt.strip()) or 0, _whole_number(answer.strip()) or 0
