Stop sending requests to an endpoint during its requested backoff

Symptom: an endpoint that refused a gateway with 503 and Retry-After still received requests from it, each of which was refused and retried elsewhere. If two ranks requested a backoff within half a second, their whole group was considered down, so requests were refused that 11 of 16 ranks would have served.

Cause: Retry-After was never taken into account. A refusal marked the endpoint as full until the next load report, which arrives within half a second; after that the endpoint was the least loaded again. The class of defect is a request of the peer that is part of the protocol and is ignored.

The pool now excludes the endpoint until the backoff ends: from the first choice, from retries, when slots become free, and from trials of a group that is down. The backoff is checked once more when the connection is established, as the endpoint may have refused another request in the meantime; such an attempt uses up neither a retry nor one of the route's attempts. If all endpoints are backing off, requests are refused at once with the time until the first one is available, with jitter. Queued requests are refused as soon as it is known that their deadlines pass before that time. A backoff is not a failure, ejects nothing and has no bearing on the state of the rank's group. It is kept if the endpoint is temporarily missing from the endpoint list; a restarted endpoint is eligible again at once.

The same cause elsewhere: selection by cached prefix did not exclude endpoints whose group is down, that are unreachable or that are over their quota. It now uses the same eligibility check.

--- a/src/azurefold/core/routing/absences.py
+++ b/src/azurefold/core/routing/absences.py
@@ -24,18 +24,21 @@
         Endpoints whose group is down, until told otherwise.
     over_quota : dict of str to int
         Endpoints in need that this node may send nothing, and when to look again.
+    backing_off : dict of str to int
+        Endpoints that requested a backoff from this node, and when it ends.
     """
 
     ejector: Ejector
     paused: frozenset[str] = frozenset()
     over_quota: dict[str, Millis] = field(default_factory=dict)
+    backing_off: dict[str, Millis] = field(default_factory=dict)
     _out_of_reach: dict[str, Millis] = field(default_factory=dict)
 
     @property
     def names(self) -> frozenset[str]:
         """All that are left out."""
-        left_out = self.ejector.ejected | self.paused
-        return left_out | self._out_of_reach.keys() | self.over_quota.keys()
+        left_out = self.ejector.ejected | self.paused | self._out_of_reach.keys()
+        return left_out | self.over_quota.keys() | self.backing_off.keys()
 
     @property
     def out_of_reach(self) -> frozenset[str]:
@@ -46,6 +49,7 @@
     def next_return(self) -> Millis | None:
         """When the next one comes back by itself."""
         times = [*self._out_of_reach.values(), *self.over_quota.values()]
+        times += self.backing_off.values()
         if self.ejector.next_return is not None:
             times.append(self.ejector.next_return)
         return min(times, default=None)
--- a/src/azurefold/core/routing/members.py
+++ b/src/azurefold/core/routing/members.py
@@ -125,6 +125,8 @@
             return Unavailable.ALL_LEAVING
         if not self.eligible and absences.over_quota:
             return Unavailable.OVER_QUOTA
+        if not self.eligible and absences.backing_off:
+            return Unavailable.BACKING_OFF
         if all(endpoint.name in exclude for endpoint in self.eligible):
             return Unavailable.ALL_EXCLUDED
         return Unavailable.ALL_FULL
--- a/src/azurefold/core/routing/messages.py
+++ b/src/azurefold/core/routing/messages.py
@@ -84,6 +84,7 @@
     GROUPS_DOWN = "groups_down"
     OUT_OF_REACH = "out_of_reach"
     OVER_QUOTA = "over_quota"
+    BACKING_OFF = "backing_off"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -88,6 +88,8 @@
         reason = self._members.why_none(request.exclude, self._absences)
         if reason is Unavailable.OVER_QUOTA:
             retry_after = self._quota_return(draws[1])
+        if reason is Unavailable.BACKING_OFF:
+            retry_after += max(0, self._absences.next_return - now)
         return NoneAvailable(reason, retry_after)
 
     def offers(self, endpoint: str, request: RouteRequest) -> bool:
@@ -203,9 +205,9 @@
         holders = self._hints.holders(request.prefixes, now)
         if not holders:
             return drawn
-        holder = self._members.by_name.get(holders[int(draws[1] * len(holders))])
-        if holder is not None and self._may_take(holder, request):
-            drawn.append(holder)
+        holder = holders[int(draws[1] * len(holders))]
+        if self.offers(holder, request):
+            drawn.append(self._members.by_name[holder])
         return drawn
 
     def _with_room(
@@ -219,11 +221,6 @@
             return found
         return [each for each in eligible if each.name not in request.exclude]
 
-    def _may_take(self, endpoint: Endpoint, request: RouteRequest) -> bool:
-        if endpoint.leaving or endpoint.name in request.exclude:
-            return False
-        return endpoint.has_room and not self._ejector.is_ejected(endpoint.name)
-
     def _learn_answer(
         self, endpoint: Endpoint, attempt: Attempt, tokens: int, now: Millis
     ) -> None:
--- a/src/azurefold/core/routing/pool_knowledge.py
+++ b/src/azurefold/core/routing/pool_knowledge.py
@@ -5,6 +5,7 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.routing.absences import Absences
+from azurefold.core.routing.backoffs import Backoffs
 from azurefold.core.routing.choice import PoolMeans
 from azurefold.core.routing.ejection import Ejector
 from azurefold.core.routing.members import Members
@@ -34,6 +35,7 @@
         self._hints = PrefixHints()
         self._absences = Absences(self._ejector)
         self._quotas = EndpointQuotas()
+        self._backoffs = Backoffs()
         self._means = PoolMeans()
 
     @property
@@ -67,6 +69,23 @@
         """Endpoints in need that this node may send nothing for now."""
         return frozenset(self._absences.over_quota)
 
+    @property
+    def backing_off(self) -> frozenset[str]:
+        """Endpoints whose requested backoff has not ended."""
+        return frozenset(self._absences.backing_off)
+
+    @property
+    def next_available_at(self) -> Millis | None:
+        """When an endpoint becomes eligible again, if none is and some back off.
+
+        None if an endpoint is eligible now, if none is backing off, or if a group is
+        down, as the time of its recovery is unknown.
+        """
+        absences = self._absences
+        if self._members.eligible or absences.paused or not absences.backing_off:
+            return None
+        return absences.next_return
+
     @property
     def quota_parts(self) -> dict[str, QuotaPart]:
         """What this node may send to endpoints in need."""
@@ -236,9 +255,21 @@
     def forget(self, name: str, now: Millis) -> None:
         """Forget all of an endpoint, which may be added again as a new one."""
         self._quotas.forget(name)
+        self._backoffs.forget(name)
         self.set_endpoints(self._members.by_name.keys() - {name}, now)
         self._members.former.pop(name, None)
 
+    def accepts_requests(self, endpoint: str) -> bool:
+        """Whether an endpoint has no backoff in effect."""
+        return endpoint not in self._absences.backing_off
+
+    def back_off(self, endpoint: str, until: Millis, now: Millis) -> bool:
+        """Exclude an endpoint until a time; return whether its backoff got longer."""
+        if not self._backoffs.extend(endpoint, until):
+            return False
+        self._refresh(now)
+        return True
+
     def mark_leaving(self, endpoint: str, now: Millis) -> None:
         """Choose ``endpoint`` no more; its attempts in flight go on."""
         known = self._members.by_name.get(endpoint)
@@ -274,5 +305,10 @@
         for name in self._absences.returned(now):
             self._members.by_name[name].last_progress = now
         self._absences.over_quota = self._quotas.closed(now)
+        self._absences.backing_off = {
+            name: until
+            for name, until in self._backoffs.active(now).items()
+            if name in self._members.by_name
+        }
         self._members.select(self._absences.names)
         self._next_return = self._absences.next_return
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -172,6 +172,21 @@
                 self.queue.withdraw(ticket.request_id, now)
                 result.set(_failure(Unavailable.GROUPS_DOWN.value, 0))
 
+    def refuse_unservable(self) -> None:
+        """Refuse waiting requests that expire before any endpoint is available."""
+        available_at = self.pool.next_available_at
+        if available_at is None:
+            return
+        now = self.clock.now()
+        for ticket, result in list(self._waiting.values()):
+            if ticket.deadline >= available_at:
+                continue
+            chosen = self._choose(ticket.route, now)
+            if isinstance(chosen, NoneAvailable):
+                self._waiting.pop(ticket.request_id)
+                self.queue.withdraw(ticket.request_id, now)
+                result.set(_failure(chosen.reason.value, chosen.retry_after_ms))
+
     def resume(self) -> None:
         """Serve those who wait: a group runs."""
         self.queue.resume(self.clock.now())
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -151,7 +151,8 @@
         admission = self.service.admission
         if admission.pool.paused:
             now = self.state.clock.now()
-            candidates = admission.pool.paused - admission.pool.over_quota
+            pool = admission.pool
+            candidates = filter(pool.accepts_requests, pool.paused - pool.over_quota)
             trial = self.service.groups.take_trial(candidates, now)
             if trial is not None:
                 return admission.try_out(self._ticket(), trial)
--- a/src/azurefold/gateway/endpoint_notices.py
+++ b/src/azurefold/gateway/endpoint_notices.py
@@ -1,9 +1,11 @@
-"""Logging of the backoff that endpoints request in their answers."""
+"""Handling of the backoff that endpoints request in their answers."""
 
 import logging
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from azurefold.core.clock import Millis
+from azurefold.core.routing.pool import Pool
 from azurefold.internal.logs import log_event
 from azurefold.platform.headers import AnswerHead
 
@@ -14,24 +16,32 @@
 
 @dataclass(slots=True)
 class EndpointNotices:
-    """Logs the backoff that endpoints of a service request with Retry-After.
+    """Applies the backoff that endpoints request to a service's pool, and logs it.
 
     Parameters
     ----------
     service : str
+    pool : Pool
     """
 
     service: str
+    pool: Pool
     _unreadable_logged: set[str] = field(default_factory=set)
 
-    def log_backoff(self, endpoint: str, request: str, head: AnswerHead) -> None:
-        """Log the backoff that an answer requests, or that it cannot be parsed."""
+    def record_backoff(
+        self, endpoint: str, request: str, head: AnswerHead, now: Millis
+    ) -> bool:
+        """Apply the backoff of an answer; return whether it extends the current one."""
         if head.bad_backoff and endpoint not in self._unreadable_logged:
             # Once per endpoint, so that repeated answers do not flood the log.
             self._unreadable_logged.add(endpoint)
             self._log("backoff_unreadable", endpoint, request, text=head.bad_backoff)
-        if head.backoff_ms is not None:
-            self._log("endpoint_backoff", endpoint, request, for_ms=head.backoff_ms)
+        if head.backoff_ms is None:
+            return False
+        if not self.pool.back_off(endpoint, now + head.backoff_ms, now):
+            return False
+        self._log("endpoint_backoff", endpoint, request, for_ms=head.backoff_ms)
+        return True
 
     def forget_all_but(self, endpoints: Collection[str]) -> None:
         """Discard the state of endpoints that are not listed."""
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -125,6 +125,10 @@
             self.service.lost_reach(self.endpoint, self.state.clock.now())
             self.progress.free_refusals += 1
             return self._failed("unreachable", type(error).__name__, sent=False)
+        if not self.service.admission.pool.accepts_requests(self.endpoint):
+            # The endpoint may have refused another request during connection setup.
+            self.progress.free_refusals += 1
+            return NotDispatched("endpoint_backoff")
         if self.progress.dispatched and not self.service.admission.try_retry():
             return NotDispatched("retry_budget_spent")
         try:
@@ -158,8 +162,8 @@
         if head.attempt_id and head.attempt_id != self.call.id:
             return self._failed("foreign_answer", head.attempt_id, sent=True)
         if head.sealed or head.not_run:
-            self.service.log_backoff(self.endpoint, self.call.id, head)
             now = self.state.clock.now()
+            self.service.record_backoff(self.endpoint, self.call.id, head, now)
             self.service.quota_answered(self.endpoint, head, self._sent_at, now)
         if head.not_run:
             return self._refused(reply)
@@ -222,7 +226,9 @@
             self.progress.free_refusals += 1
         else:
             self._done(reply, Refused())
-            self._put_down_to_group(at_fault)
+            if head.backoff_ms is None or not is_own:
+                # A backoff concerns only the endpoint and implies no group failure.
+                self._put_down_to_group(at_fault)
         self._log_failure("refused", f"{head.status} at_fault={at_fault}")
         return NotDispatched("endpoint_refused")
 
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -94,7 +94,7 @@
 
     def __post_init__(self) -> None:
         self._quota_news = QuotaNews(self.view.name, self.admission.pool)
-        self._endpoint_notices = EndpointNotices(self.view.name)
+        self._endpoint_notices = EndpointNotices(self.view.name, self.admission.pool)
 
     @property
     def is_group(self) -> bool:
@@ -222,9 +222,12 @@
         if self.is_group and self.groups.doubt(endpoint):
             self._pause_groups("rank_out_of_reach")
 
-    def log_backoff(self, endpoint: str, request: str, head: AnswerHead) -> None:
-        """Log the backoff that an endpoint's answer requests, if any."""
-        self._endpoint_notices.log_backoff(endpoint, request, head)
+    def record_backoff(
+        self, endpoint: str, request: str, head: AnswerHead, now: Millis
+    ) -> None:
+        """Apply the backoff that an endpoint's answer requests, if any."""
+        if self._endpoint_notices.record_backoff(endpoint, request, head, now):
+            self.admission.refuse_unservable()
 
     def quota_answered(
         self, endpoint: str, head: AnswerHead, sent_at: Millis, now: Millis
--- a/tests/gateway/test_answers_ask_for_pauses.py
+++ b/tests/gateway/test_answers_ask_for_pauses.py
@@ -54,7 +54,7 @@
 
 def test_backoff_is_logged_with_its_duration(service, caplog):
     with caplog.at_level(logging.WARNING, "azurefold.gateway"):
-        service.log_backoff("e0", "a1", refusal("3"))
+        service.record_backoff("e0", "a1", refusal("3"), 0)
     assert "event=endpoint_backoff" in caplog.text
     assert "for_ms=3000" in caplog.text
 
@@ -76,6 +76,6 @@
 def test_unreadable_retry_after_is_logged_once_per_endpoint(service, caplog, text):
     with caplog.at_level(logging.WARNING, "azurefold.gateway"):
         for endpoint in ("e0", "e1", "e0"):
-            service.log_backoff(endpoint, "a1", refusal(text, DATE))
+            service.record_backoff(endpoint, "a1", refusal(text, DATE), 0)
     assert caplog.text.count("event=backoff_unreadable") == 2
     assert "event=endpoint_backoff" not in caplog.text
