Stop sending requests to an endpoint that announces it is leaving

Symptom: a gateway went on sending requests to a leaving endpoint until the store reported it as leaving, although the endpoint announces this in all its answers (Server-Leaving). The store may be unavailable, slow or out of date.

Cause: the header was never read. The class of defect is a signal in the peer's answers that is ignored; this instance was found while looking elsewhere for the cause of requests to endpoints that had requested a backoff.

The pool now excludes the endpoint until it restarts, in every path: from the first choice, from retries, from trials of a group that is down, and by a further check once the connection is established. The announcement overrides outdated entries of the endpoint list and survives gaps in the list; it is discarded when the endpoint is not listed and its last announcement is ten minutes old. The exit of the endpoint is planned, so it does not count as a crash attributed to the requests that it interrupts. The header is not forwarded to callers. The announcement is logged once per endpoint as endpoint_leaving.

--- a/src/azurefold/core/routing/pool.py
+++ b/src/azurefold/core/routing/pool.py
@@ -185,6 +185,7 @@
     def tick(self, now: Millis) -> tuple[Ejected, ...]:
         """Look for slow and stuck endpoints; call it about once a second."""
         self._quotas.prune(self._members.by_name.keys(), now)
+        self._prune_announced_leaving(now)
         self._refresh(now)
         usual = median_pace(self._members.eligible, self._means.pace)
         found = [
--- a/src/azurefold/core/routing/pool_knowledge.py
+++ b/src/azurefold/core/routing/pool_knowledge.py
@@ -18,6 +18,12 @@
 __all__ = ["PoolKnowledge"]
 
 
+_LEAVING_RETENTION_MS: Millis = 600_000
+"""Time since its last announcement after which an unlisted endpoint is forgotten.
+
+Longer than an endpoint that is leaving may be temporarily missing from the list."""
+
+
 class PoolKnowledge:
     """Members of a pool, their loads, and which of them are left out.
 
@@ -36,6 +42,7 @@
         self._absences = Absences(self._ejector)
         self._quotas = EndpointQuotas()
         self._backoffs = Backoffs()
+        self._announced_leaving: dict[str, Millis] = {}
         self._means = PoolMeans()
 
     @property
@@ -162,7 +169,7 @@
         for gone in self._members.replace(frozenset(names), now):
             self._absences.forget(gone)
         self._means.others = self._members.mean_others
-        for name in leaving:
+        for name in (*leaving, *self._announced_leaving):
             if name in self._members.by_name:
                 self._members.by_name[name].leaving = True
         self._refresh(now)
@@ -256,12 +263,18 @@
         """Forget all of an endpoint, which may be added again as a new one."""
         self._quotas.forget(name)
         self._backoffs.forget(name)
+        self._announced_leaving.pop(name, None)
         self.set_endpoints(self._members.by_name.keys() - {name}, now)
         self._members.former.pop(name, None)
 
     def accepts_requests(self, endpoint: str) -> bool:
-        """Whether an endpoint has no backoff in effect."""
-        return endpoint not in self._absences.backing_off
+        """Whether an endpoint is not backing off and has not announced leaving."""
+        is_backing_off = endpoint in self._absences.backing_off
+        return not is_backing_off and not self.has_announced_leaving(endpoint)
+
+    def has_announced_leaving(self, endpoint: str) -> bool:
+        """Whether an endpoint has announced that it is leaving."""
+        return endpoint in self._announced_leaving
 
     def back_off(self, endpoint: str, until: Millis, now: Millis) -> bool:
         """Exclude an endpoint until a time; return whether its backoff got longer."""
@@ -270,6 +283,22 @@
         self._refresh(now)
         return True
 
+    def record_leaving(self, endpoint: str, now: Millis) -> bool:
+        """Exclude an endpoint that has announced that it is leaving.
+
+        The announcement overrides outdated list entries until the endpoint restarts.
+
+        Returns
+        -------
+        bool
+            Whether this is its first announcement.
+        """
+        is_known = endpoint in self._announced_leaving
+        self._announced_leaving[endpoint] = now
+        if not is_known:
+            self.mark_leaving(endpoint, now)
+        return not is_known
+
     def mark_leaving(self, endpoint: str, now: Millis) -> None:
         """Choose ``endpoint`` no more; its attempts in flight go on."""
         known = self._members.by_name.get(endpoint)
@@ -301,6 +330,14 @@
         """Take in the event of an eviction."""
         self._hints.evicted(endpoint, prefix_hash)
 
+    def _prune_announced_leaving(self, now: Millis) -> None:
+        oldest = now - _LEAVING_RETENTION_MS
+        self._announced_leaving = {
+            name: announced_at
+            for name, announced_at in self._announced_leaving.items()
+            if name in self._members.by_name or announced_at > oldest
+        }
+
     def _refresh(self, now: Millis) -> None:
         for name in self._absences.returned(now):
             self._members.by_name[name].last_progress = now
--- a/src/azurefold/gateway/endpoint_notices.py
+++ b/src/azurefold/gateway/endpoint_notices.py
@@ -1,4 +1,4 @@
-"""Handling of the backoff that endpoints request in their answers."""
+"""Handling of backoff requests and departures announced in endpoint answers."""
 
 import logging
 from collections.abc import Collection
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True)
 class EndpointNotices:
-    """Applies the backoff that endpoints request to a service's pool, and logs it.
+    """Applies what endpoints announce in answers to a pool of endpoints, and logs it.
 
     Parameters
     ----------
@@ -43,6 +43,13 @@
         self._log("endpoint_backoff", endpoint, request, for_ms=head.backoff_ms)
         return True
 
+    def record_leaving(
+        self, endpoint: str, request: str, head: AnswerHead, now: Millis
+    ) -> None:
+        """Exclude the endpoint if its answer announces that it is leaving."""
+        if head.leaving and self.pool.record_leaving(endpoint, now):
+            self._log("endpoint_leaving", endpoint, request)
+
     def forget_all_but(self, endpoints: Collection[str]) -> None:
         """Discard the state of endpoints that are not listed."""
         self._unreadable_logged.intersection_update(endpoints)
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -163,6 +163,7 @@
             return self._failed("foreign_answer", head.attempt_id, sent=True)
         if head.sealed or head.not_run:
             now = self.state.clock.now()
+            self.service.record_leaving(self.endpoint, self.call.id, head, now)
             self.service.record_backoff(self.endpoint, self.call.id, head, now)
             self.service.quota_answered(self.endpoint, head, self._sent_at, now)
         if head.not_run:
@@ -261,7 +262,8 @@
         if not self.state.links.refuses_connections(self.endpoint, entry.address):
             return
         listed = self.service.entries.get(self.endpoint)
-        is_planned = listed is None or listed.leaving
+        has_announced = self.service.admission.pool.has_announced_leaving(self.endpoint)
+        is_planned = listed is None or listed.leaving or has_announced
         if not is_planned:
             self.state.note_crash(self.call.identity, entry)
         log_event(
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -229,6 +229,12 @@
         if self._endpoint_notices.record_backoff(endpoint, request, head, now):
             self.admission.refuse_unservable()
 
+    def record_leaving(
+        self, endpoint: str, request: str, head: AnswerHead, now: Millis
+    ) -> None:
+        """Exclude the endpoint if its answer announces that it is leaving."""
+        self._endpoint_notices.record_leaving(endpoint, request, head, now)
+
     def quota_answered(
         self, endpoint: str, head: AnswerHead, sent_at: Millis, now: Millis
     ) -> None:
--- a/src/azurefold/platform/headers.py
+++ b/src/azurefold/platform/headers.py
@@ -29,6 +29,7 @@
 _SEAL = "server-seal"
 _NOT_RUN = "not-executed"
 _AT_FAULT = "at-server"
+_LEAVING = "server-leaving"
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 _DATE = "date"
@@ -46,6 +47,7 @@
 """Longer values are capped, so that a wrong one, such as from a skewed clock, does not
 exclude an endpoint indefinitely."""
 
+_TRUE = "1"
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
 _LONGEST_SHOWN = 40
 """Characters of what cannot be read, for a log line."""
@@ -67,6 +69,9 @@
 )
 """Headers of one hop, and those by which each hop frames the body anew."""
 
+_NOT_FORWARDED = frozenset({_QUOTA, _LEAVING})
+"""Headers meant for gateways, which are not forwarded to callers."""
+
 _SET_HERE = frozenset(
     name.lower()
     for name in (DEADLINE, LAST_EVENT_ID, _TENANT, _EXPECT_INSTANCE, _REQUEST_PRIORITY)
@@ -134,6 +139,8 @@
         The Retry-After of a 503 answer; None if there is none or it cannot be read.
     bad_backoff : str
         A Retry-After that cannot be read, truncated; empty if there is none.
+    leaving : bool
+        Whether the endpoint announces that it accepts no new requests.
     """
 
     status: int
@@ -148,6 +155,7 @@
     bad_quota: str = ""
     backoff_ms: int | None = None
     bad_backoff: str = ""
+    leaving: bool = False
 
 
 def read_request(headers: Headers) -> RequestHead:
@@ -231,13 +239,14 @@
         forwarded=tuple(
             (name, value)
             for name, value in pairs
-            if name.lower() not in _OF_ONE_CONNECTION and name.lower() != _QUOTA
+            if name.lower() not in _OF_ONE_CONNECTION | _NOT_FORWARDED
         ),
         misdirected=status == _MISDIRECTED,
         quota=quota,
         bad_quota=bad_quota,
         backoff_ms=backoff_ms,
         bad_backoff=bad_backoff,
+        leaving=by_name.get(_LEAVING, "").strip() == _TRUE,
     )
 
 
