--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -28,6 +28,7 @@
     Piece,
 )
 from azurefold.gateway.endpoints.connections import Link
+from azurefold.gateway.endpoints.crash_check import CrashCheck
 from azurefold.gateway.endpoints.reply import BrokenReplyError, Reply, read_reply
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
@@ -137,7 +138,9 @@
             return (yield from self._answer(reply))
         except BrokenReplyError as error:
             event = self._failed("broken_reply", error.reason, sent=True)
-            self._note_if_crashed(entry, error)
+            if not error.is_timeout:
+                # A timeout is not evidence of a crash.
+                self._crash_check(entry).run()
             return event
 
     def end(self) -> None:
@@ -249,34 +252,8 @@
             links.keep(self.endpoint, self._link, reply.idle_timeout_ms)
             self._link = None
 
-    def _note_if_crashed(self, entry: EndpointEntry, error: BrokenReplyError) -> None:
-        """Note a crash if the endpoint refuses a new connection.
-
-        A healthy endpoint may also close a connection, but accepts a new one. A
-        timeout is not evidence of a crash, so no connection is tried after one. The
-        end of an endpoint that was leaving, or is no longer listed, was planned; it is
-        logged but not counted.
-        """
-        if error.is_timeout:
-            return
-        if not self.state.links.refuses_connections(self.endpoint, entry.address):
-            return
-        listed = self.service.entries.get(self.endpoint)
-        has_announced = self.service.admission.pool.has_announced_leaving(self.endpoint)
-        is_planned = listed is None or listed.leaving or has_announced
-        if not is_planned:
-            self.state.note_crash(self.call.identity, entry)
-        log_event(
-            _log,
-            "endpoint_crashed",
-            logging.WARNING,
-            endpoint=self.endpoint,
-            address=entry.address,
-            request=self.call.id,
-            identity=f"{self.call.identity:016x}",
-            after_ms=self.state.clock.now() - self._sent_at,
-            planned=is_planned,
-        )
+    def _crash_check(self, entry: EndpointEntry) -> CrashCheck:
+        return CrashCheck(self.call, self.state, self.service, entry, self._sent_at)
 
     def _failed(self, event: str, detail: str, *, sent: bool) -> Event:
         self._outcome = Failed()
--- a/src/azurefold_standins/bare_endpoints.py
+++ b/src/azurefold_standins/bare_endpoints.py
@@ -17,12 +17,14 @@
 import random  # noqa: E402
 import time  # noqa: E402
 from collections import Counter, defaultdict  # noqa: E402
+from collections.abc import Iterator  # noqa: E402
 from dataclasses import dataclass, field  # noqa: E402
 from pathlib import Path  # noqa: E402
 
 import falcon  # noqa: E402
 import gevent  # noqa: E402
 import msgspec  # noqa: E402
+from gevent.pool import Pool  # noqa: E402
 
 from azurefold.core.groups.map_orders import (  # noqa: E402
     Arm,
@@ -32,7 +34,7 @@
     Release,
     Verdict,
 )
-from azurefold.internal.http_server import http_server  # noqa: E402
+from azurefold.internal.http_server import TimedServer, http_server  # noqa: E402
 from azurefold.internal.process import stop_requested  # noqa: E402
 from azurefold_standins.bare_layout import (  # noqa: E402
     EVENTS,
@@ -48,6 +50,7 @@
 
 _PASS_S = 0.02
 _WORK_S = 0.01
+_RESTART_S = 1.0
 _LAYERS, _EXPERTS = 2, 8
 
 
@@ -66,6 +69,8 @@
     times: defaultdict[str, list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    crashes: list[str] = field(default_factory=list)
+    servers: dict[str, TimedServer] = field(default_factory=dict)
     _held_since: float | None = None
     _counts: list[list[int]] = field(default_factory=list)
 
@@ -103,8 +108,25 @@
             self.held_s,
             dict(self.arrivals),
             dict(self.times),
+            self.crashes,
         )
 
+    def serve(self, endpoint: BareEndpoint) -> None:
+        """Start an endpoint."""
+        app = _endpoint_app(self, endpoint)
+        server = http_server(endpoint.address, app, endpoint.name)
+        server.set_spawn(Pool())
+        server.start()
+        self.servers[endpoint.name] = server
+
+    def crash(self, endpoint: BareEndpoint) -> None:
+        """End an endpoint with all its connections; it restarts after a while."""
+        self.crashes.append(endpoint.name)
+        server = self.servers[endpoint.name]
+        server.close()
+        gevent.spawn(server.stop, timeout=0)
+        gevent.spawn_later(_RESTART_S, self.serve, endpoint)
+
 
 @dataclass(slots=True)
 class _Requests:
@@ -132,6 +154,10 @@
             return
         site.last_arrival[self.endpoint.name] = time.monotonic()
         site.runs[attempt] += 1
+        if req.path in site.faults.crashing:
+            site.crash(self.endpoint)
+            resp.stream = _no_answer()
+            return
         gevent.sleep(_WORK_S)
         resp.set_header("Server-Seal", f"{self.endpoint.name}.{attempt}")
         if self.endpoint.rank is None:
@@ -161,6 +187,15 @@
             yield event
 
 
+def _no_answer() -> Iterator[bytes]:
+    """End the connection before any byte of an answer.
+
+    Raised from the body, as an error in the application is answered with 500.
+    """
+    raise ConnectionResetError(104, "lost")
+    yield b""
+
+
 @dataclass(slots=True)
 class _Rank:
     """What one rank answers to questions and orders."""
@@ -264,9 +299,7 @@
     site = _Site(ModelGroup(len(ranks)))
     gevent.spawn(site.pass_for_ever)
     for endpoint in layout.endpoints:
-        http_server(
-            endpoint.address, _endpoint_app(site, endpoint), endpoint.name
-        ).start()
+        site.serve(endpoint)
     control = falcon.App()
     control.add_route("/journal", _Control(site))
     control.add_route("/faults", _Control(site))
--- a/src/azurefold_standins/bare_layout.py
+++ b/src/azurefold_standins/bare_layout.py
@@ -50,6 +50,8 @@
         Orders that get no answer and are carried out later.
     quotas : dict of str to float
         Requests a second that endpoints in need name in their answers.
+    crashing : list of str
+        Paths of requests that crash each endpoint that runs them.
     """
 
     break_off: float = 0.0
@@ -57,6 +59,7 @@
     refuse: float = 0.0
     late_orders: float = 0.0
     quotas: dict[str, float] = {}
+    crashing: list[str] = []
 
 
 class Journal(msgspec.Struct):
@@ -78,6 +81,8 @@
         Requests' ids and times by service, also of those that were refused.
     times : dict of str to list of float
         Of the requests for each endpoint, as in ``arrivals``.
+    crashes : list of str
+        Endpoints in the order in which they crashed.
     """
 
     runs: dict[str, int]
@@ -87,6 +92,7 @@
     held_s: float
     arrivals: dict[str, list[tuple[str, float]]] = {}
     times: dict[str, list[float]] = {}
+    crashes: list[str] = []
 
 
 def expected_event(path: str, number: int) -> bytes:
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -89,9 +89,12 @@
         self.write("op", "config", body)
         return self.version
 
-    def register(self, endpoint: BareEndpoint, *, leaving: bool = False) -> None:
-        """Write an endpoint's entry."""
-        address = self.links[f"endpoint-{endpoint.name}"][0]
+    def register(
+        self, endpoint: BareEndpoint, *, leaving: bool = False, direct: bool = False
+    ) -> None:
+        """Write an endpoint's entry, with its own address or that of a relay."""
+        relayed = self.links[f"endpoint-{endpoint.name}"][0]
+        address = endpoint.address if direct else relayed
         entry = {
             "Service": endpoint.service,
             "Address": address,
--- a/tests/gateway/test_a_site_of_gateways.py
+++ b/tests/gateway/test_a_site_of_gateways.py
@@ -2,12 +2,14 @@
 
 import random
 import time
+from itertools import count, repeat
 from zlib import crc32
 
 import pytest
 
+from azurefold_standins.bare_layout import EndpointFaults
 from azurefold_standins.fault_soak import check, run_soak
-from azurefold_standins.gateway_caller import Caller, Kind, Result
+from azurefold_standins.gateway_caller import Caller, Kind, Result, _headers
 from azurefold_standins.gateway_site import new_gateway_site
 from azurefold_standins.processes import wait_until
 from azurefold_standins.quota_allowance import Need
@@ -93,6 +95,45 @@
     site.wait_ready("gateway-1")
 
 
+@pytest.fixture
+def crashing_site(tmp_path):
+    """A site whose plain endpoints are reached without a relay in between."""
+    site = new_gateway_site(tmp_path, gateways=2, ranks=2)
+    try:
+        site.start()
+        for endpoint in site.endpoints:
+            if endpoint.service == "desk":
+                site.register(endpoint, direct=True)
+        time.sleep(1.5)
+        yield site
+    finally:
+        site.processes.kill_all()
+
+
+def test_a_request_that_crashes_endpoints_is_refused_at_all_gateways(
+    crashing_site, monkeypatch
+):
+    """Guards against plain endpoints that crash one after the other."""
+    site = crashing_site
+    attempts = count()
+    monkeypatch.setattr(
+        "azurefold_standins.gateway_caller._headers",
+        lambda attempt: _headers(f"{attempt}-{next(attempts)}"),
+    )
+    repeated = Caller("c", random.Random(3), _numbers=repeat("crash"))
+    site.endpoint_faults(EndpointFaults(crashing=["/lists/c-crash"]))
+    statuses = []
+    for turn in range(6):
+        made = call(site, repeated, Kind.LIST, f"gateway-{turn % 2}")
+        statuses.append(made.status)
+        time.sleep(1.5)
+    assert sorted(site.journal().crashes) == ["desk-0", "desk-1"]
+    assert statuses == [502] + 5 * [503]
+    other = Caller("other", random.Random(3))
+    made = [call(site, other, Kind.LIST, name) for name in site.gateways]
+    assert {each.result for each in made} == {Result.WHOLE}
+
+
 @pytest.mark.parametrize(
     ("seed", "seconds"),
     [
--- a/tests/gateway/test_endpoints_that_announce_their_departure.py
+++ b/tests/gateway/test_endpoints_that_announce_their_departure.py
@@ -8,7 +8,7 @@
     send_requests,
 )
 from tests.gateway.test_endpoints_that_refuse_everything import closing
-from tests.gateway.test_relays_answer_truthfully import BROKEN, EVENT, relay_of
+from tests.gateway.test_relays_answer_truthfully import EVENT, relay_of
 
 from azurefold.core.routes.model import AnswerKind
 from azurefold.core.routing.rank_groups import RankGroups
@@ -167,7 +167,7 @@
             relay.service.record_leaving(name, "a0", leaving_answer("1"), 1_000)
     attempt = Attempt(relay.call, state, relay.service, Progress(), LEAVING_ENDPOINT, 1)
     monkeypatch.setattr(EndpointLinks, "refuses_connections", lambda *a: True)
-    attempt._note_if_crashed(relay.service.entries[LEAVING_ENDPOINT], BROKEN)
+    attempt._crash_check(relay.service.entries[LEAVING_ENDPOINT]).run()
     assert state.crashes.size == (not announced)
 
 
