Test requests that crash endpoints with real processes

The stand-in endpoints accept a list of paths whose requests crash them: the endpoint closes its port and its connections, and restarts after one second. The test runs two gateways and two endpoints and sends the same request six times. The first call crashes both endpoints, the other five are refused with 503, and other requests are served.

The stand-in aborts the connection while the response body is iterated. The framework answers an exception raised earlier with 500, so at first the test did not see any crash.

Crashes of endpoints behind such a proxy are not detected.

--- a/src/azurefold_standins/bare_endpoints.py
+++ b/src/azurefold_standins/bare_endpoints.py
@@ -50,7 +50,7 @@
 
 _PASS_S = 0.02
 _WORK_S = 0.01
-_RESTART_S = 1.0
+_RESTART_DELAY_S = 1.0
 _LAYERS, _EXPERTS = 2, 8
 
 
@@ -111,21 +111,21 @@
             self.crashes,
         )
 
-    def serve(self, endpoint: BareEndpoint) -> None:
-        """Start an endpoint."""
+    def start_endpoint(self, endpoint: BareEndpoint) -> None:
+        """Start an endpoint's server, whose open connections ``stop`` closes."""
         app = _endpoint_app(self, endpoint)
         server = http_server(endpoint.address, app, endpoint.name)
         server.set_spawn(Pool())
         server.start()
         self.servers[endpoint.name] = server
 
-    def crash(self, endpoint: BareEndpoint) -> None:
-        """End an endpoint with all its connections; it restarts after a while."""
+    def crash_endpoint(self, endpoint: BareEndpoint) -> None:
+        """Close an endpoint's port and connections, and schedule its restart."""
         self.crashes.append(endpoint.name)
         server = self.servers[endpoint.name]
         server.close()
         gevent.spawn(server.stop, timeout=0)
-        gevent.spawn_later(_RESTART_S, self.serve, endpoint)
+        gevent.spawn_later(_RESTART_DELAY_S, self.start_endpoint, endpoint)
 
 
 @dataclass(slots=True)
@@ -155,8 +155,8 @@
         site.last_arrival[self.endpoint.name] = time.monotonic()
         site.runs[attempt] += 1
         if req.path in site.faults.crashing:
-            site.crash(self.endpoint)
-            resp.stream = _no_answer()
+            site.crash_endpoint(self.endpoint)
+            resp.stream = _abort_response()
             return
         gevent.sleep(_WORK_S)
         resp.set_header("Server-Seal", f"{self.endpoint.name}.{attempt}")
@@ -187,13 +187,14 @@
             yield event
 
 
-def _no_answer() -> Iterator[bytes]:
-    """End the connection before any byte of an answer.
+def _abort_response() -> Iterator[bytes]:
+    """Close the connection before any byte of the response is sent.
 
-    Raised from the body, as an error in the application is answered with 500.
+    The error is raised while the body is iterated, because the framework answers
+    earlier exceptions with status 500.
     """
-    raise ConnectionResetError(104, "lost")
-    yield b""
+    raise ConnectionResetError(104, "endpoint crashed")
+    yield b""  # Unreachable; makes this function a generator.
 
 
 @dataclass(slots=True)
@@ -299,7 +300,7 @@
     site = _Site(ModelGroup(len(ranks)))
     gevent.spawn(site.pass_for_ever)
     for endpoint in layout.endpoints:
-        site.serve(endpoint)
+        site.start_endpoint(endpoint)
     control = falcon.App()
     control.add_route("/journal", _Control(site))
     control.add_route("/faults", _Control(site))
--- a/src/azurefold_standins/bare_layout.py
+++ b/src/azurefold_standins/bare_layout.py
@@ -51,7 +51,7 @@
     quotas : dict of str to float
         Requests a second that endpoints in need name in their answers.
     crashing : list of str
-        Paths of requests that crash each endpoint that runs them.
+        Paths whose requests crash every endpoint that runs them.
     """
 
     break_off: float = 0.0
@@ -82,7 +82,7 @@
     times : dict of str to list of float
         Of the requests for each endpoint, as in ``arrivals``.
     crashes : list of str
-        Endpoints in the order in which they crashed.
+        Names of the endpoints that crashed, in the order of the crashes.
     """
 
     runs: dict[str, int]
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -92,9 +92,17 @@
     def register(
         self, endpoint: BareEndpoint, *, leaving: bool = False, direct: bool = False
     ) -> None:
-        """Write an endpoint's entry, with its own address or that of a relay."""
-        relayed = self.links[f"endpoint-{endpoint.name}"][0]
-        address = endpoint.address if direct else relayed
+        """Write an endpoint's entry.
+
+        Parameters
+        ----------
+        endpoint : BareEndpoint
+        leaving : bool, default=False
+        direct : bool, default=False
+            Whether the entry has the endpoint's own address instead of the relay's.
+        """
+        relay_address = self.links[f"endpoint-{endpoint.name}"][0]
+        address = endpoint.address if direct else relay_address
         entry = {
             "Service": endpoint.service,
             "Address": address,
--- a/tests/gateway/test_a_site_of_gateways.py
+++ b/tests/gateway/test_a_site_of_gateways.py
@@ -96,8 +96,11 @@
 
 
 @pytest.fixture
-def crashing_site(tmp_path):
-    """A site whose plain endpoints are reached without a relay in between."""
+def site_with_direct_endpoints(tmp_path):
+    """A site whose plain endpoints are reached without the relay.
+
+    The relay accepts connections for an endpoint that crashed, which hides the crash.
+    """
     site = new_gateway_site(tmp_path, gateways=2, ranks=2)
     try:
         site.start()
@@ -111,26 +114,28 @@
 
 
 def test_a_request_that_crashes_endpoints_is_refused_at_all_gateways(
-    crashing_site, monkeypatch
+    site_with_direct_endpoints, monkeypatch
 ):
-    """Guards against plain endpoints that crash one after the other."""
-    site = crashing_site
-    attempts = count()
+    """Guards against a repeated request that crashes one endpoint after another."""
+    site = site_with_direct_endpoints
+    attempt_numbers = count()
+    # Repeats have the same path, but a new attempt id each.
     monkeypatch.setattr(
         "azurefold_standins.gateway_caller._headers",
-        lambda attempt: _headers(f"{attempt}-{next(attempts)}"),
+        lambda attempt: _headers(f"{attempt}-{next(attempt_numbers)}"),
     )
-    repeated = Caller("c", random.Random(3), _numbers=repeat("crash"))
+    repeating_caller = Caller("c", random.Random(3), _numbers=repeat("crash"))
     site.endpoint_faults(EndpointFaults(crashing=["/lists/c-crash"]))
     statuses = []
-    for turn in range(6):
-        made = call(site, repeated, Kind.LIST, f"gateway-{turn % 2}")
+    for index in range(6):
+        made = call(site, repeating_caller, Kind.LIST, f"gateway-{index % 2}")
         statuses.append(made.status)
+        # Longer than the restart of a crashed endpoint takes.
         time.sleep(1.5)
     assert sorted(site.journal().crashes) == ["desk-0", "desk-1"]
     assert statuses == [502] + 5 * [503]
-    other = Caller("other", random.Random(3))
-    made = [call(site, other, Kind.LIST, name) for name in site.gateways]
+    other_caller = Caller("other", random.Random(3))
+    made = [call(site, other_caller, Kind.LIST, name) for name in site.gateways]
     assert {each.result for each in made} == {Result.WHOLE}
 
 
