Ignore peer reports of expired crash suspects

Nodes evict a suspect at different times, each when its next crash or report changes something.

Reports of expired suspects now change nothing. Only crashes and answers that a node has observed itself make it send early; what it learned from other nodes is sent with its next message.

--- a/src/azurefold/core/attempts/crashes.py
+++ b/src/azurefold/core/attempts/crashes.py
@@ -139,7 +139,8 @@
     Attributes
     ----------
     version : int
-        Incremented with each change that other nodes should receive.
+        Incremented with each crash or answer that this node observed itself and should
+        report to other nodes.
     """
 
     def __init__(self, policy: CrashPolicy | None = None) -> None:
@@ -189,7 +190,7 @@
 
     def merge(self, identity: int, report: CrashReport, now: Millis) -> bool:
         """Merge another node's report and return whether it changed anything."""
-        suspect = self._suspect(identity)
+        suspect = self._suspects.get(identity) or _Suspect()
         added = [
             suspect.add_crash(endpoint, at, self._policy.max_crashes)
             for endpoint, at in report.crashes.items()
@@ -198,13 +199,16 @@
             report.answered_at, self._policy.answer_validity
         )
         is_changed = is_cleared or any(added)
-        if is_changed:
-            self._mark_changed(suspect, now)
+        if not is_changed or self._is_expired(suspect, now):
+            # Nodes evict expired suspects at different times and may still report them.
+            return False
+        self._suspects[identity] = suspect
+        suspect.changed_at = now
         own_answer = self._answers.get(identity)
         if suspect.add_answer(own_answer, self._policy.answer_validity):
             self._mark_changed_locally(suspect, now)
         self._evict(now)
-        return is_changed
+        return True
 
     def quarantine(self, identity: int, now: Millis) -> Quarantine | None:
         """Return the quarantine of a request, or None if it may be sent."""
@@ -256,9 +260,6 @@
 
     def _mark_changed_locally(self, suspect: _Suspect, now: Millis) -> None:
         self._local_change_at = now
-        self._mark_changed(suspect, now)
-
-    def _mark_changed(self, suspect: _Suspect, now: Millis) -> None:
         suspect.changed_at = now
         self.version += 1
 
@@ -267,13 +268,16 @@
         expired = [
             identity
             for identity, suspect in self._suspects.items()
-            if now - suspect.last_crash >= self._retention(suspect)
+            if self._is_expired(suspect, now)
         ]
         for identity in expired:
             del self._suspects[identity]
         while len(self._suspects) > self._policy.max_requests:
             del self._suspects[min(self._suspects, key=self._eviction_key)]
 
+    def _is_expired(self, suspect: _Suspect, now: Millis) -> bool:
+        return now - suspect.last_crash >= self._retention(suspect)
+
     def _retention(self, suspect: _Suspect) -> Millis:
         policy = self._policy
         if len(self._counted_crashes(suspect)) >= policy.crash_threshold:
--- a/tests/core/attempts/test_crashes.py
+++ b/tests/core/attempts/test_crashes.py
@@ -127,3 +127,23 @@
     [report] = tracker.reports().values()
     assert len(report.crashes) <= 8
     assert tracker.quarantine(CRASHING, 100 * SECOND).until >= DAY
+
+
+def test_reports_of_expired_suspects_are_ignored(tracker):
+    """Guards against nodes that add and remove an expired suspect at each report."""
+    crash(tracker, 0)
+    report = tracker.reports()[CRASHING]
+    other_node = CrashTracker()
+    expiry = POLICY.suspect_retention
+    for delay in range(0, 10 * SECOND, 100):
+        assert not other_node.merge(CRASHING, report, expiry + delay)
+    assert other_node.size == 0
+
+
+def test_merged_reports_do_not_increment_the_version(tracker):
+    """Guards against early messages from each node that receives a report."""
+    other_node = CrashTracker()
+    crash(tracker, 0, 100)
+    assert other_node.merge(CRASHING, tracker.reports()[CRASHING], 150)
+    assert other_node.version == 0
+    assert CRASHING in other_node.reports()
