Apply the changes of endpoints in one answer in their order

Its entry changed once more and was removed soon after, and both changes came in one answer of the feed, as they do after a pause of 0.2 to 1.2 s or an outage. All removals of an answer were applied before all writes, so the earlier write put the entry back.

Found by looking for ways in which something that left is put back. The test failed before: the endpoint was still listed. Now the last change of each key counts.

--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -156,13 +156,14 @@
         self._after_endpoints(before, rows, restarted)
 
     def endpoint_changes(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take in entries that changed."""
+        """Take in entries that changed, in the order of their changes."""
         before = set(self._state.registry.entries)
         registry = self._state.registry
+        latest = {row.key: row for row in rows}.values()
         registry.remove(
-            [row.key for row in rows if row.removed], self._state.clock.now()
+            [row.key for row in latest if row.removed], self._state.clock.now()
         )
-        written = {row.key: self._entry(row) for row in rows if not row.removed}
+        written = {row.key: self._entry(row) for row in latest if not row.removed}
         registry.drop(name for name, entry in written.items() if entry is None)
         restarted = registry.put(entry for entry in written.values() if entry)
         self._after_endpoints(before, rows, restarted)
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -165,6 +165,23 @@
     assert set(state.services["desk"].entries) == {"e1"}
 
 
+def test_an_endpoint_that_was_written_and_removed_in_one_answer_is_gone(news, state):
+    """Guards against requests to an endpoint whose removal followed another change."""
+    news.configuration.on_rows((config_row(7, 1),))
+    news.endpoints.on_rows((entry_row("e1", 2), entry_row("e2", 3)))
+    removal = StoredRow("e1", 5, removed=True)
+    news.endpoints.on_changes((entry_row("e1", 4, SeqNo=9), removal))
+    assert set(state.services["desk"].entries) == {"e2"}
+
+
+def test_an_endpoint_that_was_removed_and_written_in_one_answer_is_there(news, state):
+    news.configuration.on_rows((config_row(7, 1),))
+    news.endpoints.on_rows((entry_row("e1", 2), entry_row("e2", 3)))
+    removal = StoredRow("e1", 4, removed=True)
+    news.endpoints.on_changes((removal, entry_row("e1", 5)))
+    assert set(state.services["desk"].entries) == {"e1", "e2"}
+
+
 def test_an_unreadable_entry_is_passed_over(news, state):
     news.configuration.on_rows((config_row(7, 1),))
     news.endpoints.on_rows((StoredRow("bad", 2, b"{"), entry_row("e1", 3)))
