Give all other services their endpoints when one fails to take them in

What callers could see (DRAIN, suspected): one service's part raises while it takes a new list of endpoints in. The services behind it got no list, the loop started again a second later into the same fault, and they went on sending to endpoints that leave.

No input is known that makes a part raise; the loop's end would show as loop_failed. The test failed before with a part that is made to raise: the other service kept its endpoint. The failures are still raised, together, so that the follower reads again.

--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -194,14 +194,27 @@
             service.admission.pool.forget(name, self.clock.now())
 
     def spread_endpoints(self) -> None:
-        """Hand the present endpoints to their services."""
+        """Hand the present endpoints to their services.
+
+        Raises
+        ------
+        ExceptionGroup
+            If some services failed to take them in; all others have them.
+        """
         now = self.clock.now()
         by_service = {name: [] for name in self.services}
         for entry in self.registry.entries.values():
             if entry.service in by_service:
                 by_service[entry.service].append(entry)
+        failures = []
         for name, entries in by_service.items():
-            self.services[name].set_endpoints(entries, self.cell, now)
+            try:
+                self.services[name].set_endpoints(entries, self.cell, now)
+            except Exception as error:  # noqa: BLE001
+                error.add_note(f"service {name}")
+                failures.append(error)
+        if failures:
+            raise ExceptionGroup("services that did not take endpoints in", failures)
 
     def group_told(self, news: GroupNews) -> None:
         """Take in what the coordinator tells of a group."""
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -10,6 +10,7 @@
 from azurefold.core.routes.model import AnswerKind
 from azurefold.core.routing.messages import Failed
 from azurefold.gateway.endpoints.connections import EndpointLinks
+from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.store.followers import TableFollower
 from azurefold.gateway.store.news import new_news
 from azurefold.platform import configuration as configurations
@@ -159,6 +160,36 @@
     assert state.endpoints_version == 5
 
 
+def fail_for(failing):
+    """Return a way to take endpoints in at which one service fails."""
+    original = GatewayService.set_endpoints
+
+    def set_endpoints(service, *arguments):
+        if service is failing:
+            raise KeyError("e1")
+        original(service, *arguments)
+
+    return set_endpoints
+
+
+def test_a_service_that_fails_keeps_no_other_from_its_endpoints(
+    news, state, monkeypatch
+):
+    """Guards against endpoints that stay in use as another service's update failed."""
+    news.configuration.on_rows((config_row(7, 1),))
+    model = {"Service": "model"}
+    rows = (entry_row("e1", 2), entry_row("e2", 3, **model))
+    news.endpoints.on_rows(rows)
+    failing, other = state.services.values()
+    monkeypatch.setattr(GatewayService, "set_endpoints", fail_for(failing))
+    leaving = {"State": "draining"}
+    with pytest.raises(ExceptionGroup):
+        news.endpoints.on_changes(
+            (entry_row("e1", 4, **leaving), entry_row("e2", 5, **model, **leaving))
+        )
+    assert not other.admission.pool.endpoints
+
+
 def test_entries_that_came_before_the_configuration_are_not_lost(news, state):
     news.endpoints.on_rows((entry_row("e1", 2),))
     news.configuration.on_rows((config_row(7, 3),))
