Interrupt a feed's call only while it waits

What callers could see (CONFIG, DRAIN): a gateway that asks the store anew stands still for a second and then reads the whole table. The call that it gave up was answered at the same moment; the interruption came later, into the pause after the answer's changes, and ended the follower's loop, which starts again after a second.

The test failed before in the same way; now the interruption is dropped if the call is over.

--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -109,7 +109,12 @@
         if whole:
             self.version = None
         self._woken = True
-        gevent.kill(self._waiting, ConnectionAbortedError("asked anew"))
+        gevent.get_hub().loop.run_callback(self._interrupt, self._waiting)
+
+    def _interrupt(self, waiting: gevent.Greenlet) -> None:
+        # The call may have been answered since, and its rows are being taken in.
+        if self._waiting is waiting:
+            waiting.throw(ConnectionAbortedError("asked anew"))
 
     def _step(self) -> None:
         answer = self._read_all() if self.version is None else self._read_changes()
--- a/tests/gateway/store_world.py
+++ b/tests/gateway/store_world.py
@@ -209,6 +209,7 @@
             kill=gevent.kill,
             getcurrent=gevent.getcurrent,
             Greenlet=gevent.Greenlet,
+            get_hub=gevent.get_hub,
         )
         self.monkeypatch.setattr(followers, "gevent", stand_in)
         self.monkeypatch.setattr(loops, "gevent", stand_in)
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -5,6 +5,7 @@
 import falcon
 import gevent
 import pytest
+from gevent.event import Event
 
 from azurefold.core.clock import manual_clock
 from azurefold.gateway.store import followers
@@ -165,6 +166,25 @@
         server.stop(timeout=0.1)
 
 
+def test_an_answer_that_comes_as_the_call_is_given_up_is_taken_in(store, time, seen):
+    """Guards against a follower that fails as its call ends while it is interrupted."""
+    follower = follower_of(store, time, seen, USUAL_WAIT)
+    answered = Event()
+    store.while_waiting = answered.wait
+    row = StoredRow("e1", 5, b"{}")
+    store.script = [StoredRows((), 4), FeedChanges((row,), 5), FeedChanges((), 5)]
+    runner = gevent.spawn(follower.run)
+    gevent.sleep(0)
+    answered.set()
+    follower.look_again()
+    for _ in range(5):
+        gevent.sleep(0)
+    is_running = not runner.dead
+    runner.kill()
+    assert is_running
+    assert ("changes", (row,)) in seen
+
+
 @pytest.fixture
 def store_of_eras():
     """A store over HTTP, of which copies can be kept."""
