Know as of when the store's tables were in force, and renew what is older

Cause, one for both: a feed that told nothing was taken for a table that had not changed. An answer that is lost on a connection that stays open leaves the call waiting for 7 s (21 s at large sites); meanwhile the gateway counted as current, and as all gateways ask again at about the same moment after a change, a short silence of the store blinds all of them, so that none can tell the others.

Now each gateway knows of each table as of when, in the store's own time, all of it was in force here. Answers of the store and statements of other gateways ("nothing newer than V as of S") renew that; what is older than 0.95 to 1.25 s is asked for on a new connection, for an answer at once. Feeds' calls end in turn, so that a calm site asks no more often than before. 404 and 401 are said only if the configuration is known as of three quarters of the site's bound. A version is told once it is in force.

Tests that changed: being behind is tested at the class that decides it now, with the same times; an unknown route is "unknown" only with evidence, which an answer without the store's time is not; what is told is tested through the follower, as a list that was handed to it directly is no longer told.

--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -14,6 +14,8 @@
 
 __all__ = ["gateway_registry"]
 
+_SECOND_MS = 1_000
+
 
 class _GatewayCollector(Collector):
     def __init__(self, state: GatewayState) -> None:
@@ -30,6 +32,7 @@
             answers.add_metric([service, result], number)
         yield answers
         yield _gauge("configuration_version", "Version in force", state.version)
+        yield self._table_ages()
         yield _gauge("in_flight", "Requests not yet answered", state.in_flight)
         yield _gauge("nodes", "Gateways heard, this one included", state.nodes)
         yield _gauge(
@@ -49,6 +52,22 @@
         yield self._retries()
         yield self._retry_budget()
 
+    def _table_ages(self) -> Metric:
+        family = GaugeMetricFamily(
+            "azurefold_gateway_table_age_seconds",
+            "For how long a table of the store may have changed unnoticed",
+            labels=["table"],
+        )
+        state = self._state
+        ages = {
+            "configuration": state.configuration_age_ms,
+            "endpoints": state.endpoints_age_ms,
+        }
+        for table, age in ages.items():
+            if age is not None:
+                family.add_metric([table], age / _SECOND_MS)
+        return family
+
     def _endpoints(self) -> Metric:
         family = GaugeMetricFamily(
             "azurefold_gateway_endpoints",
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -14,6 +14,7 @@
 from gevent import socket as gevent_socket
 
 from azurefold.core.clock import Millis
+from azurefold.core.membership.renewal import Turn
 from azurefold.core.routing.cells import Cell, cell_of
 from azurefold.core.routing.messages import LoadReport
 from azurefold.core.routing.peer_loads import LoadDigest, PeerLoads, endpoint_mark
@@ -24,6 +25,7 @@
     GroupPortions,
     QuotaPortions,
     heaviest,
+    table_beat,
 )
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
@@ -144,6 +146,12 @@
             self.visitors.give(node, self.loads)
         self.state.set_nodes(len(self._peers) + 1)
         self.state.set_cell(self.cell)
+        self._take_turn()
+
+    def _take_turn(self) -> None:
+        own = self.state.settings.name
+        heard = sorted({own, *self.loads.nodes})
+        self.state.turn = Turn(heard.index(own), len(heard))
 
     def receive_for_ever(self) -> None:
         """Take in messages."""
@@ -187,9 +195,12 @@
         rates = {mark: word.rate for mark, word in quotas.items()}
         is_waiting = self.state.is_waiting
         crashes = self.state.crashes
+        configuration = self.state.configuration_freshness
+        endpoints = self.state.endpoints_freshness
         told = (
             loads,
-            self.state.version,
+            configuration.proved_as_of,
+            endpoints.proved_as_of,
             coordination,
             rates,
             is_waiting,
@@ -213,7 +224,7 @@
             self._sequence,
             settings.peers_port,
             self.state.version,
-            self.state.endpoints_version,
+            endpoints.newest,
             coordination.term,
             coordination.ended_term,
             self._groups.next(coordination.groups, now),
@@ -223,6 +234,8 @@
             self.state.has_callers,
             is_waiting,
             crash_beats,
+            table_beat(configuration.statement),
+            table_beat(endpoints.statement),
         )
         data = self._fitting(message)
         hosts = self._hosts()
@@ -347,6 +360,7 @@
                 return
             if not is_known:
                 log_event(_log, "peer_heard", peer=message.node)
+                self._take_turn()
             self._report_loads(now)
         self.on_message(message)
 
@@ -355,6 +369,8 @@
         silent = self.loads.expire(now)
         for node in silent:
             log_event(_log, "peer_silent", peer=node)
+        if silent:
+            self._take_turn()
         if self.visitors.expire(now) or silent:
             self._report_loads(now)
 
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -14,7 +14,11 @@
 from azurefold.gateway.groups.coordinator import Coordinator, new_coordinator
 from azurefold.gateway.peers.exchange import Exchange, Peer, new_exchange
 from azurefold.gateway.peers.messages import PeerMessage
-from azurefold.gateway.peers.portions import crash_report, news_of_group
+from azurefold.gateway.peers.portions import (
+    crash_report,
+    news_of_group,
+    table_statement,
+)
 from azurefold.gateway.peers.reach import Reach
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.news import News
@@ -131,7 +135,9 @@
         for beat in message.crashes:
             now = state.clock.now()
             state.crashes.merge(beat.identity, crash_report(beat, now), now)
-        news.peers_have(message.version, message.endpoints_version)
+        news.peers_know(
+            table_statement(message.configuration), table_statement(message.endpoints)
+        )
 
     exchange = new_exchange(
         state,
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -6,7 +6,14 @@
 
 from azurefold.core.routing.rank_groups import GroupNews, Standing
 
-__all__ = ["Coordination", "CrashBeat", "GroupBeat", "PeerMessage", "QuotaBeat"]
+__all__ = [
+    "Coordination",
+    "CrashBeat",
+    "GroupBeat",
+    "PeerMessage",
+    "QuotaBeat",
+    "TableBeat",
+]
 
 
 class GroupBeat(msgspec.Struct, array_like=True, frozen=True):
@@ -67,6 +74,25 @@
     crashes: tuple[tuple[int, int], ...]
 
 
+class TableBeat(msgspec.Struct, array_like=True, frozen=True):
+    """What a gateway knows of one table of the store, as it is sent.
+
+    Parameters
+    ----------
+    era, newest : int
+        Of the store, and version of the table's newest change.
+    as_of : int
+        Milliseconds of the store's time at which there was nothing newer.
+    is_exact : bool
+        Whether ``newest`` is the version of a change; else it may be a later one.
+    """
+
+    era: int
+    newest: int
+    as_of: int
+    is_exact: bool
+
+
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
     """What one gateway tells the others.
 
@@ -78,7 +104,7 @@
         Where the sender takes answers.
     version, endpoints_version : int
         Of the configuration that it has in force, and of the newest endpoint's
-        row that it has seen.
+        row; read by gateways of earlier releases.
     term, ended_term : int
         Of its coordination, and of one that it gave up; 0 for none.
     groups : tuple of GroupBeat
@@ -95,6 +121,8 @@
         Whether requests wait there for a place at an endpoint.
     crashes : tuple of CrashBeat
         Crash reports of some requests; others follow in later messages.
+    configuration, endpoints : TableBeat or None
+        What the sender knows of the store's two tables.
     """
 
     node: str
@@ -112,6 +140,8 @@
     has_callers: bool = False
     is_waiting: bool = False
     crashes: tuple[CrashBeat, ...] = ()
+    configuration: TableBeat | None = None
+    endpoints: TableBeat | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -11,9 +11,15 @@
 
 from azurefold.core.attempts.crashes import CrashReport
 from azurefold.core.clock import Millis
+from azurefold.core.membership.freshness import TableStatement
 from azurefold.core.routing.quotas import QuotaWord
 from azurefold.core.routing.rank_groups import GroupNews
-from azurefold.gateway.peers.messages import CrashBeat, GroupBeat, QuotaBeat
+from azurefold.gateway.peers.messages import (
+    CrashBeat,
+    GroupBeat,
+    QuotaBeat,
+    TableBeat,
+)
 
 __all__ = [
     "MOST_BYTES",
@@ -23,6 +29,8 @@
     "crash_report",
     "heaviest",
     "news_of_group",
+    "table_beat",
+    "table_statement",
 ]
 
 MOST_BYTES = 1_400
@@ -78,6 +86,22 @@
     )
 
 
+def table_beat(statement: TableStatement | None) -> TableBeat | None:
+    """Return a statement as it is sent."""
+    if statement is None:
+        return None
+    return TableBeat(
+        statement.era, statement.newest, statement.as_of, statement.is_exact
+    )
+
+
+def table_statement(beat: TableBeat | None) -> TableStatement | None:
+    """Return a statement as it was sent."""
+    if beat is None:
+        return None
+    return TableStatement(beat.era, beat.newest, beat.as_of, beat.is_exact)
+
+
 @dataclass(slots=True)
 class GroupPortions:
     """Deals the coordinator's news of groups out to messages."""
--- a/src/azurefold/gateway/settings.py
+++ b/src/azurefold/gateway/settings.py
@@ -44,6 +44,8 @@
         Megabits a second of the VM's own link; 0 if it is not told.
     drain_ms : int
         Within which an endpoint that leaves has to get no new work.
+    apply_ms : int
+        Within which a confirmed configuration has to be in force.
     """
 
     name: str
@@ -62,6 +64,7 @@
     is_first_start: bool = False
     link_mbps: float = 0.0
     drain_ms: Millis = 2_000
+    apply_ms: Millis = 2_000
 
     @property
     def ip(self) -> str:
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -9,7 +9,10 @@
 
 from azurefold.core.attempts.crashes import CrashTracker
 from azurefold.core.clock import Clock, Millis
+from azurefold.core.membership.freshness import TableFreshness
 from azurefold.core.membership.registry import EndpointEntry, EndpointRegistry
+from azurefold.core.membership.renewal import Turn
+from azurefold.core.membership.store_time import StoreTime
 from azurefold.core.routes.model import RoutingConfiguration
 from azurefold.core.routes.table import RouteTable, route_table
 from azurefold.core.routing.cells import Cell
@@ -36,6 +39,10 @@
 """Nodes that join tell the others twice a second; three messages may be lost."""
 
 
+_CURRENT_SHARE = 0.75
+"""Of the time within which a confirmed configuration has to be in force: the rest is
+for answers that were under way for long when the store's time was taken from them."""
+
 _CALLERS_GONE_MS: Millis = 10_000
 """A gateway with a caller or two gets no request for seconds now and then, and each
 time that quotas are dealt to others those of some endpoints rest for four seconds."""
@@ -74,11 +81,11 @@
         Of the retries that all gateways may make beside a share of the requests.
     crashes : CrashTracker
         Endpoint crashes by request, including those reported by other gateways.
-    endpoints_version : int
-        Of the newest endpoint's row in the store.
-    is_current : bool
-        Whether the store is being heard: then a route or key that is not known
-        here is in force nowhere.
+    configuration_freshness, endpoints_freshness : TableFreshness
+        What is in force here of the store's two tables, and as of when.
+    store_time : StoreTime
+    turn : Turn
+        This gateway's place among those that tell each other what they know.
     is_cut_off : bool
         Whether this gateway reaches neither store nor peers nor any group.
     unreadable_entries : int
@@ -107,14 +114,16 @@
     cell: Cell = field(default_factory=Cell)
     retry_part: RetryPart = field(kw_only=True)
     crashes: CrashTracker = field(default_factory=CrashTracker)
-    endpoints_version: int = 0
-    is_current: bool = False
+    configuration_freshness: TableFreshness = field(default_factory=TableFreshness)
+    endpoints_freshness: TableFreshness = field(default_factory=TableFreshness)
+    store_time: StoreTime = field(default_factory=StoreTime)
+    turn: Turn = field(default_factory=Turn)
     is_cut_off: bool = False
     unreadable_entries: int = 0
     oversized_messages: int = 0
     demand_changed: Event = field(default_factory=Event)
     _requested_at: Millis | None = None
-    _configuration_seen: Millis | None = None
+    _is_doubted: bool = True
 
     @property
     def version(self) -> int:
@@ -129,10 +138,25 @@
 
     @property
     def configuration_age_ms(self) -> Millis | None:
-        """Time since the store last showed that the configuration is current."""
-        if self._configuration_seen is None:
-            return None
-        return self.clock.now() - self._configuration_seen
+        """For how long the configuration may have changed unnoticed."""
+        return self.configuration_freshness.age(self._store_now)
+
+    @property
+    def endpoints_age_ms(self) -> Millis | None:
+        """For how long endpoints may have changed unnoticed."""
+        return self.endpoints_freshness.age(self._store_now)
+
+    @property
+    def is_current(self) -> bool:
+        """Whether a route or key that is not known here is in force nowhere."""
+        age = self.configuration_age_ms
+        if age is None or self._is_doubted:
+            return False
+        return age <= _CURRENT_SHARE * self.settings.apply_ms
+
+    @property
+    def _store_now(self) -> Millis | None:
+        return self.store_time.at(self.clock.now())
 
     @property
     def has_callers(self) -> bool:
@@ -151,13 +175,12 @@
         self._requested_at = self.clock.now()
 
     def confirm_configuration(self) -> None:
-        """Note that the store has nothing newer, and would tell of it."""
-        self._configuration_seen = self.clock.now()
-        self.is_current = True
+        """Note that the store has answered a call for the configuration."""
+        self._is_doubted = False
 
     def doubt_configuration(self) -> None:
         """Note that the store may have something newer and cannot tell."""
-        self.is_current = False
+        self._is_doubted = True
 
     def apply(self, configuration: RoutingConfiguration) -> None:
         """Put a newer configuration in force."""
--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -9,6 +9,8 @@
 
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.eras import StoreEra
+from azurefold.core.membership.freshness import TableFreshness
+from azurefold.core.membership.store_time import StoreTime
 from azurefold.internal.logs import log_event
 from azurefold.platform.store import Feed, StoreClient
 from azurefold.platform.store_messages import (
@@ -25,9 +27,10 @@
 
 _SECOND_MS = 1_000
 _RETURN_WAIT_MS: Millis = 20
-"""Of a feed's call while the store is away: its answer shows that the store is
-back. With the usual wait the return would show only at the next change, and
-what is removed then would look like an entry that lapsed in the outage."""
+"""Of a feed's call while the store is away, or on a connection that replaces one that
+may have gone silent: its answer shows that the store is back. With the usual wait the
+return would show only at the next change, and what is removed then would look like an
+entry that lapsed in the outage."""
 
 _FIRST_PAUSE_MS: Millis = 150
 _LONGEST_PAUSE_MS: Millis = 1_000
@@ -44,7 +47,8 @@
     store : StoreClient
     table : str
     wait_ms : callable
-        Returns how long the store keeps a call that has nothing to tell.
+        Returns how long the store keeps a call that has nothing to tell; takes
+        whether the answer before had changes, which other processes got as well.
     gather_ms : callable
         Returns the pause after changes, which come in quick succession: one
         call can then fetch several.
@@ -62,11 +66,14 @@
         Called when calls go on failing: the store is away.
     is_behind : callable
         Returns whether peers have newer rows of this table.
+    freshness : TableFreshness
+        What is in force here of the table, and as of when.
+    store_time : StoreTime
     """
 
     store: StoreClient
     table: str
-    wait_ms: Callable[[], Millis]
+    wait_ms: Callable[[bool], Millis]
     gather_ms: Callable[[], Millis]
     clock: Clock
     draw: random.Random
@@ -76,6 +83,8 @@
     on_doubt: Callable[[], None]
     on_lost: Callable[[], None]
     is_behind: Callable[[], bool] = lambda: False
+    freshness: TableFreshness = field(default_factory=TableFreshness)
+    store_time: StoreTime = field(default_factory=StoreTime)
     version: int | None = None
     _era: StoreEra = field(default_factory=StoreEra)
     _feed: Feed | None = None
@@ -83,6 +92,12 @@
     _failing_since: Millis = 0
     _waiting: gevent.Greenlet | None = None
     _woken: bool = False
+    _must_prove: bool = False
+    _had_changes: bool = True
+
+    @property
+    def _is_brief(self) -> bool:
+        return self._must_prove or self._failures > 0
 
     def run(self) -> None:
         """Follow the table for ever."""
@@ -93,23 +108,36 @@
             # A loop that starts again begins with a connection of its own.
             self._close_feed()
 
-    def look_again(self, *, whole: bool = False) -> None:
-        """Ask the store anew: others have heard what should have come here.
+    def look_again(self, *, whole: bool = False) -> bool:
+        """Give a call that waits up, and ask the store anew for an answer at once.
+
+        A connection that has gone silent tells nothing until the wait is over.
 
         Parameters
         ----------
         whole : bool
             Read all of the table. A feed that has skipped a change never tells of it.
 
-        What goes wrong without: a connection has gone silent, and the feed on
-        it tells nothing until its wait is over.
+        Returns
+        -------
+        bool
+            False if no call waits, or none that would wait for long.
         """
-        if self._waiting is None or self._woken or self._failures:
-            return
+        if self._waiting is None or self._woken or self._is_brief:
+            return False
         if whole:
             self.version = None
         self._woken = True
         gevent.get_hub().loop.run_callback(self._interrupt, self._waiting)
+        return True
+
+    def use(self, store: StoreClient) -> None:
+        """Follow the table of another store from now on."""
+        self.store = store
+        self.version = None
+        self.freshness.forget()
+        self.look_again()
+        self._close_feed()
 
     def _interrupt(self, waiting: gevent.Greenlet) -> None:
         # The call may have been answered since, and its rows are being taken in.
@@ -117,27 +145,35 @@
             waiting.throw(ConnectionAbortedError("asked anew"))
 
     def _step(self) -> None:
+        sent, store = self.clock.now(), self.store
         answer = self._read_all() if self.version is None else self._read_changes()
         woken, self._woken = self._woken, False
         match answer:
+            case _ if store is not self.store:
+                self._close_feed()
             case StoredRows(rows=rows, version=version, era=era):
-                self._heard()
+                self._heard(answer.store_ms, sent)
                 self._era.has_ended(era)
                 self.on_rows(rows)
                 self.version = version
+                self.freshness.read_whole(
+                    self._era.number or 0, version, answer.store_ms
+                )
+                self._had_changes, self._must_prove = True, False
             case FeedChanges(era=era) if self._era.has_ended(era):
-                self._heard()
+                self._heard(answer.store_ms, sent)
                 # Its changes are of another history than the version asked for.
                 log_event(_log, "store_era_rose", table=self.table, era=era)
                 self.version = None
             case FeedChanges(rows=rows, version=version):
-                self._heard()
+                self._heard(answer.store_ms, sent)
                 # What cannot be taken in must not be skipped either: should it
                 # fail, the loop starts again and reads the whole table.
                 self.version = None
                 if rows:
                     self.on_changes(rows)
                 self.version = version
+                self._note_in_force(answer)
                 if rows:
                     gevent.sleep(self.gather_ms() / _SECOND_MS)
             case HistoryLost():
@@ -145,23 +181,40 @@
                 self.version = None
             case Unavailable() if woken:
                 self._close_feed()
+                self._must_prove = True
             case Unavailable(reason=reason):
                 self._lost(reason)
 
+    def _note_in_force(self, answer: FeedChanges) -> None:
+        newest = answer.rows[-1].version if answer.rows else None
+        store_ms = answer.store_ms if answer.is_all else None
+        self.freshness.read_changes(answer.version, newest, store_ms)
+        self._had_changes = bool(answer.rows)
+        self._must_prove = not answer.is_all
+
     def _read_all(self) -> StoredRows | Unavailable:
-        return self.store.read_table(self.table)
+        return self._open_feed().read_table(self.table)
 
     def _read_changes(self) -> FeedChanges | HistoryLost | Unavailable:
-        if self._feed is None:
-            self._feed = self.store.open_feed()
-        wait_ms = _RETURN_WAIT_MS if self._failures else self.wait_ms()
+        feed = self._open_feed()
+        if self._is_brief:
+            wait_ms = _RETURN_WAIT_MS
+        else:
+            wait_ms = self.wait_ms(self._had_changes)
         self._waiting = gevent.getcurrent()
         try:
-            return self._feed.changes(self.table, self.version, wait_ms)
+            return feed.changes(self.table, self.version, wait_ms)
         finally:
             self._waiting = None
 
-    def _heard(self) -> None:
+    def _open_feed(self) -> Feed:
+        if self._feed is None:
+            self._feed = self.store.open_feed()
+        return self._feed
+
+    def _heard(self, store_ms: Millis | None, sent: Millis) -> None:
+        if store_ms is not None:
+            self.store_time.observe(store_ms, sent, self.clock.now())
         if self._failures:
             away = self.clock.now() - self._failing_since
             log_event(_log, "store_regained", table=self.table, away_ms=away)
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, field
 
 from azurefold.core.clock import Millis
+from azurefold.core.membership.freshness import TableStatement
 from azurefold.core.membership.registry import EndpointEntry
+from azurefold.core.membership.renewal import Renewal, WhyRenew
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.followers import TableFollower
 from azurefold.internal.logs import log_event
@@ -17,10 +19,6 @@
 
 _log = logging.getLogger("azurefold.gateway")
 
-_FEED_WAIT_MS: Millis = 6_000
-"""Each call has a price. A store that falls silent is noticed when the call
-that waits is over; with nine nodes some call is, within half a second."""
-
 _GATHER_MS: Millis = 200
 _LONGEST_GATHER_MS: Millis = 600
 """What is changed has to be in force after two seconds. At a start with 19
@@ -31,52 +29,7 @@
 for the call, and for a store that is slow. Hundreds of gateways read each change of
 hundreds of endpoints, and while some are replaced there is always one."""
 
-_NODES_OF_WAIT = 9
-_LONGEST_FEED_WAIT_MS: Millis = 20_000
-
-_BEHIND_FOR_MS: Millis = 500
-"""Behind other nodes for this long, a feed is not just about to tell: changes
-reach all nodes within 250 ms of each other."""
-
-
-@dataclass(slots=True)
-class _Behind:
-    """Since when other nodes have had something newer.
-
-    Parameters
-    ----------
-    newest : int
-    since : int or None
-    asked_in_vain : bool
-        Whether this node has asked before and has nothing newer since.
-    """
-
-    newest: int = 0
-    since: Millis | None = None
-    asked_in_vain: bool = False
-    _asked_with: int | None = None
-
-    def told(self, version: int) -> None:
-        """Take in what another node has."""
-        self.newest = max(self.newest, version)
-
-    def has_newer(self, own: int) -> bool:
-        """Whether a node has something newer than this one's ``own``."""
-        return self.newest > own
-
-    def is_overdue(self, own: int, now: Millis) -> bool:
-        """Whether this node has been behind for too long; asks once each time."""
-        if not self.has_newer(own):
-            self.since = None
-            return False
-        if self.since is None:
-            self.since = now
-        if now - self.since < _BEHIND_FOR_MS:
-            return False
-        self.since = now
-        self.asked_in_vain = self._asked_with == own
-        self._asked_with = own
-        return True
+_NODES_OF_GATHER = 9
 
 
 @dataclass(slots=True)
@@ -92,41 +45,45 @@
     state: GatewayState
     configuration: TableFollower
     endpoints: TableFollower
-    _configuration_behind: _Behind = field(default_factory=_Behind)
-    _endpoints_behind: _Behind = field(default_factory=_Behind)
-
-    def peers_have(self, version: int, endpoints_version: int) -> None:
-        """Take in what another node has in force.
-
-        Parameters
-        ----------
-        version : int
-            Of the configuration.
-        endpoints_version : int
-            Of the newest endpoint's row.
-        """
-        self._configuration_behind.told(version)
-        self._endpoints_behind.told(endpoints_version)
+    _renewals: tuple[tuple[TableFollower, Renewal], ...] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._renewals = tuple(
+            (follower, Renewal(follower.freshness))
+            for follower in (self.configuration, self.endpoints)
+        )
+
+    def peers_know(
+        self, configuration: TableStatement | None, endpoints: TableStatement | None
+    ) -> None:
+        """Take in what another node knows of the two tables."""
+        if configuration is not None:
+            self.configuration.freshness.hear(configuration)
+        if endpoints is not None:
+            self.endpoints.freshness.hear(endpoints)
 
     def tick(self, now: Millis) -> None:
-        """Ask the store anew where other nodes have something newer."""
-        state = self.state
-        if self._configuration_behind.is_overdue(state.version, now):
-            log_event(_log, "behind_peers", table=self.configuration.table)
-            in_vain = self._configuration_behind.asked_in_vain
-            self.configuration.look_again(whole=in_vain)
-        # A row that was removed shows in no table, only by how far it was read.
-        endpoints = max(state.endpoints_version, self.endpoints.version or 0)
-        if self._endpoints_behind.is_overdue(endpoints, now):
-            log_event(_log, "behind_peers", table=self.endpoints.table)
-            in_vain = self._endpoints_behind.asked_in_vain
-            self.endpoints.look_again(whole=in_vain)
+        """Ask the store anew where other nodes know more, or what is known is old."""
+        store_now = self.state.store_time.at(now)
+        for follower, renewal in self._renewals:
+            why = renewal.due(now, store_now, self.state.draw.random())
+            if why is None or not follower.look_again(
+                whole=why is WhyRenew.STILL_BEHIND
+            ):
+                continue
+            log_event(
+                _log,
+                "table_asked_anew",
+                table=follower.table,
+                why=why,
+                age_ms=follower.freshness.age(store_now),
+                row=follower.freshness.position,
+            )
 
     def use_store(self, store: StoreClient) -> None:
         """Follow the tables of another store from now on."""
         for follower in (self.configuration, self.endpoints):
-            follower.store = store
-            follower.look_again()
+            follower.use(store)
 
 
 _LONGEST_REASON = 200
@@ -160,9 +117,8 @@
         before = set(self._state.registry.entries)
         registry = self._state.registry
         latest = {row.key: row for row in rows}.values()
-        registry.remove(
-            [row.key for row in latest if row.removed], self._state.clock.now()
-        )
+        removed = [row.key for row in latest if row.removed]
+        registry.remove(removed, self._state.clock.now())
         written = {row.key: self._entry(row) for row in latest if not row.removed}
         registry.drop(name for name, entry in written.items() if entry is None)
         restarted = registry.put(entry for entry in written.values() if entry)
@@ -216,8 +172,6 @@
         for name in restarted:
             log_event(_log, "endpoint_restarted", endpoint=name)
             state.endpoint_restarted(name)
-        newest = max((row.version for row in rows), default=0)
-        state.endpoints_version = max(state.endpoints_version, newest)
         entries = state.registry.entries
         for name in before - entries.keys():
             state.links.forget(name)
@@ -231,7 +185,7 @@
                 joined=",".join(joined) or "none",
                 leaving=",".join(leaving) or "none",
                 all=len(entries),
-                row=newest,
+                row=max((row.version for row in rows), default=0),
             )
         lapsed = state.registry.lapsed
         if lapsed:
@@ -239,15 +193,9 @@
         state.spread_endpoints()
 
 
-def _feed_wait(nodes: int) -> Millis:
-    """Return how long a feed's call may wait; more nodes notice for each other."""
-    wait = _FEED_WAIT_MS * max(1, nodes // _NODES_OF_WAIT)
-    return min(wait, _LONGEST_FEED_WAIT_MS)
-
-
 def _gather(nodes: int, longest: Millis) -> Millis:
     """Return the pause after changes; more nodes and endpoints change more."""
-    return min(_GATHER_MS * max(1, nodes // _NODES_OF_WAIT), longest)
+    return min(_GATHER_MS * max(1, nodes // _NODES_OF_GATHER), longest)
 
 
 def _gather_endpoints(state: GatewayState) -> Millis:
@@ -259,11 +207,17 @@
     """Return followers, not yet running."""
     applier = _Applier(state)
 
-    def follower(table, gather_ms, on_rows, on_changes, on_heard) -> TableFollower:
+    def follower(
+        table, gather_ms, on_rows, on_changes, on_heard, freshness
+    ) -> TableFollower:
+        def wait_ms(had_changes: bool) -> Millis:
+            paused = gather_ms() if had_changes else 0
+            return state.turn.feed_wait(all_answered=had_changes, paused=paused)
+
         return TableFollower(
             store=store,
             table=table,
-            wait_ms=lambda: _feed_wait(state.nodes),
+            wait_ms=wait_ms,
             gather_ms=gather_ms,
             clock=state.clock,
             draw=state.draw,
@@ -272,6 +226,8 @@
             on_heard=on_heard,
             on_doubt=state.doubt_configuration,
             on_lost=state.registry.store_lost,
+            freshness=freshness,
+            store_time=state.store_time,
         )
 
     def heard_of_endpoints() -> None:
@@ -285,6 +241,7 @@
             applier.configuration_rows,
             applier.configuration_rows,
             state.confirm_configuration,
+            state.configuration_freshness,
         ),
         endpoints=follower(
             registries.TABLE,
@@ -292,8 +249,9 @@
             applier.endpoint_rows,
             applier.endpoint_changes,
             heard_of_endpoints,
+            state.endpoints_freshness,
         ),
     )
-    behind = news._configuration_behind
-    news.configuration.is_behind = lambda: behind.has_newer(state.version)
+    known = state.configuration_freshness
+    news.configuration.is_behind = lambda: known.is_behind
     return news
--- a/src/azurefold/platform/settings.py
+++ b/src/azurefold/platform/settings.py
@@ -27,6 +27,7 @@
 class _Bounds(msgspec.Struct):
     grace_s: float = msgspec.field(name="GraceS", default=8)
     drain_ms: float = msgspec.field(name="DrainMs", default=2_000)
+    apply_ms: float = msgspec.field(name="ConfigApplyMs", default=2_000)
     retry_share: float = msgspec.field(name="RetryRatio", default=0.2)
     retry_window_s: float = msgspec.field(name="RetryWindowS", default=10)
     retry_slack: float = msgspec.field(name="RetrySlack", default=40.0)
@@ -82,6 +83,7 @@
         stop_grace_ms=int(bounds.grace_s * _SECOND_MS),
         stall_ms=int(bounds.stall_ms),
         drain_ms=int(bounds.drain_ms),
+        apply_ms=int(bounds.apply_ms),
         heartbeat_ms=int(settings.heartbeat_ms),
         retry_share=bounds.retry_share,
         retry_slack=bounds.retry_slack,
--- a/src/azurefold/platform/store.py
+++ b/src/azurefold/platform/store.py
@@ -51,6 +51,12 @@
 
 _CONNECT_TIMEOUT_MS: Millis = 1_000
 _SECOND_MS = 1_000
+
+_HALF_FULL_BYTES = 500_000
+_HALF_FULL_ROWS = 250
+"""Half of what an answer holds. A feed's answer below it has room for another row, so
+that all changes are in it."""
+
 _REFUSALS = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 
 
@@ -65,6 +71,7 @@
     rows: list[_Row] = msgspec.field(name="Rows", default_factory=list)
     has_more: bool = msgspec.field(name="HasMore", default=False)
     version: int = msgspec.field(name="Ver", default=0)
+    store_ms: int | None = msgspec.field(name="NowMs", default=None)
 
 
 _decode_rows = msgspec.json.Decoder(_Rows).decode
@@ -86,33 +93,7 @@
 
     def read_table(self, table: str) -> StoredRows | Unavailable:
         """Read all rows of a table that have no partition."""
-        rows: list[StoredRow] = []
-        start = ""
-        version = era = None
-        while True:
-            query = {"Table": table, "part": ""}
-            if start:
-                query["From"] = start
-            uri = f"/rows-get?{urlencode(query)}"
-            try:
-                answer = self._ask(self._calls, "GET", uri)
-            except CONNECTION_ERRORS as error:
-                return Unavailable(_reason(error))
-            page = _rows(answer)
-            if isinstance(page, Unavailable):
-                return page
-            if None not in (era, answer.era) and answer.era != era:
-                return Unavailable("pages of two eras")
-            rows += [_stored(row) for row in page.rows]
-            # What changes between two pages in rows that were read already would be
-            # skipped if the feed went on from the last page's version.
-            version = page.version if version is None else version
-            era = answer.era if era is None else era
-            if not page.has_more or not page.rows:
-                return StoredRows(tuple(rows), version, era)
-            # The range includes its first key, so the next one is the least
-            # text above the last.
-            start = page.rows[-1].key + "\0"
+        return _read_table(self._calls, table)
 
     def transact(
         self,
@@ -143,7 +124,7 @@
             }
         )
         try:
-            answer = self._ask(self._calls, "POST", "/rows-tx", body)
+            answer = _ask(self._calls, "POST", "/rows-tx", body)
         except CONNECTION_ERRORS as error:
             return Uncertain(_reason(error))
         return _outcome(answer.status, answer.body)
@@ -152,13 +133,6 @@
         """Return a feed with a connection of its own."""
         return Feed(self._address)
 
-    @staticmethod
-    def _ask(client: HTTPClient, method: str, uri: str, body: bytes = b"") -> _Answer:
-        # The library's timeout is for each read; an answer that trickles would
-        # never end.
-        with gevent.Timeout(_CALL_TIMEOUT_MS / _SECOND_MS, TimeoutError("no answer")):
-            return _exchange(client, method, uri, body)
-
 
 class Feed:
     """Changes of tables over one connection, which a reader waits on.
@@ -171,6 +145,10 @@
     def __init__(self, address: str) -> None:
         self._client = _client(address, LONGEST_WAIT_MS + FEED_SLACK_MS)
 
+    def read_table(self, table: str) -> StoredRows | Unavailable:
+        """Read all rows of a table that have no partition, over this connection."""
+        return _read_table(self._client, table)
+
     def changes(
         self, table: str, after: int, wait_ms: Millis
     ) -> FeedChanges | HistoryLost | Unavailable:
@@ -203,7 +181,10 @@
         # the gateway would be behind its peers for good.
         version = max((row.version for row in page.rows), default=page.version)
         rows = tuple(_stored(row) for row in page.rows)
-        return FeedChanges(rows, version, answer.era)
+        is_all = version == page.version or (
+            len(answer.body) < _HALF_FULL_BYTES and len(rows) < _HALF_FULL_ROWS
+        )
+        return FeedChanges(rows, version, answer.era, page.store_ms, is_all)
 
     def close(self) -> None:
         """Close the connection; a reader that waits on it fails."""
@@ -215,6 +196,44 @@
     return StoreClient(address)
 
 
+def _read_table(client: HTTPClient, table: str) -> StoredRows | Unavailable:
+    rows: list[StoredRow] = []
+    start = ""
+    first: _Rows | None = None
+    era = None
+    while True:
+        query = {"Table": table, "part": ""}
+        if start:
+            query["From"] = start
+        uri = f"/rows-get?{urlencode(query)}"
+        try:
+            answer = _ask(client, "GET", uri)
+        except CONNECTION_ERRORS as error:
+            return Unavailable(_reason(error))
+        page = _rows(answer)
+        if isinstance(page, Unavailable):
+            return page
+        if None not in (era, answer.era) and answer.era != era:
+            return Unavailable("pages of two eras")
+        rows += [_stored(row) for row in page.rows]
+        # What changes between two pages in rows that were read already would be
+        # skipped if the feed went on from the last page's version.
+        first = first or page
+        era = answer.era if era is None else era
+        if not page.has_more or not page.rows:
+            return StoredRows(tuple(rows), first.version, era, first.store_ms)
+        # The range includes its first key, so the next one is the least
+        # text above the last.
+        start = page.rows[-1].key + "\0"
+
+
+def _ask(client: HTTPClient, method: str, uri: str, body: bytes = b"") -> _Answer:
+    # The library's timeout is for each read; an answer that trickles would
+    # never end.
+    with gevent.Timeout(_CALL_TIMEOUT_MS / _SECOND_MS, TimeoutError("no answer")):
+        return _exchange(client, method, uri, body)
+
+
 def _client(address: str, read_timeout_ms: Millis) -> HTTPClient:
     return http_client(address, _CONNECT_TIMEOUT_MS, read_timeout_ms, concurrency=2)
 
--- a/src/azurefold/platform/store_messages.py
+++ b/src/azurefold/platform/store_messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from azurefold.core.clock import Millis
+
 __all__ = [
     "Applied",
     "Conflicted",
@@ -65,20 +67,36 @@
     version : int
     era : int or None
         Rises whenever the store comes back from an older copy; None if not told.
+    store_ms : int or None
+        The store's steady clock when it answered; None if not told.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     era: int | None = None
+    store_ms: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class FeedChanges:
-    """Rows that changed, in order, and the version and era to go on from."""
+    """Rows that changed, in order, and the version and era to go on from.
+
+    Parameters
+    ----------
+    rows : tuple of StoredRow
+    version : int
+    era : int or None
+    store_ms : int or None
+        The store's steady clock when it answered; None if not told.
+    is_all : bool
+        Whether there were no further changes that the answer had no room for.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
     era: int | None = None
+    store_ms: Millis | None = None
+    is_all: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -21,6 +21,9 @@
         self.store.while_waiting()
         return self.store.next_answer()
 
+    def read_table(self, table):
+        return self.store.read_table(table)
+
     def close(self):
         self.store.closed += 1
 
--- a/tests/gateway/crash_world.py
+++ b/tests/gateway/crash_world.py
@@ -70,7 +70,7 @@
 
 
 class _StubNews:
-    def peers_have(self, version, endpoints_version):
+    def peers_know(self, configuration, endpoints):
         pass
 
 
--- a/tests/gateway/store_world.py
+++ b/tests/gateway/store_world.py
@@ -43,6 +43,7 @@
 CALL_TIMEOUT_MS = 1_500
 TICK_MS = 250
 LOOK_MS = 60
+_STORE_AHEAD_MS = 7_000_000
 
 _real_sleep = gevent.sleep
 
@@ -99,6 +100,9 @@
             return None
         return world.changes((), store.version)
 
+    def read_table(self, table):
+        return self.link.read(self.connection, table)
+
     def close(self):
         self.connection = _Connection()
 
@@ -116,13 +120,16 @@
         return _Feed(self)
 
     def read_table(self, table):
-        answer = self.call(
-            self.pooled, CALL_TIMEOUT_MS, lambda _: self.world.whole(table), 0
-        )
+        answer = self.read(self.pooled, table)
         if isinstance(answer, Unavailable):
             self.pooled = _Connection()
         return answer
 
+    def read(self, connection, table):
+        return self.call(
+            connection, CALL_TIMEOUT_MS, lambda _: self.world.whole(table), 0
+        )
+
     def transact(self, expected=(), writes=(), removes=()):
         return Applied(self.world.store.version)
 
@@ -308,11 +315,15 @@
     def whole(self, table):
         """Return the store's whole table."""
         rows = tuple(map(_stored, self.store.table(table)))
-        return StoredRows(rows, self.store.version, self.store.era)
+        return StoredRows(rows, self.store.version, self.store.era, self._store_ms)
 
     def changes(self, rows, version):
         """Return what a feed tells."""
-        return FeedChanges(rows, version, self.store.era)
+        return FeedChanges(rows, version, self.store.era, self._store_ms)
+
+    @property
+    def _store_ms(self):
+        return self.time.at + _STORE_AHEAD_MS
 
     def post(self, data, sender, receiver):
         """Deliver a message between gateways, if it is not lost."""
@@ -361,6 +372,7 @@
         self.at(now + TICK_MS, lambda: self._tick(gateway))
 
     def _look(self, gateway):
+        gateway.peers.exchange._forget_silent()
         gateway.peers.exchange.send()
         self.at(self.time.at + LOOK_MS, lambda: self._look(gateway))
 
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -2,11 +2,13 @@
 
 from dataclasses import replace
 
+import gevent
 import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from azurefold.core.membership.freshness import TableStatement
 from azurefold.core.routes.model import AnswerKind
 from azurefold.core.routing.messages import Failed
 from azurefold.gateway.endpoints.connections import EndpointLinks
@@ -19,7 +21,7 @@
     BadConfigurationError,
     decode_configuration,
 )
-from azurefold.platform.store_messages import StoredRow
+from azurefold.platform.store_messages import FeedChanges, StoredRow, StoredRows
 
 
 def configuration(version, **changes):
@@ -157,7 +159,6 @@
     assert state.services["desk"].entries["e1"].leaving
     news.endpoints.on_changes((StoredRow("e1", 5, removed=True),))
     assert set(pool.endpoints) == {"e2"}
-    assert state.endpoints_version == 5
 
 
 def fail_for(failing):
@@ -172,6 +173,27 @@
     return set_endpoints
 
 
+def test_what_is_told_to_others_is_in_force(news, state, store, monkeypatch):
+    """Guards against peers being told of a change that a service did not take in."""
+    monkeypatch.setattr(gevent, "sleep", lambda seconds: None)
+    news.configuration.on_rows((config_row(7, 1),))
+    leaving = entry_row("e1", 4, State="draining")
+    store.script = [
+        StoredRows((entry_row("e1", 2),), 3, 1, 9_000),
+        FeedChanges((leaving,), 4, 1, 9_100),
+        FeedChanges((StoredRow("e1", 5, removed=True),), 5, 1, 9_200),
+    ]
+    news.endpoints._step()
+    news.endpoints._step()
+    known = state.endpoints_freshness
+    assert known.statement == TableStatement(era=1, newest=4, as_of=9_100)
+    failing = state.services["desk"]
+    monkeypatch.setattr(GatewayService, "set_endpoints", fail_for(failing))
+    with pytest.raises(ExceptionGroup):
+        news.endpoints._step()
+    assert known.statement == TableStatement(era=1, newest=4, as_of=9_100)
+
+
 def test_a_service_that_fails_keeps_no_other_from_its_endpoints(
     news, state, monkeypatch
 ):
@@ -322,9 +344,19 @@
     assert pool.in_flight == 1
 
 
-def test_an_unknown_route_is_said_to_be_unknown_only_with_fresh_news(news, state):
+def test_an_unknown_route_is_said_to_be_unknown_only_with_fresh_news(
+    news, state, store, time
+):
+    assert not state.is_current
+    store.script = [
+        StoredRows((config_row(7, 1),), 1, 1, 9_000),
+        FeedChanges((), 1, 1, 11_000),
+    ]
+    news.configuration._step()
+    assert state.is_current
+    time.advance(state.settings.apply_ms)
     assert not state.is_current
-    news.configuration.on_heard()
+    news.configuration._step()
     assert state.is_current
     news.configuration.on_doubt()
     assert not state.is_current
@@ -356,12 +388,14 @@
     has no row with the removal's version, and took itself for behind.
     """
     news = new_news(state, store)
-    news.peers_have(0, 37)
-    news.endpoints.version = 40
+    store.script = [StoredRows((), 40, 1, 9_000)]
+    news.endpoints._step()
     looked = []
     look_again = lambda follower, **how: looked.append(how)  # noqa: E731
     monkeypatch.setattr(TableFollower, "look_again", look_again)
     for _ in range(10):
         time.at += 600
+        as_of = state.store_time.at(time.at)
+        news.peers_know(None, TableStatement(era=1, newest=37, as_of=as_of))
         news.tick(time.at)
     assert not looked
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -8,9 +8,10 @@
 from gevent.event import Event
 
 from azurefold.core.clock import manual_clock
+from azurefold.core.membership.freshness import TableFreshness, TableStatement
+from azurefold.core.membership.renewal import Renewal, WhyRenew
 from azurefold.gateway.store import followers
 from azurefold.gateway.store.followers import TableFollower
-from azurefold.gateway.store.news import _Behind
 from azurefold.internal.clock import monotonic_clock
 from azurefold.internal.http_server import http_server
 from azurefold.platform.store import _era_in, store_client
@@ -42,7 +43,7 @@
     return TableFollower(
         store=store,
         table="servers",
-        wait_ms=lambda: wait_ms,
+        wait_ms=lambda had_changes: wait_ms,
         gather_ms=lambda: 0,
         clock=manual_clock(time),
         draw=random.Random(1),
@@ -137,7 +138,7 @@
     follower = TableFollower(
         store=store,
         table="op",
-        wait_ms=lambda: 20_000,
+        wait_ms=lambda had_changes: 20_000,
         gather_ms=lambda: 0,
         clock=monotonic_clock(),
         draw=random.Random(1),
@@ -298,13 +299,15 @@
 
 
 def test_being_behind_counts_only_after_a_while():
-    behind = _Behind()
-    behind.told(7)
-    assert not behind.is_overdue(own=5, now=0)
-    assert not behind.is_overdue(own=5, now=499)
-    assert behind.is_overdue(own=5, now=500)
-    assert not behind.is_overdue(own=5, now=600)
-    assert not behind.is_overdue(own=7, now=2_000)
+    known = TableFreshness(era=1, position=5)
+    known.hear(TableStatement(era=1, newest=7, as_of=0))
+    renewal = Renewal(known)
+    assert renewal.due(0, None, 0.0) is None
+    assert renewal.due(499, None, 0.0) is None
+    assert renewal.due(500, None, 0.0) is WhyRenew.BEHIND
+    assert renewal.due(600, None, 0.0) is None
+    known.read_changes(7, 7, None)
+    assert renewal.due(2_000, None, 0.0) is None
 
 
 @pytest.fixture
@@ -362,15 +365,14 @@
 
 
 def test_asking_in_vain_shows_by_the_version():
-    behind = _Behind()
-    behind.told(9)
-    assert not behind.is_overdue(5, 0)
-    assert behind.is_overdue(5, 1_000)
-    assert not behind.asked_in_vain
-    assert behind.is_overdue(5, 2_000)
-    assert behind.asked_in_vain
-    assert behind.is_overdue(7, 3_000)
-    assert not behind.asked_in_vain
+    known = TableFreshness(era=1, position=5)
+    known.hear(TableStatement(era=1, newest=9, as_of=0))
+    renewal = Renewal(known)
+    assert renewal.due(0, None, 0.0) is None
+    assert renewal.due(1_000, None, 0.0) is WhyRenew.BEHIND
+    assert renewal.due(2_000, None, 0.0) is WhyRenew.STILL_BEHIND
+    known.read_changes(7, 7, None)
+    assert renewal.due(3_000, None, 0.0) is WhyRenew.BEHIND
 
 
 def test_who_was_turned_away_reads_what_is_newest_at_once(follower, store):
