Let failed calls for configurations say nothing of endpoints' entries

What callers could see (DRAIN): requests to an endpoint whose entry was removed, for up to 2.3 s after the removal was read. After an outage entries that are gone are trusted for so long, as they may have lapsed in it. The outage was noted when calls for the other table failed, too, and ended only with an answer for endpoints.

Three cases failed before (1 of 2 with followers that play on one clock, and one of a configuration's outage that ended a minute earlier); they hold now.

--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -208,7 +208,7 @@
     applier = _Applier(state)
 
     def follower(
-        table, gather_ms, on_rows, on_changes, on_heard, freshness
+        table, gather_ms, on_rows, on_changes, on_heard, on_lost, freshness
     ) -> TableFollower:
         def wait_ms(had_changes: bool) -> Millis:
             paused = gather_ms() if had_changes else 0
@@ -225,7 +225,7 @@
             on_changes=on_changes,
             on_heard=on_heard,
             on_doubt=state.doubt_configuration,
-            on_lost=state.registry.store_lost,
+            on_lost=on_lost,
             freshness=freshness,
             store_time=state.store_time,
         )
@@ -241,6 +241,7 @@
             applier.configuration_rows,
             applier.configuration_rows,
             state.confirm_configuration,
+            lambda: None,
             state.configuration_freshness,
         ),
         endpoints=follower(
@@ -249,6 +250,7 @@
             applier.endpoint_rows,
             applier.endpoint_changes,
             heard_of_endpoints,
+            state.registry.store_lost,
             state.endpoints_freshness,
         ),
     )
--- a/tests/gateway/test_leaving_endpoints_stay_out.py
+++ b/tests/gateway/test_leaving_endpoints_stay_out.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from tests.gateway.conftest import ScriptedStore, settings_of
-from tests.gateway.store_world import SERVICE, StoreWorld
+from tests.gateway.store_world import DRAIN_MS, SERVICE, StoreWorld
 from tests.gateway.test_news_is_put_in_force import config_row, entry_row
 
 from azurefold.core.admission.messages import Priority
@@ -21,7 +21,7 @@
 from azurefold.entry.admission import Ticket
 from azurefold.gateway.state import new_gateway_state
 from azurefold.gateway.store.news import new_news
-from azurefold.platform.store_messages import StoredRow
+from azurefold.platform.store_messages import StoredRow, Unavailable
 
 PAUSE_MS = 3_000
 CUT_MS = 9_000
@@ -58,6 +58,51 @@
     return {e.name for e in state.services[service].admission.pool._members.eligible}
 
 
+# One table's outage is no other's
+
+
+class AwayStore:
+    """A store that answers no call."""
+
+    def read_table(self, table):
+        return Unavailable("away")
+
+    def open_feed(self):
+        return self
+
+    def changes(self, table, after, wait_ms):
+        return Unavailable("away")
+
+    def close(self):
+        pass
+
+
+@pytest.mark.parametrize("gateways", [1, 6])
+def test_failed_calls_for_configurations_lengthen_no_trust_in_endpoints(
+    world_of, gateways
+):
+    """Guards against a removal that is trusted since the other table's calls failed."""
+    world = world_of(gateways)
+    for gateway in world.by_name.values():
+        gateway.news.configuration.store = AwayStore()
+        gateway.news.configuration.look_again()
+    world.run(PAUSE_MS)
+    world.remove("e1")
+    world.run(DRAIN_MS)
+    assert not world.sending_to("e1")
+
+
+def test_a_regained_table_is_not_lost_through_the_other_one(news, state, time):
+    """Guards against one table's failures that mark the store as lost for both."""
+    news.endpoints.on_rows((entry_row("e1", 2), entry_row("e2", 3)))
+    news.configuration.on_lost()
+    news.configuration.on_heard()
+    time.at += 60_000
+    news.endpoints.on_heard()
+    news.endpoints.on_changes((StoredRow("e1", 4, removed=True),))
+    assert eligible(state) == {"e2"}
+
+
 # Several changes of one endpoint in one answer
 
 
