Count trust in entries that went together from when they were last known

What callers could see (DRAIN): requests to endpoints that were removed more than 2 s before. Where two of a service's three entries go at once, they are trusted for 1.5 s, counted from when the removal was read. Read 0.6 s late, after the pause that follows another change at a site of 31 gateways, that is 2.1 s and a look.

Four cases with real followers at 31 gateways and a drawn search over the registry failed before. The time counts now from when the table was last known in full. In the drawn search that moment is given with each removal, as the follower does.

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -51,9 +51,9 @@
         Milliseconds from the store's return. Sound endpoints are back within
         about two seconds of it; the rest covers our own delay in noticing.
     after_mass_removal : int
-        Milliseconds where many entries went at once and no outage was seen.
-        Less than the two seconds within which a removed endpoint must get no
-        more work.
+        Milliseconds from when the entries were last known to be there, where many
+        went at once and no outage was seen. Less than the two seconds within which a
+        removed endpoint must get no more work.
     mass_share : float
         Share of a service's entries whose removal at once is not believed.
     """
@@ -103,10 +103,16 @@
             self._store_lost = False
             self._trust_until = now + self.policy.after_outage
 
-    def replace(self, entries: Iterable[EndpointEntry], now: Millis) -> list[str]:
+    def replace(
+        self,
+        entries: Iterable[EndpointEntry],
+        now: Millis,
+        known_at: Millis | None = None,
+    ) -> list[str]:
         """Take in the whole list; return those that have started again."""
         listed = {entry.name: entry for entry in entries}
-        self.remove([name for name in self._entries if name not in listed], now)
+        gone = [name for name in self._entries if name not in listed]
+        self.remove(gone, now, known_at)
         return self.put(listed.values())
 
     def put(self, entries: Iterable[EndpointEntry]) -> list[str]:
@@ -136,10 +142,21 @@
             if name in self._entries:
                 self._forget(name)
 
-    def remove(self, names: Iterable[str], now: Millis) -> None:
-        """Take in entries that were removed at one time."""
+    def remove(
+        self, names: Iterable[str], now: Millis, known_at: Millis | None = None
+    ) -> None:
+        """Take in entries that were removed at one time.
+
+        Parameters
+        ----------
+        names : iterable of str
+        now : int
+        known_at : int, optional
+            When they were last known to be there; by default now.
+        """
         gone = [name for name in names if name in self._entries]
-        trusted = {name: self._trusted_until(name, gone, now) for name in gone}
+        since = now if known_at is None else known_at
+        trusted = {name: self._trusted_until(name, gone, now, since) for name in gone}
         for name, until in trusted.items():
             if until <= now:
                 self._forget(name)
@@ -153,7 +170,9 @@
             self._forget(name)
         return over
 
-    def _trusted_until(self, name: str, gone: list[str], now: Millis) -> Millis:
+    def _trusted_until(
+        self, name: str, gone: list[str], now: Millis, since: Millis
+    ) -> Millis:
         # What goes wrong without: the store was away for longer than three
         # heartbeats, every entry has lapsed, and on its return each node drops
         # all endpoints at once. Seen as refusals for want of endpoints for the
@@ -166,7 +185,7 @@
         if now < self._trust_until:
             return self._trust_until
         if self._is_mass_removal(entry.service, gone):
-            return now + self.policy.after_mass_removal
+            return since + self.policy.after_mass_removal
         return now
 
     def _is_mass_removal(self, service: str, gone: list[str]) -> bool:
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -146,6 +146,11 @@
         """For how long endpoints may have changed unnoticed."""
         return self.endpoints_freshness.age(self._store_now)
 
+    @property
+    def endpoints_known_at(self) -> Millis:
+        """When the endpoints were last known in full; now if that isn't known."""
+        return self.clock.now() - (self.endpoints_age_ms or 0)
+
     @property
     def is_current(self) -> bool:
         """Whether a route or key that is not known here is in force nowhere."""
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -109,16 +109,20 @@
         """Take ``rows`` for the whole list."""
         before = set(self._state.registry.entries)
         entries = [entry for row in rows if (entry := self._entry(row))]
-        restarted = self._state.registry.replace(entries, self._state.clock.now())
+        state = self._state
+        restarted = state.registry.replace(
+            entries, state.clock.now(), state.endpoints_known_at
+        )
         self._after_endpoints(before, rows, restarted)
 
     def endpoint_changes(self, rows: tuple[StoredRow, ...]) -> None:
         """Take in entries that changed, in the order of their changes."""
-        before = set(self._state.registry.entries)
-        registry = self._state.registry
+        state = self._state
+        before = set(state.registry.entries)
+        registry = state.registry
         latest = {row.key: row for row in rows}.values()
         removed = [row.key for row in latest if row.removed]
-        registry.remove(removed, self._state.clock.now())
+        registry.remove(removed, state.clock.now(), state.endpoints_known_at)
         written = {row.key: self._entry(row) for row in latest if not row.removed}
         registry.drop(name for name, entry in written.items() if entry is None)
         restarted = registry.put(entry for entry in written.values() if entry)
--- a/tests/gateway/test_leaving_endpoints_stay_out.py
+++ b/tests/gateway/test_leaving_endpoints_stay_out.py
@@ -12,7 +12,7 @@
 
 from azurefold.core.admission.messages import Priority
 from azurefold.core.clock import ManualTime, manual_clock
-from azurefold.core.membership.registry import EndpointEntry
+from azurefold.core.membership.registry import EndpointEntry, EndpointRegistry
 from azurefold.core.routing.cells import cell_of
 from azurefold.core.routing.messages import Failed, Misdirected
 from azurefold.core.routing.peer_loads import endpoint_mark
@@ -58,6 +58,56 @@
     return {e.name for e in state.services[service].admission.pool._members.eligible}
 
 
+# Removals that are read late on a calm site
+
+
+@pytest.mark.parametrize("gateways", [1, 6, 31])
+@pytest.mark.parametrize("later", [0, 20, 100, 190])
+def test_two_removals_after_another_change_hold_in_time(world_of, gateways, later):
+    """Guards against counting the trust in a mass removal from when it is read."""
+    world = world_of(gateways)
+    world.register("e9")
+    world.run(later)
+    world.remove("e1")
+    world.remove("e2")
+    world.run(DRAIN_MS)
+    assert not world.sending_to("e1")
+    assert not world.sending_to("e2")
+
+
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from((0, 100, 600, 1_400)),
+            st.sets(st.sampled_from(NAMES), min_size=1),
+        ),
+        min_size=1,
+        max_size=3,
+    ),
+    delay=st.sampled_from((0, 250, 450, 700)),
+    has_draining=st.booleans(),
+)
+def test_no_order_of_removals_keeps_an_endpoint_too_long(steps, delay, has_draining):
+    """Guards against removed entries in use when a change is read up to 0.7 s late."""
+    registry = EndpointRegistry()
+    registry.replace([_entry(name) for name in NAMES], now=0)
+    confirmed, reads, at = {}, [], 0
+    for pause, names in steps:
+        at += pause
+        reads.append((at + delay, names - confirmed.keys()))
+        confirmed |= dict.fromkeys(names - confirmed.keys(), at)
+    for now in range(0, at + delay + DRAIN_MS + 500, 50):
+        for _, names in [each for each in reads if now - 50 < each[0] <= now]:
+            if has_draining:
+                registry.put([_entry(name, leaving=True) for name in names])
+            registry.remove(sorted(names), now, known_at=now - delay)
+        if now % 250 == 0:
+            registry.tick(now)
+        used = registry.entries.keys() - registry.leaving
+        late = {name for name in used if now > confirmed.get(name, now) + DRAIN_MS}
+        assert not late, f"{late} in use at {now}, confirmed {confirmed}"
+
+
 # One table's outage is no other's
 
 
