Take an entry that does not say when its endpoint started for the newest

What callers could see (DRAIN): an endpoint that leaves gets requests although its entry says so, as that entry doesn't say when the endpoint started while the one before did. 0, "does not say", was taken for a start before all others.

The test failed before. An entry of a former start is still ignored (test_an_entry_of_a_former_start_changes_nothing).

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -128,7 +128,7 @@
         restarted = []
         for entry in entries:
             known = self._entries.get(entry.name)
-            if known is not None and known.born > entry.born:
+            if known is not None and 0 < entry.born < known.born:
                 continue
             if known is not None and 0 < known.born < entry.born:
                 restarted.append(entry.name)
--- a/tests/gateway/test_leaving_endpoints_stay_out.py
+++ b/tests/gateway/test_leaving_endpoints_stay_out.py
@@ -153,6 +153,16 @@
     assert eligible(state) == {"e2"}
 
 
+# Rows that say less than others
+
+
+def test_a_leaving_endpoint_need_not_say_when_it_started(news, state):
+    """Guards against a draining row without `born` that is taken for an older start."""
+    news.endpoints.on_rows((entry_row("e1", 2, born=2_000), entry_row("e2", 3)))
+    news.endpoints.on_changes((entry_row("e1", 4, State="draining"),))
+    assert eligible(state) == {"e2"}
+
+
 # Several changes of one endpoint in one answer
 
 
