--- a/tests/gateway/store_world.py
+++ b/tests/gateway/store_world.py
@@ -16,7 +16,7 @@
 from gevent.event import Event
 from tests.gateway.conftest import settings_of
 
-from azurefold.core.clock import ManualTime, manual_clock
+from azurefold.core.clock import Clock, ManualTime
 from azurefold.gateway.peers.exchange import Peer, _decode
 from azurefold.gateway.peers.membership import new_peers
 from azurefold.gateway.state import new_gateway_state
@@ -43,14 +43,13 @@
 CALL_TIMEOUT_MS = 1_500
 TICK_MS = 250
 LOOK_MS = 60
-_STORE_AHEAD_MS = 7_000_000
 
 _real_sleep = gevent.sleep
 
 
 @dataclass(frozen=True)
-class Silence:
-    """A span in which no call is answered, nor any later one on the same connection.
+class Fault:
+    """A span in which some gateways' calls are hit.
 
     Parameters
     ----------
@@ -140,17 +139,24 @@
         began = world.time.at
         try:
             world.sleep(world.latency_ms / 1_000)
+            if world.is_refusing(self.gateway) and not connection.is_mute:
+                return Unavailable("503")
+            boots = world.boots
             while True:
                 if world.is_silent(self.gateway):
                     connection.is_mute = True
                 found = None
                 if not connection.is_mute:
+                    if world.boots != boots:
+                        return Unavailable("ConnectionResetError: reset")
                     found = answer(began + wait_ms)
                 if found is not None:
                     world.sleep(world.latency_ms / 1_000)
                     if world.is_silent(self.gateway):
                         connection.is_mute = True
                         continue
+                    if world.is_refusing(self.gateway):
+                        return Unavailable("503")
                     return found
                 if world.time.at >= began + timeout_ms:
                     return Unavailable("TimeoutError: no answer")
@@ -170,6 +176,7 @@
     peers: object
     link: _StoreLink
     loops: list = field(default_factory=list)
+    began: int = 0
 
 
 @dataclass(eq=False)
@@ -201,7 +208,11 @@
     latency_ms: int = 4
     time: ManualTime = field(default_factory=lambda: ManualTime(at=100_000))
     store: FeedStore = field(default_factory=FeedStore)
-    silences: list[Silence] = field(default_factory=list)
+    silences: list[Fault] = field(default_factory=list)
+    refusals: list[Fault] = field(default_factory=list)
+    store_ahead_ms: int = 7_000_000
+    boots: int = 0
+    services: tuple[str, ...] = (SERVICE,)
     deaf: set[str] = field(default_factory=set)
     by_name: dict[str, Gateway] = field(default_factory=dict)
 
@@ -221,23 +232,22 @@
         self.monkeypatch.setattr(followers, "gevent", stand_in)
         self.monkeypatch.setattr(loops, "gevent", stand_in)
         names = [f"gw-{n:03}" for n in range(self.gateways)]
+        self._listed = [Peer(name, name, 7_000) for name in names]
         for name in names:
             self.by_name[name] = self._new_gateway(name)
-        for gateway in self.by_name.values():
-            gateway.peers.exchange.set_peers([Peer(n, n, 7_000) for n in names])
 
     def start(self):
         """Start all followers, let them read what there is, and settle."""
         for gateway in self.by_name.values():
-            for follower in (gateway.news.configuration, gateway.news.endpoints):
-                loop = gevent.spawn(loops.keep_running, follower.run)
-                gateway.loops.append(loop)
-            offset = self._draw.randrange(TICK_MS)
-            self.at(self.time.at + offset, lambda g=gateway: self._tick(g))
-            offset = self._draw.randrange(LOOK_MS)
-            self.at(self.time.at + offset, lambda g=gateway: self._look(g))
+            self._start(gateway)
         self.run(5_000)
 
+    def replace(self, name):
+        """Let a new process take a gateway's place."""
+        gevent.killall(self.by_name[name].loops)
+        self.by_name[name] = self._new_gateway(name)
+        self._start(self.by_name[name])
+
     def stop(self):
         """End all followers."""
         gevent.killall([loop for g in self.by_name.values() for loop in g.loops])
@@ -247,13 +257,13 @@
         body = {
             "Version": version,
             "Routes": [_route(name) for name in routes],
-            "Services": [{"Name": SERVICE, "MaxConns": 110}],
+            "Services": [{"Name": name, "MaxConns": 110} for name in self.services],
         }
         value = msgspec.json.encode(body)
         self._put(configurations.TABLE, configurations.KEY, value)
         return self.time.at
 
-    def register(self, endpoint, state="ready"):
+    def register(self, endpoint, state="ready", born=0):
         """Let an endpoint write its entry; return when that was confirmed."""
         body = {
             "Service": SERVICE,
@@ -261,6 +271,7 @@
             "Zone": "dc-a",
             "Slots": 6,
             "State": state,
+            "born": born,
         }
         self._put(registries.TABLE, endpoint, msgspec.json.encode(body))
         return self.time.at
@@ -272,10 +283,44 @@
 
     def silence(self, ms, gateways=None):
         """Let the store answer nothing for a while, from now on."""
-        chosen = None if gateways is None else frozenset(gateways)
-        self.silences.append(Silence(self.time.at, self.time.at + ms, chosen))
+        self.silences.append(self._fault(ms, gateways))
+        self._wake_waiting()
+
+    def refuse(self, ms, gateways=None):
+        """Let the store answer calls with an error for a while, from now on."""
+        self.refusals.append(self._fault(ms, gateways))
+        self._wake_waiting()
+
+    def go_back(self, copy, *, restarts=False):
+        """Let the store come back from a copy.
+
+        Parameters
+        ----------
+        copy : FeedStore
+        restarts : bool
+            Whether connections are reset and the store's clock starts anew.
+        """
+        self.store.go_back(copy)
+        if restarts:
+            self.boots += 1
+            self.store_ahead_ms = 1_000 - self.time.at
         self._wake_waiting()
 
+    def make_deaf(self, names, ms):
+        """Let no message between gateways pass from or to some for a while."""
+        self.deaf |= set(names)
+        self.at(self.time.at + ms, lambda: self.deaf.difference_update(names))
+
+    def lose(self, share, ms):
+        """Lose a share of the messages between gateways for a while."""
+        self.loss = share
+        self.at(self.time.at + ms, lambda: setattr(self, "loss", 0.0))
+
+    def be_slow(self, latency_ms, ms):
+        """Let calls take longer for a while."""
+        before, self.latency_ms = self.latency_ms, latency_ms
+        self.at(self.time.at + ms, lambda: setattr(self, "latency_ms", before))
+
     def run(self, ms):
         """Advance the clock."""
         end = self.time.at + ms
@@ -312,6 +357,10 @@
         """Whether the store's answers do not reach a gateway now."""
         return any(each.covers(gateway, self.time.at) for each in self.silences)
 
+    def is_refusing(self, gateway):
+        """Whether the store answers a gateway with errors now."""
+        return any(each.covers(gateway, self.time.at) for each in self.refusals)
+
     def whole(self, table):
         """Return the store's whole table."""
         rows = tuple(map(_stored, self.store.table(table)))
@@ -323,14 +372,18 @@
 
     @property
     def _store_ms(self):
-        return self.time.at + _STORE_AHEAD_MS
+        return self.time.at + self.store_ahead_ms
 
     def post(self, data, sender, receiver):
         """Deliver a message between gateways, if it is not lost."""
         if self.deaf & {sender, receiver} or self._draw.random() < self.loss:
             return
-        peers = self.by_name[receiver].peers
-        self.at(self.time.at + 1, lambda: peers.exchange._take(_decode(data), sender))
+        message = _decode(data)
+
+        def deliver():
+            self.by_name[receiver].peers.exchange._take(message, sender)
+
+        self.at(self.time.at + 1, deliver)
 
     def versions(self):
         """Return the version in force at each gateway."""
@@ -346,13 +399,30 @@
 
     def _new_gateway(self, name):
         settings = settings_of(name=name, callers=f"{name}:80", store="store:1")
-        state = new_gateway_state(settings, manual_clock(self.time))
+        # Processes share no clock.
+        ahead = self._draw.randrange(1_000_000)
+        clock = Clock(read=lambda: self.time.at + ahead)
+        state = new_gateway_state(settings, clock)
         state.draw = random.Random(self._draw.random())
         link = _StoreLink(self, name)
         news = new_news(state, link)
         peers = new_peers(state, link, news)
         peers.exchange._sock = _PeerSocket(self, name)
-        return Gateway(name, state, news, peers, link)
+        peers.exchange.incarnation = self.time.at
+        peers.exchange.set_peers(self._listed)
+        return Gateway(name, state, news, peers, link, began=self.time.at)
+
+    def _start(self, gateway):
+        for follower in (gateway.news.configuration, gateway.news.endpoints):
+            gateway.loops.append(gevent.spawn(loops.keep_running, follower.run))
+        offset = self._draw.randrange(TICK_MS)
+        self.at(self.time.at + offset, lambda: self._tick(gateway))
+        offset = self._draw.randrange(LOOK_MS)
+        self.at(self.time.at + offset, lambda: self._look(gateway))
+
+    def _fault(self, ms, gateways):
+        chosen = None if gateways is None else frozenset(gateways)
+        return Fault(self.time.at, self.time.at + ms, chosen)
 
     def _put(self, table, key, value):
         self.store.put([(table, key, value)])
@@ -365,13 +435,17 @@
         self._activity += 1
 
     def _tick(self, gateway):
-        now = self.time.at
+        if self.by_name[gateway.name] is not gateway:
+            return
+        now = gateway.state.clock.now()
         gateway.news.tick(now)
         if gateway.state.registry.tick(now):
             gateway.state.spread_endpoints()
-        self.at(now + TICK_MS, lambda: self._tick(gateway))
+        self.at(self.time.at + TICK_MS, lambda: self._tick(gateway))
 
     def _look(self, gateway):
+        if self.by_name[gateway.name] is not gateway:
+            return
         gateway.peers.exchange._forget_silent()
         gateway.peers.exchange.send()
         self.at(self.time.at + LOOK_MS, lambda: self._look(gateway))
