--- /dev/null
+++ b/tests/core/membership/test_knowledge_of_a_table_ages.py
@@ -0,0 +1,230 @@
+"""What is known of a table is dated, ages, and is asked for anew."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from azurefold.core.membership.freshness import TableFreshness, TableStatement
+from azurefold.core.membership.renewal import TURN_MS, Renewal, Turn, WhyRenew
+from azurefold.core.membership.store_time import StoreTime
+
+MINUTE_MS = 60_000
+
+
+@pytest.fixture
+def known():
+    known = TableFreshness()
+    known.read_whole(era=1, version=10, store_ms=5_000)
+    known.read_changes(version=12, newest=12, store_ms=5_100)
+    return known
+
+
+def test_nothing_is_told_before_the_first_answer():
+    known = TableFreshness()
+    assert known.statement is None
+    assert known.age(5_000) is None
+
+
+def test_a_whole_table_is_told_as_inexact(known):
+    known.read_whole(era=1, version=20, store_ms=5_200)
+    assert known.statement == TableStatement(1, 20, 5_200, is_exact=False)
+
+
+def test_changes_are_told_as_exact(known):
+    assert known.statement == TableStatement(1, 12, 5_100)
+
+
+def test_an_answer_without_changes_keeps_the_newest(known):
+    known.read_changes(version=30, newest=None, store_ms=5_500)
+    assert known.statement == TableStatement(1, 12, 5_500)
+
+
+def test_an_answer_that_has_more_to_come_proves_nothing(known):
+    known.read_changes(version=14, newest=14, store_ms=None)
+    assert known.age(5_400) == 300
+
+
+def test_a_delayed_proof_does_not_make_knowledge_older(known):
+    known.hear(TableStatement(1, 12, 5_900))
+    known.read_changes(version=12, newest=None, store_ms=5_500)
+    assert (known.as_of, known.proved_as_of) == (5_900, 5_500)
+
+
+def test_a_statement_of_no_more_than_is_known_renews(known):
+    known.hear(TableStatement(1, 12, 5_800))
+    assert known.age(6_000) == 200
+    assert not known.is_behind
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        pytest.param(TableStatement(1, 13, 9_000), id="ahead"),
+        pytest.param(TableStatement(1, 13, 9_000, is_exact=False), id="ahead, inexact"),
+        pytest.param(TableStatement(2, 3, 9_000), id="later era"),
+        pytest.param(TableStatement(0, 3, 9_000), id="earlier era"),
+        pytest.param(TableStatement(1, 12, 4_000), id="older"),
+    ],
+)
+def test_other_statements_renew_nothing(known, told):
+    known.hear(told)
+    assert known.as_of == 5_100
+
+
+@pytest.mark.parametrize(
+    ("told", "is_behind"),
+    [
+        (TableStatement(1, 13, 5_000), True),
+        (TableStatement(1, 13, 5_000, is_exact=False), False),
+        (TableStatement(2, 3, 5_000), True),
+        (TableStatement(0, 99, 5_000), False),
+    ],
+)
+def test_only_exact_statements_of_something_newer_show_a_lag(known, told, is_behind):
+    known.hear(told)
+    assert known.is_behind is is_behind
+
+
+def test_a_lag_ends_once_the_change_is_in_force(known):
+    known.hear(TableStatement(1, 13, 5_000))
+    known.read_changes(version=13, newest=13, store_ms=5_200)
+    assert not known.is_behind
+
+
+def test_an_exact_statement_replaces_the_version_of_a_read(known):
+    known.read_whole(era=1, version=20, store_ms=5_200)
+    known.hear(TableStatement(1, 12, 5_300))
+    assert known.statement == TableStatement(1, 12, 5_300)
+
+
+def test_a_later_era_forgets_when_the_earlier_one_was_proved(known):
+    known.read_whole(era=2, version=4, store_ms=None)
+    assert known.as_of is None
+    known.read_whole(era=2, version=4, store_ms=100)
+    assert known.age(150) == 50
+
+
+def test_an_answer_after_the_clock_started_anew_dates_knowledge(known):
+    """Guards against knowledge that never ages after the store's clock started anew."""
+    known.read_changes(version=12, newest=None, store_ms=100)
+    assert known.age(2_100) == 2_000
+
+
+def test_knowledge_does_not_count_as_new_while_its_date_is_ahead(known):
+    """Guards against a table that never ages since the other one's answer came."""
+    time = StoreTime()
+    time.observe(store_ms=5_100, sent=0, received=0)
+    time.observe(store_ms=100, sent=400, received=400)
+    age = known.age(time.at(2_400))
+    assert age is None or age >= 2_000
+
+
+def test_all_is_forgotten_with_the_store(known):
+    known.hear(TableStatement(1, 99, 9_000))
+    known.forget()
+    assert known == TableFreshness()
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["hear", "prove"]),
+            st.integers(0, 2),
+            st.integers(0, 30),
+            st.integers(0, 9_000),
+            st.booleans(),
+        )
+    )
+)
+def test_knowledge_is_never_dated_later_than_its_evidence(steps):
+    known, evidence = TableFreshness(), {0: 0}
+    for kind, era, version, at, is_exact in steps:
+        if kind == "prove":
+            known.read_whole(era, version, at)
+        else:
+            known.hear(TableStatement(era, version, at, is_exact))
+            if version > known.position:
+                continue
+        evidence[era] = max(evidence.get(era, 0), at)
+        assert known.as_of is None or known.as_of <= evidence[known.era]
+
+
+def test_turns_are_a_turn_apart():
+    turns = [Turn(place, 6) for place in range(6)]
+    waits = [turn.feed_wait(all_answered=True) for turn in turns]
+    assert waits == [TURN_MS * n for n in range(1, 7)]
+    assert {turn.feed_wait(all_answered=False) for turn in turns} == {6 * TURN_MS}
+    assert Turn().feed_wait(all_answered=True, paused=2 * TURN_MS) == 0
+
+
+def test_an_aged_table_is_asked_for_between_950_and_1250_ms(known):
+    renewal = Renewal(known)
+    assert renewal.due(0, 6_049, 0.999) is None
+    assert renewal.due(0, 6_050, 0.999) is WhyRenew.AGED
+    assert renewal.due(0, 6_349, 0.0) is None
+    assert renewal.due(0, 6_350, 0.0) is WhyRenew.AGED
+
+
+def test_a_table_that_is_not_dated_is_not_asked_for(known):
+    assert Renewal(known).due(0, None, 0.0) is None
+    assert Renewal(TableFreshness()).due(0, 99_000, 0.0) is None
+
+
+def test_a_lag_has_to_last_and_is_told_apart_when_it_stays(known):
+    renewal = Renewal(known)
+    known.hear(TableStatement(1, 13, 5_100))
+    dues = [renewal.due(now, 5_200, 0.0) for now in (0, 499, 500, 999, 1_000)]
+    assert dues == [None, None, WhyRenew.BEHIND, None, WhyRenew.STILL_BEHIND]
+
+
+def test_a_lag_that_ended_begins_anew(known):
+    renewal = Renewal(known)
+    known.hear(TableStatement(1, 13, 5_100))
+    assert renewal.due(0, 5_200, 0.0) is None
+    known.read_changes(version=13, newest=13, store_ms=5_200)
+    assert renewal.due(400, 5_300, 0.0) is None
+    known.hear(TableStatement(1, 14, 5_300))
+    assert renewal.due(600, 5_400, 0.0) is None
+    assert renewal.due(1_100, 5_400, 0.0) is WhyRenew.BEHIND
+
+
+def test_the_store_time_is_not_known_before_an_answer():
+    assert StoreTime().at(1_000) is None
+
+
+def test_a_delayed_answer_does_not_set_the_time_back():
+    time = StoreTime()
+    time.observe(store_ms=5_004, sent=1_000, received=1_010)
+    time.observe(store_ms=5_104, sent=1_100, received=3_100)
+    assert time.at(4_000) == 7_994
+
+
+@pytest.mark.parametrize("ahead", [-900, 900])
+def test_the_clock_starts_anew(ahead):
+    time = StoreTime()
+    time.observe(store_ms=7_000_000, sent=0, received=10)
+    time.observe(store_ms=1_000 + ahead, sent=1_000, received=1_010)
+    assert time.at(1_010) == 1_000 + ahead
+
+
+@given(st.integers(-20, 20), st.integers(2, 12))
+def test_drift_is_followed_within_two_windows(drift, minutes):
+    time, step = StoreTime(), 1_000
+
+    def store_ms(now):
+        return 7_000_000 + now + drift * now // MINUTE_MS
+
+    for now in range(0, minutes * MINUTE_MS, step):
+        time.observe(store_ms(now), now, now)
+        assert abs(time.at(now) - store_ms(now)) <= 2 * abs(drift) + 1
+
+
+@given(st.lists(st.tuples(st.integers(0, 400), st.integers(0, 900)), min_size=1))
+def test_the_time_is_a_lower_bound(answers):
+    time, now = StoreTime(), 0
+    for pause, delay in answers:
+        sent = now + pause
+        now = sent + delay
+        time.observe(store_ms=sent + 50_000, sent=sent, received=now)
+        assert time.at(now) <= now + 50_000
+        assert time.at(now) >= sent + 50_000
