Add failing tests: faults that the promises found

An older row outlives a removal in the same answer; removals in a gateway's own outage are trusted for longer than allowed; one table's answer after the store's clock started anew makes the other look current; an older copy brings endpoints back.

--- a/tests/gateway/test_promises_catch_mutants.py
+++ b/tests/gateway/test_promises_catch_mutants.py
@@ -158,7 +158,9 @@
 
 
 # A gateway alone waits for no longer than a turn.
-SIZES = [(name, n) for name in MUTANTS for n in (1, 6) if (name, n) != ("never aged", 1)]
+SIZES = [
+    (name, n) for name in MUTANTS for n in (1, 6) if (name, n) != ("never aged", 1)
+]
 
 
 @pytest.mark.parametrize(("name", "gateways"), SIZES)
--- a/tests/gateway/test_promises_hold_at_all_sizes.py
+++ b/tests/gateway/test_promises_hold_at_all_sizes.py
@@ -28,7 +28,7 @@
     assert not site.broken
 
 
-@pytest.mark.parametrize("gateways", [6, 31, 98])
+@pytest.mark.parametrize("gateways", [6, 9, 31, 98])
 def test_a_calm_site_calls_the_store_twice_a_turn_for_each_table(monkeypatch, gateways):
     """Guards against a store that is worn down by calls with nothing to tell."""
     site = new_site(StoreWorld(gateways, monkeypatch))
--- a/tests/gateway/test_promises_hold_under_faults.py
+++ b/tests/gateway/test_promises_hold_under_faults.py
@@ -89,3 +89,40 @@
 @given(st.sampled_from([2, 6]), SEQUENCES)
 def test_promises_hold_at_gateways_that_hear_no_peer(gateways, events):
     assert not broken_in(gateways, events, deaf=True)
+
+
+@pytest.mark.parametrize("gateways", [1, 6])
+@pytest.mark.parametrize("endpoint", ["e1", "e4"])
+def test_a_write_does_not_outlive_a_removal_in_the_same_answer(gateways, endpoint):
+    """Guards against an endpoint that stays, as its older row is put in force last."""
+    events = [(("join", endpoint), 0), (("remove", endpoint), 2_500)]
+    assert not broken_in(gateways, events)
+
+
+@pytest.mark.parametrize(("ms", "seed"), [(800, 5), (800, 9), (1_050, 8), (1_500, 2)])
+def test_a_removal_in_a_gateways_outage_is_in_force_in_time(ms, seed):
+    """Guards against removed endpoints that are trusted for too long after outages."""
+    events = [(("refuse", ms, {0}), 300), (("remove", "e3"), 4_000)]
+    assert not broken_in(2, events, seed, deaf=True)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_no_untrue_404_after_a_clock_that_started_anew(seed):
+    """Guards against one table's new date that makes the other table look current."""
+    events = [(("silence", 600, None), 0), (("go_back", True, 1), 3_000)]
+    assert not broken_in(6, events, seed)
+
+
+@pytest.mark.parametrize("depart", ["drain", "remove"])
+def test_an_older_copy_brings_no_endpoint_back(monkeypatch, depart):
+    """Guards against requests to endpoints that left after the copy was made."""
+    site = new_site(StoreWorld(6, monkeypatch))
+    copy = site.world.store.copy()
+    getattr(site, depart)("e1")
+    site.run(2_000)
+    assert not site.world.sending_to("e1")
+    site.world.go_back(copy)
+    site.world.run(1_000)
+    brought_back = site.world.sending_to("e1")
+    site.stop()
+    assert not brought_back
