--- a/tests/gateway/store_world.py
+++ b/tests/gateway/store_world.py
@@ -245,6 +245,9 @@
     def start(self, ms=5_000):
         """Start all followers, let them read what there is, and settle."""
         for gateway in self.by_name.values():
+            # All of a large site would tell all of it who they are at the same moment.
+            exchange = gateway.peers.exchange
+            exchange._sent_to_all = exchange.coordination()
             self._start(gateway)
         self.run(ms)
 
--- a/tests/gateway/test_promises_hold_at_all_sizes.py
+++ b/tests/gateway/test_promises_hold_at_all_sizes.py
@@ -5,6 +5,7 @@
 from tests.gateway.store_world import LOOK_MS, StoreWorld
 from tests.gateway.test_promises_hold_under_faults import play
 
+from azurefold.core.membership.freshness import TableFreshness
 from azurefold.core.membership.renewal import TURN_MS
 
 EVENTS = [
@@ -17,6 +18,13 @@
 ]
 
 
+def calls_of(world, turns):
+    """Return how many calls the store gets in some turns."""
+    before = sum(each.link.calls for each in world.by_name.values())
+    world.run(turns * TURN_MS)
+    return sum(each.link.calls for each in world.by_name.values()) - before
+
+
 @pytest.mark.parametrize(("gateways", "look_ms"), [(98, LOOK_MS), (390, 4 * LOOK_MS)])
 def test_promises_hold_at_large_sites(monkeypatch, gateways, look_ms):
     world = StoreWorld(gateways, monkeypatch, look_ms=look_ms)
@@ -32,10 +40,21 @@
 def test_a_calm_site_calls_the_store_twice_a_turn_for_each_table(monkeypatch, gateways):
     """Guards against a store that is worn down by calls with nothing to tell."""
     site = new_site(StoreWorld(gateways, monkeypatch))
-    world, turns = site.world, 20
-    before = sum(each.link.calls for each in world.by_name.values())
-    world.run(turns * TURN_MS)
-    calls = sum(each.link.calls for each in world.by_name.values()) - before
-    cells = max(each.state.cell.count for each in world.by_name.values())
+    turns = 20
+    calls = calls_of(site.world, turns)
+    cells = max(each.state.cell.count for each in site.world.by_name.values())
     site.stop()
     assert calls <= 2 * 2 * turns * cells
+
+
+def test_statements_of_peers_save_most_calls(monkeypatch):
+    """Guards against statements that are ignored: nothing is late, but calls rise."""
+    site = new_site(StoreWorld(6, monkeypatch))
+    calls = calls_of(site.world, 20)
+    monkeypatch.setattr(TableFreshness, "hear", lambda *_: None)
+    site.world.run(2_000)
+    calls_ignoring = calls_of(site.world, 20)
+    play(site, EVENTS)
+    site.stop()
+    assert not site.broken
+    assert calls_ignoring > 3 * calls
