End the calls of feeds in turn by the store's clock

What operators could see: more calls to the store than before on a calm site, and renewals (table_asked_anew why=aged) without any fault. A gateway's turn was counted from its last answer. A renewal moved it, and its old turn stayed empty, so that the next round had a renewal again.

--- a/src/azurefold/core/membership/renewal.py
+++ b/src/azurefold/core/membership/renewal.py
@@ -1,8 +1,9 @@
 """When a process asks the store anew for a table, beside its feed.
 
 Of the processes that tell each other what they know, one has the store's answer every
-``TURN_MS``: their feeds' calls end in turn. Whoever has had no evidence for longer, or
-hears of something newer, asks on a new connection for an answer at once.
+``TURN_MS``: their feeds' calls end in turn, by the store's clock. Whoever has had no
+evidence for longer, or hears of something newer, asks on a new connection for an answer
+at once.
 """
 
 from dataclasses import dataclass
@@ -48,26 +49,25 @@
     place: int = 0
     of: int = 1
 
-    def feed_wait(self, *, all_answered: bool, paused: Millis = 0) -> Millis:
+    def feed_wait(self, store_now: Millis | None) -> Millis:
         """Return how long the store should keep a feed's call with nothing to tell.
 
         Parameters
         ----------
-        all_answered : bool
-            Whether the others' calls were just answered too, as after a change.
-        paused : int
-            Milliseconds since then.
+        store_now : int or None
+            The store's time; None if it isn't known.
 
         Examples
         --------
-        >>> Turn(place=2, of=6).feed_wait(all_answered=True)
-        2100
-        >>> Turn(place=2, of=6).feed_wait(all_answered=False)
+        >>> Turn(place=2, of=6).feed_wait(store_now=4_200)
+        1400
+        >>> Turn(place=2, of=6).feed_wait(store_now=5_600)
         4200
         """
-        if all_answered:
-            return max(TURN_MS * (self.place + 1) - paused, 0)
-        return TURN_MS * self.of
+        if store_now is None:
+            return TURN_MS
+        until_turn = (TURN_MS * self.place - store_now) % (TURN_MS * self.of)
+        return until_turn or TURN_MS * self.of
 
 
 @dataclass(slots=True)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -136,15 +136,20 @@
         is_usable = self.configuration is not None and not self.is_cut_off
         return is_usable and not self.draining
 
+    @property
+    def store_now(self) -> Millis | None:
+        """The store's time; None before its first answer."""
+        return self.store_time.at(self.clock.now())
+
     @property
     def configuration_age_ms(self) -> Millis | None:
         """For how long the configuration may have changed unnoticed."""
-        return self.configuration_freshness.age(self._store_now)
+        return self.configuration_freshness.age(self.store_now)
 
     @property
     def endpoints_age_ms(self) -> Millis | None:
         """For how long endpoints may have changed unnoticed."""
-        return self.endpoints_freshness.age(self._store_now)
+        return self.endpoints_freshness.age(self.store_now)
 
     @property
     def endpoints_known_at(self) -> Millis:
@@ -159,10 +164,6 @@
             return False
         return age <= _CURRENT_SHARE * self.settings.apply_ms
 
-    @property
-    def _store_now(self) -> Millis | None:
-        return self.store_time.at(self.clock.now())
-
     @property
     def has_callers(self) -> bool:
         """Whether there have been requests lately."""
--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -47,8 +47,7 @@
     store : StoreClient
     table : str
     wait_ms : callable
-        Returns how long the store keeps a call that has nothing to tell; takes
-        whether the answer before had changes, which other processes got as well.
+        Returns how long the store keeps a call that has nothing to tell.
     gather_ms : callable
         Returns the pause after changes, which come in quick succession: one
         call can then fetch several.
@@ -73,7 +72,7 @@
 
     store: StoreClient
     table: str
-    wait_ms: Callable[[bool], Millis]
+    wait_ms: Callable[[], Millis]
     gather_ms: Callable[[], Millis]
     clock: Clock
     draw: random.Random
@@ -93,7 +92,6 @@
     _waiting: gevent.Greenlet | None = None
     _woken: bool = False
     _must_prove: bool = False
-    _had_changes: bool = True
 
     @property
     def _is_brief(self) -> bool:
@@ -159,7 +157,7 @@
                 self.freshness.read_whole(
                     self._era.number or 0, version, answer.store_ms
                 )
-                self._had_changes, self._must_prove = True, False
+                self._must_prove = False
             case FeedChanges(era=era) if self._era.has_ended(era):
                 self._heard(answer.store_ms, sent)
                 # Its changes are of another history than the version asked for.
@@ -189,7 +187,6 @@
         newest = answer.rows[-1].version if answer.rows else None
         store_ms = answer.store_ms if answer.is_all else None
         self.freshness.read_changes(answer.version, newest, store_ms)
-        self._had_changes = bool(answer.rows)
         self._must_prove = not answer.is_all
 
     def _read_all(self) -> StoredRows | Unavailable:
@@ -197,10 +194,7 @@
 
     def _read_changes(self) -> FeedChanges | HistoryLost | Unavailable:
         feed = self._open_feed()
-        if self._is_brief:
-            wait_ms = _RETURN_WAIT_MS
-        else:
-            wait_ms = self.wait_ms(self._had_changes)
+        wait_ms = _RETURN_WAIT_MS if self._is_brief else self.wait_ms()
         self._waiting = gevent.getcurrent()
         try:
             return feed.changes(self.table, self.version, wait_ms)
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -64,7 +64,7 @@
 
     def tick(self, now: Millis) -> None:
         """Ask the store anew where other nodes know more, or what is known is old."""
-        store_now = self.state.store_time.at(now)
+        store_now = self.state.store_now
         for follower, renewal in self._renewals:
             why = renewal.due(now, store_now, self.state.draw.random())
             if why is None or not follower.look_again(
@@ -214,14 +214,10 @@
     def follower(
         table, gather_ms, on_rows, on_changes, on_heard, on_lost, freshness
     ) -> TableFollower:
-        def wait_ms(had_changes: bool) -> Millis:
-            paused = gather_ms() if had_changes else 0
-            return state.turn.feed_wait(all_answered=had_changes, paused=paused)
-
         return TableFollower(
             store=store,
             table=table,
-            wait_ms=wait_ms,
+            wait_ms=lambda: state.turn.feed_wait(state.store_now),
             gather_ms=gather_ms,
             clock=state.clock,
             draw=state.draw,
