Take knowledge for undated when its date lies ahead of the store's clock

What callers could see: 404 for a route that was confirmed more than 2 s before, after the store came back from a copy with a clock that had started anew. Both tables share what is known of the store's time. The answer for one table set it back, and the date of the other lay ahead of it: its age was 0, and did not grow.

A date that lies over a second ahead is no date now, another gateway's statement with such a date dates nothing, and an own answer sets the date back.

--- a/src/azurefold/core/membership/freshness.py
+++ b/src/azurefold/core/membership/freshness.py
@@ -12,6 +12,10 @@
 
 __all__ = ["TableFreshness", "TableStatement"]
 
+_AHEAD_MS: Millis = 1_000
+"""By which a date may be later than the store's time as a process knows it, a lower
+bound. One that is further ahead is from before the store's clock started anew."""
+
 
 @dataclass(frozen=True, slots=True)
 class TableStatement:
@@ -107,12 +111,21 @@
             self.newest, self._is_exact = newest, True
         self._prove(store_ms)
 
-    def hear(self, told: TableStatement) -> None:
-        """Take in another process's statement."""
+    def hear(self, told: TableStatement, store_now: Millis | None = None) -> None:
+        """Take in another process's statement.
+
+        Parameters
+        ----------
+        told : TableStatement
+        store_now : int or None, default=None
+            The store's time; None if it isn't known.
+        """
         if told.is_exact:
             self._told = max(self._told, (told.era, told.newest))
         if told.era != self.era or told.newest > self.position:
             return
+        if store_now is not None and told.as_of > store_now + _AHEAD_MS:
+            return
         if self.as_of is None or told.as_of > self.as_of:
             self.as_of = told.as_of
         if told.as_of >= (self.proved_as_of or 0) and told.newest < self.newest:
@@ -122,6 +135,8 @@
         """Return for how long changes may have gone unnoticed; None if not known."""
         if store_now is None or self.as_of is None:
             return None
+        if self.as_of > store_now + _AHEAD_MS:
+            return None
         return max(0, store_now - self.as_of)
 
     def forget(self) -> None:
@@ -131,6 +146,9 @@
         self._is_exact, self._told = False, (0, 0)
 
     def _prove(self, store_ms: Millis | None) -> None:
-        if store_ms is not None:
-            self.proved_as_of = store_ms
-            self.as_of = max(store_ms, self.as_of or store_ms)
+        if store_ms is None:
+            return
+        if store_ms < (self.proved_as_of or 0) - _AHEAD_MS:
+            self.as_of = None
+        self.proved_as_of = store_ms
+        self.as_of = max(store_ms, self.as_of or store_ms)
--- a/src/azurefold/core/membership/renewal.py
+++ b/src/azurefold/core/membership/renewal.py
@@ -121,5 +121,7 @@
         return WhyRenew.STILL_BEHIND if before == held else WhyRenew.BEHIND
 
     def _is_aged(self, store_now: Millis | None) -> bool:
+        if store_now is None or self.freshness.as_of is None:
+            return False
         age = self.freshness.age(store_now)
-        return age is not None and age >= _AGED_MS + _AGED_SPREAD_MS * self._spread
+        return age is None or age >= _AGED_MS + _AGED_SPREAD_MS * self._spread
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -58,9 +58,9 @@
     ) -> None:
         """Take in what another node knows of the two tables."""
         if configuration is not None:
-            self.configuration.freshness.hear(configuration)
+            self.configuration.freshness.hear(configuration, self.state.store_now)
         if endpoints is not None:
-            self.endpoints.freshness.hear(endpoints)
+            self.endpoints.freshness.hear(endpoints, self.state.store_now)
 
     def tick(self, now: Millis) -> None:
         """Ask the store anew where other nodes know more, or what is known is old."""
