Trust entries after an outage only where they went in numbers

What callers saw, likely (DRAIN): requests to an endpoint 12 s after its leaving was confirmed. A gateway that cannot reach the store for some seconds reads, on its return, the whole table, in which an entry that was draining and then removed is just missing. It was taken for one that had lapsed in the outage and trusted for 2.3 s from the gateway's return, and its return took up to 1.5 s after the outage's end: longer than the 3 s after which such a gateway counts as undisturbed.

Where few lapse, their endpoints get no requests until they have written themselves in again, within two seconds.

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -48,8 +48,9 @@
     Parameters
     ----------
     after_outage : int
-        Milliseconds from the store's return. Sound endpoints are back within
-        about two seconds of it; the rest covers our own delay in noticing.
+        Milliseconds from the store's return, for entries that lapsed in numbers.
+        Sound endpoints are back within about two seconds of it; the rest covers our
+        own delay in noticing.
     after_mass_removal : int
         Milliseconds from when the entries were last known to be there, where many
         went at once and no outage was seen. Less than the two seconds within which a
@@ -103,6 +104,12 @@
             self._store_lost = False
             self._trust_until = now + self.policy.after_outage
 
+    def store_was_up(self, now: Millis) -> None:
+        """Note that others were answered all the while: no entry has lapsed."""
+        self._store_lost = False
+        self._trust_until = now
+        self._lapsed_until = dict.fromkeys(self._lapsed_until, now)
+
     def replace(
         self,
         entries: Iterable[EndpointEntry],
@@ -180,19 +187,17 @@
         entry = self._entries[name]
         if entry.leaving:
             return now
-        if self._store_lost:
-            return now + self.policy.after_outage
-        if now < self._trust_until:
+        held = sum(
+            1 for each in self._entries.values() if each.service == entry.service
+        )
+        lost = sum(1 for each in gone if self._entries[each].service == entry.service)
+        in_numbers = lost > 1 and lost >= self.policy.mass_share * held
+        if now < self._trust_until and (in_numbers or lost == held):
             return self._trust_until
-        if self._is_mass_removal(entry.service, gone):
+        if in_numbers:
             return since + self.policy.after_mass_removal
         return now
 
-    def _is_mass_removal(self, service: str, gone: list[str]) -> bool:
-        held = sum(1 for entry in self._entries.values() if entry.service == service)
-        lost = sum(1 for name in gone if self._entries[name].service == service)
-        return lost > 1 and lost >= self.policy.mass_share * held
-
     def _forget(self, name: str) -> None:
         del self._entries[name]
         self._lapsed_until.pop(name, None)
--- a/tests/gateway/test_leaving_endpoints_stay_out.py
+++ b/tests/gateway/test_leaving_endpoints_stay_out.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from tests.gateway.conftest import ScriptedStore, settings_of
-from tests.gateway.store_world import DRAIN_MS, SERVICE, StoreWorld
+from tests.gateway.store_world import DRAIN_MS, SERVICE, STABLE_MS, StoreWorld
 from tests.gateway.test_news_is_put_in_force import config_row, entry_row
 
 from azurefold.core.admission.messages import Priority
@@ -26,6 +26,7 @@
 PAUSE_MS = 3_000
 CUT_MS = 9_000
 NAMES = ("e1", "e2", "e3", "e4", "e5")
+CUT_MS = 9_000
 SERVICES = ("desk", "model")
 
 
@@ -58,6 +59,44 @@
     return {e.name for e in state.services[service].admission.pool._members.eligible}
 
 
+# Outages of the store for one gateway, and for all
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_removal_during_an_outage_of_one_gateway_holds_when_it_counts(world_of, seed):
+    """Guards against trusting, after its own outage, an entry removed long before."""
+    world = world_of(6, seed=seed)
+    world.silence(CUT_MS, ["gw-000"])
+    world.run(10)
+    world.remove("e1")
+    world.run(CUT_MS - 10 + STABLE_MS)
+    assert not world.sending_to("e1")
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_leaving_during_an_outage_of_one_gateway_holds_when_it_counts(world_of, seed):
+    """Guards against trusting an entry of which only the removal is read."""
+    world = world_of(6, seed=seed)
+    world.silence(CUT_MS, ["gw-000"])
+    world.run(10)
+    world.register("e1", "draining")
+    world.run(DRAIN_MS + 500)
+    world.remove("e1")
+    world.run(CUT_MS - DRAIN_MS - 510 + STABLE_MS)
+    assert not world.sending_to("e1")
+
+
+def test_entries_that_lapse_while_the_store_is_away_are_trusted(world_of):
+    """Guards against gateways without endpoints after an outage of the store."""
+    world = world_of(6)
+    world.silence(CUT_MS)
+    world.run(CUT_MS - 10)
+    for endpoint in ("e1", "e2", "e3"):
+        world.remove(endpoint)
+    world.run(2_000)
+    assert len(world.sending_to("e1")) == 6
+
+
 # Removals that are read late on a calm site
 
 
