Know an outage of one gateway alone by what others were answered

Each gateway tells with its statements since when all of its own calls were answered. Whoever hears of a run without a break that began before its own last answer, with evidence of the last 1.5 s, was alone in its outage: no entry has lapsed.

A mutant of the drawn test is harmless at a single gateway since dates that lie ahead of the store's clock count as none, and is tried at six only.

--- a/src/azurefold/core/membership/freshness.py
+++ b/src/azurefold/core/membership/freshness.py
@@ -16,6 +16,9 @@
 """By which a date may be later than the store's time as a process knows it, a lower
 bound. One that is further ahead is from before the store's clock started anew."""
 
+_RECENT_MS: Millis = 1_500
+"""Who is answered has evidence that is younger."""
+
 
 @dataclass(frozen=True, slots=True)
 class TableStatement:
@@ -32,12 +35,16 @@
     is_exact : bool
         Whether ``newest`` is the version of a change. Where a whole table was read it
         is that of the read, as no row shows that another one was removed before.
+    answered_since : int or None
+        Store's time since which all of the process's own calls were answered; None if
+        the last one was not.
     """
 
     era: int
     newest: int
     as_of: Millis
     is_exact: bool = True
+    answered_since: Millis | None = None
 
 
 @dataclass(slots=True)
@@ -63,6 +70,8 @@
     newest: int = 0
     as_of: Millis | None = None
     proved_as_of: Millis | None = None
+    _answered_since: Millis | None = None
+    _interrupted_as_of: Millis | None = None
     _is_exact: bool = False
     _told: tuple[int, int] = (0, 0)
 
@@ -71,7 +80,9 @@
         """What may be told to other processes; None if nothing is known for sure."""
         if self.as_of is None:
             return None
-        return TableStatement(self.era, self.newest, self.as_of, self._is_exact)
+        return TableStatement(
+            self.era, self.newest, self.as_of, self._is_exact, self._answered_since
+        )
 
     @property
     def is_behind(self) -> bool:
@@ -88,7 +99,8 @@
             Store's time of the read; None if it was not told.
         """
         if era != self.era:
-            self.as_of = self.proved_as_of = None
+            self.as_of = self.proved_as_of = self._answered_since = None
+            self._interrupted_as_of = None
         self.era, self.position, self.newest = era, version, version
         self._is_exact = False
         self._prove(store_ms)
@@ -131,6 +143,19 @@
         if told.as_of >= (self.proved_as_of or 0) and told.newest < self.newest:
             self.newest, self._is_exact = told.newest, told.is_exact
 
+    def interrupted(self) -> None:
+        """Note that a call was not answered."""
+        if self._answered_since is not None:
+            self._interrupted_as_of = self.proved_as_of
+            self._answered_since = None
+
+    def is_interrupted_alone(self, told: TableStatement, store_now: Millis) -> bool:
+        """Whether another process was answered all through the last interruption."""
+        if self._interrupted_as_of is None or told.answered_since is None:
+            return False
+        is_recent = 0 <= store_now - told.as_of + _AHEAD_MS <= _AHEAD_MS + _RECENT_MS
+        return is_recent and told.answered_since <= self._interrupted_as_of
+
     def age(self, store_now: Millis | None) -> Millis | None:
         """Return for how long changes may have gone unnoticed; None if not known."""
         if store_now is None or self.as_of is None:
@@ -142,13 +167,16 @@
     def forget(self) -> None:
         """Forget everything: the table is to be read from another store."""
         self.era = self.position = self.newest = 0
-        self.as_of = self.proved_as_of = None
+        self.as_of = self.proved_as_of = self._answered_since = None
+        self._interrupted_as_of = None
         self._is_exact, self._told = False, (0, 0)
 
     def _prove(self, store_ms: Millis | None) -> None:
         if store_ms is None:
             return
         if store_ms < (self.proved_as_of or 0) - _AHEAD_MS:
-            self.as_of = None
+            self.as_of = self._answered_since = None
+        if self._answered_since is None:
+            self._answered_since = store_ms
         self.proved_as_of = store_ms
         self.as_of = max(store_ms, self.as_of or store_ms)
--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -105,7 +105,9 @@
             self._trust_until = now + self.policy.after_outage
 
     def store_was_up(self, now: Millis) -> None:
-        """Note that others were answered all the while: no entry has lapsed."""
+        """Note that the store was away for this process alone: no entry has lapsed."""
+        if not self._store_lost and now >= self._trust_until:
+            return
         self._store_lost = False
         self._trust_until = now
         self._lapsed_until = dict.fromkeys(self._lapsed_until, now)
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -85,12 +85,15 @@
         Milliseconds of the store's time at which there was nothing newer.
     is_exact : bool
         Whether ``newest`` is the version of a change; else it may be a later one.
+    answered_since : int or None
+        Store's time since which all of the gateway's calls were answered.
     """
 
     era: int
     newest: int
     as_of: int
     is_exact: bool
+    answered_since: int | None
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field
 from heapq import nlargest
 from itertools import zip_longest
 
+import msgspec
+
 from azurefold.core.attempts.crashes import CrashReport
 from azurefold.core.clock import Millis
 from azurefold.core.membership.freshness import TableStatement
@@ -90,16 +92,14 @@
     """Return a statement as it is sent."""
     if statement is None:
         return None
-    return TableBeat(
-        statement.era, statement.newest, statement.as_of, statement.is_exact
-    )
+    return TableBeat(*astuple(statement))
 
 
 def table_statement(beat: TableBeat | None) -> TableStatement | None:
     """Return a statement as it was sent."""
     if beat is None:
         return None
-    return TableStatement(beat.era, beat.newest, beat.as_of, beat.is_exact)
+    return TableStatement(*msgspec.structs.astuple(beat))
 
 
 @dataclass(slots=True)
--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -226,6 +226,7 @@
             self._failing_since = self.clock.now()
             log_event(_log, "store_lost", logging.WARNING, table=self.table, why=reason)
         self._failures += 1
+        self.freshness.interrupted()
         self.on_doubt()
         # One failure may be a connection that was reset; the store counts as
         # away when the next try fails too.
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -57,10 +57,15 @@
         self, configuration: TableStatement | None, endpoints: TableStatement | None
     ) -> None:
         """Take in what another node knows of the two tables."""
+        state, store_now = self.state, self.state.store_now
         if configuration is not None:
-            self.configuration.freshness.hear(configuration, self.state.store_now)
-        if endpoints is not None:
-            self.endpoints.freshness.hear(endpoints, self.state.store_now)
+            self.configuration.freshness.hear(configuration, store_now)
+        if endpoints is None:
+            return
+        known = self.endpoints.freshness
+        known.hear(endpoints, store_now)
+        if store_now is not None and known.is_interrupted_alone(endpoints, store_now):
+            state.registry.store_was_up(state.clock.now())
 
     def tick(self, now: Millis) -> None:
         """Ask the store anew where other nodes know more, or what is known is old."""
--- a/tests/gateway/test_leaving_endpoints_stay_out.py
+++ b/tests/gateway/test_leaving_endpoints_stay_out.py
@@ -86,6 +86,21 @@
     assert not world.sending_to("e1")
 
 
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_removals_in_numbers_during_an_outage_of_one_gateway_hold_when_it_counts(
+    world_of, seed
+):
+    """Guards against entries taken for lapsed though other gateways heard the store."""
+    world = world_of(6, seed=seed)
+    world.silence(CUT_MS, ["gw-000"])
+    world.run(10)
+    world.remove("e1")
+    world.remove("e2")
+    world.run(CUT_MS - 10 + STABLE_MS)
+    assert not world.sending_to("e1")
+    assert not world.sending_to("e2")
+
+
 def test_entries_that_lapse_while_the_store_is_away_are_trusted(world_of):
     """Guards against gateways without endpoints after an outage of the store."""
     world = world_of(6)
