Let the stand-in store lose answers for a span of time

The store's faults lasted until they were taken back by another call, so a test or a soak could not lose answers for 0.2 s. `span_ms` ends any mode by itself.

What "silent" did already, and the tests now pin: a call that comes while it lasts gets no answer later either, nor does any call after it on the same connection; a feed's call from before loses its answer if it falls due meanwhile, and goes on waiting if not; new connections work afterwards. So the fault needs no mode of its own.

--- a/src/azurefold_standins/feed_store.py
+++ b/src/azurefold_standins/feed_store.py
@@ -49,10 +49,14 @@
         ``lose_answers`` carries writes out and answers nothing.
     latency_ms : int, default=0
         Wait before acting.
+    span_ms : int, default=0
+        After which the faults end; 0 for not before the next ones. A connection on
+        which an answer was lost stays open and silent.
     """
 
     mode: Literal["ok", "down", "silent", "lose_answers"] = "ok"
     latency_ms: int = 0
+    span_ms: int = 0
 
 
 class _Address(msgspec.Struct):
@@ -225,6 +229,9 @@
         """Misbehave in this way from now on."""
         data = req.bounded_stream.read()
         self.faults = msgspec.json.decode(data, type=StoreFaults)
+        if self.faults.span_ms:
+            seconds = self.faults.span_ms / _SECOND_MS
+            gevent.spawn_later(seconds, self._end, self.faults)
 
     def on_post_rows(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Write rows as operators and endpoints do."""
@@ -244,6 +251,10 @@
         """Answer with the number of calls so far."""
         resp.data = msgspec.json.encode(self.calls)
 
+    def _end(self, faults: StoreFaults) -> None:
+        if self.faults is faults:
+            self.faults = StoreFaults()
+
     def _misbehaves(self, resp: falcon.Response) -> bool:
         self.calls += 1
         gevent.sleep(self.faults.latency_ms / _SECOND_MS)
@@ -253,6 +264,7 @@
             case "down":
                 resp.status = falcon.HTTP_503
             case "silent" | "lose_answers":
+                # Answers of a connection come in order, so none comes after it either.
                 gevent.sleep(_FOR_EVER_S)
         return True
 
