Have the soak look whether changes are in force in time

What the soak checked of configurations was that no known route or key was refused, and that all gateways had the last version 8 s after the last fault. Routes that were added were never called. Leavings weren't checked at all: the constant and the field for it (_LEAVING_BOUND_S, left_at) were not used. So a gateway that was blind for seconds after a lost answer held its promises.

After the random faults, once all gateways are ready again, the store now loses answers for 0.2 to 1.0 s right after a change of a configuration or of an endpoint's row. More than 3 s after its end an endpoint leaves and a route is added. A request for the route that a gateway gets more than 2 s after the confirmation must be served, and no request may reach the endpoint from 2 s on. Both bounds are the stated aim, without an allowance for a busy machine.

A run whose own call to a stand-in timed out ended with a traceback and hung, as its callers went on: they are stopped in any case now.

--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -26,6 +26,7 @@
 from pathlib import Path
 
 from azurefold_standins.bare_layout import EndpointFaults, Journal
+from azurefold_standins.changes_in_force import Leaving, arrivals_after, late_routes
 from azurefold_standins.gateway_caller import Call, Caller, Kind, Result
 from azurefold_standins.gateway_site import GatewaySite, new_gateway_site
 from azurefold_standins.quota_allowance import Need, quota_excesses
@@ -49,7 +50,15 @@
 
 _SERVICE_OF = {Kind.DRAFT: "drafts", Kind.ACK: "desk", Kind.LIST: "desk"}
 
-_LEAVING_BOUND_S = 2.0
+_SPAN_S = (0.2, 1.0)
+"""For which the store loses answers."""
+
+_LONGEST_GATHER_S = 0.35
+"""From a change until gateways that have read it call again."""
+
+_WATCHED_S = 4.0
+"""From an endpoint's leaving until it comes back."""
+
 _LONGEST_HOLD_S = 4.0
 """A hold whose coordinator died: 1.7 s of silence, the takeover, two looks."""
 
@@ -79,7 +88,7 @@
     seconds: float
     findings: list[Finding] = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
-    left_at: dict[str, float] = field(default_factory=dict)
+    leavings: list[Leaving] = field(default_factory=list)
     callers: list[Caller] = field(default_factory=list)
     needy: str = ""
     need: Need | None = None
@@ -95,18 +104,12 @@
         ]
         for thread in threads:
             thread.start()
-        until = time.monotonic() + self.seconds
-        while time.monotonic() < until:
-            self._disturb()
-            time.sleep(self.draw.uniform(0.1, 0.7))
-            self._undo_due(time.monotonic())
-        self._undo_due(float("inf"))
-        quiet_from = time.monotonic() + _STABLE_S
-        self._name_quota()
-        time.sleep(_QUIET_S)
-        self._stop.set()
-        for thread in threads:
-            thread.join()
+        try:
+            quiet_from = self._disturb_and_calm()
+        finally:
+            self._stop.set()
+            for thread in threads:
+                thread.join()
         self.findings += check(self, quiet_from)
 
     @property
@@ -124,6 +127,26 @@
             caller.call(kind, gateway, self.site.gateways[gateway])
             time.sleep(_PAUSE_S)
 
+    def _disturb_and_calm(self) -> float:
+        """Return from when on all must be well again."""
+        until = time.monotonic() + self.seconds
+        while time.monotonic() < until:
+            self._disturb()
+            time.sleep(self.draw.uniform(0.1, 0.7))
+            self._undo_due(time.monotonic())
+        self._undo_due(float("inf"))
+        quiet_from = time.monotonic() + _STABLE_S
+        # The fault of a gateway that was started again ends when it is ready.
+        for gateway in self.site.gateways:
+            self.site.wait_ready(gateway)
+        lost_until = self._lose_answers_after_a_change()
+        undisturbed = lost_until + _STABLE_S + self.draw.uniform(0.0, 0.3)
+        time.sleep(max(0.0, undisturbed - time.monotonic()))
+        self._change_in_time()
+        self._name_quota()
+        time.sleep(_QUIET_S)
+        return quiet_from
+
     def _disturb(self) -> None:
         faults = (
             self._kill,
@@ -202,6 +225,30 @@
         self.site.register(endpoint, leaving=True)
         self._later(lambda: self.site.register(endpoint))
 
+    def _lose_answers_after_a_change(self) -> float:
+        """Return when the store answers again on new connections."""
+        if self.draw.random() < 0.5:
+            self._configure()
+        else:
+            self.site.register(self.draw.choice(self.site.endpoints))
+        time.sleep(self.draw.uniform(0, _LONGEST_GATHER_S))
+        span = self.draw.uniform(*_SPAN_S)
+        mode = self.draw.choice(["silent", "lose_answers"])
+        self.site.store_faults(mode=mode, span_ms=round(span * 1_000))
+        return time.monotonic() + span
+
+    def _change_in_time(self) -> None:
+        """Add a route and have an endpoint leave, and watch both."""
+        endpoint = self.draw.choice([e for e in self.site.endpoints if e.rank is None])
+        self.site.register(endpoint, leaving=True)
+        left = time.monotonic()
+        self._configure()
+        for late in late_routes(self.site, self.site.extra_routes[0], self.draw):
+            self.findings.append(Finding("a route is in force in time", late))
+        time.sleep(max(0.0, left + _WATCHED_S - time.monotonic()))
+        self.leavings.append(Leaving(endpoint.name, left, time.monotonic()))
+        self.site.register(endpoint)
+
     def _name_quota(self) -> None:
         """Have one endpoint name a quota from now on."""
         self.needy = self.draw.choice(self.site.endpoints).name
@@ -253,6 +300,10 @@
         found.append(Finding("one map in each pass", f"pass {journal.split_at}"))
     found += _retry_findings(soak.calls, journal)
     found += _quota_findings(soak, journal)
+    found += [
+        Finding("an endpoint that leaves gets no more", late)
+        for late in arrivals_after(soak.leavings, journal)
+    ]
     versions = {name: soak.site.status(name)["version"] for name in soak.site.gateways}
     if set(versions.values()) != {soak.site.version}:
         found.append(Finding("in force everywhere", f"{versions}"))
--- a/src/azurefold_standins/gateway_caller.py
+++ b/src/azurefold_standins/gateway_caller.py
@@ -66,21 +66,31 @@
     _numbers: itertools.count = field(default_factory=itertools.count)
     _kept: dict[str, http.client.HTTPConnection] = field(default_factory=dict)
 
-    def call(self, kind: Kind, gateway: str, address: str) -> Call:
-        """Make a call and check the answer."""
+    def call(self, kind: Kind, gateway: str, address: str, prefix: str = "") -> Call:
+        """Make a call and check the answer.
+
+        Parameters
+        ----------
+        kind : Kind
+        gateway, address : str
+        prefix : str
+            Of the route, ``"/"`` at both ends; by default the kind's own.
+        """
         number = next(self._numbers)
         attempt = f"{self.name}-{number}"
         began = time.monotonic()
-        result, status = self._ask(kind, attempt, gateway, address)
+        result, status = self._ask(
+            kind, attempt, gateway, address, prefix or f"/{kind.value}/"
+        )
         took = time.monotonic() - began
         call = Call(attempt, kind, gateway, result, status, took, began)
         self.calls.append(call)
         return call
 
     def _ask(
-        self, kind: Kind, attempt: str, gateway: str, address: str
+        self, kind: Kind, attempt: str, gateway: str, address: str, prefix: str
     ) -> tuple[Result, int]:
-        path = f"/{kind.value}/{attempt}"
+        path = f"{prefix}{attempt}"
         status = 0
         connection = self._connection(gateway, address)
         try:
--- a/tests/gateway/test_a_site_of_gateways.py
+++ b/tests/gateway/test_a_site_of_gateways.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from azurefold_standins import changes_in_force
 from azurefold_standins.bare_layout import EndpointFaults
+from azurefold_standins.changes_in_force import Leaving, late_routes
 from azurefold_standins.fault_soak import check, run_soak
 from azurefold_standins.gateway_caller import Caller, Kind, Result, _headers
 from azurefold_standins.gateway_site import new_gateway_site
@@ -163,6 +165,7 @@
             self.site = site
             self.calls = []
             self.need = None
+            self.leavings = []
 
     return Broken()
 
@@ -201,6 +204,28 @@
     assert [finding.promise for finding in found] == ["a quota is kept to"]
 
 
+@pytest.mark.parametrize(("after", "findings"), [(1.9, 0), (2.1, 1), (4.1, 0)])
+def test_the_soak_finds_a_request_after_a_leaving(
+    site, broken_soak, monkeypatch, after, findings
+):
+    """A request 2 s after an endpoint said that it leaves breaks the promise."""
+    journal = site.journal()
+    journal.times["desk-0"] = [100.0 + after]
+    monkeypatch.setattr(type(site), "journal", lambda self: journal)
+    monkeypatch.setattr(site, "version", site.status("gateway-0")["version"])
+    broken_soak.leavings = [Leaving("desk-0", 100.0, 104.0)]
+    found = check(broken_soak, quiet_from=time.monotonic())
+    promises = [finding.promise for finding in found]
+    assert promises == ["an endpoint that leaves gets no more"] * findings
+
+
+def test_the_soak_finds_a_route_that_is_not_in_force(site, monkeypatch):
+    """Requests for a route that gateways do not have are found, at each of them."""
+    monkeypatch.setattr(changes_in_force, "_LOOKED_FOR_S", 2.5)
+    late = late_routes(site, "/not-a-route/", random.Random(3))
+    assert sorted(each.split(": 404")[0] for each in late) == sorted(site.gateways)
+
+
 def test_answers_show_at_the_metrics(site, caller):
     call(site, caller, Kind.DRAFT)
     page = site.metrics("gateway-0")
