--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -363,8 +363,10 @@
         faults = sum(soak.faults.values())
         verdict = "failed" if soak.findings else "held"
         print(f"seed={seed} {verdict} faults={faults} {dict(results)}", flush=True)
-        for finding in soak.findings[:5]:
-            print(f"  {finding.promise}: {finding.detail}", flush=True)
+        counts = Counter(finding.promise for finding in soak.findings)
+        first = {each.promise: each.detail for each in reversed(soak.findings)}
+        for promise, count in counts.items():
+            print(f"  {promise} ({count}): {first[promise]}", flush=True)
         failed += bool(soak.findings)
     sys.exit(1 if failed else 0)
 
