Have the soak wait until gateways serve before the store loses answers

The check counted from before that fault on, so it wanted more than is promised.

The store's fault now begins when each gateway has served a request. "All is well again" still counts from the end of the random faults. Ruled out: counting it from the end of the store's fault, which would have looked away for as long as a gateway takes to come back.

--- a/src/azurefold_standins/changes_in_force.py
+++ b/src/azurefold_standins/changes_in_force.py
@@ -4,12 +4,20 @@
 import time
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from functools import partial
 
 from azurefold_standins.bare_layout import Journal
 from azurefold_standins.gateway_caller import Caller, Kind, Result
 from azurefold_standins.gateway_site import GatewaySite
+from azurefold_standins.processes import wait_until
 
-__all__ = ["IN_FORCE_S", "Leaving", "arrivals_after", "late_routes"]
+__all__ = [
+    "IN_FORCE_S",
+    "Leaving",
+    "arrivals_after",
+    "late_routes",
+    "wait_until_served",
+]
 
 IN_FORCE_S = 2.0
 """From a change's confirmation until requests see it."""
@@ -72,3 +80,15 @@
                 late[name] = f"{name}: {call.status} to {prefix} {after:.2f} s after it"
         time.sleep(_POLL_S)
     yield from late.values()
+
+
+def wait_until_served(site: GatewaySite, draw: random.Random) -> None:
+    """Wait until each gateway has served a request."""
+    caller = Caller(f"wait-{draw.getrandbits(24):x}", draw)
+
+    def is_served(name: str) -> bool:
+        call = caller.call(Kind.LIST, name, site.gateways[name])
+        return call.result is Result.WHOLE
+
+    for name in site.gateways:
+        wait_until(partial(is_served, name), f"{name} serves")
--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -26,7 +26,12 @@
 from pathlib import Path
 
 from azurefold_standins.bare_layout import EndpointFaults, Journal
-from azurefold_standins.changes_in_force import Leaving, arrivals_after, late_routes
+from azurefold_standins.changes_in_force import (
+    Leaving,
+    arrivals_after,
+    late_routes,
+    wait_until_served,
+)
 from azurefold_standins.gateway_caller import Call, Caller, Kind, Result
 from azurefold_standins.gateway_site import GatewaySite, new_gateway_site
 from azurefold_standins.quota_allowance import Need, quota_excesses
@@ -136,9 +141,9 @@
             self._undo_due(time.monotonic())
         self._undo_due(float("inf"))
         quiet_from = time.monotonic() + _STABLE_S
-        # The fault of a gateway that was started again ends when it is ready.
-        for gateway in self.site.gateways:
-            self.site.wait_ready(gateway)
+        # The fault of a gateway that was started again ends when it serves: it is
+        # ready before it has read the endpoints' table.
+        wait_until_served(self.site, self.draw)
         lost_until = self._lose_answers_after_a_change()
         undisturbed = lost_until + _STABLE_S + self.draw.uniform(0.0, 0.3)
         time.sleep(max(0.0, undisturbed - time.monotonic()))
