Interrupt the call that was meant, not the one after it

What callers could see: 503 in place of 404 for a moment, and a pause in the news of the store, though the store answers. A call was given up in the same round of the loop in which its answer came; without changes in it the next call begins at once, and the interruption hit that one, as both wait in the same greenlet.

Found by the review; the test failed before. Calls are numbered now, and an interruption names the one that it is for.

--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -90,6 +90,7 @@
     _failures: int = 0
     _failing_since: Millis = 0
     _waiting: gevent.Greenlet | None = None
+    _calls: int = 0
     _woken: bool = False
     _must_prove: bool = False
 
@@ -126,7 +127,7 @@
         if whole:
             self.version = None
         self._woken = True
-        gevent.get_hub().loop.run_callback(self._interrupt, self._waiting)
+        gevent.get_hub().loop.run_callback(self._interrupt, self._calls)
         return True
 
     def use(self, store: StoreClient) -> None:
@@ -137,10 +138,11 @@
         self.look_again()
         self._close_feed()
 
-    def _interrupt(self, waiting: gevent.Greenlet) -> None:
-        # The call may have been answered since, and its rows are being taken in.
-        if self._waiting is waiting:
-            waiting.throw(ConnectionAbortedError("asked anew"))
+    def _interrupt(self, call: int) -> None:
+        # The call may have been answered since: its rows are being taken in, or another
+        # one waits.
+        if self._waiting is not None and self._calls == call:
+            self._waiting.throw(ConnectionAbortedError("asked anew"))
 
     def _step(self) -> None:
         sent, store = self.clock.now(), self.store
@@ -196,6 +198,7 @@
         feed = self._open_feed()
         wait_ms = _RETURN_WAIT_MS if self._is_brief else self.wait_ms()
         self._waiting = gevent.getcurrent()
+        self._calls += 1
         try:
             return feed.changes(self.table, self.version, wait_ms)
         finally:
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -200,6 +200,25 @@
     assert ("changes", (row,)) in seen
 
 
+def test_only_the_call_that_was_meant_is_given_up(store, time, seen):
+    """Guards against a sound call that fails as the one before it was given up."""
+    follower = follower_of(store, time, seen, USUAL_WAIT)
+    answered = Event()
+    store.while_waiting = answered.wait
+    store.script = [StoredRows((), 4), FeedChanges((), 4)]
+    runner = gevent.spawn(follower.run)
+    gevent.sleep(0)
+    answered.set()
+    store.while_waiting = Event().wait
+    follower.look_again()
+    for _ in range(5):
+        gevent.sleep(0)
+    is_running = not runner.dead
+    runner.kill()
+    assert is_running
+    assert seen.count("heard") == 2
+
+
 @pytest.fixture
 def store_of_eras():
     """A store over HTTP, of which copies can be kept."""
