Keep the version of a change when another gateway tells of an older one

What callers could see: nothing by itself. A gateway that had read changes which may not have been all took another one's older statement for the newest version, and told that as true of a later moment; others could take themselves for fresher than they are.

The test failed before. Only the inexact version of a whole read is replaced now, and only by a statement of a later moment.

--- a/src/azurefold/core/membership/freshness.py
+++ b/src/azurefold/core/membership/freshness.py
@@ -140,7 +140,8 @@
             return
         if self.as_of is None or told.as_of > self.as_of:
             self.as_of = told.as_of
-        if told.as_of >= (self.proved_as_of or 0) and told.newest < self.newest:
+        is_later = told.as_of > (self.proved_as_of or 0)
+        if is_later and told.newest < self.newest and not self._is_exact:
             self.newest, self._is_exact = told.newest, told.is_exact
 
     def interrupted(self) -> None:
--- a/tests/core/membership/test_knowledge_of_a_table_ages.py
+++ b/tests/core/membership/test_knowledge_of_a_table_ages.py
@@ -99,6 +99,15 @@
     assert known.statement == TableStatement(1, 12, 5_300, answered_since=5_000)
 
 
+@pytest.mark.parametrize("as_of", [5_100, 5_150])
+def test_an_exact_version_is_not_lowered_by_an_older_statement(known, as_of):
+    """Guards against telling of an older version as the newest of a later moment."""
+    known.read_changes(version=16, newest=16, store_ms=None)
+    known.hear(TableStatement(1, 12, as_of))
+    known.hear(TableStatement(1, 16, 5_300))
+    assert known.statement.newest == 16
+
+
 def test_a_later_era_forgets_when_the_earlier_one_was_proved(known):
     known.read_whole(era=2, version=4, store_ms=None)
     assert known.as_of is None
