Refuse a whole read that is older than what is known

After its history is dropped, a store may answer reads as of some seconds before; the whole read took the place of what the feed had told since, and put entries back that were removed or draining.

Such a read counts as a failed call, and what is known stays. Where the store tells no era it may have come back from a copy, so that older reads are believed after five seconds.

--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -37,6 +37,10 @@
 """Between two tries while the store is away: what it tells on its return must
 be in force two seconds later, and each try has its price."""
 
+_OLDER_FOR_MS: Millis = 5_000
+"""After which whole reads that are older than what is known are believed where the
+store tells no era: it has come back from a copy."""
+
 
 @dataclass(slots=True)
 class TableFollower:
@@ -93,6 +97,7 @@
     _calls: int = 0
     _woken: bool = False
     _must_prove: bool = False
+    _older_since: Millis | None = None
 
     @property
     def _is_brief(self) -> bool:
@@ -151,6 +156,8 @@
         match answer:
             case _ if store is not self.store:
                 self._close_feed()
+            case StoredRows() if self._is_older(answer):
+                self._lost("a whole read of an earlier moment")
             case StoredRows(rows=rows, version=version, era=era):
                 self._heard(answer.store_ms, sent)
                 self._era.has_ended(era)
@@ -185,6 +192,18 @@
             case Unavailable(reason=reason):
                 self._lost(reason)
 
+    def _is_older(self, read: StoredRows) -> bool:
+        """Whether a whole read shows the table as it was before what is known."""
+        if read.version >= self.freshness.position:
+            self._older_since = None
+            return False
+        if read.era is not None:
+            return read.era == self._era.number
+        now = self.clock.now()
+        if self._older_since is None:
+            self._older_since = now
+        return now - self._older_since < _OLDER_FOR_MS
+
     def _note_in_force(self, answer: FeedChanges) -> None:
         newest = answer.rows[-1].version if answer.rows else None
         store_ms = answer.store_ms if answer.is_all else None
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -101,6 +101,38 @@
     assert [wait for _, wait in store.asked[2:]] == [followers._RETURN_WAIT_MS] * 2
 
 
+@pytest.mark.parametrize("era", [None, 3])
+def test_a_whole_read_of_an_earlier_moment_is_not_taken_in(
+    follower, store, seen, time, era
+):
+    """Guards against an older list that brings endpoints back which have left."""
+    removed = StoredRow("e1", 7, removed=True)
+    store.script = [
+        StoredRows((StoredRow("e1", 5, b"{}"),), 6, era),
+        FeedChanges((removed,), 7, era),
+        HistoryLost(),
+        StoredRows((StoredRow("e1", 5, b"{}"),), 6, era),
+        StoredRows((), 8, era),
+    ]
+    steps(follower, 4)
+    assert seen[-1] == "doubt"
+    assert follower.freshness.position == 7
+    steps(follower, 1)
+    assert seen[-1] == ("all", ())
+
+
+def test_a_store_that_tells_no_era_may_have_come_back_from_a_copy(
+    follower, store, seen, time
+):
+    """Guards against a store that goes on from a copy and is believed no more."""
+    store.script = [StoredRows((), 6)] + [HistoryLost()] + [StoredRows((), 4)] * 9
+    steps(follower, 9)
+    assert follower.version is None
+    time.advance(followers._OLDER_FOR_MS)
+    steps(follower, 1)
+    assert follower.version == 4
+
+
 def test_one_failure_is_no_outage(follower, store, seen):
     store.script = [StoredRows((), 4), Unavailable("reset"), FeedChanges((), 4)]
     steps(follower, 3)
