Keep nothing of a store whose address has changed

What callers could see after a reload with another store: unknown routes get 503, and a return of the new store from a copy is not noticed, as the era and the time of the former store stayed.

Still open: another gateway's statement does not name the store that it is of.

--- a/src/azurefold/core/membership/store_time.py
+++ b/src/azurefold/core/membership/store_time.py
@@ -43,7 +43,7 @@
         offset = store_ms - received
         earliest = self.at(sent)
         if earliest is not None and store_ms < earliest - _STEP_BACK_MS:
-            self._offset = self._offset_before = None
+            self.forget()
         if self._offset is None:
             self._offset, self._window_began = offset, received
         elif received - self._window_began >= _WINDOW_MS:
@@ -52,6 +52,10 @@
         else:
             self._offset = max(self._offset, offset)
 
+    def forget(self) -> None:
+        """Forget what answers have shown: another store is asked from now on."""
+        self._offset = self._offset_before = None
+
     def at(self, now: Millis) -> Millis | None:
         """Return the store's time at ``now``; None before the first answer.
 
--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -140,6 +140,8 @@
         self.store = store
         self.version = None
         self.freshness.forget()
+        self.store_time.forget()
+        self._era = StoreEra()
         self.look_again()
         self._close_feed()
 
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -133,6 +133,19 @@
     assert follower.version == 4
 
 
+def test_nothing_of_a_former_store_is_kept(follower, store, seen):
+    """Guards against a store that is taken for an older copy of the one before it."""
+    store.script = [StoredRows((), 900, 7, 5_000_000)]
+    steps(follower, 1)
+    follower.use(store)
+    store.script = [StoredRows((), 4, 1, 1_000), FeedChanges((), 5, 2, 1_100)]
+    steps(follower, 1)
+    assert follower.freshness.statement.era == 1
+    assert follower.store_time.at(follower.clock.now()) == 1_000
+    steps(follower, 1)
+    assert follower.version is None
+
+
 def test_one_failure_is_no_outage(follower, store, seen):
     store.script = [StoredRows((), 4), Unavailable("reset"), FeedChanges((), 4)]
     steps(follower, 3)
