Apply a configuration again that a service failed to take in

One failure while a configuration is applied was enough, and is_current, the version and what is told to peers said it was in force.

GatewayState.apply set the configuration first, and the version was read from it. When the loop started again and read the whole table, the version counted as in force and was ignored, and the table was marked as in force. The first service that failed also kept all services after it, and all endpoints, from the change.

The version now rises only once all services have taken the configuration in; until then the configuration is pending and is applied again with each read of the table, also where the row is older, cannot be read or is gone. Nothing older than the pending one is applied. As the follower still fails, the table is not marked, so peers are told nothing and its age grows. Routes, keys and all other services take the configuration in at once; failures are raised together. A gateway whose first configuration is pending is ready, as before.

A service that goes on failing, even one that is no longer configured, keeps the version from being in force at that gateway for as long.

--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -61,7 +61,8 @@
     links : EndpointLinks
     services : dict of str to GatewayService
     configuration : RoutingConfiguration or None
-        None until the first one was read.
+        The newest, whose routes and keys are used even where a service failed to take
+        it in; None until the first one was read.
     routes : RouteTable
     draining : bool
         Whether the process has been told to stop.
@@ -122,13 +123,21 @@
     unreadable_entries: int = 0
     oversized_messages: int = 0
     demand_changed: Event = field(default_factory=Event)
+    _version: int = 0
     _requested_at: Millis | None = None
     _is_doubted: bool = True
 
     @property
     def version(self) -> int:
-        """Of the configuration in force; 0 before the first."""
-        return self.configuration.version if self.configuration else 0
+        """Of the last configuration that all services took in; 0 before the first."""
+        return self._version
+
+    @property
+    def pending(self) -> RoutingConfiguration | None:
+        """The configuration that some services failed to take in; usually None."""
+        newest = self.configuration
+        is_pending = newest is not None and newest.version != self._version
+        return newest if is_pending else None
 
     @property
     def is_ready(self) -> bool:
@@ -189,14 +198,35 @@
         self._is_doubted = True
 
     def apply(self, configuration: RoutingConfiguration) -> None:
-        """Put a newer configuration in force."""
+        """Put a newer configuration in force, or the pending one.
+
+        Raises
+        ------
+        ExceptionGroup
+            If some services failed to take it in; all others have it. Its version is
+            not in force then, and it has to be applied again.
+        """
         self.configuration = configuration
         self.routes = route_table(configuration.routes)
+        failures = []
         for view in configuration.services.values():
-            self._configure(view)
+            try:
+                self._configure(view)
+            except Exception as error:  # noqa: BLE001
+                error.add_note(f"service {view.name}")
+                failures.append(error)
         for name, service in self.services.items():
             service.promised_gap_ms = configuration.promised_gap_ms(name)
-        self.spread_endpoints()
+        try:
+            self.spread_endpoints()
+        except ExceptionGroup as group:
+            failures.append(group)
+        if failures:
+            raise ExceptionGroup(
+                f"services that did not take version {configuration.version} in",
+                failures,
+            )
+        self._version = configuration.version
 
     def note_crash(self, identity: int, entry: EndpointEntry) -> None:
         """Note that an endpoint crashed while running a request, and report it.
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -7,6 +7,7 @@
 from azurefold.core.membership.freshness import TableStatement
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.membership.renewal import Renewal, WhyRenew
+from azurefold.core.routes.model import RoutingConfiguration
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.followers import TableFollower
 from azurefold.internal.logs import log_event
@@ -101,14 +102,21 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._decoder = configurations.ConfigurationDecoder()
+        self._tried_row = 0
 
     def configuration_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Apply the newest configuration among ``rows`` that can be read."""
+        """Apply the newest configuration among ``rows`` that can be read.
+
+        One that failed before is applied again unless there is a newer one.
+        """
         for row in reversed(rows):
             if row.key != configurations.KEY or row.removed:
                 continue
             if self._configuration(row):
-                return
+                break
+        pending = self._state.pending
+        if pending is not None:
+            self._apply(pending)
 
     def endpoint_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Take ``rows`` for the whole list."""
@@ -141,7 +149,9 @@
         except configurations.BadConfigurationError as error:
             log_event(_log, "configuration_unreadable", logging.ERROR, why=error)
             return False
-        if read.version <= state.version:
+        pending = state.pending
+        lowest = pending.version if pending is not None else state.version + 1
+        if read.version < lowest:
             log_event(
                 _log,
                 "configuration_ignored",
@@ -150,18 +160,23 @@
                 row=row.version,
             )
             return True
+        self._tried_row = row.version
+        self._apply(read)
+        return True
+
+    def _apply(self, configuration: RoutingConfiguration) -> None:
+        state = self._state
         before = state.version
-        state.apply(read)
+        state.apply(configuration)
         log_event(
             _log,
             "configuration_in_force",
-            version=read.version,
+            version=configuration.version,
             before=before,
-            row=row.version,
-            routes=len(read.routes),
-            keys=len(read.holders),
+            row=self._tried_row,
+            routes=len(configuration.routes),
+            keys=len(configuration.holders),
         )
-        return True
 
     def _entry(self, row: StoredRow) -> EndpointEntry | None:
         try:
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -1,5 +1,6 @@
 """Configurations go upward only; entries and endpoints follow the store."""
 
+from contextlib import suppress
 from dataclasses import replace
 
 import gevent
@@ -7,6 +8,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from tests.gateway.store_world import StoreWorld
 
 from azurefold.core.membership.freshness import TableStatement
 from azurefold.core.routes.model import AnswerKind
@@ -161,16 +163,16 @@
     assert set(pool.endpoints) == {"e2"}
 
 
-def fail_for(failing):
-    """Return a way to take endpoints in at which one service fails."""
-    original = GatewayService.set_endpoints
+def fail_for(failing, method="set_endpoints"):
+    """Return a method of services at which one of them fails."""
+    original = getattr(GatewayService, method)
 
-    def set_endpoints(service, *arguments):
+    def fail(service, *arguments):
         if service is failing:
             raise KeyError("e1")
         original(service, *arguments)
 
-    return set_endpoints
+    return fail
 
 
 def test_what_is_told_to_others_is_in_force(news, state, store, monkeypatch):
@@ -213,6 +215,155 @@
     assert not other.admission.pool.endpoints
 
 
+ANNEX_ROUTES = [
+    {
+        "Name": "annex",
+        "Hostname": "a.example",
+        "Prefix": "/annex/",
+        "RouteKind": "idempotent",
+        "TimeoutMs": 800,
+        "SloMs": 300,
+        "Service": "annex",
+    }
+]
+CHANGED = [{"Name": name, "MaxConns": 50} for name in ("desk", "model", "annex")]
+"""The services of a newer configuration, of which the last one is new."""
+
+
+def changed_row(version, row):
+    value = configuration(version, Services=CHANGED, Routes=ANNEX_ROUTES)
+    return StoredRow(configurations.KEY, row, value)
+
+
+def failing_step(news, monkeypatch, method, name):
+    """Take in the script's next answer while a service's method fails."""
+    original = getattr(GatewayService, method)
+
+    def fail(service, *arguments):
+        if service.view.name == name:
+            raise KeyError("e1")
+        original(service, *arguments)
+
+    with monkeypatch.context() as patch, suppress(KeyError, ExceptionGroup):
+        patch.setattr(GatewayService, method, fail)
+        news.configuration._step()
+
+
+FAILURES = [
+    ("configure", "desk"),
+    ("configure", "model"),
+    ("set_endpoints", "desk"),
+    ("set_endpoints", "annex"),
+]
+
+
+@pytest.fixture
+def changing(news, store):
+    """Return news with a configuration in force and a newer one in the script."""
+    store.script = [
+        StoredRows((config_row(7, 1),), 1, 1, 9_000),
+        FeedChanges((changed_row(9, 2),), 2, 1, 9_100),
+    ]
+    news.configuration._step()
+    annex = {"Service": "annex"}
+    news.endpoints.on_rows((entry_row("e1", 2), entry_row("e2", 3, **annex)))
+    return news
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_a_configuration_that_failed_is_applied_again(
+    changing, state, store, monkeypatch, failure
+):
+    """Guards against a failed configuration that counts as applied for good."""
+    failing_step(changing, monkeypatch, *failure)
+    store.script = [StoredRows((changed_row(9, 2),), 2, 1, 9_200)]
+    changing.configuration._step()
+    limits = {n: s.view.max_connections for n, s in state.services.items()}
+    assert limits == {"desk": 50, "model": 50, "annex": 50}
+    assert set(state.services["desk"].entries) == {"e1"}
+    assert set(state.services["annex"].entries) == {"e2"}
+    assert state.version == 9
+    assert state.configuration_freshness.statement.newest == 2
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_a_configuration_that_failed_is_not_told(changing, state, monkeypatch, failure):
+    """Guards against peers and operators being told of a version that failed."""
+    failing_step(changing, monkeypatch, *failure)
+    assert state.version == 7
+    assert state.configuration_freshness.statement.newest == 1
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_a_service_that_fails_keeps_no_other_from_a_configuration(
+    changing, state, monkeypatch, failure
+):
+    """Guards against services and routes left out as another service failed."""
+    failing_step(changing, monkeypatch, *failure)
+    others = {"desk": "e1", "annex": "e2", "model": None}
+    del others[failure[1]]
+    for name, endpoint in others.items():
+        assert state.services[name].view.max_connections == 50
+        assert set(state.services[name].entries) == {endpoint} - {None}
+    assert state.routes.find("a.example", "/annex/x") is not None
+
+
+LATE_ROWS = [(config_row(8, 3),), (StoredRow(configurations.KEY, 3, b"{"),), ()]
+
+
+@pytest.mark.parametrize("rows", LATE_ROWS)
+@pytest.mark.parametrize("failure", FAILURES)
+def test_after_a_failure_no_version_goes_back(
+    changing, state, store, monkeypatch, failure, rows
+):
+    """Guards against an older configuration replacing one that is partly applied."""
+    failing_step(changing, monkeypatch, *failure)
+    store.script = [StoredRows(rows, 3, 1, 9_200)]
+    changing.configuration._step()
+    assert state.routes.find("a.example", "/annex/x") is not None
+    assert state.services["desk"].view.max_connections == 50
+    assert set(state.services["annex"].entries) == {"e2"}
+    assert state.version == 9
+
+
+def test_a_configuration_is_tried_until_it_is_in_force(monkeypatch):
+    """Guards against news of the configuration that count as fresh while it fails."""
+    world = StoreWorld(2, monkeypatch)
+    world.configure(1)
+    world.register("e1")
+    world.start()
+    states = [gateway.state for gateway in world.by_name.values()]
+    try:
+        with monkeypatch.context() as patch:
+            failing = states[0].services["desk"]
+            patch.setattr(GatewayService, "configure", fail_for(failing, "configure"))
+            world.configure(2, routes=("drafts",))
+            world.run(10_000)
+            assert [each.version for each in states] == [1, 2]
+            assert [each.is_current for each in states] == [False, True]
+            assert all(each.routes.find("a.example", "/drafts/x") for each in states)
+            assert world.sending_to("e1") == set(world.by_name)
+        world.run(1_500)
+        assert [each.version for each in states] == [2, 2]
+        assert [each.is_current for each in states] == [True, True]
+    finally:
+        world.stop()
+
+
+def test_a_gateway_serves_with_a_first_configuration_that_failed(
+    news, state, store, monkeypatch
+):
+    """Guards against a service that fails at a start keeping all callers out."""
+    store.script = [StoredRows((config_row(7, 1),), 1, 1, 9_000)] * 2
+    failing_step(news, monkeypatch, "set_endpoints", "model")
+    assert state.is_ready
+    assert state.version == 0
+    assert not state.is_current
+    news.configuration._step()
+    assert state.version == 7
+    assert state.is_current
+
+
 def test_entries_that_came_before_the_configuration_are_not_lost(news, state):
     news.endpoints.on_rows((entry_row("e1", 2),))
     news.configuration.on_rows((config_row(7, 3),))
