Leave messages of other cells that are no newer than the last

What callers could see: requests held or sent by a group's former standing for up to half a second, if a coordinator of another cell had sent a newer one and a late message came after it. Ages in a late message also counted from its arrival.

Exchange passed each message of a gateway of another cell on, whether PeerLoads took it for newer or not: sequences 13, 12, 12 were all taken. PeerLoads tells old from new for a sender without loads as well, but forgets a sender after 1.5 s of silence, in its own cell too, and one that a list of gateways lacks can be among those. So the exchange keeps the newest sequence of each sender's process, which costs one small entry for each gateway's name. A process with an earlier incarnation is judged by PeerLoads alone, as before: it may have started since, on a clock that was set back, and a test holds that it is heard again after the silence.

--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -100,6 +100,7 @@
     visitors: PeerLoads = field(default_factory=PeerLoads)
     cell: Cell = field(default_factory=Cell)
     _peers: dict[str, Peer] = field(default_factory=dict)
+    _newest: dict[str, tuple[int, int]] = field(default_factory=dict)
     _sock: gevent_socket.socket | None = None
     _sequence: int = 0
     _sent_at: Millis = 0
@@ -335,7 +336,7 @@
 
     def _take(self, message: PeerMessage, ip: str) -> None:
         settings = self.state.settings
-        if message.node == settings.name:
+        if message.node == settings.name or self._is_late(message):
             return
         now = self.state.clock.now()
         digest = LoadDigest(
@@ -352,8 +353,9 @@
             self._deal_cells()
         self._peers[message.node] = Peer(message.node, ip, message.port)
         if message.node not in self.cell.nodes:
-            if self.visitors.hear(digest, now):
-                self._report_loads(now)
+            if not self.visitors.hear(digest, now):
+                return
+            self._report_loads(now)
         else:
             is_known = message.node in self.loads.nodes
             if not self.loads.hear(digest, now):
@@ -362,8 +364,19 @@
                 log_event(_log, "peer_heard", peer=message.node)
                 self._take_turn()
             self._report_loads(now)
+        self._newest[message.node] = message.incarnation, message.sequence
         self.on_message(message)
 
+    def _is_late(self, message: PeerMessage) -> bool:
+        """Whether a message is no newer than the last of the same process.
+
+        Loads are forgotten when their sender falls silent, and a late message would
+        be taken again. An earlier incarnation may be a process that has started
+        since, on a clock that was set back: only ``PeerLoads`` judges those.
+        """
+        incarnation, sequence = self._newest.get(message.node, (0, 0))
+        return message.incarnation == incarnation and message.sequence <= sequence
+
     def _forget_silent(self) -> None:
         now = self.state.clock.now()
         silent = self.loads.expire(now)
