Date words on quotas by when their message was sent

What callers and operators could see: an endpoint in need gets more than the quota it named last, and quota_named tells of an older quota after a newer one. The age of a word counted from when its message was read. A gateway that was frozen read "10 a second, 10 ms ago" and "2 a second, 40 ms ago" at the same moment, took the first for the newer in either order, and told it on to gateways that had the newer from the endpoint itself. On its way through several gateways a word also got younger by the time of each way.

A message names the store's time at which it was sent, once for all its words (9 bytes; with a date in each of its 12 words it would be 108). Its reader turns that into its own clock. If the sender or the reader does not know the store's time, or the message seems to come from over a second ahead, as after a new start of the store's clock, ages count from the reading as before. The field is the last and has a default, so that releases with and without it read each other's messages.

The model of quotas shares the code that dates words; its gateways know the store's time, and its drawn test runs with and without. The size of messages is tested with the store's time known.

--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -237,6 +237,7 @@
             crash_beats,
             table_beat(configuration.statement),
             table_beat(endpoints.statement),
+            self.state.store_time.at(now),
         )
         data = self._fitting(message)
         hosts = self._hosts()
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -17,6 +17,7 @@
 from azurefold.gateway.peers.portions import (
     crash_report,
     news_of_group,
+    sent_at,
     table_statement,
 )
 from azurefold.gateway.peers.reach import Reach
@@ -129,8 +130,9 @@
         coordinator.heard(message)
         for beat in message.groups:
             state.group_told(news_of_group(beat))
+        sent = sent_at(message, state.clock.now(), state.store_now)
         for beat in message.quotas:
-            word = QuotaWord(beat.rate, state.clock.now() - beat.age)
+            word = QuotaWord(beat.rate, sent - beat.age)
             state.quota_told(beat.endpoint, word, message.node)
         for beat in message.crashes:
             now = state.clock.now()
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from azurefold.core.clock import Millis
 from azurefold.core.routing.rank_groups import GroupNews, Standing
 
 __all__ = [
@@ -48,7 +49,7 @@
     rate : float or None
         Requests a second from all gateways; None if it names no quota any more.
     age : int
-        Milliseconds since the endpoint said so.
+        Milliseconds from when the endpoint said so until the message was sent.
     """
 
     endpoint: int
@@ -126,6 +127,9 @@
         Crash reports of some requests; others follow in later messages.
     configuration, endpoints : TableBeat or None
         What the sender knows of the store's two tables.
+    sent_at : int or None
+        Store's time when it was sent; None if the sender does not know that. The ages
+        in the message are as of then.
     """
 
     node: str
@@ -145,6 +149,7 @@
     crashes: tuple[CrashBeat, ...] = ()
     configuration: TableBeat | None = None
     endpoints: TableBeat | None = None
+    sent_at: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -19,6 +19,7 @@
 from azurefold.gateway.peers.messages import (
     CrashBeat,
     GroupBeat,
+    PeerMessage,
     QuotaBeat,
     TableBeat,
 )
@@ -31,6 +32,7 @@
     "crash_report",
     "heaviest",
     "news_of_group",
+    "sent_at",
     "table_beat",
     "table_statement",
 ]
@@ -58,6 +60,10 @@
 at hundreds of gateways and ranks, telling each all ranks each time would take most of
 a slow link."""
 
+_AHEAD_MS: Millis = 1_000
+"""By which a message may seem to be from the future: gateways know lower bounds of the
+store's time. One that is further ahead is dated by a former clock of the store."""
+
 
 def heaviest(loads: dict[int, int], crash_beats: int = 0) -> dict[int, int]:
     """Return the loads by endpoint that a message has room for, the largest.
@@ -74,6 +80,27 @@
     return dict(nlargest(most, loads.items(), key=lambda load: load[1]))
 
 
+def sent_at(message: PeerMessage, now: Millis, store_now: Millis | None) -> Millis:
+    """Return when a message was sent, by the clock of the gateway that reads it.
+
+    What goes wrong if it is taken for sent when it is read: a gateway that was frozen
+    reads what has waited for it, and a message with the lower age counts as newer,
+    whenever it was sent.
+
+    Parameters
+    ----------
+    message : PeerMessage
+    now : int
+        By the reader's clock; returned if the time of sending is not known.
+    store_now : int or None
+        The store's time at ``now``.
+    """
+    if message.sent_at is None or store_now is None:
+        return now
+    waited = store_now - message.sent_at
+    return now - waited if waited >= -_AHEAD_MS else now
+
+
 def crash_report(beat: CrashBeat, now: Millis) -> CrashReport:
     """Return the crash report that a message carries for one request."""
     answered_at = None if beat.answered is None else now - beat.answered
--- a/tests/gateway/quota_world.py
+++ b/tests/gateway/quota_world.py
@@ -22,6 +22,7 @@
 from azurefold.entry.admission import Ticket
 from azurefold.gateway.peers.exchange import Exchange, Peer, _decode, new_exchange
 from azurefold.gateway.peers.messages import Coordination
+from azurefold.gateway.peers.portions import sent_at
 from azurefold.gateway.state import new_gateway_state
 from azurefold.platform.headers import AnswerHead
 from azurefold_standins.quota_allowance import Need, quota_excesses, share_used
@@ -69,6 +70,8 @@
         By which time goes on.
     waits_ms : int
         For which requests wait for a place at an endpoint.
+    knows_store_time : bool
+        Whether the store has answered the gateways.
     seed : int
     """
 
@@ -81,6 +84,7 @@
     ends_after_ms: int = ENDS_AFTER_MS
     step_ms: int = STEP_MS
     waits_ms: int = 0
+    knows_store_time: bool = True
     time: ManualTime = field(default_factory=lambda: ManualTime(at=100_000))
     needs: dict[str, list[Need]] = field(default_factory=dict)
     arrivals: dict[str, list[tuple[int, str]]] = field(default_factory=dict)
@@ -213,6 +217,8 @@
         settings = settings_of(name=name, is_first_start=True)
         state = new_gateway_state(settings, manual_clock(self.time))
         state.draw.seed(f"{self.seed} {name}")
+        if self.knows_store_time:
+            state.store_time.observe(self.time.at, self.time.at, self.time.at)
         state.apply(
             RoutingConfiguration(1, (), {SERVICE: RoutedService(SERVICE, 64, None)})
         )
@@ -220,7 +226,8 @@
 
         def on_message(message):
             for beat in message.quotas:
-                word = QuotaWord(beat.rate, self.time.at - beat.age)
+                sent = sent_at(message, self.time.at, state.store_now)
+                word = QuotaWord(beat.rate, sent - beat.age)
                 state.quota_told(beat.endpoint, word, message.node)
 
         exchange = new_exchange(state, self.time.at, on_message, Coordination)
--- a/tests/gateway/test_messages_fit_at_any_size.py
+++ b/tests/gateway/test_messages_fit_at_any_size.py
@@ -95,6 +95,7 @@
     state = made.state
     for known in (state.configuration_freshness, state.endpoints_freshness):
         known.read_whole(era=1_000, version=10**9, store_ms=10**12)
+    state.store_time.observe(10**12, time.at, time.at)
     loads = {endpoint_mark(f"busy-{n}"): 9 for n in range(ranks)}
     words = {
         endpoint_mark(f"busy-{n}"): QuotaWord(0.123456789, time.at) for n in range(40)
--- a/tests/gateway/test_quotas_of_endpoints_hold.py
+++ b/tests/gateway/test_quotas_of_endpoints_hold.py
@@ -230,10 +230,20 @@
 
 
 @settings(max_examples=20)
-@given(st.integers(0, 5), st.sampled_from((0.0, 0.2)), _EVENTS)
-def test_no_window_has_more_requests_than_the_quota_allows(seed, loss, events):
+@given(st.integers(0, 5), st.sampled_from((0.0, 0.2)), st.booleans(), _EVENTS)
+def test_no_window_has_more_requests_than_the_quota_allows(
+    seed, loss, knows_store_time, events
+):
     """The stories above in any order, with lost and late messages."""
-    site = QuotaSite(5, 6, per_second=5.0, seed=seed, loss=loss, delay_ms=(1, 400))
+    site = QuotaSite(
+        5,
+        6,
+        per_second=5.0,
+        seed=seed,
+        loss=loss,
+        delay_ms=(1, 400),
+        knows_store_time=knows_store_time,
+    )
     site.run(2_000)
     site.needs_help(NEEDY, 1.0)
     for elapsed, (event, which, *given_with) in events:
