Let knowledge of a table age by the site's own bounds

What operators could see: on large sites, whose bounds are 4 s, as many calls to the store as on sites whose bounds are 2 s. Turns and ages were those of a bound of 2 s everywhere.

They are shares of the shorter of the two bounds now, the same as before at 2 s.

--- a/src/azurefold/core/membership/freshness.py
+++ b/src/azurefold/core/membership/freshness.py
@@ -16,7 +16,7 @@
 """By which a date may be later than the store's time as a process knows it, a lower
 bound. One that is further ahead is from before the store's clock started anew."""
 
-_RECENT_MS: Millis = 1_500
+_RECENT_MS: Millis = 2_500
 """Who is answered has evidence that is younger."""
 
 
--- a/src/azurefold/core/membership/renewal.py
+++ b/src/azurefold/core/membership/renewal.py
@@ -1,9 +1,9 @@
 """When a process asks the store anew for a table, beside its feed.
 
-Of the processes that tell each other what they know, one has the store's answer every
-``TURN_MS``: their feeds' calls end in turn, by the store's clock. Whoever has had no
-evidence for longer, or hears of something newer, asks on a new connection for an answer
-at once.
+Of the processes that tell each other what they know, one has the store's answer in each
+turn: their feeds' calls end one after the other, by the store's clock. Whoever has had
+no evidence for longer, or hears of something newer, asks on a new connection for an
+answer at once.
 """
 
 from dataclasses import dataclass
@@ -12,14 +12,13 @@
 from azurefold.core.clock import Millis
 from azurefold.core.membership.freshness import TableFreshness
 
-__all__ = ["TURN_MS", "Renewal", "Turn", "WhyRenew"]
+__all__ = ["Renewal", "RenewalTimes", "Turn", "WhyRenew", "renewal_times"]
 
-TURN_MS: Millis = 700
-"""A process that is told of an answer within another 100 ms does not ask itself."""
-
-_AGED_MS: Millis = 950
-_AGED_SPREAD_MS: Millis = 300
-"""Who asks first tells the others within this time, and they need not ask."""
+_TURN_SHARE = 0.35
+_AGED_SHARE = 0.475
+_SPREAD_SHARE = 0.15
+"""Of the time within which a confirmed change has to be in force. The last two leave
+three eighths of it for the look, the call, and what the answer changes."""
 
 _BEHIND_FOR_MS: Millis = 500
 """Changes reach all processes within 250 ms of each other: one that is behind for so
@@ -34,6 +33,49 @@
     AGED = "aged"
 
 
+@dataclass(frozen=True, slots=True)
+class RenewalTimes:
+    """How old what is known of a table may grow, in milliseconds.
+
+    Parameters
+    ----------
+    turn_ms : int
+        Between two answers of the store to processes that tell each other.
+    aged_ms : int
+        At which a process asks anew, at the earliest. Who is told of an answer within
+        the rest of this time after a turn needs not ask.
+    spread_ms : int
+        Longest drawn time more: who asks first tells the others within it.
+    """
+
+    turn_ms: Millis
+    aged_ms: Millis
+    spread_ms: Millis
+
+
+def renewal_times(bound_ms: Millis) -> RenewalTimes:
+    """Return the times of a site.
+
+    Parameters
+    ----------
+    bound_ms : int
+        Within which a confirmed change has to be in force.
+
+    Examples
+    --------
+    >>> renewal_times(2_000)
+    RenewalTimes(turn_ms=700, aged_ms=950, spread_ms=300)
+    """
+    return RenewalTimes(
+        round(_TURN_SHARE * bound_ms),
+        round(_AGED_SHARE * bound_ms),
+        round(_SPREAD_SHARE * bound_ms),
+    )
+
+
+_USUAL_TIMES = renewal_times(2_000)
+
+
 @dataclass(frozen=True, slots=True)
 class Turn:
     """A process's place among those that tell each other what they know.
@@ -44,10 +86,13 @@
         From 0.
     of : int
         How many there are, this one included.
+    ms : int
+        Between two turns.
     """
 
     place: int = 0
     of: int = 1
+    ms: Millis = _USUAL_TIMES.turn_ms
 
     def feed_wait(self, store_now: Millis | None) -> Millis:
         """Return how long the store should keep a feed's call with nothing to tell.
@@ -65,9 +110,9 @@
         4200
         """
         if store_now is None:
-            return TURN_MS
-        until_turn = (TURN_MS * self.place - store_now) % (TURN_MS * self.of)
-        return until_turn or TURN_MS * self.of
+            return self.ms
+        until_turn = (self.ms * self.place - store_now) % (self.ms * self.of)
+        return until_turn or self.ms * self.of
 
 
 @dataclass(slots=True)
@@ -77,9 +122,11 @@
     Parameters
     ----------
     freshness : TableFreshness
+    times : RenewalTimes
     """
 
     freshness: TableFreshness
+    times: RenewalTimes = _USUAL_TIMES
     _behind_since: Millis | None = None
     _asked_at: tuple[int, int] | None = None
     _spread: float | None = None
@@ -124,4 +171,5 @@
         if store_now is None or self.freshness.as_of is None:
             return False
         age = self.freshness.age(store_now)
-        return age is None or age >= _AGED_MS + _AGED_SPREAD_MS * self._spread
+        aged_ms = self.times.aged_ms + self.times.spread_ms * self._spread
+        return age is None or age >= aged_ms
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -152,7 +152,8 @@
     def _take_turn(self) -> None:
         own = self.state.settings.name
         heard = sorted({own, *self.loads.nodes})
-        self.state.turn = Turn(heard.index(own), len(heard))
+        turn_ms = self.state.renewal_times.turn_ms
+        self.state.turn = Turn(heard.index(own), len(heard), turn_ms)
 
     def receive_for_ever(self) -> None:
         """Take in messages."""
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -11,7 +11,7 @@
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.freshness import TableFreshness
 from azurefold.core.membership.registry import EndpointEntry, EndpointRegistry
-from azurefold.core.membership.renewal import Turn
+from azurefold.core.membership.renewal import RenewalTimes, Turn, renewal_times
 from azurefold.core.membership.store_time import StoreTime
 from azurefold.core.routes.model import RoutingConfiguration
 from azurefold.core.routes.table import RouteTable, route_table
@@ -145,6 +145,11 @@
         is_usable = self.configuration is not None and not self.is_cut_off
         return is_usable and not self.draining
 
+    @property
+    def renewal_times(self) -> RenewalTimes:
+        """How old what is known of the store's tables may grow."""
+        return renewal_times(min(self.settings.apply_ms, self.settings.drain_ms))
+
     @property
     def store_now(self) -> Millis | None:
         """The store's time; None before its first answer."""
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -72,6 +72,7 @@
         """Ask the store anew where other nodes know more, or what is known is old."""
         store_now = self.state.store_now
         for follower, renewal in self._renewals:
+            renewal.times = self.state.renewal_times
             why = renewal.due(now, store_now, self.state.draw.random())
             if why is None or not follower.look_again(
                 whole=why is WhyRenew.STILL_BEHIND
--- a/tests/core/membership/test_knowledge_of_a_table_ages.py
+++ b/tests/core/membership/test_knowledge_of_a_table_ages.py
@@ -5,10 +5,16 @@
 from hypothesis import strategies as st
 
 from azurefold.core.membership.freshness import TableFreshness, TableStatement
-from azurefold.core.membership.renewal import TURN_MS, Renewal, Turn, WhyRenew
+from azurefold.core.membership.renewal import (
+    Renewal,
+    Turn,
+    WhyRenew,
+    renewal_times,
+)
 from azurefold.core.membership.store_time import StoreTime
 
 MINUTE_MS = 60_000
+TURN_MS = renewal_times(2_000).turn_ms
 
 
 @pytest.fixture
@@ -191,6 +197,13 @@
     assert renewal.due(0, 6_350, 0.0) is WhyRenew.AGED
 
 
+@pytest.mark.parametrize("bound_ms", [2_000, 3_000, 4_000])
+def test_asking_anew_leaves_a_third_of_the_bound_for_the_call(bound_ms):
+    times = renewal_times(bound_ms)
+    assert times.turn_ms < times.aged_ms
+    assert 3 * (times.aged_ms + times.spread_ms) <= 2 * bound_ms
+
+
 def test_a_table_that_is_not_dated_is_not_asked_for(known):
     assert Renewal(known).due(0, None, 0.0) is None
     assert Renewal(TableFreshness()).due(0, 99_000, 0.0) is None
--- a/tests/gateway/test_promises_hold_at_all_sizes.py
+++ b/tests/gateway/test_promises_hold_at_all_sizes.py
@@ -2,12 +2,13 @@
 
 import pytest
 from tests.gateway.site_promises import new_site
-from tests.gateway.store_world import LOOK_MS, StoreWorld
+from tests.gateway.store_world import APPLY_MS, LOOK_MS, StoreWorld
 from tests.gateway.test_promises_hold_under_faults import play
 
 from azurefold.core.membership.freshness import TableFreshness
-from azurefold.core.membership.renewal import TURN_MS
+from azurefold.core.membership.renewal import renewal_times
 
+TURN_MS = renewal_times(APPLY_MS).turn_ms
 EVENTS = [
     (("configure",), 100),
     (("silence", 600, None), 500),
