Name the renewal of tables in the usual terms

Renames after the review: merge, renew, set_store, reason and RenewalReason in place of hear, look_again, use, due and WhyRenew. A feed's wait is held to the store's longest. No other change of behaviour.

--- a/src/azurefold/core/membership/freshness.py
+++ b/src/azurefold/core/membership/freshness.py
@@ -73,7 +73,7 @@
     _answered_since: Millis | None = None
     _interrupted_as_of: Millis | None = None
     _is_exact: bool = False
-    _told: tuple[int, int] = (0, 0)
+    _newest_reported: tuple[int, int] = (0, 0)
 
     @property
     def statement(self) -> TableStatement | None:
@@ -87,7 +87,7 @@
     @property
     def is_behind(self) -> bool:
         """Whether another process has something newer."""
-        return self._told > (self.era, self.position)
+        return self._newest_reported > (self.era, self.position)
 
     def read_whole(self, era: int, version: int, store_ms: Millis | None) -> None:
         """Note that all rows at a version of the store are in force here.
@@ -123,26 +123,28 @@
             self.newest, self._is_exact = newest, True
         self._prove(store_ms)
 
-    def hear(self, told: TableStatement, store_now: Millis | None = None) -> None:
+    def merge(self, statement: TableStatement, store_now: Millis | None = None) -> None:
         """Take in another process's statement.
 
         Parameters
         ----------
-        told : TableStatement
+        statement : TableStatement
         store_now : int or None, default=None
             The store's time; None if it isn't known.
         """
-        if told.is_exact:
-            self._told = max(self._told, (told.era, told.newest))
-        if told.era != self.era or told.newest > self.position:
+        if statement.is_exact:
+            self._newest_reported = max(
+                self._newest_reported, (statement.era, statement.newest)
+            )
+        if statement.era != self.era or statement.newest > self.position:
             return
-        if store_now is not None and told.as_of > store_now + _AHEAD_MS:
+        if store_now is not None and statement.as_of > store_now + _AHEAD_MS:
             return
-        if self.as_of is None or told.as_of > self.as_of:
-            self.as_of = told.as_of
-        is_later = told.as_of > (self.proved_as_of or 0)
-        if is_later and told.newest < self.newest and not self._is_exact:
-            self.newest, self._is_exact = told.newest, told.is_exact
+        if self.as_of is None or statement.as_of > self.as_of:
+            self.as_of = statement.as_of
+        is_later = statement.as_of > (self.proved_as_of or 0)
+        if is_later and statement.newest < self.newest and not self._is_exact:
+            self.newest, self._is_exact = statement.newest, statement.is_exact
 
     def interrupted(self) -> None:
         """Note that a call was not answered."""
@@ -150,12 +152,14 @@
             self._interrupted_as_of = self.proved_as_of
             self._answered_since = None
 
-    def is_interrupted_alone(self, told: TableStatement, store_now: Millis) -> bool:
+    def is_interrupted_alone(
+        self, statement: TableStatement, store_now: Millis
+    ) -> bool:
         """Whether another process was answered all through the last interruption."""
-        if self._interrupted_as_of is None or told.answered_since is None:
+        if self._interrupted_as_of is None or statement.answered_since is None:
             return False
-        is_recent = 0 <= store_now - told.as_of + _AHEAD_MS <= _AHEAD_MS + _RECENT_MS
-        return is_recent and told.answered_since <= self._interrupted_as_of
+        is_recent = -_AHEAD_MS <= store_now - statement.as_of <= _RECENT_MS
+        return is_recent and statement.answered_since <= self._interrupted_as_of
 
     def age(self, store_now: Millis | None) -> Millis | None:
         """Return for how long changes may have gone unnoticed; None if not known."""
@@ -170,7 +174,7 @@
         self.era = self.position = self.newest = 0
         self.as_of = self.proved_as_of = self._answered_since = None
         self._interrupted_as_of = None
-        self._is_exact, self._told = False, (0, 0)
+        self._is_exact, self._newest_reported = False, (0, 0)
 
     def _prove(self, store_ms: Millis | None) -> None:
         if store_ms is None:
--- a/src/azurefold/core/membership/renewal.py
+++ b/src/azurefold/core/membership/renewal.py
@@ -12,7 +12,7 @@
 from azurefold.core.clock import Millis
 from azurefold.core.membership.freshness import TableFreshness
 
-__all__ = ["Renewal", "RenewalTimes", "Turn", "WhyRenew", "renewal_times"]
+__all__ = ["Renewal", "RenewalTimes", "Turn", "RenewalReason", "renewal_times"]
 
 _TURN_SHARE = 0.35
 _AGED_SHARE = 0.475
@@ -25,7 +25,7 @@
 long is not just about to be told."""
 
 
-class WhyRenew(StrEnum):
+class RenewalReason(StrEnum):
     """Why a table is asked for anew."""
 
     BEHIND = "behind"
@@ -82,7 +82,7 @@
 
     Parameters
     ----------
-    place : int
+    index : int
         From 0.
     of : int
         How many there are, this one included.
@@ -90,7 +90,7 @@
         Between two turns.
     """
 
-    place: int = 0
+    index: int = 0
     of: int = 1
     ms: Millis = _USUAL_TIMES.turn_ms
 
@@ -104,14 +104,14 @@
 
         Examples
         --------
-        >>> Turn(place=2, of=6).feed_wait(store_now=4_200)
+        >>> Turn(index=2, of=6).feed_wait(store_now=4_200)
         1400
-        >>> Turn(place=2, of=6).feed_wait(store_now=5_600)
+        >>> Turn(index=2, of=6).feed_wait(store_now=5_600)
         4200
         """
         if store_now is None:
             return self.ms
-        until_turn = (self.ms * self.place - store_now) % (self.ms * self.of)
+        until_turn = (self.ms * self.index - store_now) % (self.ms * self.of)
         return until_turn or self.ms * self.of
 
 
@@ -131,9 +131,9 @@
     _asked_at: tuple[int, int] | None = None
     _spread: float | None = None
 
-    def due(
+    def reason(
         self, now: Millis, store_now: Millis | None, draw: float
-    ) -> WhyRenew | None:
+    ) -> RenewalReason | None:
         """Return why the table has to be asked for now; None if it has not.
 
         Parameters
@@ -149,12 +149,12 @@
             self._spread = draw
         why = self._behind(now)
         if why is None and self._is_aged(store_now):
-            why = WhyRenew.AGED
+            why = RenewalReason.AGED
         if why is not None:
             self._spread = draw
         return why
 
-    def _behind(self, now: Millis) -> WhyRenew | None:
+    def _behind(self, now: Millis) -> RenewalReason | None:
         if not self.freshness.is_behind:
             self._behind_since = None
             return None
@@ -165,7 +165,7 @@
         self._behind_since = now
         held = (self.freshness.era, self.freshness.position)
         before, self._asked_at = self._asked_at, held
-        return WhyRenew.STILL_BEHIND if before == held else WhyRenew.BEHIND
+        return RenewalReason.STILL_BEHIND if before == held else RenewalReason.BEHIND
 
     def _is_aged(self, store_now: Millis | None) -> bool:
         if store_now is None or self.freshness.as_of is None:
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -137,7 +137,7 @@
         for beat in message.crashes:
             now = state.clock.now()
             state.crashes.merge(beat.identity, crash_report(beat, now), now)
-        news.peers_know(
+        news.merge_statements(
             table_statement(message.configuration), table_statement(message.endpoints)
         )
 
--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -95,7 +95,7 @@
     _failing_since: Millis = 0
     _waiting: gevent.Greenlet | None = None
     _calls: int = 0
-    _woken: bool = False
+    _interrupted: bool = False
     _must_prove: bool = False
     _older_since: Millis | None = None
 
@@ -112,10 +112,11 @@
             # A loop that starts again begins with a connection of its own.
             self._close_feed()
 
-    def look_again(self, *, whole: bool = False) -> bool:
-        """Give a call that waits up, and ask the store anew for an answer at once.
+    def renew(self, *, whole: bool = False) -> bool:
+        """Interrupt the waiting call and ask anew, for an answer at once.
 
-        A connection that has gone silent tells nothing until the wait is over.
+        The call goes over a new connection: one that has gone silent tells nothing
+        until the wait is over.
 
         Parameters
         ----------
@@ -127,22 +128,22 @@
         bool
             False if no call waits, or none that would wait for long.
         """
-        if self._waiting is None or self._woken or self._is_brief:
+        if self._waiting is None or self._interrupted or self._is_brief:
             return False
         if whole:
             self.version = None
-        self._woken = True
+        self._interrupted = True
         gevent.get_hub().loop.run_callback(self._interrupt, self._calls)
         return True
 
-    def use(self, store: StoreClient) -> None:
+    def set_store(self, store: StoreClient) -> None:
         """Follow the table of another store from now on."""
         self.store = store
         self.version = None
         self.freshness.forget()
         self.store_time.forget()
         self._era = StoreEra()
-        self.look_again()
+        self.renew()
         self._close_feed()
 
     def _interrupt(self, call: int) -> None:
@@ -154,7 +155,7 @@
     def _step(self) -> None:
         sent, store = self.clock.now(), self.store
         answer = self._read_all() if self.version is None else self._read_changes()
-        woken, self._woken = self._woken, False
+        woken, self._interrupted = self._interrupted, False
         match answer:
             case _ if store is not self.store:
                 self._close_feed()
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -6,14 +6,14 @@
 from azurefold.core.clock import Millis
 from azurefold.core.membership.freshness import TableStatement
 from azurefold.core.membership.registry import EndpointEntry
-from azurefold.core.membership.renewal import Renewal, WhyRenew
+from azurefold.core.membership.renewal import Renewal, RenewalReason
 from azurefold.core.routes.model import RoutingConfiguration
 from azurefold.gateway.state import GatewayState
 from azurefold.gateway.store.followers import TableFollower
 from azurefold.internal.logs import log_event
 from azurefold.platform import configuration as configurations
 from azurefold.platform import registry as registries
-from azurefold.platform.store import StoreClient
+from azurefold.platform.store import LONGEST_WAIT_MS, StoreClient
 from azurefold.platform.store_messages import StoredRow
 
 __all__ = ["News", "new_news"]
@@ -54,17 +54,17 @@
             for follower in (self.configuration, self.endpoints)
         )
 
-    def peers_know(
+    def merge_statements(
         self, configuration: TableStatement | None, endpoints: TableStatement | None
     ) -> None:
         """Take in what another node knows of the two tables."""
         state, store_now = self.state, self.state.store_now
         if configuration is not None:
-            self.configuration.freshness.hear(configuration, store_now)
+            self.configuration.freshness.merge(configuration, store_now)
         if endpoints is None:
             return
         known = self.endpoints.freshness
-        known.hear(endpoints, store_now)
+        known.merge(endpoints, store_now)
         if store_now is not None and known.is_interrupted_alone(endpoints, store_now):
             state.registry.store_was_up(state.clock.now())
 
@@ -73,9 +73,9 @@
         store_now = self.state.store_now
         for follower, renewal in self._renewals:
             renewal.times = self.state.renewal_times
-            why = renewal.due(now, store_now, self.state.draw.random())
-            if why is None or not follower.look_again(
-                whole=why is WhyRenew.STILL_BEHIND
+            why = renewal.reason(now, store_now, self.state.draw.random())
+            if why is None or not follower.renew(
+                whole=why is RenewalReason.STILL_BEHIND
             ):
                 continue
             log_event(
@@ -90,7 +90,7 @@
     def use_store(self, store: StoreClient) -> None:
         """Follow the tables of another store from now on."""
         for follower in (self.configuration, self.endpoints):
-            follower.use(store)
+            follower.set_store(store)
 
 
 _LONGEST_REASON = 200
@@ -238,7 +238,7 @@
         return TableFollower(
             store=store,
             table=table,
-            wait_ms=lambda: state.turn.feed_wait(state.store_now),
+            wait_ms=lambda: min(state.turn.feed_wait(state.store_now), LONGEST_WAIT_MS),
             gather_ms=gather_ms,
             clock=state.clock,
             draw=state.draw,
--- a/tests/core/membership/test_knowledge_of_a_table_ages.py
+++ b/tests/core/membership/test_knowledge_of_a_table_ages.py
@@ -7,8 +7,8 @@
 from azurefold.core.membership.freshness import TableFreshness, TableStatement
 from azurefold.core.membership.renewal import (
     Renewal,
+    RenewalReason,
     Turn,
-    WhyRenew,
     renewal_times,
 )
 from azurefold.core.membership.store_time import StoreTime
@@ -53,13 +53,13 @@
 
 
 def test_a_delayed_proof_does_not_make_knowledge_older(known):
-    known.hear(TableStatement(1, 12, 5_900))
+    known.merge(TableStatement(1, 12, 5_900))
     known.read_changes(version=12, newest=None, store_ms=5_500)
     assert (known.as_of, known.proved_as_of) == (5_900, 5_500)
 
 
 def test_a_statement_of_no_more_than_is_known_renews(known):
-    known.hear(TableStatement(1, 12, 5_800))
+    known.merge(TableStatement(1, 12, 5_800))
     assert known.age(6_000) == 200
     assert not known.is_behind
 
@@ -75,7 +75,7 @@
     ],
 )
 def test_other_statements_renew_nothing(known, told):
-    known.hear(told)
+    known.merge(told)
     assert known.as_of == 5_100
 
 
@@ -89,19 +89,19 @@
     ],
 )
 def test_only_exact_statements_of_something_newer_show_a_lag(known, told, is_behind):
-    known.hear(told)
+    known.merge(told)
     assert known.is_behind is is_behind
 
 
 def test_a_lag_ends_once_the_change_is_in_force(known):
-    known.hear(TableStatement(1, 13, 5_000))
+    known.merge(TableStatement(1, 13, 5_000))
     known.read_changes(version=13, newest=13, store_ms=5_200)
     assert not known.is_behind
 
 
 def test_an_exact_statement_replaces_the_version_of_a_read(known):
     known.read_whole(era=1, version=20, store_ms=5_200)
-    known.hear(TableStatement(1, 12, 5_300))
+    known.merge(TableStatement(1, 12, 5_300))
     assert known.statement == TableStatement(1, 12, 5_300, answered_since=5_000)
 
 
@@ -109,8 +109,8 @@
 def test_an_exact_version_is_not_lowered_by_an_older_statement(known, as_of):
     """Guards against telling of an older version as the newest of a later moment."""
     known.read_changes(version=16, newest=16, store_ms=None)
-    known.hear(TableStatement(1, 12, as_of))
-    known.hear(TableStatement(1, 16, 5_300))
+    known.merge(TableStatement(1, 12, as_of))
+    known.merge(TableStatement(1, 16, 5_300))
     assert known.statement.newest == 16
 
 
@@ -138,7 +138,7 @@
 
 def test_an_interruption_of_this_process_alone_shows_by_another_ones_answers(known):
     known.interrupted()
-    known.hear(TableStatement(1, 12, 9_000, answered_since=4_000))
+    known.merge(TableStatement(1, 12, 9_000, answered_since=4_000))
     own = TableStatement(1, 12, 9_000, answered_since=4_000)
     assert known.is_interrupted_alone(own, store_now=9_200)
     assert not known.is_interrupted_alone(own, store_now=12_000)
@@ -152,7 +152,7 @@
 
 
 def test_all_is_forgotten_with_the_store(known):
-    known.hear(TableStatement(1, 99, 9_000))
+    known.merge(TableStatement(1, 99, 9_000))
     known.forget()
     assert known == TableFreshness()
 
@@ -174,7 +174,7 @@
         if kind == "prove":
             known.read_whole(era, version, at)
         else:
-            known.hear(TableStatement(era, version, at, is_exact))
+            known.merge(TableStatement(era, version, at, is_exact))
             if version > known.position:
                 continue
         evidence[era] = max(evidence.get(era, 0), at)
@@ -183,7 +183,7 @@
 
 def test_turns_are_a_turn_apart():
     for now in (0, 1, TURN_MS, 6 * TURN_MS + 99, 7_000_123):
-        ends = sorted(now + Turn(place, 6).feed_wait(now) for place in range(6))
+        ends = sorted(now + Turn(index, 6).feed_wait(now) for index in range(6))
         assert now < ends[0] <= now + TURN_MS
         assert {b - a for a, b in zip(ends, ends[1:], strict=False)} == {TURN_MS}
     assert Turn().feed_wait(None) == TURN_MS
@@ -191,10 +191,10 @@
 
 def test_an_aged_table_is_asked_for_between_950_and_1250_ms(known):
     renewal = Renewal(known)
-    assert renewal.due(0, 6_049, 0.0) is None
-    assert renewal.due(0, 6_050, 0.999) is WhyRenew.AGED
-    assert renewal.due(0, 6_349, 0.0) is None
-    assert renewal.due(0, 6_350, 0.0) is WhyRenew.AGED
+    assert renewal.reason(0, 6_049, 0.0) is None
+    assert renewal.reason(0, 6_050, 0.999) is RenewalReason.AGED
+    assert renewal.reason(0, 6_349, 0.0) is None
+    assert renewal.reason(0, 6_350, 0.0) is RenewalReason.AGED
 
 
 @pytest.mark.parametrize("bound_ms", [2_000, 3_000, 4_000])
@@ -205,26 +205,26 @@
 
 
 def test_a_table_that_is_not_dated_is_not_asked_for(known):
-    assert Renewal(known).due(0, None, 0.0) is None
-    assert Renewal(TableFreshness()).due(0, 99_000, 0.0) is None
+    assert Renewal(known).reason(0, None, 0.0) is None
+    assert Renewal(TableFreshness()).reason(0, 99_000, 0.0) is None
 
 
 def test_a_lag_has_to_last_and_is_told_apart_when_it_stays(known):
     renewal = Renewal(known)
-    known.hear(TableStatement(1, 13, 5_100))
-    dues = [renewal.due(now, 5_200, 0.0) for now in (0, 499, 500, 999, 1_000)]
-    assert dues == [None, None, WhyRenew.BEHIND, None, WhyRenew.STILL_BEHIND]
+    known.merge(TableStatement(1, 13, 5_100))
+    dues = [renewal.reason(now, 5_200, 0.0) for now in (0, 499, 500, 999, 1_000)]
+    assert dues == [None, None, RenewalReason.BEHIND, None, RenewalReason.STILL_BEHIND]
 
 
 def test_a_lag_that_ended_begins_anew(known):
     renewal = Renewal(known)
-    known.hear(TableStatement(1, 13, 5_100))
-    assert renewal.due(0, 5_200, 0.0) is None
+    known.merge(TableStatement(1, 13, 5_100))
+    assert renewal.reason(0, 5_200, 0.0) is None
     known.read_changes(version=13, newest=13, store_ms=5_200)
-    assert renewal.due(400, 5_300, 0.0) is None
-    known.hear(TableStatement(1, 14, 5_300))
-    assert renewal.due(600, 5_400, 0.0) is None
-    assert renewal.due(1_100, 5_400, 0.0) is WhyRenew.BEHIND
+    assert renewal.reason(400, 5_300, 0.0) is None
+    known.merge(TableStatement(1, 14, 5_300))
+    assert renewal.reason(600, 5_400, 0.0) is None
+    assert renewal.reason(1_100, 5_400, 0.0) is RenewalReason.BEHIND
 
 
 def test_the_store_time_is_not_known_before_an_answer():
--- a/tests/gateway/crash_world.py
+++ b/tests/gateway/crash_world.py
@@ -70,7 +70,7 @@
 
 
 class _StubNews:
-    def peers_know(self, configuration, endpoints):
+    def merge_statements(self, configuration, endpoints):
         pass
 
 
--- a/tests/gateway/test_leaving_endpoints_stay_out.py
+++ b/tests/gateway/test_leaving_endpoints_stay_out.py
@@ -189,7 +189,7 @@
     world = world_of(gateways)
     for gateway in world.by_name.values():
         gateway.news.configuration.store = AwayStore()
-        gateway.news.configuration.look_again()
+        gateway.news.configuration.renew()
     world.run(PAUSE_MS)
     world.remove("e1")
     world.run(DRAIN_MS)
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -543,11 +543,11 @@
     store.script = [StoredRows((), 40, 1, 9_000)]
     news.endpoints._step()
     looked = []
-    look_again = lambda follower, **how: looked.append(how)  # noqa: E731
-    monkeypatch.setattr(TableFollower, "look_again", look_again)
+    renew = lambda follower, **how: looked.append(how)  # noqa: E731
+    monkeypatch.setattr(TableFollower, "renew", renew)
     for _ in range(10):
         time.at += 600
         as_of = state.store_time.at(time.at)
-        news.peers_know(None, TableStatement(era=1, newest=37, as_of=as_of))
+        news.merge_statements(None, TableStatement(era=1, newest=37, as_of=as_of))
         news.tick(time.at)
     assert not looked
--- a/tests/gateway/test_promises_hold_at_all_sizes.py
+++ b/tests/gateway/test_promises_hold_at_all_sizes.py
@@ -52,7 +52,7 @@
     """Guards against statements that are ignored: nothing is late, but calls rise."""
     site = new_site(StoreWorld(6, monkeypatch))
     calls = calls_of(site.world, 20)
-    monkeypatch.setattr(TableFreshness, "hear", lambda *_: None)
+    monkeypatch.setattr(TableFreshness, "merge", lambda *_: None)
     site.world.run(2_000)
     calls_ignoring = calls_of(site.world, 20)
     play(site, EVENTS)
--- a/tests/gateway/test_tables_are_followed.py
+++ b/tests/gateway/test_tables_are_followed.py
@@ -9,7 +9,7 @@
 
 from azurefold.core.clock import manual_clock
 from azurefold.core.membership.freshness import TableFreshness, TableStatement
-from azurefold.core.membership.renewal import Renewal, WhyRenew
+from azurefold.core.membership.renewal import Renewal, RenewalReason
 from azurefold.gateway.store import followers
 from azurefold.gateway.store.followers import TableFollower
 from azurefold.internal.clock import monotonic_clock
@@ -137,7 +137,7 @@
     """Guards against a store that is taken for an older copy of the one before it."""
     store.script = [StoredRows((), 900, 7, 5_000_000)]
     steps(follower, 1)
-    follower.use(store)
+    follower.set_store(store)
     store.script = [StoredRows((), 4, 1, 1_000), FeedChanges((), 5, 2, 1_100)]
     steps(follower, 1)
     assert follower.freshness.statement.era == 1
@@ -215,7 +215,7 @@
         gevent.sleep(0.2)
         http.faults = StoreFaults()
         for _ in range(3):
-            follower.look_again()
+            follower.renew()
             gevent.sleep(0.2)
         assert [rows[0].key for rows in seen if rows] == ["config"]
         http.store.put([("op", "config", b"{}")])
@@ -236,7 +236,7 @@
     runner = gevent.spawn(follower.run)
     gevent.sleep(0)
     answered.set()
-    follower.look_again()
+    follower.renew()
     for _ in range(5):
         gevent.sleep(0)
     is_running = not runner.dead
@@ -255,7 +255,7 @@
     gevent.sleep(0)
     answered.set()
     store.while_waiting = Event().wait
-    follower.look_again()
+    follower.renew()
     for _ in range(5):
         gevent.sleep(0)
     is_running = not runner.dead
@@ -370,22 +370,22 @@
     store.script = [StoredRows((), 4)]
     steps(follower, 3)
     asked = []
-    store.while_waiting = lambda: asked.append(follower.look_again())
+    store.while_waiting = lambda: asked.append(follower.renew())
     steps(follower, 2)
     assert len(asked) == 2
-    assert not follower._woken
+    assert not follower._interrupted
 
 
 def test_being_behind_counts_only_after_a_while():
     known = TableFreshness(era=1, position=5)
-    known.hear(TableStatement(era=1, newest=7, as_of=0))
+    known.merge(TableStatement(era=1, newest=7, as_of=0))
     renewal = Renewal(known)
-    assert renewal.due(0, None, 0.0) is None
-    assert renewal.due(499, None, 0.0) is None
-    assert renewal.due(500, None, 0.0) is WhyRenew.BEHIND
-    assert renewal.due(600, None, 0.0) is None
+    assert renewal.reason(0, None, 0.0) is None
+    assert renewal.reason(499, None, 0.0) is None
+    assert renewal.reason(500, None, 0.0) is RenewalReason.BEHIND
+    assert renewal.reason(600, None, 0.0) is None
     known.read_changes(7, 7, None)
-    assert renewal.due(2_000, None, 0.0) is None
+    assert renewal.reason(2_000, None, 0.0) is None
 
 
 @pytest.fixture
@@ -436,7 +436,7 @@
     monkeypatch.setattr(gevent, "kill", lambda waiting, error: None)
     store.script = [StoredRows((), 4), Unavailable("asked anew"), StoredRows((), 9)]
     follower._step()
-    store.while_waiting = lambda: follower.look_again(whole=True)
+    store.while_waiting = lambda: follower.renew(whole=True)
     steps(follower, 2)
     assert store.asked[-1] == ("all", "servers")
     assert follower.version == 9
@@ -444,13 +444,13 @@
 
 def test_asking_in_vain_shows_by_the_version():
     known = TableFreshness(era=1, position=5)
-    known.hear(TableStatement(era=1, newest=9, as_of=0))
+    known.merge(TableStatement(era=1, newest=9, as_of=0))
     renewal = Renewal(known)
-    assert renewal.due(0, None, 0.0) is None
-    assert renewal.due(1_000, None, 0.0) is WhyRenew.BEHIND
-    assert renewal.due(2_000, None, 0.0) is WhyRenew.STILL_BEHIND
+    assert renewal.reason(0, None, 0.0) is None
+    assert renewal.reason(1_000, None, 0.0) is RenewalReason.BEHIND
+    assert renewal.reason(2_000, None, 0.0) is RenewalReason.STILL_BEHIND
     known.read_changes(7, 7, None)
-    assert renewal.due(3_000, None, 0.0) is WhyRenew.BEHIND
+    assert renewal.reason(3_000, None, 0.0) is RenewalReason.BEHIND
 
 
 def test_who_was_turned_away_reads_what_is_newest_at_once(follower, store):
