Wait in a test until the far data centre sees all endpoints

The processes' logs: the agents of the two endpoints that it calls started 0.64 and 1.16 s after that of the third one (19.836 and 20.358 against 19.198), and its set-up waited only until that third one, of the other service, was seen. So it could call before any endpoint of its service was known there. The set-up now waits for all three; what is asserted is as before.

--- a/tests/processes/test_data_centres_serve_each_other.py
+++ b/tests/processes/test_data_centres_serve_each_other.py
@@ -28,15 +28,16 @@
         site.start()
         accept(site, CONFIGURATION)
         wait_ready(site)
-        wait_until(lambda: _sees_bookings(site), "the other hall sees bookings")
+        wait_until(lambda: _sees_all(site), "the other hall sees all endpoints")
         yield site
     finally:
         site.processes.kill_all()
 
 
-def _sees_bookings(site):
+def _sees_all(site):
     services = status(site, "entry-other-0").get("services", {})
-    return bool(services.get("bookings", {}).get("endpoints"))
+    seen = {name: len(service["endpoints"]) for name, service in services.items()}
+    return seen == {"recall-drafts": 2, "bookings": 1}
 
 
 @pytest.fixture
