Withhold entries of departed endpoints that an older copy brings back

What callers saw: after the store came back from a copy some seconds old, new requests went to endpoints that had left since the copy was made, at every gateway, until the endpoints' own departures were written again.

Cause: the registry takes a whole read for the truth. The read after a return shows the copy's rows, 'ready' as they were before the endpoint announced its departure or was removed, and nothing remembered that it had left.

Now a registry remembers departures (core/membership/departures.py). After a return (a follower's whole read of a later era, or of an earlier version where no era is told) an entry of an endpoint that left before it is withheld: - announced departure: until a later start; without a time of start until an entry that was written since the return outlasts the settling of 2 s; - removed entry, which may have lapsed while its endpoint lives: until it is written, or still stands after 2 s.

Weighed and left: versions of rows as evidence (they are given out again, and an equal one may be another row); asking the endpoint's health (it may lie, and a draining endpoint accepts connections); the same memory without an end (throws out sound endpoints whose row in the copy needs no new write).

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -3,44 +3,20 @@
 The store drops the entry of an endpoint that has been silent for a while.
 While the store itself is away no endpoint can be heard, so entries lapse that
 belong to sound endpoints. Such entries are trusted for a short time longer.
+After its return from an older copy it lists endpoints that have left since. Entries of
+those are withheld until they are written again, or for a short time.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from azurefold.core.clock import Millis
+from azurefold.core.membership.departures import Departures
+from azurefold.core.membership.entries import EndpointEntry
 
 __all__ = ["EndpointEntry", "EndpointRegistry", "RegistryPolicy"]
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointEntry:
-    """One endpoint as it has registered itself.
-
-    Parameters
-    ----------
-    name : str
-        A restarted endpoint may have another one, or the same.
-    service, address, data_centre : str
-        The address is ``"ip:port"``.
-    slots : int
-        Requests that it runs at a time.
-    leaving : bool
-        Whether it takes no new work.
-    born : int
-        When it started, in Unix milliseconds; 0 if it does not say. Tells its starts
-        apart where it keeps its name.
-    """
-
-    name: str
-    service: str
-    address: str
-    data_centre: str
-    slots: int
-    leaving: bool = False
-    born: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class RegistryPolicy:
     """How long entries that lapsed in numbers are trusted.
@@ -57,11 +33,21 @@
         removed endpoint must get no more work.
     mass_share : float
         Share of a service's entries whose removal at once is not believed.
+    settling : int
+        Milliseconds from when the store's return from an older copy is noticed, within
+        which endpoints write or remove their entries again.
     """
 
     after_outage: Millis = 2_300
     after_mass_removal: Millis = 1_500
     mass_share: float = 0.3
+    settling: Millis = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Withheld:
+    entry: EndpointEntry
+    is_written: bool
 
 
 @dataclass(slots=True)
@@ -71,13 +57,18 @@
     Parameters
     ----------
     policy : RegistryPolicy
+    departures : Departures
+        Endpoints that left.
     """
 
     policy: RegistryPolicy = field(default_factory=RegistryPolicy)
+    departures: Departures = field(default_factory=Departures)
     _entries: dict[str, EndpointEntry] = field(default_factory=dict)
     _lapsed_until: dict[str, Millis] = field(default_factory=dict)
+    _withheld: dict[str, _Withheld] = field(default_factory=dict)
     _store_lost: bool = False
     _trust_until: Millis = 0
+    _settled_at: Millis = 0
 
     @property
     def entries(self) -> dict[str, EndpointEntry]:
@@ -94,6 +85,11 @@
         """Endpoints whose entries are gone but still trusted."""
         return frozenset(self._lapsed_until)
 
+    @property
+    def withheld(self) -> frozenset[str]:
+        """Endpoints that left, whose entries an older copy has brought back."""
+        return frozenset(self._withheld)
+
     def store_lost(self) -> None:
         """Note that the store does not answer."""
         self._store_lost = True
@@ -112,6 +108,11 @@
         self._trust_until = now
         self._lapsed_until = dict.fromkeys(self._lapsed_until, now)
 
+    def store_returned(self, now: Millis) -> None:
+        """Note that the store came back from an older copy, not yet read."""
+        self.departures.store_returned()
+        self._settled_at = now + self.policy.settling
+
     def replace(
         self,
         entries: Iterable[EndpointEntry],
@@ -122,7 +123,8 @@
         listed = {entry.name: entry for entry in entries}
         gone = [name for name in self._entries if name not in listed]
         self.remove(gone, now, known_at)
-        return self.put(listed.values())
+        self._withheld.clear()
+        return self._take(listed.values(), is_written=False)
 
     def put(self, entries: Iterable[EndpointEntry]) -> list[str]:
         """Take in entries that were written.
@@ -134,20 +136,36 @@
         list of str
             Endpoints that have started again under the name that they had.
         """
+        return self._take(entries, is_written=True)
+
+    def _take(self, entries: Iterable[EndpointEntry], *, is_written: bool) -> list[str]:
         restarted = []
         for entry in entries:
             known = self._entries.get(entry.name)
             if known is not None and 0 < entry.born < known.born:
                 continue
+            is_credible = self.departures.is_credible(entry, is_written=is_written)
+            if not (entry.leaving or is_credible):
+                self._withheld[entry.name] = _Withheld(entry, is_written)
+                continue
             if known is not None and 0 < known.born < entry.born:
                 restarted.append(entry.name)
-            self._entries[entry.name] = entry
-            self._lapsed_until.pop(entry.name, None)
+            self._use(entry)
         return restarted
 
+    def _use(self, entry: EndpointEntry) -> None:
+        self._entries[entry.name] = entry
+        self._lapsed_until.pop(entry.name, None)
+        self._withheld.pop(entry.name, None)
+        if entry.leaving:
+            self.departures.note(entry)
+        else:
+            self.departures.forget(entry.name)
+
     def drop(self, names: Iterable[str]) -> None:
         """Forget entries that name no endpoint to use any more."""
         for name in names:
+            self._withheld.pop(name, None)
             if name in self._entries:
                 self._forget(name)
 
@@ -163,21 +181,44 @@
         known_at : int, optional
             When they were last known to be there; by default now.
         """
-        gone = [name for name in names if name in self._entries]
+        removed = tuple(names)
+        for name in removed:
+            self._withheld.pop(name, None)
+        gone = [name for name in removed if name in self._entries]
         since = now if known_at is None else known_at
         trusted = {name: self._trusted_until(name, gone, now, since) for name in gone}
         for name, until in trusted.items():
+            self.departures.note(self._entries[name])
             if until <= now:
                 self._forget(name)
             else:
                 self._lapsed_until.setdefault(name, until)
 
     def tick(self, now: Millis) -> list[str]:
-        """Drop entries that are trusted no longer, and name them."""
+        """Drop entries that are trusted no longer, and use those that have proved true.
+
+        Returns
+        -------
+        list of str
+            Endpoints that were dropped or are used again.
+        """
         over = [name for name, until in self._lapsed_until.items() if until <= now]
         for name in over:
             self._forget(name)
-        return over
+        return over + self._settle(now)
+
+    def _settle(self, now: Millis) -> list[str]:
+        if not self.departures.is_settling or now < self._settled_at:
+            return []
+        self.departures.settled()
+        proved = [
+            each.entry
+            for each in self._withheld.values()
+            if self.departures.is_credible(each.entry, is_written=each.is_written)
+        ]
+        for entry in proved:
+            self._use(entry)
+        return [entry.name for entry in proved]
 
     def _trusted_until(
         self, name: str, gone: list[str], now: Millis, since: Millis
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -125,11 +125,14 @@
     while True:
         gevent.sleep(_TICK_MS / _SECOND_MS)
         news.tick(state.clock.now())
-        gone = state.registry.tick(state.clock.now())
-        for name in gone:
+        changed = state.registry.tick(state.clock.now())
+        for name in changed:
+            if name in state.registry.entries:
+                log_event(_log, "endpoint_back", endpoint=name, why="settled")
+                continue
             state.links.forget(name)
             log_event(_log, "endpoint_gone", endpoint=name, why="lapsed")
-        if gone:
+        if changed:
             state.spread_endpoints()
         for service in state.services.values():
             service.tick()
--- a/src/azurefold/gateway/store/followers.py
+++ b/src/azurefold/gateway/store/followers.py
@@ -69,6 +69,9 @@
         Called when calls go on failing: the store is away.
     is_behind : callable
         Returns whether peers have newer rows of this table.
+    on_return : callable
+        Called before the first whole read since the store came back from an older copy
+        is taken in.
     freshness : TableFreshness
         What is in force here of the table, and as of when.
     store_time : StoreTime
@@ -86,6 +89,7 @@
     on_doubt: Callable[[], None]
     on_lost: Callable[[], None]
     is_behind: Callable[[], bool] = lambda: False
+    on_return: Callable[[], None] = lambda: None
     freshness: TableFreshness = field(default_factory=TableFreshness)
     store_time: StoreTime = field(default_factory=StoreTime)
     version: int | None = None
@@ -164,6 +168,8 @@
             case StoredRows(rows=rows, version=version, era=era):
                 self._heard(answer.store_ms, sent)
                 self._era.has_ended(era)
+                if self._is_from_a_copy(version):
+                    self._note_return()
                 self.on_rows(rows)
                 self.version = version
                 self.freshness.read_whole(
@@ -207,6 +213,24 @@
             self._older_since = now
         return now - self._older_since < _OLDER_FOR_MS
 
+    def _is_from_a_copy(self, version: int) -> bool:
+        """Whether a whole read shows another history than the one that is known."""
+        known = self.freshness
+        is_later_era = 0 < known.era < (self._era.number or 0)
+        return is_later_era or version < known.position
+
+    def _note_return(self) -> None:
+        log_event(
+            _log,
+            "store_returned",
+            logging.WARNING,
+            table=self.table,
+            era=self._era.number,
+            before=self.freshness.era,
+            known=self.freshness.position,
+        )
+        self.on_return()
+
     def _note_in_force(self, answer: FeedChanges) -> None:
         newest = answer.rows[-1].version if answer.rows else None
         store_ms = answer.store_ms if answer.is_all else None
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -215,6 +215,9 @@
         lapsed = state.registry.lapsed
         if lapsed:
             log_event(_log, "endpoints_lapsed", endpoints=len(lapsed))
+        withheld = state.registry.withheld & {row.key for row in rows}
+        if withheld:
+            log_event(_log, "endpoints_withheld", endpoints=",".join(sorted(withheld)))
         state.spread_endpoints()
 
 
@@ -277,4 +280,5 @@
     )
     known = state.configuration_freshness
     news.configuration.is_behind = lambda: known.is_behind
+    news.endpoints.on_return = lambda: state.registry.store_returned(state.clock.now())
     return news
