Keep endpoints that an older copy lacks until they are back

What callers saw: an endpoint that had registered itself after the copy was made was dropped at once by every gateway when the store came back, although it lived; a service whose endpoints were all newer than the copy refused every request.

Cause: the whole read after a return is compared with the entries in use as any other read. What it lacks counts as removed, which is believed at once unless it concerns many.

Now entries that the first read after a return lacks are trusted for as long as after an outage (2.3 s), and later reads within the settling do not shorten that. Removals that the feed tells are believed at once, and an announced departure stays one.

Left: a gateway that notices a return late (connections not reset, version not below its own) can't tell an entry that was removed in between from one that was lost; it trusts it for the same 2.3 s. Ruled out: counting that from when the list was last known, which gives sound endpoints no time at all after a long outage.

Mutants caught: each read of the settling trusted, later reads that drop what is trusted, trust without an end.

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -69,6 +69,7 @@
     _store_lost: bool = False
     _trust_until: Millis = 0
     _settled_at: Millis = 0
+    _is_first_read: bool = False
 
     @property
     def entries(self) -> dict[str, EndpointEntry]:
@@ -112,6 +113,7 @@
         """Note that the store came back from an older copy, not yet read."""
         self.departures.store_returned()
         self._settled_at = now + self.policy.settling
+        self._is_first_read = True
 
     def replace(
         self,
@@ -122,10 +124,22 @@
         """Take in the whole list; return those that have started again."""
         listed = {entry.name: entry for entry in entries}
         gone = [name for name in self._entries if name not in listed]
+        if self._is_first_read:
+            self._trust_unlisted(gone, now)
+        if self.departures.is_settling:
+            # Not listed since the return: the copy has lost their entries.
+            gone = [name for name in gone if name not in self._lapsed_until]
         self.remove(gone, now, known_at)
         self._withheld.clear()
         return self._take(listed.values(), is_written=False)
 
+    def _trust_unlisted(self, names: Iterable[str], now: Millis) -> None:
+        """Keep endpoints that the copy lacks until they have written themselves in."""
+        self._is_first_read = False
+        for name in names:
+            if not self._entries[name].leaving:
+                self._lapsed_until.setdefault(name, now + self.policy.after_outage)
+
     def put(self, entries: Iterable[EndpointEntry]) -> list[str]:
         """Take in entries that were written.
 
--- /dev/null
+++ b/tests/gateway/test_a_store_that_returns_from_a_copy.py
@@ -0,0 +1,60 @@
+"""Gateways while the store has come back from a copy and not all is written again."""
+
+import pytest
+from tests.gateway.site_promises import new_site
+from tests.gateway.store_world import StoreWorld
+
+
+@pytest.fixture
+def site(monkeypatch):
+    site = new_site(StoreWorld(6, monkeypatch))
+    yield site
+    site.stop()
+
+
+def test_endpoints_that_the_copy_lacks_are_used_until_they_are_back(site):
+    """Guards against sound endpoints that are dropped as their entries are lost."""
+    world = site.world
+    copy = world.store.copy()
+    site.join("e4")
+    site.run(1_000)
+    world.go_back(copy)
+    for _ in range(19):
+        world.run(100)
+        assert len(world.sending_to("e4")) == 6
+    world.register("e4", born=4_000)
+    world.run(3_000)
+    assert len(world.sending_to("e4")) == 6
+
+
+def test_endpoints_that_the_copy_lacks_and_that_stay_away_are_dropped(site):
+    """Guards against endpoints that are trusted for good without an entry."""
+    copy = site.world.store.copy()
+    site.join("e4")
+    site.run(1_000)
+    site.world.go_back(copy)
+    site.world.run(2_800)
+    assert not site.world.sending_to("e4")
+
+
+def test_a_removal_after_the_return_is_in_force_at_once(site):
+    """Guards against the trust in lost entries that outlives their removal."""
+    copy = site.world.store.copy()
+    site.world.go_back(copy, restarts=True)
+    site.world.run(500)
+    site.world.remove("e1")
+    site.world.run(500)
+    assert not site.world.sending_to("e1")
+
+
+def test_a_removed_endpoint_whose_row_is_back_and_stays_is_used_again(site):
+    """Guards against sound endpoints that are kept out for long after a return."""
+    copy = site.world.store.copy()
+    for endpoint in ("e1", "e2", "e3"):
+        site.world.remove(endpoint)
+    site.world.run(3_000)
+    assert not site.world.sending_to("e1")
+    site.world.go_back(copy)
+    site.world.run(2_500)
+    for endpoint in ("e1", "e2", "e3"):
+        assert len(site.world.sending_to(endpoint)) == 6
