--- a/tests/core/membership/test_an_older_copy_brings_nothing_back.py
+++ b/tests/core/membership/test_an_older_copy_brings_nothing_back.py
@@ -123,6 +123,13 @@
     assert in_use(registry) == set(NAMES)
 
 
+def test_an_entry_that_went_between_two_reads_after_a_return_is_gone(registry):
+    """Guards against removals since the return that are taken for lost entries."""
+    come_back(registry, NAMES, now=1_000)
+    registry.replace([entry("e2"), entry("e3")], now=1_400)
+    assert in_use(registry) == {"e2", "e3"}
+
+
 def test_departures_are_remembered_up_to_a_number(monkeypatch):
     """Guards against a memory that grows with each release of each service."""
     monkeypatch.setattr(departures, "_MOST_REMEMBERED", 3)
