Let terms of coordination rise over returns of the store

What callers would see: after the store came back from an older copy, nobody coordinates expert maps for long. Streams run on a map that fits no popularity until the store's counter has passed its former value.

Cause: the term was the version of the coordinator's row. Versions go back and are given out again, terms that gateways and ranks know do not. The new holder's term is below them, its beats are dropped as old, its maps are refused, and the others take the row in turn. The old holder that met its own older row took that row's lower version for its term.

Now the row holds a term of its own, above all that its writer knew; the term is the larger of it and the row's version, so nothing changes while the store does not go back. A holder whose row is of a lower term than its own writes it over, as only an older copy can show that. A successor that finds the store in a later era goes 16 above what it knows, for writes between two beats that the copy has lost. A version of a map that a rank reports raises the term of the next write, for gateways that remember nothing. Transactions tell the era that they took effect in.

Left: a gateway that started since the return, hears no beat and meets ranks without a map may choose a term of the lost era; gateways of earlier releases read and write terms without the row's own.

--- a/src/azurefold/gateway/groups/changes.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -48,8 +48,8 @@
 class Row(Protocol):
     """The coordinator's row, as changes need it."""
 
-    def next_version(self) -> int | None:
-        """Return the version of a new map; None if none may be made."""
+    def next_version(self, above: int = 0) -> int | None:
+        """Return the version of a new map, above one; None if none may be made."""
 
     def resign_when_idle(self) -> None:
         """Give the row up as soon as no other group's map is being changed."""
@@ -110,11 +110,11 @@
 
     def begin(self, plan: MapPlan) -> None:
         """Begin a change to the planned map, if this node may make one."""
-        version = self.row.next_version()
+        view = self.watch.view
+        version = self.row.next_version(view.highest_version)
         if version is None:
             return
         now = self._now
-        view = self.watch.view
         self._planned = plan.placements
         lossy = now - self._order_lost_at < _LOSSY_FOR_MS
         policy = change_policy(
--- a/src/azurefold/gateway/groups/coordinator.py
+++ b/src/azurefold/gateway/groups/coordinator.py
@@ -9,7 +9,7 @@
 
 from azurefold.core.clock import Millis
 from azurefold.core.groups.leadership import Beat, Leadership
-from azurefold.core.groups.messages import order_number
+from azurefold.core.groups.messages import fence_of, order_number
 from azurefold.gateway.groups.control import ServiceControl, new_service_control
 from azurefold.gateway.groups.map_planning import is_worth_balancing
 from azurefold.gateway.peers.messages import Coordination, PeerMessage
@@ -23,6 +23,7 @@
     NotApplied,
     RowKey,
     RowWrite,
+    StoredRow,
     Unavailable,
     Uncertain,
 )
@@ -33,6 +34,10 @@
 
 _SECOND_MS = 1_000
 _TICK_MS: Millis = 200
+_MOST_UNHEARD_WRITES = 16
+"""Of a holder between two beats, at the most. A store that comes back from an older
+copy shows none of them, and a successor's term must be above all."""
+
 _ROW = RowKey(names.GROUPS, "coordinator")
 
 
@@ -47,11 +52,15 @@
         Of each service's experts, by layer, as last seen. A group that forms
         anew has a map that fits no popularity, and after a power loss no
         process knows better: without this, its first seconds are its slowest.
+    term : int
+        Above all terms that its writer knew of. Versions of rows are given out again
+        when the store comes back from an older copy; terms are not.
     """
 
     node: str
     incarnation: int
     popularity: dict[str, list[list[int]]] = {}
+    term: int = 0
 
     def is_same_holder(self, other: "_Holder") -> bool:
         """Whether both name the same process."""
@@ -67,6 +76,10 @@
         return _Holder("", 0)
 
 
+def _term_of(row: StoredRow, holder: _Holder) -> int:
+    return max(row.version, holder.term)
+
+
 @dataclass(slots=True)
 class Coordinator:
     """Leadership, and a control for each service whose ranks share experts.
@@ -95,6 +108,8 @@
     _resigns: bool = False
     _controls: dict[str, ServiceControl] = field(default_factory=dict)
     _row_version: int = 0
+    _row_term: int = 0
+    _row_era: int | None = None
     _popularity: dict[str, list[list[int]]] = field(default_factory=dict)
 
     @property
@@ -132,25 +147,35 @@
             self._read_row()
         while True:
             gevent.sleep(_TICK_MS / _SECOND_MS)
-            if self.leadership.holds and self._is_leaving:
-                # A change under way is brought to its end: its group may be held,
-                # and what ranks have loaded would be loaded once more.
-                if not self.coordination.is_changing:
-                    self.resign()
-            elif self.leadership.holds:
-                self._coordinate()
-            elif self.state.draining:
-                continue
-            elif self.leadership.should_take(self.state.clock.now()):
-                self._take()
+            self._step()
+
+    def _step(self) -> None:
+        if self.leadership.holds and self._is_leaving:
+            # A change under way is brought to its end: its group may be held, and
+            # what ranks have loaded would be loaded once more.
+            if not self.coordination.is_changing:
+                self.resign()
+        elif self.leadership.holds:
+            self._coordinate()
+        elif self.state.draining:
+            return
+        elif self.leadership.should_take(self.state.clock.now()):
+            self._take()
 
-    def next_version(self) -> int | None:
+    def next_version(self, above: int = 0) -> int | None:
         """Return the version of a new map, above all that any rank has had.
 
+        Parameters
+        ----------
+        above : int, default=0
+            The highest version that a rank reports.
+
         Returns
         -------
         int or None
-            None if this node may not change any map; it then resigns.
+            None if this node may not change any map; it then resigns. None, too, if a
+            rank has had a version of a later term: this node first writes the row anew
+            under a higher one.
         """
         if not self.leadership.holds or self._is_leaving:
             # Another node holds the row: its term is not ours to give up.
@@ -160,9 +185,12 @@
             self.resign_when_idle()
             return None
         self._serial += 1
+        version = order_number(self.leadership.term, self._serial)
+        if version <= above:
+            self._row_term = max(self._row_term, fence_of(above))
         if not self._writing:
             gevent.spawn(self._confirm)
-        return order_number(self.leadership.term, self._serial)
+        return version if version > above else None
 
     def resign_when_idle(self) -> None:
         """Let another gateway coordinate as soon as no map is being changed.
@@ -190,12 +218,17 @@
         read = self.store.read_table(names.GROUPS)
         if isinstance(read, Unavailable):
             return False
+        self._row_era = read.era
+        self._row_version = self._row_term = 0
         for row in read.rows:
             if row.key == _ROW.key:
-                self._row_version = row.version
-                self._popularity = dict(_holder_in(row.value).popularity)
+                self._know_row(row, _holder_in(row.value))
         return True
 
+    def _know_row(self, row: StoredRow, holder: _Holder) -> None:
+        self._row_version, self._row_term = row.version, _term_of(row, holder)
+        self._popularity = dict(holder.popularity)
+
     def _coordinate(self) -> None:
         for service in list(self.state.services.values()):
             if not is_worth_balancing(service.view):
@@ -229,57 +262,89 @@
         # The holder wrote the row with each change. Taken at its version of long
         # ago, it would be refused, and only the next try, most of a second later,
         # would succeed: with the group held, its streams stand still so long.
-        known = max(self._row_version, self.leadership.term)
+        known = max(self._row_term, self.leadership.term)
+        era = self._row_era
         if not self._read_row():
             self.leadership.unanswered(self.state.clock.now())
             return
-        if self._row_version > known:
-            self.leadership.refused(self._row_version, self.state.clock.now())
+        if self._row_term > known:
+            self.leadership.refused(self._row_term, self.state.clock.now())
             return
+        if self._row_era != era is not None:
+            self._row_term = known + _MOST_UNHEARD_WRITES
         self._write("lease_taken", logging.INFO)
 
     def _write(self, event: str, level: int) -> None:
+        """Write the row, once more if the store has come back from an older copy."""
+        if not self._write_once(event, level):
+            self._write_once(event, level)
+
+    def _write_once(self, event: str, level: int) -> bool:
+        """Write the row; return False if it is of an older copy and still to write."""
         asked_at = self.state.clock.now()
         for name, control in self._controls.items():
             self._popularity[name] = control.popularity
-        holder = _Holder(self.state.settings.name, self.incarnation, self._popularity)
+        term = max(self._row_term, self.leadership.term) + 1
+        holder = _Holder(
+            self.state.settings.name, self.incarnation, self._popularity, term
+        )
         outcome = self.store.transact(
             expected=[(_ROW, self._row_version)],
             writes=[RowWrite(_ROW, msgspec.json.encode(holder))],
         )
         now = self.state.clock.now()
         match outcome:
-            case Applied(version=version):
-                self._row_version = version
-                self.leadership.taken(version, asked_at)
-                log_event(_log, event, level, term=version, took_ms=now - asked_at)
-            case Conflicted(rows=rows):
-                self._refused(rows, holder, now)
+            case Applied(version=version, era=era):
+                self._row_version, self._row_era = version, era
+                self._row_term = max(version, term)
+                self.leadership.taken(self._row_term, asked_at)
+                log_event(
+                    _log, event, level, term=self._row_term, took_ms=now - asked_at
+                )
+            case Conflicted(rows=rows, era=era):
+                self._row_era = era
+                return not self._refused(rows, holder, now)
             case NotApplied(reason=reason) | Uncertain(reason=reason):
                 self.leadership.unanswered(now)
                 log_event(_log, "lease_unanswered", logging.WARNING, why=reason)
+        return True
 
-    def _refused(self, rows, holder: _Holder, now: Millis) -> None:
+    def _refused(
+        self, rows: dict[str, StoredRow], holder: _Holder, now: Millis
+    ) -> bool:
+        """Take in the present row; return whether it is to be written over."""
         row = rows.get(_ROW.key)
+        known = self._row_version
         if row is None:
             self._row_version = 0
-            return
-        known, self._row_version = self._row_version, row.version
+            return self.leadership.holds and known > 0
         present = _holder_in(row.value)
-        self._popularity = dict(present.popularity)
+        self._know_row(row, present)
+        if self.leadership.holds and self._row_term < self.leadership.term:
+            log_event(
+                _log,
+                "lease_row_went_back",
+                logging.WARNING,
+                holder=present.node,
+                row_term=self._row_term,
+                term=self.leadership.term,
+            )
+            return True
         if present.is_same_holder(holder):
             # A write of ours took effect and its answer was lost.
-            self.leadership.taken(row.version, now - self.leadership.policy.silence)
-            return
-        if known == 0 or not self.leadership.holds:
+            asked_at = now - self.leadership.policy.silence
+            self.leadership.taken(self._row_term, asked_at)
+            return False
+        was_holder = known != 0 and self.leadership.holds
+        self.leadership.refused(self._row_term, now)
+        if not was_holder:
             # Only now is it known whose the row was. If its holder is alive,
             # its beats will tell before the next try.
-            self.leadership.refused(row.version, now)
-            log_event(_log, "lease_held_by", holder=present.node, term=row.version)
-            return
-        self.leadership.refused(row.version, now)
-        log_event(_log, "lease_lost", term=row.version, holder=present.node)
+            log_event(_log, "lease_held_by", holder=present.node, term=self._row_term)
+            return False
+        log_event(_log, "lease_lost", term=self._row_term, holder=present.node)
         self._drop_controls()
+        return False
 
     def _drop_controls(self) -> None:
         self._resigns = False
--- a/src/azurefold/gateway/groups/view.py
+++ b/src/azurefold/gateway/groups/view.py
@@ -97,6 +97,15 @@
         versions = {view.version for view in self.views.values()}
         return versions.pop() if len(versions) == 1 else None
 
+    @property
+    def highest_version(self) -> int:
+        """Of all maps that ranks report to have in force, prepared or armed."""
+        views = self.views.values()
+        versions = (
+            v for each in views for v in (each.version, each.prepared, each.armed)
+        )
+        return max(filter(None, versions), default=0)
+
     @property
     def is_held(self) -> bool:
         """Whether any rank keeps the group from a pass."""
--- a/src/azurefold/platform/store.py
+++ b/src/azurefold/platform/store.py
@@ -127,7 +127,7 @@
             answer = _ask(self._calls, "POST", "/rows-tx", body)
         except CONNECTION_ERRORS as error:
             return Uncertain(_reason(error))
-        return _outcome(answer.status, answer.body)
+        return _outcome(answer)
 
     def open_feed(self) -> "Feed":
         """Return a feed with a connection of its own."""
@@ -282,17 +282,18 @@
     return {"Table": row.table, "part": row.part, "Key": row.key}
 
 
-def _outcome(status: int, answer: bytes) -> TransactionOutcome:
+def _outcome(answer: _Answer) -> TransactionOutcome:
+    status = answer.status
     if status in _REFUSALS:
         return NotApplied(f"status {status}")
     try:
-        read = _decode_rows(answer)
+        read = _decode_rows(answer.body)
     except msgspec.MsgspecError as error:
         return Uncertain(f"status {status}, an answer not understood: {error}")
     if status == HTTPStatus.OK:
-        return Applied(read.version)
+        return Applied(read.version, answer.era)
     if status == HTTPStatus.PRECONDITION_FAILED:
-        return Conflicted({row.key: _stored(row) for row in read.rows})
+        return Conflicted({row.key: _stored(row) for row in read.rows}, answer.era)
     return NotApplied(f"status {status}")
 
 
--- a/src/azurefold/platform/store_messages.py
+++ b/src/azurefold/platform/store_messages.py
@@ -113,9 +113,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Applied:
-    """The transaction took effect at ``version``."""
+    """The transaction took effect at ``version``, in an era of the store."""
 
     version: int
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +124,7 @@
     """A condition did not hold; ``rows`` are the present ones by key."""
 
     rows: dict[str, StoredRow] = field(default_factory=dict)
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
