Write gateways' rows again after the store has come back from a copy

What callers would see: retries and quotas beyond what endpoints allow, as gateways that started after the copy was made are missing from the list by which shared limits are divided; and gateways that start later don't find them.

Cause: a gateway writes its row once, at its start. A return takes the row back and nothing writes it again; the list, read each 20 s, replaces what is known of the others, also those that are heard at that moment.

Evidence: tests over the stand-in's rows. On the code before there is no reaction to a return to call; with that reaction switched off in the new code (mutant) the row of a gateway that the copy lacks stays away.

Now a return sets an event on the state. The gateway writes its row again within 1.5 s (drawn, so that hundreds don't write at once), removes it again if it leaves, and reads the list only when the others have had the same time; until then nobody is counted out. Gateways that are heard stay peers also where the list lacks them. Returns and withheld entries are counted in the metrics.

Left: a row that comes back of a gateway that is gone for good is counted, as rows of killed VMs are; that makes parts smaller, never larger. Mutants caught: not written again, list read at once, leaving row not removed, heard gateways dropped.

--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -40,6 +40,10 @@
         )
         unreadable = state.unreadable_entries
         yield _gauge("unreadable_entries", "Rows that name no endpoint", unreadable)
+        returns = state.store_returns
+        yield _gauge("store_returns", "Returns from an older copy", returns)
+        withheld = len(state.registry.withheld)
+        yield _gauge("withheld_endpoints", "Entries that an older copy has", withheld)
         oversized = state.oversized_messages
         yield _gauge("oversized_messages", "Messages cut down to fit", oversized)
         crashes = state.crashes
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -134,9 +134,11 @@
         self._sock.bind((settings.ip, settings.peers_port))
 
     def set_peers(self, peers: list[Peer]) -> None:
-        """Take in the gateways that the store lists."""
+        """Take in the gateways that the store lists, beside those that are heard."""
         own = self.state.settings.name
-        self._peers = {peer.node: peer for peer in peers if peer.node != own}
+        heard = self.loads.nodes | self.visitors.nodes
+        kept = {node: peer for node, peer in self._peers.items() if node in heard}
+        self._peers = kept | {peer.node: peer for peer in peers if peer.node != own}
         self._deal_cells()
 
     def _deal_cells(self) -> None:
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -44,6 +44,10 @@
 """Peers are also learned from their messages; this finds those that started
 while we could not be reached."""
 
+_REWRITE_WITHIN_MS: Millis = 1_500
+"""After a return of the store. Hundreds of gateways that all write at once would exceed
+what it takes."""
+
 _POSITIONS = 8
 """Places among which nodes spread when the coordinator falls silent."""
 
@@ -97,20 +101,39 @@
 
     def _be_known(self) -> None:
         """Write this gateway's row, then look who else is there, for ever."""
+        self._write_row()
+        while True:
+            self._read_peers()
+            if self.state.store_returned.wait(_READ_EVERY_MS / _SECOND_MS):
+                self._be_known_again()
+
+    def _write_row(self) -> None:
         settings = self.state.settings
         value = msgspec.json.encode(_Node(settings.ip, settings.peers_port))
         write = RowWrite(self._row, value)
         while not isinstance(self.store.transact(writes=[write]), Applied):
             gevent.sleep(_RETRY_MS * (0.5 + self.state.draw.random()) / _SECOND_MS)
-        while True:
-            listed = self.store.read_table(names.NODES)
-            if isinstance(listed, Unavailable):
-                gevent.sleep(_RETRY_MS / _SECOND_MS)
-                continue
-            peers = [peer for row in listed.rows if (peer := _peer(row))]
-            self.exchange.set_peers(peers)
-            self.exchange.send(at_once=True)
-            gevent.sleep(_READ_EVERY_MS / _SECOND_MS)
+
+    def _read_peers(self) -> None:
+        while isinstance(listed := self.store.read_table(names.NODES), Unavailable):
+            gevent.sleep(_RETRY_MS / _SECOND_MS)
+        self.exchange.set_peers([peer for row in listed.rows if (peer := _peer(row))])
+        self.exchange.send(at_once=True)
+
+    def _be_known_again(self) -> None:
+        """Write this gateway's row anew, and wait until the others have theirs.
+
+        What goes wrong if the list is read sooner: it lacks gateways that started after
+        the copy was made, and each of the others takes a larger part of what all of
+        them share.
+        """
+        self.state.store_returned.clear()
+        gevent.sleep(_REWRITE_WITHIN_MS * self.state.draw.random() / _SECOND_MS)
+        if self.state.draining:
+            self.leave()
+        else:
+            self._write_row()
+        gevent.sleep(_REWRITE_WITHIN_MS / _SECOND_MS)
 
 
 def new_peers(state: GatewayState, store: StoreClient, news: News) -> Peers:
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -96,6 +96,11 @@
     demand_changed : Event
         Set when a request has got an endpoint, or waits for one, which the other
         gateways of the cell do not know of yet.
+    store_returned : Event
+        Set when the store has come back from an older copy: rows of this process may be
+        gone.
+    store_returns : int
+        How often it has.
     """
 
     settings: GatewaySettings
@@ -123,6 +128,8 @@
     unreadable_entries: int = 0
     oversized_messages: int = 0
     demand_changed: Event = field(default_factory=Event)
+    store_returned: Event = field(default_factory=Event)
+    store_returns: int = 0
     _version: int = 0
     _requested_at: Millis | None = None
     _is_doubted: bool = True
@@ -202,6 +209,11 @@
         """Note that the store may have something newer and cannot tell."""
         self._is_doubted = True
 
+    def note_store_return(self) -> None:
+        """Note that the store has come back from an older copy."""
+        self.store_returns += 1
+        self.store_returned.set()
+
     def apply(self, configuration: RoutingConfiguration) -> None:
         """Put a newer configuration in force, or the pending one.
 
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -280,5 +280,6 @@
     )
     known = state.configuration_freshness
     news.configuration.is_behind = lambda: known.is_behind
+    news.configuration.on_return = state.note_store_return
     news.endpoints.on_return = lambda: state.registry.store_returned(state.clock.now())
     return news
--- a/tests/gateway/test_terms_rise_over_returns.py
+++ b/tests/gateway/test_terms_rise_over_returns.py
@@ -1,13 +1,12 @@
 """Terms of coordination rise, also when the store comes back from an older copy."""
 
 import random
-from base64 import b64decode, b64encode
-from dataclasses import dataclass, field
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from tests.gateway.conftest import settings_of
+from tests.gateway.row_store import RowStore
 
 from azurefold.core.clock import ManualTime, manual_clock
 from azurefold.core.groups.messages import order_number
@@ -16,59 +15,16 @@
 from azurefold.gateway.groups.coordinator import new_coordinator
 from azurefold.gateway.peers.messages import PeerMessage
 from azurefold.gateway.state import new_gateway_state
-from azurefold.platform.store_messages import (
-    Applied,
-    Conflicted,
-    StoredRow,
-    StoredRows,
-    Uncertain,
-)
-from azurefold_standins.feed_store import FeedStore, _Address, _Transaction
 
 STEP_MS = 50
 BEAT_MS = 500
 ENGINE = Engine(slots=4, layer_sets=1, experts=4, places=2)
 
 
-@dataclass(eq=False)
-class RowStore:
-    """The rows of a feed store, as gateways call for them."""
-
-    feed: FeedStore = field(default_factory=FeedStore)
-    loses_answers: bool = False
-
-    def read_table(self, table):
-        return StoredRows(self._rows(table), self.feed.version, self.feed.era)
-
-    def transact(self, expected=(), writes=(), removes=()):
-        applied = self.feed.apply(
-            _Transaction(
-                [_Address(row.table, row.key, version=v) for row, v in expected],
-                [_Address(w.row.table, w.row.key, value=_text(w)) for w in writes],
-            )
-        )
-        if self.loses_answers:
-            return Uncertain("no answer")
-        if applied:
-            return Applied(self.feed.version, self.feed.era)
-        rows = {row.key: row for row in self._rows(expected[0][0].table)}
-        return Conflicted(rows, self.feed.era)
-
-    def _rows(self, table):
-        return tuple(
-            StoredRow(row["Key"], row["Ver"], b64decode(row["Value"]))
-            for row in self.feed.table(table)
-        )
-
-
 def _name(coordinator):
     return coordinator.state.settings.name
 
 
-def _text(write):
-    return b64encode(write.value).decode()
-
-
 class Fleet:
     """Coordinators that hear each other and share a store."""
 
