Deny nothing by an older configuration than the others have

What callers would see: 404 and 401 for routes and keys that were confirmed long ago, from a gateway that started after the store had come back from an older copy, until the operator's changes were written again; all its callers routed as before.

Cause: it reads the copy's configuration, is told by the store that there is nothing newer, and counts as current. The others hold the newer one, their word of it (PeerMessage.version) was read by nobody.

Now a gateway that hears within 5 s of its start of a newer version than its own does not count as current until it has it, and is not ready in those 5 s. After them it serves: the version may never be written again. No call is added (counted in a test).

Ruled out: the same for any gateway at any time.

--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -150,6 +150,7 @@
 
     def on_message(message: PeerMessage) -> None:
         reach.isolation.heard(message.node, state.clock.now())
+        state.note_peer_version(message.version)
         coordinator.heard(message)
         for beat in message.groups:
             state.group_told(news_of_group(beat))
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -108,7 +108,7 @@
         Where the sender takes answers.
     version, endpoints_version : int
         Of the configuration that it has in force, and of the newest endpoint's
-        row; read by gateways of earlier releases.
+        row; the latter is read by gateways of earlier releases.
     term, ended_term : int
         Of its coordination, and of one that it gave up; 0 for none.
     groups : tuple of GroupBeat
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -43,6 +43,10 @@
 """Of the time within which a confirmed configuration has to be in force: the rest is
 for answers that were under way for long when the store's time was taken from them."""
 
+_STARTING_MS: Millis = 5_000
+"""After a start, for which a gateway with an older configuration than the others lets
+them serve: by then what a store's return took back has been written again."""
+
 _CALLERS_GONE_MS: Millis = 10_000
 """A gateway with a caller or two gets no request for seconds now and then, and each
 time that quotas are dealt to others those of some endpoints rest for four seconds."""
@@ -131,8 +135,13 @@
     store_returned: Event = field(default_factory=Event)
     store_returns: int = 0
     _version: int = 0
+    _version_at_start: int = 0
     _requested_at: Millis | None = None
     _is_doubted: bool = True
+    _started_at: Millis = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._started_at = self.clock.now()
 
     @property
     def version(self) -> int:
@@ -150,8 +159,23 @@
     def is_ready(self) -> bool:
         """Whether new requests should be sent here."""
         is_usable = self.configuration is not None and not self.is_cut_off
+        if self._is_starting and self._is_outdated:
+            return False
         return is_usable and not self.draining
 
+    @property
+    def _is_starting(self) -> bool:
+        return self.clock.now() - self._started_at < _STARTING_MS
+
+    @property
+    def _is_outdated(self) -> bool:
+        """Whether the others had a newer configuration when this gateway started.
+
+        The store gives an older one after its return from a copy. Configurations that
+        come later are waited for by their age alone.
+        """
+        return self._version < self._version_at_start
+
     @property
     def renewal_times(self) -> RenewalTimes:
         """How old what is known of the store's tables may grow."""
@@ -181,7 +205,7 @@
     def is_current(self) -> bool:
         """Whether a route or key that is not known here is in force nowhere."""
         age = self.configuration_age_ms
-        if age is None or self._is_doubted:
+        if age is None or self._is_doubted or self._is_outdated:
             return False
         return age <= _CURRENT_SHARE * self.settings.apply_ms
 
@@ -205,6 +229,11 @@
         """Note that the store has answered a call for the configuration."""
         self._is_doubted = False
 
+    def note_peer_version(self, version: int) -> None:
+        """Note which configuration another gateway has in force."""
+        if self._is_starting:
+            self._version_at_start = max(self._version_at_start, version)
+
     def doubt_configuration(self) -> None:
         """Note that the store may have something newer and cannot tell."""
         self._is_doubted = True
--- a/tests/gateway/test_a_store_that_returns_from_a_copy.py
+++ b/tests/gateway/test_a_store_that_returns_from_a_copy.py
@@ -58,3 +58,53 @@
     site.world.run(2_500)
     for endpoint in ("e1", "e2", "e3"):
         assert len(site.world.sending_to(endpoint)) == 6
+
+
+def start_beside_newer_ones(site):
+    """Let a gateway start after the copy has taken back a configuration."""
+    copy = site.world.store.copy()
+    site.configure()
+    site.run(1_000)
+    site.world.go_back(copy, restarts=True)
+    site.world.run(1_000)
+    site.world.replace("gw-000")
+    site.world.run(1_500)
+    return site.world.by_name["gw-000"].state
+
+
+def test_a_gateway_that_reads_an_older_configuration_denies_nothing(site):
+    """Guards against 404 and 401 for what the gateways beside it have in force."""
+    state = start_beside_newer_ones(site)
+    assert state.version == site.version - 1
+    assert not state.is_current
+    site.world.configure(site.version)
+    site.world.run(1_000)
+    assert state.version == site.version
+    assert state.is_current
+
+
+def test_a_gateway_that_starts_with_an_older_configuration_is_not_ready(site):
+    """Guards against new callers who are routed as before a confirmed change."""
+    state = start_beside_newer_ones(site)
+    assert not state.is_ready
+    site.world.configure(site.version)
+    site.world.run(1_000)
+    assert state.is_ready
+
+
+def test_an_older_configuration_that_stays_does_not_keep_a_gateway_away(site):
+    """Guards against a site whose gateways wait for a version that never comes."""
+    state = start_beside_newer_ones(site)
+    site.world.run(5_000)
+    assert state.is_ready
+    assert not state.is_current
+
+
+def test_an_older_configuration_causes_no_more_calls(site):
+    """Guards against a loop of reads of a version that the store does not have."""
+    start_beside_newer_ones(site)
+    site.world.run(4_000)
+    link = site.world.by_name["gw-000"].link
+    calls = link.calls
+    site.world.run(10_000)
+    assert link.calls - calls < 40
