Be ready only once the endpoints' table has been read

What callers see: a gateway that has just started answers its health check with 200 as soon as it has a configuration. Until the endpoints are read it refuses every request, while the balancer sends it new connections.

Cause: is_ready asked for the configuration alone; the two tables are read by followers of their own, in any order. Evidence: the new test, which failed first.

A list that is read and empty counts as read, so a site without endpoints is ready and says why it refuses. Two existing tests had no list at all and get one in their set-up (the fixture of cut-off gateways hands its endpoints to the registry, as a read does; the first configuration that fails comes beside an empty list); their checks stay.

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -59,10 +59,13 @@
     policy : RegistryPolicy
     departures : Departures
         Endpoints that left.
+    is_read : bool
+        Whether the whole list was ever read.
     """
 
     policy: RegistryPolicy = field(default_factory=RegistryPolicy)
     departures: Departures = field(default_factory=Departures)
+    is_read: bool = False
     _entries: dict[str, EndpointEntry] = field(default_factory=dict)
     _lapsed_until: dict[str, Millis] = field(default_factory=dict)
     _withheld: dict[str, _Withheld] = field(default_factory=dict)
@@ -122,6 +125,7 @@
         known_at: Millis | None = None,
     ) -> list[str]:
         """Take in the whole list; return those that have started again."""
+        self.is_read = True
         listed = {entry.name: entry for entry in entries}
         gone = [name for name in self._entries if name not in listed]
         if self._is_first_read:
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -158,10 +158,10 @@
     @property
     def is_ready(self) -> bool:
         """Whether new requests should be sent here."""
-        is_usable = self.configuration is not None and not self.is_cut_off
+        is_usable = self.configuration is not None and self.registry.is_read
         if self._is_starting and self._is_outdated:
             return False
-        return is_usable and not self.draining
+        return is_usable and not self.is_cut_off and not self.draining
 
     @property
     def _is_starting(self) -> bool:
--- a/tests/gateway/test_gateways_that_are_cut_off.py
+++ b/tests/gateway/test_gateways_that_are_cut_off.py
@@ -7,7 +7,6 @@
 
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import Engine, RoutedService, RoutingConfiguration
-from azurefold.core.routing.cells import Cell
 from azurefold.gateway.peers.reach import Reach
 
 
@@ -25,7 +24,8 @@
     entries = [
         EndpointEntry(f"e{n}", "drafts", f"10.0.0.{n}:80", "dc-a", 6) for n in range(2)
     ]
-    state.services["drafts"].set_endpoints(entries, Cell(), time.at)
+    state.registry.replace(entries, time.at)
+    state.spread_endpoints()
     reach = Reach(state)
     for peer in ("p1", "p2"):
         reach.isolation.heard(peer, time.at)
--- a/tests/gateway/test_news_is_put_in_force.py
+++ b/tests/gateway/test_news_is_put_in_force.py
@@ -355,6 +355,7 @@
 ):
     """Guards against a service that fails at a start keeping all callers out."""
     store.script = [StoredRows((config_row(7, 1),), 1, 1, 9_000)] * 2
+    news.endpoints.on_rows(())
     failing_step(news, monkeypatch, "set_endpoints", "model")
     assert state.is_ready
     assert state.version == 0
@@ -551,3 +552,11 @@
         news.merge_statements(None, TableStatement(era=1, newest=37, as_of=as_of))
         news.tick(time.at)
     assert not looked
+
+
+def test_a_gateway_is_ready_once_it_knows_the_endpoints(state, news):
+    """Guards against callers who are refused by a gateway that has just started."""
+    news.configuration.on_rows((config_row(1, 1),))
+    assert not state.is_ready
+    news.endpoints.on_rows(())
+    assert state.is_ready
