Tell gateways without a memory which endpoints have left

What callers saw: gateways that started after the store's return, or were cut off while an endpoint left, sent requests to it by the copy's entry.

Cause: the memory of departures is each gateway's own. Evidence: three of the new tests failed on the code before (started since, drained and removed; cut off).

Now messages name up to 16 endpoints whose entries the sender withholds by its own memory. A receiver withholds them too, until 1.2 s after the last word (messages come at least twice a second), but none that it has seen written since the return or that has outlasted its own settling. What is withheld on somebody's word is not passed on, else two gateways would keep each other's word alive.

Mutants caught: a word kept for good, a word that goes before what was written, a whole read that forgets it, a word passed on. Ruled out: a word that counts for more where its sender knows a later era (no test could tell it from the rule as it is). Left: within the first half second after its start a gateway may have heard nobody.

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from azurefold.core.clock import Millis
 from azurefold.core.membership.departures import Departures
@@ -33,6 +33,9 @@
         removed endpoint must get no more work.
     mass_share : float
         Share of a service's entries whose removal at once is not believed.
+    told : int
+        Milliseconds for which an entry is withheld on another process's word, which is
+        given again at least twice a second.
     settling : int
         Milliseconds from when the store's return from an older copy is noticed, within
         which endpoints write or remove their entries again.
@@ -41,6 +44,7 @@
     after_outage: Millis = 2_300
     after_mass_removal: Millis = 1_500
     mass_share: float = 0.3
+    told: Millis = 1_200
     settling: Millis = 2_000
 
 
@@ -48,6 +52,7 @@
 class _Withheld:
     entry: EndpointEntry
     is_written: bool
+    told_until: Millis | None = None
 
 
 @dataclass(slots=True)
@@ -69,6 +74,7 @@
     _entries: dict[str, EndpointEntry] = field(default_factory=dict)
     _lapsed_until: dict[str, Millis] = field(default_factory=dict)
     _withheld: dict[str, _Withheld] = field(default_factory=dict)
+    _believed: set[str] = field(default_factory=set)
     _store_lost: bool = False
     _trust_until: Millis = 0
     _settled_at: Millis = 0
@@ -94,6 +100,13 @@
         """Endpoints that left, whose entries an older copy has brought back."""
         return frozenset(self._withheld)
 
+    @property
+    def departed(self) -> frozenset[str]:
+        """Those of them that are withheld by this process's own memory."""
+        return frozenset(
+            name for name, each in self._withheld.items() if each.told_until is None
+        )
+
     def store_lost(self) -> None:
         """Note that the store does not answer."""
         self._store_lost = True
@@ -117,6 +130,7 @@
         self.departures.store_returned()
         self._settled_at = now + self.policy.settling
         self._is_first_read = True
+        self._believed.clear()
 
     def replace(
         self,
@@ -134,8 +148,13 @@
             # Not listed since the return: the copy has lost their entries.
             gone = [name for name in gone if name not in self._lapsed_until]
         self.remove(gone, now, known_at)
-        self._withheld.clear()
-        return self._take(listed.values(), is_written=False)
+        self._withheld = {
+            name: each
+            for name, each in self._withheld.items()
+            if each.told_until is not None and name in listed
+        }
+        judged = [entry for name, entry in listed.items() if name not in self._withheld]
+        return self._take(judged, is_written=False)
 
     def _trust_unlisted(self, names: Iterable[str], now: Millis) -> None:
         """Keep endpoints that the copy lacks until they have written themselves in."""
@@ -154,8 +173,35 @@
         list of str
             Endpoints that have started again under the name that they had.
         """
+        entries = tuple(entries)
+        self._believed.update(entry.name for entry in entries)
         return self._take(entries, is_written=True)
 
+    def told_departed(self, names: Iterable[str], now: Millis) -> list[str]:
+        """Withhold entries that another process knows to be of an older copy.
+
+        Entries that this one has seen written since the store's return, or that have
+        outlasted the settling here, are believed all the same.
+
+        Returns
+        -------
+        list of str
+            Endpoints that were in use until now.
+        """
+        until = now + self.policy.told
+        taken = []
+        for name in names:
+            known = self._withheld.get(name)
+            if known is not None and known.told_until is not None:
+                self._withheld[name] = replace(known, told_until=until)
+            entry = self._entries.get(name)
+            if entry is None or entry.leaving or name in self._believed:
+                continue
+            self._forget(name)
+            self._withheld[name] = _Withheld(entry, is_written=False, told_until=until)
+            taken.append(name)
+        return taken
+
     def _take(self, entries: Iterable[EndpointEntry], *, is_written: bool) -> list[str]:
         restarted = []
         for entry in entries:
@@ -223,20 +269,21 @@
         over = [name for name, until in self._lapsed_until.items() if until <= now]
         for name in over:
             self._forget(name)
-        return over + self._settle(now)
-
-    def _settle(self, now: Millis) -> list[str]:
-        if not self.departures.is_settling or now < self._settled_at:
-            return []
-        self.departures.settled()
-        proved = [
-            each.entry
-            for each in self._withheld.values()
-            if self.departures.is_credible(each.entry, is_written=each.is_written)
-        ]
-        for entry in proved:
-            self._use(entry)
-        return [entry.name for entry in proved]
+        if self.departures.is_settling and now >= self._settled_at:
+            self.departures.settled()
+        proved = [each for each in self._withheld.values() if self._is_over(each, now)]
+        for each in proved:
+            self._use(each.entry)
+            if each.told_until is None:
+                self._believed.add(each.entry.name)
+        return over + [each.entry.name for each in proved]
+
+    def _is_over(self, withheld: _Withheld, now: Millis) -> bool:
+        if withheld.told_until is not None:
+            return withheld.told_until <= now
+        return self.departures.is_credible(
+            withheld.entry, is_written=withheld.is_written
+        )
 
     def _trusted_until(
         self, name: str, gone: list[str], now: Millis, since: Millis
@@ -262,3 +309,4 @@
     def _forget(self, name: str) -> None:
         del self._entries[name]
         self._lapsed_until.pop(name, None)
+        self._believed.discard(name)
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -24,6 +24,7 @@
     CrashPortions,
     GroupPortions,
     QuotaPortions,
+    departed_marks,
     heaviest,
     table_beat,
 )
@@ -201,6 +202,7 @@
         crashes = self.state.crashes
         configuration = self.state.configuration_freshness
         endpoints = self.state.endpoints_freshness
+        departed = departed_marks(self.state.registry.departed)
         told = (
             loads,
             configuration.proved_as_of,
@@ -209,6 +211,7 @@
             rates,
             is_waiting,
             crashes.version,
+            departed,
         )
         owes_reports = self._owes_quotas(now) or self._owes_crashes(now)
         to_all = at_once or owes_reports or self._owes_all(coordination, now)
@@ -232,7 +235,7 @@
             coordination.term,
             coordination.ended_term,
             self._groups.next(coordination.groups, now),
-            heaviest(loads, len(crash_beats)),
+            heaviest(loads, len(crash_beats), len(departed)),
             coordination.is_changing,
             self._quotas.next(quotas, now),
             self.state.has_callers,
@@ -241,6 +244,7 @@
             table_beat(configuration.statement),
             table_beat(endpoints.statement),
             self.state.store_time.at(now),
+            departed,
         )
         data = self._fitting(message)
         hosts = self._hosts()
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -130,6 +130,9 @@
     sent_at : int or None
         Store's time when it was sent; None if the sender does not know that. The ages
         in the message are as of then.
+    departed : tuple of int
+        Marks of endpoints that left, as the sender remembers, whose entries an older
+        copy of the store has brought back.
     """
 
     node: str
@@ -150,6 +153,7 @@
     configuration: TableBeat | None = None
     endpoints: TableBeat | None = None
     sent_at: Millis | None = None
+    departed: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -4,7 +4,7 @@
 message tells a portion, and the next one goes on behind it.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import astuple, dataclass, field
 from heapq import nlargest
 from itertools import zip_longest
@@ -14,6 +14,7 @@
 from azurefold.core.attempts.crashes import CrashReport
 from azurefold.core.clock import Millis
 from azurefold.core.membership.freshness import TableStatement
+from azurefold.core.routing.peer_loads import endpoint_mark
 from azurefold.core.routing.quotas import QuotaWord
 from azurefold.core.routing.rank_groups import GroupNews
 from azurefold.gateway.peers.messages import (
@@ -30,6 +31,7 @@
     "GroupPortions",
     "QuotaPortions",
     "crash_report",
+    "departed_marks",
     "heaviest",
     "news_of_group",
     "sent_at",
@@ -49,6 +51,7 @@
 _MOST_LOADS = 80
 _MOST_QUOTAS = 12
 _MOST_CRASH_BEATS = 3
+_MOST_DEPARTED = 16
 _LOADS_PER_CRASH_BEAT = 16
 """Number of loads omitted for each crash report to keep within ``MOST_BYTES``."""
 
@@ -65,7 +68,14 @@
 store's time. One that is further ahead is dated by a former clock of the store."""
 
 
-def heaviest(loads: dict[int, int], crash_beats: int = 0) -> dict[int, int]:
+def departed_marks(names: Iterable[str]) -> tuple[int, ...]:
+    """Return the marks of departed endpoints that a message has room for."""
+    return tuple(map(endpoint_mark, sorted(names)[:_MOST_DEPARTED]))
+
+
+def heaviest(
+    loads: dict[int, int], crash_beats: int = 0, departed: int = 0
+) -> dict[int, int]:
     """Return the loads by endpoint that a message has room for, the largest.
 
     Parameters
@@ -73,8 +83,10 @@
     loads : dict of int to int
     crash_beats : int, default=0
         Number of crash reports in the same message.
+    departed : int, default=0
+        Number of departed endpoints in it.
     """
-    most = _MOST_LOADS - crash_beats * _LOADS_PER_CRASH_BEAT
+    most = _MOST_LOADS - crash_beats * _LOADS_PER_CRASH_BEAT - departed
     if len(loads) <= most:
         return loads
     return dict(nlargest(most, loads.items(), key=lambda load: load[1]))
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -321,6 +321,20 @@
         if failures:
             raise ExceptionGroup("services that did not take endpoints in", failures)
 
+    def endpoints_told_departed(self, marks: tuple[int, ...], by: str) -> None:
+        """Use no endpoint that another gateway knows to have left."""
+        registry = self.registry
+        names = [
+            name
+            for name in (*registry.entries, *registry.withheld)
+            if endpoint_mark(name) in marks
+        ]
+        taken = registry.told_departed(names, self.clock.now())
+        if taken:
+            told = ",".join(sorted(taken))
+            log_event(_log, "endpoints_withheld", endpoints=told, told_by=by)
+            self.spread_endpoints()
+
     def group_told(self, news: GroupNews) -> None:
         """Take in what the coordinator tells of a group."""
         for name, service in self.services.items():
--- a/tests/gateway/test_a_store_that_returns_from_a_copy.py
+++ b/tests/gateway/test_a_store_that_returns_from_a_copy.py
@@ -108,3 +108,56 @@
     calls = link.calls
     site.world.run(10_000)
     assert link.calls - calls < 40
+
+
+@pytest.mark.parametrize("depart", ["drain", "remove"])
+def test_a_gateway_that_started_since_is_told_who_has_left(site, depart):
+    """Guards against requests to departed endpoints from gateways without a memory."""
+    copy = site.world.store.copy()
+    getattr(site, depart)("e1")
+    site.run(2_000)
+    site.world.go_back(copy, restarts=True)
+    site.world.run(100)
+    site.world.replace("gw-000")
+    site.world.run(900)
+    assert not site.world.sending_to("e1")
+
+
+def test_a_gateway_that_was_cut_off_is_told_who_has_left(site):
+    """Guards against requests to endpoints that left while a gateway heard nothing."""
+    copy = site.world.store.copy()
+    site.world.silence(3_000, ["gw-000"])
+    site.world.make_deaf(["gw-000"], 3_000)
+    site.world.remove("e1")
+    site.run(2_000)
+    site.world.go_back(copy, restarts=True)
+    site.world.run(1_700)
+    assert not site.world.sending_to("e1")
+
+
+def test_a_word_that_an_endpoint_has_left_is_not_kept(site):
+    """Guards against gateways that keep an endpoint out on each other's word."""
+    copy = site.world.store.copy()
+    site.world.remove("e1")
+    site.run(2_000)
+    site.world.go_back(copy, restarts=True)
+    site.world.run(1_000)
+    site.world.replace("gw-000")
+    site.world.replace("gw-001")
+    site.world.run(5_000)
+    assert len(site.world.sending_to("e1")) == 6
+
+
+def test_an_endpoint_that_writes_itself_in_is_used_whatever_was_told(site):
+    """Guards against a late word that takes a sound endpoint out of use again."""
+    copy = site.world.store.copy()
+    site.world.remove("e1")
+    site.run(2_000)
+    site.world.go_back(copy, restarts=True)
+    site.world.run(1_000)
+    site.world.replace("gw-000")
+    site.world.run(300)
+    site.world.register("e1", born=1_000)
+    for _ in range(10):
+        site.world.run(100)
+    assert len(site.world.sending_to("e1")) == 6
--- a/tests/gateway/test_messages_fit_at_any_size.py
+++ b/tests/gateway/test_messages_fit_at_any_size.py
@@ -159,6 +159,20 @@
     assert message.term == made.coordination.term
 
 
+@pytest.mark.parametrize(("gateways", "ranks", "groups"), SIZES)
+def test_departed_endpoints_fit_beside_all_else(
+    time, monkeypatch, gateways, ranks, groups
+):
+    """Guards against messages too large for their receivers after a store's return."""
+    departed = frozenset(f"gone-{n}" for n in range(ranks))
+    monkeypatch.setattr(
+        "azurefold.core.membership.registry.EndpointRegistry.departed", departed
+    )
+    test_all_of_a_group_is_told_in_messages_that_fit(
+        time, monkeypatch, gateways, ranks, groups
+    )
+
+
 def test_the_heaviest_loads_are_told():
     loads = {mark: mark % 7 + 1 for mark in range(300)}
     told = portions.heaviest(loads)
