Let the soak's store come back from an older copy

The soak could not see the faults of a store that loses what it has confirmed. The endpoint must get no request from 2 s after its announcement on. Without the option a seed's series of faults is as before.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest tests/core
 
 # A randomized soak of gateways with faults from outside: make soak-faults SEED=7
+# With RETURNS=1 the store also comes back from an older copy.
 SEED ?= 1
 SEEDS ?= 1
 SECONDS ?= 15
@@ -46,7 +47,7 @@
 soak-faults: setup
 	PYTHONPATH=src $(BIN)/python -m azurefold_standins.fault_soak \
 		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
-		--gateways $(GATEWAYS)
+		--gateways $(GATEWAYS) $(if $(RETURNS),--returns)
 
 demo: setup
 	PYTHONPATH=src $(BIN)/python -m azurefold_standins.demo
--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -64,6 +64,10 @@
 _WATCHED_S = 4.0
 """From an endpoint's leaving until it comes back."""
 
+_AWAY_MS = 300
+_LONGEST_REWRITE_S = 1.5
+"""From the store's return until operators and endpoints have written all again."""
+
 _LONGEST_HOLD_S = 4.0
 """A hold whose coordinator died: 1.7 s of silence, the takeover, two looks."""
 
@@ -86,11 +90,14 @@
     draw : random.Random
     seconds : float
         For which faults are injected.
+    returns : bool
+        Whether the store also comes back from an older copy, after all else.
     """
 
     site: GatewaySite
     draw: random.Random
     seconds: float
+    returns: bool = False
     findings: list[Finding] = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
     leavings: list[Leaving] = field(default_factory=list)
@@ -148,6 +155,8 @@
         undisturbed = lost_until + _STABLE_S + self.draw.uniform(0.0, 0.3)
         time.sleep(max(0.0, undisturbed - time.monotonic()))
         self._change_in_time()
+        if self.returns:
+            self._return_from_a_copy()
         self._name_quota()
         time.sleep(_QUIET_S)
         return quiet_from
@@ -254,6 +263,23 @@
         self.leavings.append(Leaving(endpoint.name, left, time.monotonic()))
         self.site.register(endpoint)
 
+    def _return_from_a_copy(self) -> None:
+        """Have an endpoint leave, and the store forget it for a while."""
+        endpoint = self.draw.choice([e for e in self.site.endpoints if e.rank is None])
+        self.site.copy_store()
+        self.site.register(endpoint, leaving=True)
+        left = time.monotonic()
+        self._configure()
+        time.sleep(_STABLE_S)
+        self.site.store_faults(mode="down", span_ms=_AWAY_MS)
+        self.site.return_to_copy()
+        time.sleep(self.draw.uniform(0.0, _LONGEST_REWRITE_S))
+        self.site.write_again(self.draw)
+        time.sleep(_WATCHED_S)
+        self.leavings.append(Leaving(endpoint.name, left, time.monotonic()))
+        self.site.register(endpoint)
+        time.sleep(_STABLE_S)
+
     def _name_quota(self) -> None:
         """Have one endpoint name a quota from now on."""
         self.needy = self.draw.choice(self.site.endpoints).name
@@ -336,11 +362,13 @@
         yield Finding("a quota is kept to", f"{soak.needy}: {excess}")
 
 
-def run_soak(seed: int, seconds: float, folder: Path, gateways: int = 3) -> Soak:
+def run_soak(
+    seed: int, seconds: float, folder: Path, gateways: int = 3, *, returns: bool = False
+) -> Soak:
     """Run one seed and return what came of it."""
     draw = random.Random(seed)
     site = new_gateway_site(folder, gateways, retries=_RETRIES)
-    soak = Soak(site, draw, seconds)
+    soak = Soak(site, draw, seconds, returns)
     try:
         site.start()
         soak.run()
@@ -356,6 +384,9 @@
     parser.add_argument("--seeds", type=int, default=1, help="so many from --seed on")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument(
+        "--returns", action="store_true", help="the store comes back from a copy, too"
+    )
     parser.add_argument("--keep", help="folder for logs of seeds that failed")
     arguments = parser.parse_args()
     failed = 0
@@ -363,7 +394,13 @@
         with tempfile.TemporaryDirectory() as scratch:
             folder = Path(arguments.keep or scratch) / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-            soak = run_soak(seed, arguments.seconds, folder, arguments.gateways)
+            soak = run_soak(
+                seed,
+                arguments.seconds,
+                folder,
+                arguments.gateways,
+                returns=arguments.returns,
+            )
         results = Counter(call.result.value for call in soak.calls)
         faults = sum(soak.faults.values())
         verdict = "failed" if soak.findings else "held"
--- a/src/azurefold_standins/feed_store.py
+++ b/src/azurefold_standins/feed_store.py
@@ -12,6 +12,8 @@
                                 value, or ``null`` to remove: what operators
                                 and endpoints write; never faulty.
 ``POST /stand-in/forget``       All history is dropped.
+``POST /stand-in/copy``         A copy is made.
+``POST /stand-in/return``       The store goes back to the copy, in a later era.
 ``GET /stand-in/calls``         How many calls have come.
 ==============================  ===========================================
 """
@@ -185,6 +187,7 @@
     store: FeedStore
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: int = 0
+    _copy: FeedStore = field(default_factory=FeedStore)
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Answer with the rows of a table."""
@@ -247,6 +250,14 @@
         """Drop all history."""
         self.store.forget()
 
+    def on_post_copy(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Make a copy to go back to."""
+        self._copy = self.store.copy()
+
+    def on_post_return(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Lose all that was written since the copy was made."""
+        self.store.go_back(self._copy)
+
     def on_get_calls(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Answer with the number of calls so far."""
         resp.data = msgspec.json.encode(self.calls)
@@ -288,6 +299,8 @@
     app.add_route("/stand-in/faults", http, suffix="faults")
     app.add_route("/stand-in/rows", http, suffix="rows")
     app.add_route("/stand-in/forget", http, suffix="forget")
+    app.add_route("/stand-in/copy", http, suffix="copy")
+    app.add_route("/stand-in/return", http, suffix="return")
     app.add_route("/stand-in/calls", http, suffix="calls")
     server = http_server(parser.parse_args().address, app, "feed_store")
     server.start()
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import os
+import random
 import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -47,6 +48,7 @@
     links: dict[str, tuple[str, str]]
     version: int = 0
     extra_routes: list[str] = field(default_factory=list)
+    _since_copy: dict[tuple[str, str], object] = field(default_factory=dict)
 
     def start(self) -> None:
         """Start all, with a configuration and all endpoints in the store."""
@@ -115,6 +117,7 @@
     def write(self, table: str, key: str, value: object) -> None:
         """Write a row as operators and endpoints do, or remove it with None."""
         row = {"Table": table, "Key": key, "Value": value}
+        self._since_copy[table, key] = value
         self._send(self.store, "POST", "/stand-in/rows", [row])
 
     def store_faults(self, **faults: object) -> None:
@@ -125,6 +128,22 @@
         """Have the store drop its history."""
         self._send(self.store, "POST", "/stand-in/forget", None)
 
+    def copy_store(self) -> None:
+        """Have the store make a copy to go back to."""
+        self._send(self.store, "POST", "/stand-in/copy", None)
+        self._since_copy.clear()
+
+    def return_to_copy(self) -> None:
+        """Have the store lose all that was written since the copy was made."""
+        self._send(self.store, "POST", "/stand-in/return", None)
+
+    def write_again(self, draw: random.Random) -> None:
+        """Write what was written since the copy was made, in any order."""
+        rows = list(self._since_copy.items())
+        draw.shuffle(rows)
+        for (table, key), value in rows:
+            self.write(table, key, value)
+
     def endpoint_faults(self, faults: EndpointFaults) -> None:
         """Have the endpoints misbehave in this way from now on."""
         body = msgspec.to_builtins(faults)
