Let an announcement that is read end a word about an endpoint

Found by reading the diff: an entry that is withheld on another gateway's word was kept over a whole read as it was before. If the read shows that the endpoint announces its departure, the older entry was used again once the word was over. Entries are kept as the read shows them, and an announcement goes through. Only sites whose store has come back from a copy take this path.

--- a/src/azurefold/core/membership/registry.py
+++ b/src/azurefold/core/membership/registry.py
@@ -148,12 +148,12 @@
             # Not listed since the return: the copy has lost their entries.
             gone = [name for name in gone if name not in self._lapsed_until]
         self.remove(gone, now, known_at)
+        told = {name for name in self._withheld if name not in self.departed}
+        judged = [e for e in listed.values() if e.leaving or e.name not in told]
         self._withheld = {
-            name: each
-            for name, each in self._withheld.items()
-            if each.told_until is not None and name in listed
+            name: replace(self._withheld[name], entry=listed[name])
+            for name in told & listed.keys()
         }
-        judged = [entry for name, entry in listed.items() if name not in self._withheld]
         return self._take(judged, is_written=False)
 
     def _trust_unlisted(self, names: Iterable[str], now: Millis) -> None:
--- a/tests/core/membership/test_an_older_copy_brings_nothing_back.py
+++ b/tests/core/membership/test_an_older_copy_brings_nothing_back.py
@@ -239,3 +239,11 @@
         endpoints.check()
         endpoints.wait(pause)
     endpoints.wait(3_000)
+
+
+def test_an_announcement_that_is_read_ends_a_word(registry):
+    """Guards against an entry of before that is used again once a word is over."""
+    registry.told_departed(["e1"], now=100)
+    registry.replace([entry("e1", leaving=True), entry("e2"), entry("e3")], now=200)
+    registry.tick(now=9_000)
+    assert in_use(registry) == {"e2", "e3"}
