Tell departed endpoints within what is told of their table

It holds that the time of sending is a message's last field, so that the message of an earlier release is the same without it; the marks of departed endpoints had been put behind it. They are part of what is told of the endpoints' table now, whose readers of earlier releases pass over a further field. The test stays as it is.

--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -242,9 +242,8 @@
             is_waiting,
             crash_beats,
             table_beat(configuration.statement),
-            table_beat(endpoints.statement),
+            table_beat(endpoints.statement, departed),
             self.state.store_time.at(now),
-            departed,
         )
         data = self._fitting(message)
         hosts = self._hosts()
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -161,8 +161,8 @@
         for beat in message.crashes:
             now = state.clock.now()
             state.crashes.merge(beat.identity, crash_report(beat, now), now)
-        if message.departed:
-            state.endpoints_told_departed(message.departed, message.node)
+        if message.endpoints is not None and message.endpoints.departed:
+            state.endpoints_told_departed(message.endpoints.departed, message.node)
         news.merge_statements(
             table_statement(message.configuration), table_statement(message.endpoints)
         )
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -88,6 +88,9 @@
         Whether ``newest`` is the version of a change; else it may be a later one.
     answered_since : int or None
         Store's time since which all of the gateway's calls were answered.
+    departed : tuple of int
+        Marks of endpoints that left, as the gateway remembers, whose entries an older
+        copy of the store has brought back.
     """
 
     era: int
@@ -95,6 +98,7 @@
     as_of: int
     is_exact: bool
     answered_since: int | None
+    departed: tuple[int, ...] = ()
 
 
 class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
@@ -130,9 +134,6 @@
     sent_at : int or None
         Store's time when it was sent; None if the sender does not know that. The ages
         in the message are as of then.
-    departed : tuple of int
-        Marks of endpoints that left, as the sender remembers, whose entries an older
-        copy of the store has brought back.
     """
 
     node: str
@@ -153,7 +154,6 @@
     configuration: TableBeat | None = None
     endpoints: TableBeat | None = None
     sent_at: Millis | None = None
-    departed: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -127,18 +127,21 @@
     )
 
 
-def table_beat(statement: TableStatement | None) -> TableBeat | None:
-    """Return a statement as it is sent."""
+def table_beat(
+    statement: TableStatement | None, departed: tuple[int, ...] = ()
+) -> TableBeat | None:
+    """Return a statement as it is sent, with the marks of departed endpoints."""
     if statement is None:
         return None
-    return TableBeat(*astuple(statement))
+    return TableBeat(*astuple(statement), departed)
 
 
 def table_statement(beat: TableBeat | None) -> TableStatement | None:
     """Return a statement as it was sent."""
     if beat is None:
         return None
-    return TableStatement(*msgspec.structs.astuple(beat))
+    *statement, _ = msgspec.structs.astuple(beat)
+    return TableStatement(*statement)
 
 
 @dataclass(slots=True)
