Log the group's mean, the room and the contenders beside the request limit

An operator who sees requests wait could not tell a cell that uses its part of the group's limit from a group that is at its limit, nor either from room that is handed out too slowly: requests_limited named only the cell's own requests and limit.

It now names the mean over all ranks as the coordinator last reported it, the room of the cell's endpoints, and how many gateways of the cell have requests waiting. No decision changes.

--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -59,6 +59,7 @@
     _observed_at: Millis = 0
     _long_term_requests: float = 0.0
     _group_share: float = 1.0
+    _group_mean: float = 0.0
     _group_mean_at: Millis | None = None
 
     @property
@@ -111,20 +112,24 @@
             else _GROUP_SMOOTHING_MS
         )
         weight = 1.0 - exp(-elapsed / _GROUP_SMOOTHING_MS)
-        self._group_mean_at = now
+        self._group_mean, self._group_mean_at = group_mean, now
         self._group_share += weight * (share - self._group_share)
 
+    def group_mean(self, now: Millis) -> float | None:
+        """Return the last reported mean over all ranks; None if it has expired."""
+        if (
+            self._group_mean_at is None
+            or now - self._group_mean_at >= _GROUP_MEAN_EXPIRY_MS
+        ):
+            return None
+        return self._group_mean
+
     def group_share(self, now: Millis) -> float:
         """Return the mean over all ranks, relative to the mean over those known here.
 
         1 if the last report of the coordinator has expired.
         """
-        if (
-            self._group_mean_at is None
-            or now - self._group_mean_at >= _GROUP_MEAN_EXPIRY_MS
-        ):
-            return 1.0
-        return self._group_share
+        return 1.0 if self.group_mean(now) is None else self._group_share
 
     def max_requests_per_rank(
         self, promised_gap: Millis, slots: int, now: Millis = 0
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -198,6 +198,7 @@
         if logged_at is not None and now - logged_at < _LIMIT_LOGGED_EVERY_MS:
             return
         self._limit_logged_at[group] = now
+        group_mean = limit.group_mean(now)
         log_event(
             _log,
             "requests_limited",
@@ -208,8 +209,11 @@
             requests=f"{limit.requests:.2f}",
             limit=f"{mean:.2f}",
             group_share=f"{limit.group_share(now):.2f}",
+            group_requests=None if group_mean is None else f"{group_mean:.2f}",
             slots=self.view.engine.slots,
+            room=self.admission.pool.room,
             waiting=self.admission.waiting,
+            contenders=self.admission.contenders,
         )
 
     def lost_reach(self, endpoint: str, now: Millis) -> None:
