Let cells with more callers use what others leave of a group's limit

Callers of some gateways waited, were late or were refused while their group was below its limit and the other gateways' callers did not wait at all.

Cause: a gateway limited the ranks of its cell to the group's mean requests times what passes allow. Class: equal parts of a common limit for unequal demand.

Ruled out: the group's limit itself (its mean was 1.4 to 1.6 of a limit of 2.5 in seconds in which one cell ran 2.4), parts of contended room (waits are as long with no other gateway waiting).

A cell keeps its own requests, scaled by what passes allow, if they are above its equal part. While the group is above its limit, the excess over the mean is reduced twice as fast: cells whose callers all wait still get equal limits, and sooner (in the test of three cells after 0.9 s instead of 8). The mean is the coordinator's, scaled by this cell's decrease since; the smoothed ratio of both lagged by two seconds and made limits swing.

--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -28,11 +28,11 @@
 
 All streams of a group show the same passes; two observations per pass are enough."""
 
-_GROUP_SMOOTHING_MS: Millis = 1_000
-"""Time constant for smoothing requests that are compared with a coordinator's mean."""
+_LONG_TERM_SMOOTHING_MS: Millis = 1_000
+"""Time constant for smoothing requests that are compared with a report of about the
+same age."""
 
 _GROUP_MEAN_EXPIRY_MS: Millis = 3_000
-_MAX_GROUP_SHARE = 2.0
 _MIN_REQUESTS = 1.0
 
 
@@ -47,18 +47,19 @@
 
     Notes
     -----
-    A node knows only the requests of some ranks, but the duration of a pass
-    depends on the requests of all ranks. If each node limited its ranks in proportion
-    to their own requests, ranks that once got more requests than others would keep
-    them. The limit is therefore scaled by the mean over the whole group.
+    A node knows only the requests of some ranks, those of its cell, but the duration of
+    a pass depends on the requests of all ranks. Callers are not distributed evenly over
+    cells, so a cell may have more requests than the mean of the group while the group
+    is below its limit: what other cells leave unused would otherwise be lost. While the
+    group is above its limit, the requests above the mean are reduced first, so that
+    cells whose callers all wait get equal limits.
     """
 
     fixed_ms: float = 0.0
     _pass_ms: float = 0.0
     _requests: float = 0.0
-    _observed_at: Millis = 0
     _long_term_requests: float = 0.0
-    _group_share: float = 1.0
+    _observed_at: Millis = 0
     _group_mean: float = 0.0
     _group_mean_at: Millis | None = None
 
@@ -92,7 +93,7 @@
             self._long_term_requests = requests
         elapsed = max(1, now - self._observed_at)
         weight = 1.0 - exp(-elapsed / _SMOOTHING_MS)
-        long_term_weight = 1.0 - exp(-elapsed / _GROUP_SMOOTHING_MS)
+        long_term_weight = 1.0 - exp(-elapsed / _LONG_TERM_SMOOTHING_MS)
         self._long_term_requests += long_term_weight * (
             requests - self._long_term_requests
         )
@@ -102,18 +103,7 @@
 
     def record_group_mean(self, group_mean: float, now: Millis) -> None:
         """Record the mean number of requests per rank of the group, about 1 s old."""
-        if self._long_term_requests <= 0 or group_mean <= 0:
-            return
-        share = group_mean / self._long_term_requests
-        share = min(_MAX_GROUP_SHARE, max(1 / _MAX_GROUP_SHARE, share))
-        elapsed = (
-            now - self._group_mean_at
-            if self._group_mean_at is not None
-            else _GROUP_SMOOTHING_MS
-        )
-        weight = 1.0 - exp(-elapsed / _GROUP_SMOOTHING_MS)
         self._group_mean, self._group_mean_at = group_mean, now
-        self._group_share += weight * (share - self._group_share)
 
     def group_mean(self, now: Millis) -> float | None:
         """Return the last reported mean over all ranks; None if it has expired."""
@@ -124,13 +114,6 @@
             return None
         return self._group_mean
 
-    def group_share(self, now: Millis) -> float:
-        """Return the mean over all ranks, relative to the mean over those known here.
-
-        1 if the last report of the coordinator has expired.
-        """
-        return 1.0 if self.group_mean(now) is None else self._group_share
-
     def max_requests_per_rank(
         self, promised_gap: Millis, slots: int, now: Millis = 0
     ) -> float:
@@ -158,6 +141,28 @@
         if not promised_gap or variable_ms <= 0:
             return float(slots)
         allowed_ms = _TARGET_GAP_SHARE * promised_gap - self.fixed_ms
-        requests = self._requests * self.group_share(now)
-        limit = requests * allowed_ms / variable_ms
+        factor = allowed_ms / variable_ms
+        mean = self._present_group_mean(now)
+        limit = max(factor * mean, self._scale_requests(factor, mean))
         return min(float(slots), max(_MIN_REQUESTS, limit))
+
+    def _present_group_mean(self, now: Millis) -> float:
+        """Return the estimated mean over all ranks at present.
+
+        Scaled by the decrease of this node's requests since the report, because a jump
+        in expert popularity reduces those of all ranks alike. An increase may be this
+        cell's alone.
+        """
+        group_mean = self.group_mean(now)
+        if not group_mean or self._long_term_requests <= 0:
+            return self._requests
+        return group_mean * min(1.0, self._requests / self._long_term_requests)
+
+    def _scale_requests(self, factor: float, mean: float) -> float:
+        """Return this cell's requests, scaled to what the group may run.
+
+        Above the limit, the excess over the mean is reduced twice as fast as the rest.
+        """
+        excess = max(0.0, self._requests - mean)
+        reduction = max(0.0, 1.0 - factor)
+        return factor * self._requests - reduction * excess
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -208,7 +208,6 @@
             promised_gap_ms=self.promised_gap_ms,
             requests=f"{limit.requests:.2f}",
             limit=f"{mean:.2f}",
-            group_share=f"{limit.group_share(now):.2f}",
             group_requests=None if group_mean is None else f"{group_mean:.2f}",
             slots=self.view.engine.slots,
             room=self.admission.pool.room,
