Let passes exceed their steady share for two seconds before holding requests back

After each jump in popularity callers waited in the queue, were late by their first event or refused, while no event of any stream was late.

Cause: a group is limited so that a mean pass takes 0.7 of the promised time between events, which leaves room for the passes after a jump. When the jump has come, the limit kept the same room for another one, within 250 ms, until the map fitted again 1.5 to 2 s later. Class: a margin for an event that is kept while the event is being served.

Changed: the steady share applies to the lowest cost of a request within two seconds, which is longer than a change of a map takes; present passes may take 0.85 of the promise. Longer or lasting passes reduce requests as before.

Ruled out: a slower average of the cost (trial in the tests' world: limits grow too slowly from little load, more late than before); the limit of the last two seconds itself (a later report of the group's mean would count two seconds late).

--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -7,19 +7,29 @@
 same and all streams are on time. Requests above the limit wait in the queue.
 """
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from math import exp
 
 from azurefold.core.clock import Millis
 
 __all__ = ["PassLimit"]
 
-_TARGET_GAP_SHARE = 0.7
+_STEADY_GAP_SHARE = 0.7
 """Share of the promised time between two events that a mean pass may take.
 
 A pass that includes a prefill, or follows a jump in expert popularity, takes up to 1.4
 times as long."""
 
+_PEAK_GAP_SHARE = 0.85
+"""Share of it that passes may take for a short time, as after a jump in popularity."""
+
+_PEAK_MS: Millis = 2_000
+"""Longest time for which passes may exceed their steady share.
+
+A suitable map is in force within this time. Requests that wait for it would be late for
+their first event, although no event of a stream is late."""
+
 _SMOOTHING_MS: Millis = 250
 """Time constant for smoothing passes and requests: about four passes."""
 
@@ -53,6 +63,9 @@
     is below its limit: what other cells leave unused would otherwise be lost. While the
     group is above its limit, the requests above the mean are reduced first, so that
     cells whose callers all wait get equal limits.
+
+    ``_recent_costs`` holds times and milliseconds per request of the last ``_PEAK_MS``,
+    as far as no later cost is lower. The first one is therefore the lowest.
     """
 
     fixed_ms: float = 0.0
@@ -60,6 +73,7 @@
     _requests: float = 0.0
     _long_term_requests: float = 0.0
     _observed_at: Millis = 0
+    _recent_costs: deque[tuple[Millis, float]] = field(default_factory=deque)
     _group_mean: float = 0.0
     _group_mean_at: Millis | None = None
 
@@ -100,9 +114,13 @@
         self._observed_at = now
         self._pass_ms += weight * (gap - self._pass_ms)
         self._requests += weight * (requests - self._requests)
+        self._record_cost(now)
 
     def record_group_mean(self, group_mean: float, now: Millis) -> None:
         """Record the mean number of requests per rank of the group, about 1 s old."""
+        if self.group_mean(now) is None:
+            # Costs so far are relative to the requests of this node's ranks.
+            self._recent_costs.clear()
         self._group_mean, self._group_mean_at = group_mean, now
 
     def group_mean(self, now: Millis) -> float | None:
@@ -137,15 +155,38 @@
         >>> limit.max_requests_per_rank(120, slots=6)
         3.0
         """
-        variable_ms = self._pass_ms - self.fixed_ms
-        if not promised_gap or variable_ms <= 0:
+        if not promised_gap or self._pass_ms <= self.fixed_ms:
             return float(slots)
-        allowed_ms = _TARGET_GAP_SHARE * promised_gap - self.fixed_ms
-        factor = allowed_ms / variable_ms
         mean = self._present_group_mean(now)
+        factor = self._allowed_factor(promised_gap, mean)
         limit = max(factor * mean, self._scale_requests(factor, mean))
         return min(float(slots), max(_MIN_REQUESTS, limit))
 
+    def _allowed_factor(self, promised_gap: Millis, mean: float) -> float:
+        """Return how many times its present mean requests the group may run."""
+        present_ms = self._pass_ms - self.fixed_ms
+        peak_ms = _PEAK_GAP_SHARE * promised_gap - self.fixed_ms
+        lowest_ms = present_ms
+        if self._recent_costs:
+            lowest_ms = min(present_ms, mean * self._recent_costs[0][1])
+        if lowest_ms <= 0:
+            return peak_ms / present_ms
+        steady_ms = _STEADY_GAP_SHARE * promised_gap - self.fixed_ms
+        return min(peak_ms / present_ms, steady_ms / lowest_ms)
+
+    def _record_cost(self, now: Millis) -> None:
+        """Record by how much each request makes a pass longer at present."""
+        costs = self._recent_costs
+        while costs and costs[0][0] <= now - _PEAK_MS:
+            costs.popleft()
+        mean = self._present_group_mean(now)
+        if mean <= 0:
+            return
+        cost = max(0.0, self._pass_ms - self.fixed_ms) / mean
+        while costs and costs[-1][1] >= cost:
+            costs.pop()
+        costs.append((now, cost))
+
     def _present_group_mean(self, now: Millis) -> float:
         """Return the estimated mean over all ranks at present.
 
--- a/tests/core/routing/test_pass_limit.py
+++ b/tests/core/routing/test_pass_limit.py
@@ -79,6 +79,20 @@
     assert limit.max_requests_per_rank(PROMISED_MS, SLOTS) == SLOTS
 
 
+def test_passes_that_are_long_for_a_short_time_hold_no_request_back():
+    """Guards against requests that wait after a jump that makes no event late."""
+    limit = PassLimit(FIXED_MS)
+    running = 4.0
+    for now in range(1_000, 4_000, 100):
+        limit.observe(70, running, now)
+    for now in range(4_000, 5_500, 100):
+        limit.observe(round(0.8 * PROMISED_MS), running, now)
+        assert limit.max_requests_per_rank(PROMISED_MS, SLOTS, now) >= running
+    for now in range(5_500, 8_000, 100):
+        limit.observe(round(0.8 * PROMISED_MS), running, now)
+    assert limit.max_requests_per_rank(PROMISED_MS, SLOTS, now) < running
+
+
 def test_without_a_promised_gap_nothing_is_limited():
     limit = PassLimit()
     limit.observe(400, requests=6.0, now=1_000)
