Round a group's limit so that cells with few of its ranks keep its mean

Where a cell has few ranks of a group, callers would wait beside free slots: the group's limit of, say, 1.4 requests a rank was rounded to 1 in each cell with one of its ranks, and two of seven places were used by nobody.

Cause: the same class as the cells' equal parts, a share of a common limit that is lost where it is divided. At the target size, 390 gateways before 122 groups of 32 ranks, a cell has 0.7 ranks of each group.

The limits of a cell's ranks are now rounded along their sum, from an offset that differs by cell. Test: a mean of 1.4 over 390 cells of one rank gave 1.0 before.

--- a/src/azurefold/core/routing/pool_state.py
+++ b/src/azurefold/core/routing/pool_state.py
@@ -10,6 +10,7 @@
 from azurefold.core.routing.exclusions import Exclusions
 from azurefold.core.routing.members import Members
 from azurefold.core.routing.messages import LoadReport
+from azurefold.core.routing.peer_loads import endpoint_hash
 from azurefold.core.routing.policy import PoolPolicy
 from azurefold.core.routing.prefixes import PrefixHints
 from azurefold.core.routing.quota_sharers import QuotaSharers
@@ -23,6 +24,8 @@
 
 Longer than a leaving endpoint can be temporarily missing from the list."""
 
+_HASH_RANGE = 2**32
+
 
 class PoolState:
     """Members of a pool, their loads, and which of them are excluded.
@@ -211,15 +214,19 @@
     def limit_requests(self, names: Collection[str], mean: float | None) -> None:
         """Limit the mean number of requests at ``names``; None removes the limit.
 
-        The remainder of the division goes to the first endpoints in the order of names,
-        which is the same on all nodes.
+        The whole numbers add up to less than one above or below ``mean`` times their
+        count. Where the rounding falls depends on the names, which are the same on all
+        nodes of a cell and others in each cell. The limits of a group that many cells
+        share then have this mean too, even if each cell has only one of its ranks.
         """
-        limit, remainder = divmod(round((mean or 0.0) * len(names)), max(1, len(names)))
-        for index, name in enumerate(sorted(names)):
+        ordered = sorted(names)
+        offset = endpoint_hash(ordered[0]) / _HASH_RANGE if ordered else 0.0
+        for index, name in enumerate(ordered):
             endpoint = self._members.by_name[name]
-            endpoint.max_requests = (
-                None if mean is None else limit + (index < remainder)
-            )
+            endpoint.max_requests = None
+            if mean is not None:
+                before, after = mean * index + offset, mean * (index + 1) + offset
+                endpoint.max_requests = int(after) - int(before)
             self._members.update_totals(endpoint)
 
     def mark_unreachable(self, endpoint: str, now: Millis) -> None:
--- a/tests/core/routing/test_pass_limit.py
+++ b/tests/core/routing/test_pass_limit.py
@@ -121,6 +121,18 @@
     assert pool.mean_running(pool.endpoints) == 0.5
 
 
+def test_limits_of_one_endpoint_per_cell_have_the_mean_of_the_group():
+    """Guards against a group whose limit is lost in rounding where cells are small."""
+    rooms = []
+    for number in range(390):
+        pool = Pool(PoolPolicy(reserved_share=0.0, sharing=ExchangedLoads(1)))
+        pool.set_endpoints((f"rank-{number}",), now=0)
+        pool.set_slots(SLOTS)
+        pool.limit_requests(pool.endpoints, mean=1.4)
+        rooms.append(pool.room)
+    assert sum(rooms) / len(rooms) == pytest.approx(1.4, rel=0.05)
+
+
 def test_requests_waiting_at_a_full_endpoint_do_not_count(pool):
     """Guards against limits that rise with requests that are not running."""
     pool.record_load("a", LoadReport(3 * SLOTS, 0), now=0)
