Let passes peak only while the events of earlier peaks were on time

On the further customer's grown site, whose jumps come each 1.7 s, allowing passes to exceed their steady share made more streams late by a gap.

Cause: 0.85 of the promise leaves room for passes that vary by 18 in 100. Where they vary more, peaks make events late.

The peak now applies while no event was later than promised for five seconds; the gaps are measured anyway.

Ruled out: a smaller peak share for all, which would fit one site.

--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -22,7 +22,9 @@
 times as long."""
 
 _PEAK_GAP_SHARE = 0.85
-"""Share of it that passes may take for a short time, as after a jump in popularity."""
+"""Share of it that passes may take for a short time, as after a jump in popularity.
+
+Applies while no event has been late for ``_LATE_EVENT_MEMORY_MS``."""
 
 _PEAK_MS: Millis = 2_000
 """Longest time for which passes may exceed their steady share.
@@ -30,6 +32,9 @@
 A suitable map is in force within this time. Requests that wait for it would be late for
 their first event, although no event of a stream is late."""
 
+_LATE_EVENT_MEMORY_MS: Millis = 5_000
+"""Longer than the usual time between two jumps in popularity."""
+
 _SMOOTHING_MS: Millis = 250
 """Time constant for smoothing passes and requests: about four passes."""
 
@@ -65,7 +70,8 @@
     cells whose callers all wait get equal limits.
 
     ``_recent_costs`` holds times and milliseconds per request of the last ``_PEAK_MS``,
-    as far as no later cost is lower. The first one is therefore the lowest.
+    as far as no later cost is lower. The first one is therefore the lowest. In the same
+    way the first of ``_recent_gaps`` is the longest.
     """
 
     fixed_ms: float = 0.0
@@ -74,6 +80,7 @@
     _long_term_requests: float = 0.0
     _observed_at: Millis = 0
     _recent_costs: deque[tuple[Millis, float]] = field(default_factory=deque)
+    _recent_gaps: deque[tuple[Millis, Millis]] = field(default_factory=deque)
     _group_mean: float = 0.0
     _group_mean_at: Millis | None = None
 
@@ -115,6 +122,7 @@
         self._pass_ms += weight * (gap - self._pass_ms)
         self._requests += weight * (requests - self._requests)
         self._record_cost(now)
+        self._record_gap(gap, now)
 
     def record_group_mean(self, group_mean: float, now: Millis) -> None:
         """Record the mean number of requests per rank of the group, about 1 s old."""
@@ -167,7 +175,8 @@
         present_ms = self._pass_ms - self.fixed_ms
         peak_ms = _PEAK_GAP_SHARE * promised_gap - self.fixed_ms
         lowest_ms = present_ms
-        if self._recent_costs:
+        has_late_events = self._recent_gaps[0][1] > promised_gap
+        if self._recent_costs and not has_late_events:
             lowest_ms = min(present_ms, mean * self._recent_costs[0][1])
         if lowest_ms <= 0:
             return peak_ms / present_ms
@@ -187,6 +196,14 @@
             costs.pop()
         costs.append((now, cost))
 
+    def _record_gap(self, gap: Millis, now: Millis) -> None:
+        gaps = self._recent_gaps
+        while gaps and gaps[0][0] <= now - _LATE_EVENT_MEMORY_MS:
+            gaps.popleft()
+        while gaps and gaps[-1][1] <= gap:
+            gaps.pop()
+        gaps.append((now, gap))
+
     def _present_group_mean(self, now: Millis) -> float:
         """Return the estimated mean over all ranks at present.
 
--- a/tests/core/routing/test_pass_limit.py
+++ b/tests/core/routing/test_pass_limit.py
@@ -93,6 +93,21 @@
     assert limit.max_requests_per_rank(PROMISED_MS, SLOTS, now) < running
 
 
+def test_passes_that_made_events_late_are_not_allowed_again_soon():
+    """Guards against streams that are late at each jump in popularity."""
+    limit = PassLimit(FIXED_MS)
+    limit.observe(PROMISED_MS + 10, requests=4.0, now=1_000)
+    for now in range(1_100, 5_000, 100):
+        limit.observe(70, 4.0, now)
+    limit.observe(round(0.95 * PROMISED_MS), 4.0, now=5_100)
+    after_late_events = limit.max_requests_per_rank(PROMISED_MS, SLOTS, now=5_100)
+    for now in range(5_200, 10_000, 100):
+        limit.observe(70, 4.0, now)
+    limit.observe(round(0.95 * PROMISED_MS), 4.0, now=10_100)
+    later = limit.max_requests_per_rank(PROMISED_MS, SLOTS, now=10_100)
+    assert after_late_events < 4.0 <= later
+
+
 def test_without_a_promised_gap_nothing_is_limited():
     limit = PassLimit()
     limit.observe(400, requests=6.0, now=1_000)
