Have the stand-in's ranks report the streams that they run

test_one_coordinator_changes_the_map_of_the_group failed in about one of ten runs at a load of ten: a gateway took the lease and planned no map for 60 s.

Cause: a coordinator asks for counts while it has requests of its own or ranks report running ones. The stand-in's ranks left that field out, so a coordinator whose callers all used the other gateway took the group for idle.

Ruled out: a loop that ended (none logged loop_failed), a lost lease.

--- a/src/azurefold_standins/bare_endpoints.py
+++ b/src/azurefold_standins/bare_endpoints.py
@@ -71,6 +71,7 @@
     )
     crashes: list[str] = field(default_factory=list)
     servers: dict[str, TimedServer] = field(default_factory=dict)
+    in_flight: Counter = field(default_factory=Counter)
     _held_since: float | None = None
     _counts: list[list[int]] = field(default_factory=list)
 
@@ -178,13 +179,17 @@
         stop = EVENTS
         if self.site.happens(self.site.faults.break_off):
             stop = self.site.draw.randrange(after, EVENTS)
-        for number in range(after + 1, EVENTS + 1):
-            gevent.sleep(_PASS_S)
-            event = expected_event(path, number)
-            if number > stop:
-                yield event[:5]
-                raise ConnectionResetError(104, "broken off")
-            yield event
+        self.site.in_flight[self.endpoint.rank] += 1
+        try:
+            for number in range(after + 1, EVENTS + 1):
+                gevent.sleep(_PASS_S)
+                event = expected_event(path, number)
+                if number > stop:
+                    yield event[:5]
+                    raise ConnectionResetError(104, "broken off")
+                yield event
+        finally:
+            self.site.in_flight[self.endpoint.rank] -= 1
 
 
 def _abort_response() -> Iterator[bytes]:
@@ -221,6 +226,7 @@
                 "Armed": view.armed_version,
                 "held": view.held_step,
                 "pace": 1.0,
+                "Active": self.site.in_flight[self.rank],
             }
         )
 
--- a/tests/gateway/test_a_site_of_gateways.py
+++ b/tests/gateway/test_a_site_of_gateways.py
@@ -85,6 +85,18 @@
     assert journal.held_s < 1.0
 
 
+@pytest.mark.parametrize("gateway", ["gateway-0", "gateway-1"])
+def test_a_map_changes_whichever_gateway_has_the_requests(site, caller, gateway):
+    """Guards against a coordinator that takes ranks for idle."""
+    before = site.journal().changes
+
+    def has_changed():
+        call(site, caller, Kind.DRAFT, gateway)
+        return site.journal().changes > before
+
+    wait_until(has_changed, "a map has changed")
+
+
 def test_a_stopped_gateway_ends_what_it_has_begun(site, caller):
     """Callers of a gateway that is being replaced get half an answer.
 
