Divide a group's limit by demand only while the group has room to spare

The mend for cells with more callers let them keep their excess over the group's mean beside the equal parts of all others.

Now all limits have the mean that equal parts would have: with a tenth of spare room they follow the cells' own requests, with none they are equal, as before the incident, in between in proportion.

--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from math import exp
+from math import exp, inf
 
 from azurefold.core.clock import Millis
 
@@ -47,6 +47,10 @@
 """Time constant for smoothing requests that are compared with a report of about the
 same age."""
 
+_SPARE_FOR_ALL_DEMAND = 0.1
+"""Part of its requests that a group must have as spare room for limits to follow the
+demand of cells. With no spare room, cells have equal limits."""
+
 _GROUP_MEAN_EXPIRY_MS: Millis = 3_000
 _MIN_REQUESTS = 1.0
 
@@ -65,9 +69,9 @@
     A node knows only the requests of some ranks, those of its cell, but the duration of
     a pass depends on the requests of all ranks. Callers are not distributed evenly over
     cells, so a cell may have more requests than the mean of the group while the group
-    is below its limit: what other cells leave unused would otherwise be lost. While the
-    group is above its limit, the requests above the mean are reduced first, so that
-    cells whose callers all wait get equal limits.
+    is below its limit: it gets what cells below the mean leave unused. All limits have
+    the mean that equal parts would have. At the group's limit, cells get equal parts.
+    If they kept what they have, those that once got more would keep more.
 
     ``_recent_costs`` holds times and milliseconds per request of the last ``_PEAK_MS``,
     as far as no later cost is lower. The first one is therefore the lowest. In the same
@@ -166,22 +170,22 @@
         if not promised_gap or self._pass_ms <= self.fixed_ms:
             return float(slots)
         mean = self._present_group_mean(now)
-        factor = self._allowed_factor(promised_gap, mean)
-        limit = max(factor * mean, self._scale_requests(factor, mean))
+        peak_ms = _PEAK_GAP_SHARE * promised_gap - self.fixed_ms
+        peak_factor = peak_ms / (self._pass_ms - self.fixed_ms)
+        steady_factor = self._steady_factor(promised_gap, mean)
+        spare_share = min(1.0, max(0.0, (steady_factor - 1.0) / _SPARE_FOR_ALL_DEMAND))
+        wanted = mean + spare_share * (self._requests - mean)
+        limit = min(peak_factor, steady_factor) * wanted
         return min(float(slots), max(_MIN_REQUESTS, limit))
 
-    def _allowed_factor(self, promised_gap: Millis, mean: float) -> float:
-        """Return how many times its present mean requests the group may run."""
-        present_ms = self._pass_ms - self.fixed_ms
-        peak_ms = _PEAK_GAP_SHARE * promised_gap - self.fixed_ms
-        lowest_ms = present_ms
+    def _steady_factor(self, promised_gap: Millis, mean: float) -> float:
+        """Return how many times its present requests the group may run for long."""
+        variable_ms = self._pass_ms - self.fixed_ms
         has_late_events = self._recent_gaps[0][1] > promised_gap
         if self._recent_costs and not has_late_events:
-            lowest_ms = min(present_ms, mean * self._recent_costs[0][1])
-        if lowest_ms <= 0:
-            return peak_ms / present_ms
+            variable_ms = min(variable_ms, mean * self._recent_costs[0][1])
         steady_ms = _STEADY_GAP_SHARE * promised_gap - self.fixed_ms
-        return min(peak_ms / present_ms, steady_ms / lowest_ms)
+        return steady_ms / variable_ms if variable_ms > 0 else inf
 
     def _record_cost(self, now: Millis) -> None:
         """Record by how much each request makes a pass longer at present."""
@@ -215,12 +219,3 @@
         if not group_mean or self._long_term_requests <= 0:
             return self._requests
         return group_mean * min(1.0, self._requests / self._long_term_requests)
-
-    def _scale_requests(self, factor: float, mean: float) -> float:
-        """Return this cell's requests, scaled to what the group may run.
-
-        Above the limit, the excess over the mean is reduced twice as fast as the rest.
-        """
-        excess = max(0.0, self._requests - mean)
-        reduction = max(0.0, 1.0 - factor)
-        return factor * self._requests - reduction * excess
