Let passes peak only 30 s after the last late event

On the further customer's grown site streams were late at nearly each jump: five seconds after a late event peaks were allowed again, and the next jump but two made events late again.

The other parts of the limit are the same in both.

--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -32,8 +32,8 @@
 A suitable map is in force within this time. Requests that wait for it would be late for
 their first event, although no event of a stream is late."""
 
-_LATE_EVENT_MEMORY_MS: Millis = 5_000
-"""Longer than the usual time between two jumps in popularity."""
+_LATE_EVENT_MEMORY_MS: Millis = 30_000
+"""Several times as long as popularity usually stays alike between two jumps."""
 
 _SMOOTHING_MS: Millis = 250
 """Time constant for smoothing passes and requests: about four passes."""
