Check that limits of full cells stay equal, not that they are once

The test of three cells that share a group looked at the last of 120 passes.

The test now checks each of the last 60 passes, with the same bounds.

--- a/tests/core/routing/test_pass_limit.py
+++ b/tests/core/routing/test_pass_limit.py
@@ -48,7 +48,7 @@
     """Guards against a cell that keeps more requests because it had more at first."""
     limits = [PassLimit(FIXED_MS) for _ in range(3)]
     requests, now = [6.0, 2.0, 2.0], 1_000
-    for _ in range(120):
+    for number_of_pass in range(120):
         mean = sum(requests) / len(requests)
         duration_ms = round(pass_duration_ms(mean, skew=2.2))
         now += duration_ms
@@ -58,8 +58,9 @@
         requests = [
             limit.max_requests_per_rank(PROMISED_MS, SLOTS, now) for limit in limits
         ]
-    assert max(requests) - min(requests) <= 0.1 * mean
-    assert pass_duration_ms(mean, skew=2.2) <= 0.75 * PROMISED_MS
+        if number_of_pass >= 60:
+            assert max(requests) - min(requests) <= 0.1 * mean
+            assert pass_duration_ms(mean, skew=2.2) <= 0.75 * PROMISED_MS
 
 
 def test_without_a_group_mean_a_cell_uses_its_own_requests():
