Let a change of maps be moved on by its own loop, so that calls wait for no place

Plain requests were served throughout.

Cause: all calls of a service's groups shared a pool of 24 greenlets, and what an answer led to was done inside the call. An order to arm that got no answer asks for the rank's report, in the same pool, and spawning waits for a free place. With 23 such calls and the one that was still sending orders, all 24 places waited for a place, and the loop that would have ended the change after 1.2 s waited at the same spawn. The lease was renewed by another greenlet, so nobody took over.

Ruled out: a takeover that did not come (terms stay 0), and a rank that keeps its hold (the hold was never ordered to end).

Now calls only fetch. They put their answers down for the loop of the group, which alone moves the change on, and submitting a call never waits. Orders go before questions, and an order that waited until its phase was over is not sent.

--- a/src/azurefold/core/groups/map_change.py
+++ b/src/azurefold/core/groups/map_change.py
@@ -134,6 +134,15 @@
         """Whether the change has ended."""
         return self._phase is _Phase.FINISHED
 
+    def is_due(self, order: RankOrder) -> bool:
+        """Whether an order that was not sent yet is still of use."""
+        match self._phase:
+            case _Phase.PREPARING:
+                return isinstance(order, Prepare)
+            case _Phase.FINISHED:
+                return False
+        return order == self._phase_order()
+
     def start(
         self, pass_ms: float, now: Millis, load_ms: Millis | None = None
     ) -> list[ChangeAction]:
--- a/src/azurefold/gateway/groups/changes.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -1,10 +1,14 @@
 """Carries one group's map changes out: orders to ranks, and what comes of them."""
 
 import logging
+from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import partial
 from typing import Protocol
 
+from gevent.event import Event
+
 from azurefold.core.balance.placement import Placement
 from azurefold.core.balance.plan import MapPlan
 from azurefold.core.clock import Millis
@@ -25,6 +29,7 @@
 from azurefold.core.groups.resumed_change import can_resume, resume_change
 from azurefold.gateway.groups.watch import GroupWatch
 from azurefold.internal.logs import log_event
+from azurefold.platform.ranks import RankReport
 
 __all__ = ["GroupChanges", "Row"]
 
@@ -44,6 +49,29 @@
 _LOAD_MARGIN = 1.05
 """On the time that loading takes by size and speed of the link."""
 
+_SECOND_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class _OrderAnswer:
+    """What came of an order."""
+
+    change: MapChange
+    rank: int
+    order: RankOrder
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class _ReportAnswer:
+    """A report that a change asked for."""
+
+    change: MapChange
+    report: RankReport
+
+
+_Answer = _OrderAnswer | _ReportAnswer
+
 
 class Row(Protocol):
     """The coordinator's row, as changes need it."""
@@ -59,6 +87,10 @@
 class GroupChanges:
     """The change under way, and what earlier ones have taught.
 
+    The group's own loop alone moves the change on. Calls to ranks only put their
+    answers down for it: what an answer leads to may be further calls, and a call that
+    waited for those would keep its place from them.
+
     Parameters
     ----------
     watch : GroupWatch
@@ -78,6 +110,8 @@
     _unarmed_since: Millis = 0
     _switch_step: int = 0
     _switch_epoch: int = 0
+    _answers: deque[_Answer] = field(default_factory=deque)
+    _has_answers: Event = field(default_factory=Event)
 
     @property
     def is_under_way(self) -> bool:
@@ -104,9 +138,17 @@
     def _service(self) -> str:
         return self.watch.service.view.name
 
+    def wait(self, longest: Millis) -> None:
+        """Wait until an answer has come, or for a time at most."""
+        self._has_answers.wait(longest / _SECOND_MS)
+
     def tick(self) -> None:
-        """Send again what got no answer."""
-        self._act(self._change.tick(self._now))
+        """Take in the answers that have come, and send again what got none."""
+        self._has_answers.clear()
+        while self._answers:
+            self._take_in(self._answers.popleft())
+        if self._change is not None:
+            self._act(self._change.tick(self._now))
 
     def begin(self, plan: MapPlan) -> None:
         """Begin a change to the planned map, if this node may make one."""
@@ -179,16 +221,22 @@
         return round(max(plan.weight_loads_by_rank, default=0) * load_ms * _LOAD_MARGIN)
 
     def _act(self, actions: Iterable[ChangeAction]) -> None:
+        calls = self.watch.calls
         for action in actions:
             match action:
                 case SendOrder(rank=rank, order=order):
-                    self.watch.calls.spawn(self._give, self._change, rank, order)
+                    give = partial(self._give, self._change, rank, order)
+                    calls.submit(give, is_order=True)
                 case RequestReport(rank=rank):
-                    self.watch.calls.spawn(self._ask_report, self._change, rank)
+                    ask = partial(self._ask_report, self._change, rank)
+                    calls.submit(ask, is_order=True)
                 case ChangeFinished(end=end):
                     self._ended(end)
 
     def _give(self, change: MapChange, rank: int, order: RankOrder) -> None:
+        """Give an order; runs as a call, maybe after the change has moved on."""
+        if change is not self._change or not change.is_due(order):
+            return
         client = self.watch.client_of(rank)
         verdict = Verdict.LOST
         if client is not None and isinstance(order, Prepare):
@@ -196,35 +244,50 @@
             verdict = client.give(order, change.epoch, self._planned, within)
         elif client is not None:
             verdict = client.give(order, change.epoch)
-        if change is not self._change:
-            return
-        if verdict is Verdict.LOST:
-            self._order_lost_at = self._now
-        if verdict is not Verdict.ACCEPTED:
-            log_event(
-                _log,
-                "order_not_accepted",
-                logging.WARNING,
-                service=self._service,
-                group=self.watch.name,
-                version=change.version,
-                rank=rank,
-                order=order,
-                verdict=verdict.value,
-                phase=change.phase,
-            )
-        self._act(change.on_verdict(rank, order, verdict, self._now))
+        self._put_down(_OrderAnswer(change, rank, order, verdict))
 
     def _ask_report(self, change: MapChange, rank: int) -> None:
+        """Ask a rank for its report; runs as a call."""
+        if change is not self._change:
+            return
         client = self.watch.client_of(rank)
         report = client.report() if client is not None else None
-        if change is not self._change or report is None:
+        if report is not None:
+            self._put_down(_ReportAnswer(change, report))
+
+    def _put_down(self, answer: _Answer) -> None:
+        self._answers.append(answer)
+        self._has_answers.set()
+
+    def _take_in(self, answer: _Answer) -> None:
+        change = self._change
+        if answer.change is not change:
             return
-        if report.group != self.watch.name:
-            # The endpoint has moved to another group, whose passes are others.
+        match answer:
+            case _OrderAnswer(rank=rank, order=order, verdict=verdict):
+                self._note_verdict(rank, order, verdict)
+                self._act(change.on_verdict(rank, order, verdict, self._now))
+            case _ReportAnswer(report=report) if report.group == self.watch.name:
+                # An endpoint in another group reports that group's passes.
+                self._act(change.on_report(report.view, self._now))
+
+    def _note_verdict(self, rank: int, order: RankOrder, verdict: Verdict) -> None:
+        if verdict is Verdict.LOST:
+            self._order_lost_at = self._now
+        if verdict is Verdict.ACCEPTED:
             return
-        now = self._now
-        self._act(change.on_report(report.view, now))
+        log_event(
+            _log,
+            "order_not_accepted",
+            logging.WARNING,
+            service=self._service,
+            group=self.watch.name,
+            version=self._change.version,
+            rank=rank,
+            order=order,
+            verdict=verdict.value,
+            phase=self._change.phase,
+        )
 
     def _ended(self, end: ChangeEnd) -> None:
         now = self._now
--- a/src/azurefold/gateway/groups/control.py
+++ b/src/azurefold/gateway/groups/control.py
@@ -62,6 +62,12 @@
         """Whether a change of the map is under way."""
         return self.changes.is_under_way
 
+    def run(self) -> None:
+        """Do what is due, for ever: at each answer of a rank, and at each tick."""
+        while True:
+            self.tick()
+            self.changes.wait(_TICK_MS)
+
     def tick(self) -> None:
         """Do what is due."""
         if self.changes.is_under_way:
@@ -171,16 +177,16 @@
 
     def start(self) -> None:
         """Begin to coordinate."""
-        self._spawn(self._look)
-        self._spawn(self._sample)
+        self._spawn(_for_ever, self._look)
+        self._spawn(_for_ever, self._sample)
 
     def close(self) -> None:
         """Stop at once, leaving what is under way to a successor."""
         gevent.killall(self._loops, block=False)
         self.watch.calls.close()
 
-    def _spawn(self, step: Callable[[], None]) -> None:
-        self._loops.append(spawn_loop(_for_ever, step))
+    def _spawn(self, loop: Callable[..., None], *arguments: object) -> None:
+        self._loops.append(spawn_loop(loop, *arguments))
 
     def _look(self) -> None:
         self.watch.look_at_due()
@@ -188,7 +194,7 @@
             watch = GroupWatch(self.watch, name)
             control = GroupControl(watch, GroupChanges(watch, self.row))
             self._controls[name] = control
-            self._spawn(control.tick)
+            self._spawn(control.run)
 
     def _sample(self) -> None:
         watch = self.watch
--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import partial
 from itertools import zip_longest
 
 from azurefold.core.balance.placement import Placement
@@ -118,7 +119,7 @@
                 continue
             self._asked_at[endpoint] = now
             self._asking.add(endpoint)
-            self.calls.spawn(self._ask_report, endpoint)
+            self.calls.submit(partial(self._ask_report, endpoint))
 
     def look_soon(self, view: GroupView) -> None:
         """Have the next look at a group's ranks be due at once."""
@@ -190,7 +191,10 @@
         return _LOOK_HELD_MS if view.is_held else _LOOK_EVERY_MS
 
     def _ask_report(self, endpoint: str) -> None:
+        """Ask a rank for its report; runs as a call."""
         try:
+            if endpoint not in self.service.entries:
+                return
             report = self.client(endpoint).report()
         finally:
             self._asking.discard(endpoint)
--- a/tests/gateway/test_ranks_are_asked_at_once.py
+++ b/tests/gateway/test_ranks_are_asked_at_once.py
@@ -4,6 +4,8 @@
 
 from azurefold.gateway.groups.rank_calls import RankCalls
 
+MANY = 100
+
 
 def test_a_call_that_is_stopped_has_no_answer():
     """A coordinator's loop fails when another node takes over while it asks.
@@ -20,3 +22,42 @@
 
 def test_answers_come_in_the_order_of_the_clients():
     assert RankCalls().ask_all([3, 1, 2], lambda client: 10 * client) == [30, 10, 20]
+
+
+def test_calls_may_submit_calls_while_all_places_are_taken():
+    """Calls that wait for a free place hold all places."""
+    calls, made = RankCalls(), []
+
+    def call(number):
+        gevent.sleep(0.01)
+        calls.submit(lambda: made.append(number))
+
+    for number in range(MANY):
+        calls.submit(lambda number=number: call(number))
+    gevent.sleep(0.5)
+    assert sorted(made) == list(range(MANY))
+
+
+def test_a_call_submitted_as_the_last_one_ends_is_made():
+    """A call waits for the next one because its greenlet was just ending."""
+    calls, made = RankCalls(), []
+    calls.submit(lambda: made.append("first"))
+    gevent.sleep(0)
+    calls.submit(lambda: made.append("second"))
+    gevent.sleep(0.05)
+    assert made == ["first", "second"]
+
+
+def test_orders_go_before_questions():
+    calls, made = RankCalls(), []
+    for _ in range(MANY):
+        calls.submit(lambda: (gevent.sleep(0.01), made.append("question")))
+    calls.submit(lambda: made.append("order"), is_order=True)
+    gevent.sleep(0.5)
+    assert made.index("order") < MANY / 2
+
+
+def test_a_call_that_fails_stops_no_other():
+    calls = RankCalls()
+    asked = calls.ask_all([1, 0, 2], lambda client: 10 // client)
+    assert asked == [10, None, 5]
