--- a/src/azurefold/core/membership/messages.py
+++ b/src/azurefold/core/membership/messages.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
-    """Intervals and budgets; docs/design-membership.md derives them.
+    """Intervals and budgets; docs/design/membership.md derives them.
 
     Parameters
     ----------
--- a/tests/core/configuration/configuration_machine.py
+++ b/tests/core/configuration/configuration_machine.py
@@ -86,7 +86,7 @@
         self.site.backup = self.site.table.copy()
 
     # A restore between a lost answer and the read-back destroys the only proof
-    # of the outcome; docs/design-configuration.md says so to operators.
+    # of the outcome; docs/design/configuration.md says so to operators.
     @precondition(
         lambda self: (
             not any(
