Give the row up when coordination makes no progress, and renew it only while it does

What callers would see: a group held for good while its coordinator goes on sending heartbeats, whatever stops its loop.

Each loop of a coordinator is checked five times a second. Checks are counted, not time, so a process that was paused finds no stall. A coordinator whose own loop has not turned for a second tells nothing of its term.

The fixture of the tests of takeovers said that no other gateway is known while they play one: it now says that one is, as otherwise nothing is resigned.

--- a/src/azurefold/core/groups/map_change.py
+++ b/src/azurefold/core/groups/map_change.py
@@ -134,6 +134,15 @@
         """Whether the change has ended."""
         return self._phase is _Phase.FINISHED
 
+    def overdue(self, now: Millis) -> Millis:
+        """Return the time since the timeout of the phase; negative before it."""
+        match self._phase:
+            case _Phase.PREPARING:
+                return now - self._started_at - self.policy.prepare_timeout
+            case _Phase.FINISHED:
+                return -1
+        return now - self._phase_entered_at - self.policy.hold_timeout
+
     def is_due(self, order: RankOrder) -> bool:
         """Whether an order that was not sent yet is still of use."""
         match self._phase:
--- a/src/azurefold/gateway/groups/changes.py
+++ b/src/azurefold/gateway/groups/changes.py
@@ -118,6 +118,11 @@
         """Whether a change is under way."""
         return self._change is not None
 
+    @property
+    def overdue(self) -> Millis:
+        """Time since the timeout of the change's phase; negative before it."""
+        return -1 if self._change is None else self._change.overdue(self._now)
+
     @property
     def is_switched(self) -> bool:
         """Whether the pass has begun from which the newest map is in force.
@@ -141,10 +146,12 @@
     def wait(self, longest: Millis) -> None:
         """Wait until an answer has come, or for a time at most."""
         self._has_answers.wait(longest / _SECOND_MS)
+        # Also without a change: a late answer to one that has ended would keep the
+        # loop turning without a pause.
+        self._has_answers.clear()
 
     def tick(self) -> None:
         """Take in the answers that have come, and send again what got none."""
-        self._has_answers.clear()
         while self._answers:
             self._take_in(self._answers.popleft())
         if self._change is not None:
--- a/src/azurefold/gateway/groups/control.py
+++ b/src/azurefold/gateway/groups/control.py
@@ -8,6 +8,12 @@
 
 from azurefold.core.balance.plan import MapPlan
 from azurefold.core.clock import Millis
+from azurefold.core.groups.progress import (
+    LoopProgress,
+    ProgressMonitor,
+    ProgressPolicy,
+    StallReason,
+)
 from azurefold.core.routing.peer_loads import endpoint_hash
 from azurefold.core.routing.rank_groups import GroupStatus
 from azurefold.gateway.groups.changes import GroupChanges, Row
@@ -23,7 +29,7 @@
 from azurefold.internal.logs import log_event
 from azurefold.internal.loops import spawn_loop
 
-__all__ = ["GroupControl", "ServiceControl", "new_service_control"]
+__all__ = ["GroupControl", "ServiceControl", "Stall", "new_service_control"]
 
 _log = logging.getLogger("azurefold.gateway")
 
@@ -36,11 +42,31 @@
 one: long enough for three passes' counts, and a third of what a change takes."""
 
 
+_LOOK_LOOP = "look"
+_LOOK_PROGRESS = ProgressPolicy(checks_while_urgent=7)
+"""A loop that failed is run again after a second."""
+
 _GOOD_SKEW = 1.15
 """Planned skew above which a change is followed by another one for the same
 popularity, without waiting for the next sample."""
 
 
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """A loop of the coordinator that has stopped making progress.
+
+    Parameters
+    ----------
+    service, loop : str
+        ``loop`` is a group's name, or that of a loop for all groups.
+    reason : StallReason
+    """
+
+    service: str
+    loop: str
+    reason: StallReason
+
+
 @dataclass(slots=True)
 class GroupControl:
     """Decides for one group.
@@ -56,22 +82,36 @@
     _planned_samples: int = 0
     _is_partly_done: bool = False
     _planned_epoch: int = 0
+    _turns: int = 0
+    _monitor: ProgressMonitor = field(default_factory=ProgressMonitor)
 
     @property
     def is_changing(self) -> bool:
         """Whether a change of the map is under way."""
         return self.changes.is_under_way
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the group may be held, so that its streams stand still."""
+        return self.is_changing or self.watch.view.is_held
+
     def run(self) -> None:
         """Do what is due, for ever: at each answer of a rank, and at each tick."""
         while True:
+            self._turns += 1
             self.tick()
             self.changes.wait(_TICK_MS)
 
+    def check_progress(self) -> StallReason | None:
+        """Return why the loop counts as stalled, at one of regular checks."""
+        overdue = self.changes.overdue
+        return self._monitor.check(LoopProgress(self._turns, self.is_urgent, overdue))
+
     def tick(self) -> None:
         """Do what is due."""
-        if self.changes.is_under_way:
-            self.changes.tick()
+        was_under_way = self.changes.is_under_way
+        self.changes.tick()
+        if was_under_way:
             return
         view = self.watch.view
         if not view.is_whole:
@@ -147,6 +187,10 @@
     row: Row
     _controls: dict[str, GroupControl] = field(default_factory=dict)
     _loops: list[gevent.Greenlet] = field(default_factory=list)
+    _looks: int = 0
+    _look_monitor: ProgressMonitor = field(
+        default_factory=lambda: ProgressMonitor(_LOOK_PROGRESS)
+    )
 
     @property
     def popularity(self) -> list[list[int]]:
@@ -158,6 +202,11 @@
         """Whether a change of any group's map is under way."""
         return any(control.is_changing for control in self._controls.values())
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether any group may be held."""
+        return any(control.is_urgent for control in self._controls.values())
+
     @property
     def news(self) -> tuple[GroupStatus, ...]:
         """What the other gateways are told of the groups."""
@@ -180,6 +229,20 @@
         self._spawn(_for_ever, self._look)
         self._spawn(_for_ever, self._sample)
 
+    def find_stall(self) -> Stall | None:
+        """Return a loop that has stalled, if any, at one of regular checks."""
+        if not self._loops:
+            return None
+        # Without reports nobody knows whether a group is held.
+        looking = self._look_monitor.check(LoopProgress(self._looks, is_urgent=True))
+        reasons = {_LOOK_LOOP: looking}
+        reasons |= {
+            name: each.check_progress() for name, each in self._controls.items()
+        }
+        service = self.watch.service.view.name
+        stalls = (Stall(service, name, why) for name, why in reasons.items() if why)
+        return next(stalls, None)
+
     def close(self) -> None:
         """Stop at once, leaving what is under way to a successor."""
         gevent.killall(self._loops, block=False)
@@ -189,6 +252,7 @@
         self._loops.append(spawn_loop(loop, *arguments))
 
     def _look(self) -> None:
+        self._looks += 1
         self.watch.look_at_due()
         for name in self.watch.groups.keys() - self._controls.keys():
             watch = GroupWatch(self.watch, name)
--- a/src/azurefold/gateway/groups/coordinator.py
+++ b/src/azurefold/gateway/groups/coordinator.py
@@ -10,7 +10,11 @@
 from azurefold.core.clock import Millis
 from azurefold.core.groups.leadership import LeaderHeartbeat, Leadership
 from azurefold.core.groups.order_numbers import fence_of, order_number
-from azurefold.gateway.groups.control import ServiceControl, new_service_control
+from azurefold.gateway.groups.control import (
+    ServiceControl,
+    Stall,
+    new_service_control,
+)
 from azurefold.gateway.groups.map_planning import is_worth_balancing
 from azurefold.gateway.peers.messages import Coordination, PeerMessage
 from azurefold.gateway.state import GatewayState
@@ -34,6 +38,9 @@
 
 _SECOND_MS = 1_000
 _TICK_MS: Millis = 200
+_STALLED_MS: Millis = 1_000
+"""Without a turn of the coordinator's loop, after which its lease is not renewed."""
+
 _MOST_UNHEARD_WRITES = 16
 """Of a holder between two beats, at the most. A store that comes back from an older
 copy shows none of them, and a successor's term must be above all."""
@@ -111,20 +118,34 @@
     _row_term: int = 0
     _row_era: int | None = None
     _popularity: dict[str, list[list[int]]] = field(default_factory=dict)
+    _stepped_at: Millis | None = None
 
     @property
     def coordination(self) -> Coordination:
-        """What the other gateways are told of it."""
-        if not self.leadership.is_leader:
+        """What the other gateways are told of it.
+
+        Being told renews the lease, so a node whose loop has stopped tells nothing.
+        """
+        if not self.leadership.is_leader or not self._is_turning:
             return Coordination(ended_term=self.ended_term)
         controls = self._controls.values()
         return Coordination(
             self.leadership.term,
             self.ended_term,
             tuple(news for each in controls for news in each.news),
-            any(each.is_changing for each in controls),
+            any(each.is_urgent for each in controls),
         )
 
+    @property
+    def _is_turning(self) -> bool:
+        if self._stepped_at is None:
+            return True
+        return self.state.clock.now() - self._stepped_at <= _STALLED_MS
+
+    @property
+    def _is_changing(self) -> bool:
+        return any(control.is_changing for control in self._controls.values())
+
     def heard(self, message: PeerMessage) -> None:
         """Take in what another gateway tells."""
         now = self.state.clock.now()
@@ -149,14 +170,18 @@
             self._read_row()
         while True:
             gevent.sleep(_TICK_MS / _SECOND_MS)
+            self._stepped_at = self.state.clock.now()
             self._step()
+            self._stepped_at = self.state.clock.now()
 
     def _step(self) -> None:
-        if self.leadership.is_leader and self._is_leaving:
+        if self.leadership.is_leader and (stall := self._find_stall()):
+            self._give_up(stall)
+        elif self.leadership.is_leader and self._is_leaving:
             # A change under way is brought to its end: its group may be held, and
             # what ranks have loaded would be loaded once more.
-            if not self.coordination.is_changing:
-                self.resign()
+            if not self._is_changing:
+                self._hand_over()
         elif self.leadership.is_leader:
             self._coordinate()
         elif self.state.draining:
@@ -164,6 +189,39 @@
         elif self.leadership.should_take_over(self.state.clock.now()):
             self._take()
 
+    def _find_stall(self) -> Stall | None:
+        stalls = (control.find_stall() for control in self._controls.values())
+        return next(filter(None, stalls), None)
+
+    def _give_up(self, stall: Stall) -> None:
+        """Let another node go on from the ranks' reports, or this one if it is alone.
+
+        A stalled loop is not resumed: what it knows of the ranks may be what stopped
+        it.
+        """
+        heard, _ = self.peers_heard()
+        self.state.coordinator_stalls[stall.reason.value] += 1
+        log_event(
+            _log,
+            "coordinator_stalled",
+            logging.ERROR,
+            service=stall.service,
+            loop=stall.loop,
+            why=stall.reason.value,
+            term=self.leadership.term,
+            peers=heard,
+        )
+        self._hand_over()
+
+    def _hand_over(self) -> None:
+        """Resign, or begin anew where no other gateway could take over."""
+        _, known = self.peers_heard()
+        if known or self.state.draining:
+            self.resign()
+            return
+        log_event(_log, "coordination_restarted", term=self.leadership.term)
+        self._drop_controls()
+
     def next_version(self, above: int = 0) -> int | None:
         """Return the version of a new map, above all that any rank has had.
 
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -50,6 +50,7 @@
         yield _gauge("crash_suspects", "Requests with crashes", crashes.size)
         quarantined = crashes.count_quarantined(state.clock.now())
         yield _gauge("quarantined_requests", "Requests that are refused", quarantined)
+        yield self._coordinator_stalls()
         yield self._endpoints()
         yield self._quotas()
         yield self._waiting()
@@ -72,6 +73,16 @@
                 family.add_metric([table], age / _SECOND_MS)
         return family
 
+    def _coordinator_stalls(self) -> Metric:
+        family = CounterMetricFamily(
+            "azurefold_gateway_coordinator_stalls",
+            "Times that this gateway gave coordination up for want of progress",
+            labels=["why"],
+        )
+        for why, number in self._state.coordinator_stalls.items():
+            family.add_metric([why], number)
+        return family
+
     def _endpoints(self) -> Metric:
         family = GaugeMetricFamily(
             "azurefold_gateway_endpoints",
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -109,6 +109,9 @@
         gone.
     store_returns : int
         How often it has.
+    coordinator_stalls : Counter of str
+        How often this gateway gave its coordination up as a loop of it made no
+        progress, by reason.
     """
 
     settings: GatewaySettings
@@ -138,6 +141,7 @@
     demand_changed: Event = field(default_factory=Event)
     store_returned: Event = field(default_factory=Event)
     store_returns: int = 0
+    coordinator_stalls: Counter = field(default_factory=Counter)
     _version: int = 0
     _version_at_start: int = 0
     _requested_at: Millis | None = None
--- a/src/azurefold_standins/order_ranks.py
+++ b/src/azurefold_standins/order_ranks.py
@@ -90,6 +90,12 @@
     def __post_init__(self) -> None:
         self.ranks = [ModelRank() for _ in range(self.size)]
 
+    @property
+    def is_held(self) -> bool:
+        """Whether a rank holds a pass that has not begun."""
+        steps = (rank.held for rank in self.ranks if rank.held is not None)
+        return any(step > self.step for step in steps)
+
     def begin_pass(self) -> bool:
         """Begin the next pass and return whether it was not held.
 
--- a/tests/gateway/test_a_coordinator_takes_over_at_once.py
+++ b/tests/gateway/test_a_coordinator_takes_over_at_once.py
@@ -42,7 +42,7 @@
     state = new_gateway_state(settings, manual_clock(time))
     service = RoutedService("drafts", 100, ENGINE)
     state.apply(RoutingConfiguration(version=1, services={"drafts": service}))
-    return new_coordinator(state, store, 1, 0, lambda: (0, 0))
+    return new_coordinator(state, store, 1, 0, lambda: (1, 1))
 
 
 def test_the_first_try_after_a_silence_succeeds(coordinator, store):
