Take ranks of unknown groups for down while all known groups are

Cause: a coordinator's status names the ranks that it reaches. A gateway that has just started knows of no other, so 24 ranks seemed to be of a group nobody had told of, and usable. The pool was not wholly down, so neither the rule for outages nor the pause of the queue's rate applied.

Ruled out: gateways beyond the cut (they mark all 72), entries that lapsed (those that had heard of the whole group marked 71 of 71, then 48 of 48).

Figures: the test fails on the code before.

--- a/src/azurefold/core/routing/rank_groups.py
+++ b/src/azurefold/core/routing/rank_groups.py
@@ -206,8 +206,19 @@
         return True
 
     def is_down(self, endpoint: str) -> bool:
-        """Whether an endpoint's group is known to be down."""
-        state = self._states.get(self.group_of(endpoint))
+        """Whether an endpoint's group is known to be down.
+
+        A rank that no status has named counts as down while all known groups are: a
+        node that has just started hears only of the ranks that the coordinator reaches.
+        """
+        group = self.group_of(endpoint)
+        known = set(self._group_of.values())
+        if group == _UNKNOWN_GROUP and known:
+            return all(map(self._is_group_down, known))
+        return self._is_group_down(group)
+
+    def _is_group_down(self, group: int) -> bool:
+        state = self._states.get(group)
         return state is not None and state.down_since is not None
 
     def forming_since(self, endpoints: Iterable[str]) -> Millis | None:
--- a/tests/core/routing/test_rank_groups.py
+++ b/tests/core/routing/test_rank_groups.py
@@ -50,6 +50,21 @@
     assert all(map(groups.is_down, ALL))
 
 
+def test_ranks_that_no_status_names_are_down_with_all_known_groups():
+    """Requests wait for ranks of a group that a node has learned of in an outage."""
+    groups = RankGroups()
+    groups.update_status(status_of(11, 1, Standing.DOWN, FIRST), now=0)
+    assert all(map(groups.is_down, ALL))
+    groups.update_status(status_of(11, 2, Standing.RUNS, ALL), now=100)
+    assert not any(map(groups.is_down, ALL))
+
+
+def test_ranks_that_no_status_names_are_used_while_a_known_group_runs(groups):
+    groups.update_status(status_of(11, 1, Standing.DOWN, FIRST), now=1_000)
+    assert groups.is_down("a0")
+    assert not groups.is_down("c0")
+
+
 def test_event_of_a_later_request_ends_the_outage(groups):
     groups.record_refusal("a0", "a1", now=100)
     assert not groups.record_event("a1", sent_at=90, now=120)
