Do not take a stall of a group for a pass

Cause: the time between two events across the stall counted as a pass of 1.8 s, so that the limit fell to one request per rank until the smoothing had forgotten it, and passes were denied their short peaks for the 30 s after any late event.

A gap of half a second or more is now a stall if shorter ones came before it; two in a row are passes, as before. All streams of a group show the same stall.

--- a/src/azurefold/core/routing/pass_limit.py
+++ b/src/azurefold/core/routing/pass_limit.py
@@ -38,6 +38,12 @@
 _SMOOTHING_MS: Millis = 250
 """Time constant for smoothing passes and requests: about four passes."""
 
+_STALL_MS: Millis = 500
+"""Gap from which a group is taken to have stood still, as while it is held.
+
+No pass takes that long. Taken for a pass, such a gap would limit the group to one
+request per rank for a second after it runs again."""
+
 _MIN_OBSERVATION_INTERVAL_MS: Millis = 30
 """Shortest time between two observations of a group.
 
@@ -83,6 +89,8 @@
     _requests: float = 0.0
     _long_term_requests: float = 0.0
     _observed_at: Millis = 0
+    _stalled_until: Millis = -1_000_000
+    _has_passed_since_stall: bool = False
     _recent_costs: deque[tuple[Millis, float]] = field(default_factory=deque)
     _recent_gaps: deque[tuple[Millis, Millis]] = field(default_factory=deque)
     _group_mean: float = 0.0
@@ -113,6 +121,8 @@
             Mean number of requests at each rank known here.
         now : int
         """
+        if self._detect_stall(gap, now):
+            return
         if not self._observed_at:
             self._pass_ms, self._requests = float(gap), requests
             self._long_term_requests = requests
@@ -128,6 +138,21 @@
         self._record_cost(now)
         self._record_gap(gap, now)
 
+    def _detect_stall(self, gap: Millis, now: Millis) -> bool:
+        """Return whether the group stood still in ``gap``, which is then no pass.
+
+        All its streams show the same stall. Two long gaps in a row are passes.
+        """
+        if gap < _STALL_MS:
+            self._has_passed_since_stall = True
+            return False
+        is_same_stall = now - gap < self._stalled_until
+        if not is_same_stall and not self._has_passed_since_stall:
+            return False
+        if not is_same_stall:
+            self._stalled_until, self._has_passed_since_stall = now, False
+        return True
+
     def record_group_mean(self, group_mean: float, now: Millis) -> None:
         """Record the mean number of requests per rank of the group, about 1 s old."""
         if self.group_mean(now) is None:
--- a/tests/core/routing/test_pass_limit.py
+++ b/tests/core/routing/test_pass_limit.py
@@ -121,6 +121,39 @@
     assert limit.max_requests_per_rank(PROMISED_MS, SLOTS) == 1.0
 
 
+STALL_MS = 1_700
+
+
+def passes(limit, gap, begin, end):
+    for now in range(begin, end, gap):
+        limit.observe(gap, requests=3.0, now=now)
+
+
+def test_a_stall_is_not_taken_for_a_pass():
+    """Requests wait beside free slots for a second after a group was held."""
+    limit = PassLimit()
+    passes(limit, 60, 1_000, 3_000)
+    before = limit.max_requests_per_rank(PROMISED_MS, SLOTS, now=3_000)
+    for stream in range(5):
+        limit.observe(STALL_MS, requests=3.0, now=3_000 + STALL_MS + 5 * stream)
+    assert limit.max_requests_per_rank(PROMISED_MS, SLOTS, now=4_800) == before
+
+
+def test_each_stall_of_several_is_told_from_passes():
+    limit = PassLimit()
+    for began in range(1_000, 9_000, 4_000):
+        passes(limit, 60, began, began + 2_000)
+        limit.observe(STALL_MS, requests=3.0, now=began + 2_000 + STALL_MS)
+    assert limit.pass_ms == pytest.approx(60, abs=1)
+
+
+def test_long_gaps_in_a_row_are_passes():
+    limit = PassLimit()
+    passes(limit, 60, 1_000, 3_000)
+    passes(limit, 600, 3_600, 6_000)
+    assert limit.max_requests_per_rank(PROMISED_MS, SLOTS, now=6_000) == 1.0
+
+
 @pytest.fixture
 def pool():
     pool = Pool(PoolPolicy(reserved_share=0.0, sharing=ExchangedLoads(1)))
