Refuse nobody for a wait that was measured while a group stood still

What callers saw: in the same 1.7 s, and for a second after it, requests were refused at once for the wait they would have: the rate at which the queue drains had fallen to nothing, while the group was about to run.

While no event comes for half a second although requests are in flight, the queue is treated as in an outage: requests wait until their own deadline, and no rate is measured (group_stalled, group_moves). core/admission/stall.py answers this load: coordinators that freeze, die or are cut off in the middle of a change.

--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -149,6 +149,7 @@
     def _place(self) -> Chosen | Failure:
         """Wait for an endpoint for the first attempt."""
         admission = self.service.admission
+        self.service.check_stall(self.state.clock.now())
         if admission.pool.paused:
             now = self.state.clock.now()
             pool = admission.pool
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -155,6 +155,7 @@
     def _send(self) -> None:
         self.progress.dispatched = True
         self._sent_at = self.state.clock.now()
+        self.service.request_sent(self._sent_at)
         try:
             self._link.sock.sendall(self._request_bytes())
         except OSError as error:
--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from azurefold.core.admission.queue import FairQueue, QueuePolicy
+from azurefold.core.admission.stall import StallMonitor
 from azurefold.core.attempts.events import EventGapMonitor
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.registry import EndpointEntry
@@ -89,6 +90,8 @@
     _limits: dict[int, PassLimit] = field(default_factory=dict)
     _limit_logged_at: dict[int, Millis] = field(default_factory=dict)
     _names: dict[int, str] = field(default_factory=dict)
+    _stall_monitor: StallMonitor = field(default_factory=StallMonitor)
+    _is_stalled: bool = False
     _quota_news: QuotaNews = field(init=False)
     _endpoint_notices: EndpointNotices = field(init=False)
 
@@ -162,9 +165,37 @@
 
     def group_served(self, endpoint: str, sent_at: Millis, now: Millis) -> None:
         """Note an event of a request that was sent to a rank at ``sent_at``."""
+        self._stall_monitor.record_event(now)
+        self.check_stall(now)
         if self.groups.record_event(endpoint, sent_at, now):
             self._pause_groups("rank_served")
 
+    def request_sent(self, now: Millis) -> None:
+        """Note that a request was sent to an endpoint."""
+        self._stall_monitor.record_dispatch(now)
+
+    def check_stall(self, now: Millis) -> None:
+        """Refuse no request for its expected wait while the groups stand still."""
+        if not self.is_group:
+            return
+        if not self.admission.pool.in_flight:
+            self._stall_monitor.record_idle()
+        is_stalled = self._stall_monitor.is_stalled(now)
+        if is_stalled == self._is_stalled:
+            return
+        self._is_stalled = is_stalled
+        log_event(
+            _log,
+            "group_stalled" if is_stalled else "group_moves",
+            service=self.view.name,
+            in_flight=self.admission.pool.in_flight,
+            waiting=self.admission.waiting,
+        )
+        if is_stalled:
+            self.admission.queue.pause(now)
+        else:
+            self.admission.resume()
+
     def first_event(self, taken: Millis) -> None:
         """Take in the time from sending a request to its first event or answer."""
         self.usual_first_ms += _FIRST_SMOOTHING * (taken - self.usual_first_ms)
@@ -256,6 +287,7 @@
 
     def tick(self) -> None:
         """Look at what time changes; call it a few times a second."""
+        self.check_stall(self.admission.clock.now())
         self.admission.tick()
         self._quota_news.log_parts()
 
--- a/tests/gateway/group_world.py
+++ b/tests/gateway/group_world.py
@@ -48,6 +48,7 @@
     last_at: int = 0
     events: int = 0
     longest_gap: int = 0
+    is_refused: bool = False
 
     @property
     def is_on_time(self):
@@ -101,6 +102,16 @@
             self._call()
             self.run(self.step_ms)
 
+    def stand_still(self, ms):
+        """Have the pass under way last for longer, as while the group is held."""
+        self._pass_ends += ms
+        self.run_group(ms)
+
+    def share_refused(self, since, until):
+        """Return the share of the streams asked for in a time that were refused."""
+        asked = [s for s in self.streams if since <= s.asked_at < until]
+        return sum(stream.is_refused for stream in asked) / len(asked)
+
     def share_on_time(self, since=0):
         """Return the share of the streams that were on time, of those asked for."""
         settled = self.time.at - LONGEST_WAIT_MS - 2 * EVENTS_PER_STREAM * FIXED_MS
@@ -128,6 +139,7 @@
 
     def _send_event(self, stream, now):
         service = self._service_of(stream.gateway)
+        service.group_served(stream.endpoint, stream.sent_at, now)
         stream.events += 1
         if stream.first_at is None:
             stream.first_at = now
@@ -164,6 +176,7 @@
 
     def _ask_for(self, stream):
         service = self._service_of(stream.gateway)
+        service.check_stall(self.time.at)
         on_time_by = stream.asked_at + OBJECTIVE_MS - round(service.usual_first_ms)
         organisation = f"o{self._callers.randrange(ORGANISATIONS)}"
         ticket = Ticket(
@@ -177,7 +190,9 @@
         chosen = service.admission.acquire(ticket)
         if isinstance(chosen, Failure):
             self.refused += 1
+            stream.is_refused = True
             return
+        service.request_sent(self.time.at)
         stream.endpoint, stream.sent_at = chosen.endpoint, self.time.at
         self._at_rank.setdefault(chosen.endpoint, []).append(stream)
 
--- a/tests/gateway/test_waits_beside_free_slots.py
+++ b/tests/gateway/test_waits_beside_free_slots.py
@@ -10,6 +10,8 @@
 BALANCED_SKEW, JUMPED_SKEW = 1.2, 1.9
 JUMP_EVERY_MS, UNTIL_NEXT_MAP_MS = 4_200, 1_500
 
+STALL_MS, AFTER_STALL_MS = 1_700, 1_500
+
 SHARE_ON_TIME = 0.95
 """What callers are promised at the target size."""
 
@@ -55,3 +57,14 @@
         site.skew = BALANCED_SKEW
         site.run_group(JUMP_EVERY_MS - UNTIL_NEXT_MAP_MS)
     assert site.share_on_time(since=began + WARM_UP_MS) >= SHARE_ON_TIME
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_group_that_stood_still_takes_requests_at_once(seed):
+    """Guards against limits and expected waits that were measured in a stall."""
+    site = new_site(31, 64, 40.0, 72, seed)
+    site.run_group(WARM_UP_MS)
+    site.stand_still(STALL_MS)
+    runs_again = site.time.at
+    site.run_group(AFTER_STALL_MS)
+    assert site.share_refused(runs_again, runs_again + AFTER_STALL_MS) <= 0.1
