--- a/src/azurefold/gateway/service_state.py
+++ b/src/azurefold/gateway/service_state.py
@@ -193,7 +193,8 @@
         )
         if is_stalled:
             self.admission.queue.pause(now)
-        else:
+        elif not self.admission.pool.is_unavailable:
+            # In an outage no request is in flight either, and the queue stays paused.
             self.admission.resume()
 
     def first_event(self, taken: Millis) -> None:
--- a/tests/gateway/test_requests_go_to_groups_that_run.py
+++ b/tests/gateway/test_requests_go_to_groups_that_run.py
@@ -14,6 +14,7 @@
 
 from azurefold.core.admission.outage import max_retry_after
 from azurefold.core.routes.model import AnswerKind
+from azurefold.core.routing.messages import Cancelled
 from azurefold.core.routing.peer_loads import endpoint_hash
 from azurefold.core.routing.rank_groups import GroupStatus, Standing
 from azurefold.gateway.callers.relay import Relay
@@ -136,3 +137,19 @@
     state.is_cut_off = True
     [given_up] = parts_of(relay)
     assert given_up.failure.retry_after_ms == max_retry_after(TIMEOUT_MS)
+
+
+def test_a_stall_that_becomes_an_outage_keeps_the_queue_paused(relay, state, time):
+    """Who waits for a group is refused for a wait measured while it is down."""
+    service = state.services["desk"]
+    ticket = relay._ticket()
+    chosen = service.admission.acquire(ticket)
+    service.request_sent(time.at)
+    time.at += 1_500
+    service.check_stall(time.at)
+    for rank in (*FIRST, *SECOND):
+        service.rank_refused(rank, "10.9.9.9:80", time.at)
+    service.admission.finished(chosen.endpoint, ticket.request_id, Cancelled())
+    service.check_stall(time.at)
+    assert service.admission.pool.is_unavailable
+    assert service.admission.queue._is_paused
