--- a/src/azurefold/gateway/groups/rank_calls.py
+++ b/src/azurefold/gateway/groups/rank_calls.py
@@ -154,7 +154,6 @@
             # find no free greenlet and wait for the next one.
             self._workers.discard(gevent.getcurrent())
             place.give_up()
-            self._start_worker()
 
     def _give_up_place(self) -> None:
         self._places_taken = max(0, self._places_taken - 1)
