Revert "Let calls to ranks that wait for their answers give their place to others"

Waiting for the timeouts of others kept such changes from their hold. What should keep them from it is the share of orders that are seen to get lost; that is open.

--- a/src/azurefold/gateway/groups/rank_calls.py
+++ b/src/azurefold/gateway/groups/rank_calls.py
@@ -21,13 +21,6 @@
 """A group of 16 is asked at once; 72 calls at once would hold up a gateway's
 streams for 50 ms."""
 
-_PLACE_MS: Millis = 40
-"""For which a call counts among those at once. Most answers come within 10 ms; a call
-that still waits then takes no processor time from streams."""
-
-_MOST_CALLS = 256
-"""Calls that run or wait for their answers."""
-
 _ASK_ALL_TIMEOUT_MS: Millis = 4_000
 """For 192 ranks of which none answers within its call's own timeout."""
 
@@ -36,27 +29,6 @@
 _Answer = TypeVar("_Answer")
 
 
-class _Place:
-    """One of the calls at once; given up by itself when its call takes long."""
-
-    def __init__(self, calls: "RankCalls") -> None:
-        self._calls = calls
-        self._timer = gevent.get_hub().loop.timer(_PLACE_MS / _SECOND_MS)
-        self.is_held = True
-
-    def keep(self) -> None:
-        """Begin the time of another call."""
-        self._timer.stop()
-        self._timer.start(self.give_up, update=True)
-
-    def give_up(self) -> None:
-        """Let another call begin; nothing if one was let before."""
-        self._timer.stop()
-        if self.is_held:
-            self.is_held = False
-            self._calls._give_up_place()
-
-
 @dataclass(slots=True)
 class RankCalls:
     """Clients of the ranks by endpoint, and the calls under way.
@@ -70,7 +42,6 @@
     _orders: deque[Callable[[], None]] = field(default_factory=deque)
     _questions: deque[Callable[[], None]] = field(default_factory=deque)
     _workers: set[gevent.Greenlet] = field(default_factory=set)
-    _places_taken: int = 0
 
     def client(self, endpoint: str, address: str) -> RankClient:
         """Return the client of an endpoint."""
@@ -91,7 +62,8 @@
             Orders go before questions: a group may be held until they are answered.
         """
         (self._orders if is_order else self._questions).append(call)
-        self._start_worker()
+        if len(self._workers) < _CALLS_AT_ONCE:
+            self._workers.add(gevent.spawn(self._work))
 
     def ask_all(
         self, clients: Iterable[RankClient], question: Callable[[RankClient], _Answer]
@@ -131,33 +103,17 @@
         self._questions.clear()
         gevent.killall(list(self._workers), block=False)
         self._workers.clear()
-        self._places_taken = 0
         self.keep_only(())
 
-    def _start_worker(self) -> None:
-        has_calls = self._orders or self._questions
-        has_place = self._places_taken < _CALLS_AT_ONCE
-        if has_calls and has_place and len(self._workers) < _MOST_CALLS:
-            self._places_taken += 1
-            self._workers.add(gevent.spawn(self._work))
-
     def _work(self) -> None:
-        """Make calls until there are none, or one has waited too long."""
-        place = _Place(self)
         try:
-            while (self._orders or self._questions) and place.is_held:
+            while self._orders or self._questions:
                 queue = self._orders or self._questions
-                place.keep()
                 self._make(queue.popleft())
         finally:
             # At once, not by a link: a call submitted before the link has run would
             # find no free greenlet and wait for the next one.
             self._workers.discard(gevent.getcurrent())
-            place.give_up()
-
-    def _give_up_place(self) -> None:
-        self._places_taken = max(0, self._places_taken - 1)
-        self._start_worker()
 
     def _make(self, call: Callable[[], None]) -> None:
         try:
