Let repeated resignations not delay the takeover

What callers would see: a group held for six seconds after its coordinator gave the row up, until that one may take it again.

Cause: a resignation is repeated in each message, and each one started the takeover delay anew.

The test fails on the code before for places 1 and 7.

--- a/src/azurefold/core/groups/leadership.py
+++ b/src/azurefold/core/groups/leadership.py
@@ -103,6 +103,7 @@
     _waiting_since: Millis = 0
     _has_heartbeat: bool = False
     _is_leader_changing: bool = False
+    _resigned_term: int = 0
     _retry_at: Millis = 0
 
     @property
@@ -127,10 +128,16 @@
         return has_lost_term
 
     def on_resignation(self, heartbeat: LeaderHeartbeat, now: Millis) -> None:
-        """Handle the resignation of the leader that sent ``heartbeat``."""
-        if heartbeat.term >= self.term and not self._is_leader:
-            self.term = heartbeat.term
-            self._waiting_since = now - self.policy.heartbeat_timeout
+        """Handle the resignation of the leader that sent ``heartbeat``.
+
+        It is repeated in each message. Only the first one starts the takeover delay;
+        otherwise a node later in the takeover order would wait for ever.
+        """
+        is_repeated = heartbeat.term <= self._resigned_term
+        if is_repeated or heartbeat.term < self.term or self._is_leader:
+            return
+        self.term = self._resigned_term = heartbeat.term
+        self._waiting_since = now - self.policy.heartbeat_timeout
 
     def should_take_over(self, now: Millis) -> bool:
         """Whether this node should try to replace the row."""
--- a/tests/core/groups/test_leadership.py
+++ b/tests/core/groups/test_leadership.py
@@ -100,6 +100,19 @@
     assert second_node.should_take_over(1_100 + second_node.policy.stagger)
 
 
+@pytest.mark.parametrize("position", [0, 1, 7])
+def test_repeated_resignations_do_not_delay_the_takeover(position):
+    """A group stays held for six seconds, until who resigned may take over again."""
+    node = Leadership("n2", position=position)
+    node.on_heartbeat(LeaderHeartbeat("n1", 4), now=1_000)
+    due = 1_000 + position * node.policy.stagger
+    for now in range(1_000, due, 50):
+        node.on_resignation(LeaderHeartbeat("n1", 4), now)
+        assert not node.should_take_over(now)
+    node.on_resignation(LeaderHeartbeat("n1", 4), due)
+    assert node.should_take_over(due)
+
+
 def test_a_leader_that_resigned_backs_off(second_node):
     second_node.on_row_acquired(5, sent_at=0)
     second_node.resign(now=100)
