Log which parts of a prompt an endpoint crashed under, and whether its answer had begun

The record's lines endpoint_crashed could not tell whether requests that are unlike share a part of their prompts, nor which of those that ran beside each other had begun to be answered at that endpoint (passed counts the events of all attempts). Both are in the line now. No decision uses them yet.

The shared parts are read in the adapter: all but the last, at most 64.

--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -104,6 +104,7 @@
     _link: Link | None = None
     _outcome: Outcome = Cancelled()
     _sent_at: Millis = 0
+    _has_begun: bool = False
 
     @property
     def id(self) -> str:
@@ -199,6 +200,7 @@
             if not events:
                 continue
             now = self.state.clock.now()
+            self._has_begun = True
             pool.record_first_token(self.endpoint, self.id, now)
             if self.service.is_group:
                 self.service.group_served(self.endpoint, self._sent_at, now)
@@ -256,7 +258,14 @@
             self._link = None
 
     def _crash_check(self, entry: EndpointEntry) -> CrashCheck:
-        return CrashCheck(self.call, self.state, self.service, entry, self._sent_at)
+        return CrashCheck(
+            self.call,
+            self.state,
+            self.service,
+            entry,
+            self._sent_at,
+            self._has_begun,
+        )
 
     def _failed(self, event: str, detail: str, *, sent: bool) -> Event:
         self._outcome = Failed()
--- a/src/azurefold/gateway/endpoints/crash_check.py
+++ b/src/azurefold/gateway/endpoints/crash_check.py
@@ -33,6 +33,8 @@
         Entry of the endpoint at the time the request was sent.
     sent_at : int
         Time at which the request was sent.
+    has_begun : bool
+        Whether events of the answer had arrived from this endpoint.
     """
 
     call: Call
@@ -40,6 +42,7 @@
     service: GatewayService
     entry: EndpointEntry
     sent_at: Millis
+    has_begun: bool
 
     def run(self) -> None:
         """Log and count a crash if the endpoint refuses a new connection."""
@@ -66,6 +69,9 @@
             address=self.entry.address,
             request=self.call.id,
             identity=f"{self.call.identity:016x}",
+            parts=",".join(f"{part:x}" for part in self.call.head.shared_parts)
+            or "none",
+            begun=self.has_begun,
             after_ms=self.state.clock.now() - self.sent_at,
             planned=is_planned,
         )
--- a/src/azurefold/platform/headers.py
+++ b/src/azurefold/platform/headers.py
@@ -49,6 +49,10 @@
 
 _TRUE = "1"
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?")
+_MOST_PARTS = 64
+"""Shared parts of one prompt that are read, so that a long header takes no memory."""
+
+_HEXADECIMAL = re.compile(r"[0-9a-fA-F]{1,16}")
 _LONGEST_SHOWN = 40
 """Characters of what cannot be read, for a log line."""
 
@@ -97,6 +101,9 @@
         0 where the caller does not say.
     forwarded : tuple of (str, str)
         Headers that go to the endpoint as they came.
+    shared_parts : tuple of int
+        Unsigned 64-bit ids of the parts of its prompt that other prompts may have,
+        too, each once, in their order.
     """
 
     attempt_id: str
@@ -107,6 +114,7 @@
     prompt_tokens: int
     answer_tokens: int
     forwarded: tuple[tuple[str, str], ...]
+    shared_parts: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +180,7 @@
         prompt_tokens=prompt,
         answer_tokens=answer,
         forwarded=_forwarded(pairs),
+        shared_parts=_shared_parts(by_name.get("prefix-hash", "")),
     )
 
 
@@ -307,3 +316,20 @@
 def _token_counts(text: str) -> tuple[int, int]:
     prompt, _, answer = text.partition(",")
     return _whole_number(prompt.strip()) or 0, _whole_number(answer.strip()) or 0
+
+
+def _shared_parts(text: str) -> tuple[int, ...]:
+    """Return the ids of all parts but the last, which is the request's own.
+
+    Entries that cannot be read are left out: they serve only to tell prompts apart.
+
+    Examples
+    --------
+    >>> _shared_parts("0a:800,1b:410,ff:250")
+    (10, 27)
+    >>> _shared_parts("ff:250")
+    ()
+    """
+    *shared, _ = text.split(",", _MOST_PARTS)
+    ids = (entry.partition(":")[0].strip() for entry in shared)
+    return tuple(dict.fromkeys(int(i, 16) for i in ids if _HEXADECIMAL.fullmatch(i)))
--- a/tests/gateway/test_crashes_are_told_apart.py
+++ b/tests/gateway/test_crashes_are_told_apart.py
@@ -1,16 +1,25 @@
 """Crashed endpoints are distinguished from those that only close a connection."""
 
+import contextlib
 import logging
 import socket
+from dataclasses import replace
 
 import pytest
-from tests.gateway.test_relays_answer_truthfully import BROKEN, parts_of, relay_of
+from tests.gateway.test_relays_answer_truthfully import (
+    BROKEN,
+    EVENT,
+    answer,
+    parts_of,
+    relay_of,
+)
 
 from azurefold.core.clock import ManualTime, manual_clock
 from azurefold.core.routes.model import AnswerKind
-from azurefold.gateway.callers.calls import CallerGoneError
+from azurefold.gateway.callers.calls import CallerGoneError, CutOffError
 from azurefold.gateway.endpoints.connections import EndpointLinks
 from azurefold.gateway.endpoints.reply import BrokenReplyError
+from azurefold.platform.headers import read_request
 
 
 @pytest.fixture
@@ -112,3 +121,23 @@
     script.append(BrokenReplyError("silent", begun=False))
     parts_of(relay_of(state, AnswerKind.NON_IDEMPOTENT))
     assert not checked
+
+
+@pytest.mark.parametrize(("pieces", "begun"), [((), False), ((EVENT % 1,), True)])
+def test_a_crash_is_logged_with_the_parts_of_the_prompt(
+    state, monkeypatch, checked, caplog, pieces, begun
+):
+    """Guards against logs that do not tell which prompts crash endpoints."""
+    relay = relay_of(state, AnswerKind.STREAMING, max_attempts=1)
+    head = read_request([("Attempt-Id", "a1"), ("Prefix-Hash", "0a:800,1b:41,ff:25")])
+    relay.call = replace(relay.call, head=head)
+    monkeypatch.setattr(
+        "azurefold.gateway.endpoints.attempt.read_reply",
+        lambda link, method: answer(pieces=[*pieces, BROKEN]),
+    )
+    with (
+        caplog.at_level(logging.INFO, "azurefold.gateway"),
+        contextlib.suppress(CutOffError),
+    ):
+        parts_of(relay)
+    assert f"parts=a,1b begun={begun}" in caplog.text
