--- a/tests/gateway/crash_world.py
+++ b/tests/gateway/crash_world.py
@@ -67,6 +67,7 @@
     body: bytes
     endpoint: str
     is_excused: bool
+    parts: frozenset[int] = frozenset()
 
 
 class _StubNews:
@@ -82,9 +83,15 @@
     gateway: Gateway
     endpoint: str
     body: bytes = b""
+    parts: frozenset[int] = frozenset()
 
     def sendall(self, data):
-        self.body = data.partition(b"\r\n\r\n")[2]
+        head, _, self.body = data.partition(b"\r\n\r\n")
+        for line in head.decode().splitlines():
+            name, _, value = line.partition(": ")
+            if name == "Prefix-Hash":
+                ids = [int(each.partition(":")[0], 16) for each in value.split(",")]
+                self.parts = frozenset(ids[:-1])
         self.site.arrive(self)
 
     def close(self):
@@ -121,8 +128,10 @@
     delay_ms: tuple[int, int] = (1, 3)
     time: ManualTime = field(default_factory=lambda: ManualTime(at=100_000))
     crashing: set[bytes] = field(default_factory=set)
+    crashing_parts: set[int] = field(default_factory=set)
     arrivals: list[Arrival] = field(default_factory=list)
     crashes: list[tuple[int, bytes]] = field(default_factory=list)
+    part_crashes: list[tuple[int, frozenset[int]]] = field(default_factory=list)
     by_name: dict[str, Gateway] = field(default_factory=dict)
     running: dict[str, str] = field(default_factory=dict)
 
@@ -151,11 +160,17 @@
                     changed.clear()
                     gateway.peers.exchange.send()
 
-    def open(self, name, body):
-        """Send a request and return the first and the remaining parts of its answer."""
+    def open(self, name, body, parts=()):
+        """Send a request and return the first and the remaining parts of its answer.
+
+        Its prompt has the shared ``parts`` and one of its own behind them.
+        """
         gateway = self.by_name[name]
         number, now = next(self._numbers), self.time.at
-        head = read_request([("Attempt-Id", f"a{number}"), ("Host", "h")])
+        prefix = ",".join(f"{part:x}:40" for part in (*parts, 2**32 + number))
+        head = read_request(
+            [("Attempt-Id", f"a{number}"), ("Host", "h"), ("Prefix-Hash", prefix)]
+        )
         call = Call(
             "POST", "/r/x", body, head, ROUTE, SERVICE, "o", 1, now, now + TIMEOUT_MS, 1
         )
@@ -163,10 +178,10 @@
         parts = Relay(call, gateway.state, service).run()
         return next(parts), parts
 
-    def send(self, name, body):
+    def send(self, name, body, parts=()):
         """Send a request to a gateway and return the first part of its answer."""
-        first, parts = self.open(name, body)
-        finish(parts)
+        first, rest = self.open(name, body, parts)
+        finish(rest)
         return first
 
     def restart(self, name):
@@ -207,11 +222,32 @@
             for each in self.arrivals
         )
 
+    def sent_after_fifth_crash(self, part):
+        """Return how often prompts with a part reached endpoints after its fifth crash.
+
+        Requests within ``STABLE_MS`` of that crash, and through exempt gateways, are
+        not counted.
+        """
+        crashes = [at for at, parts in self.part_crashes if part in parts]
+        if len(crashes) < 5:
+            return 0
+        since = crashes[4] + STABLE_MS
+        return sum(
+            part in each.parts and each.at > since and not each.is_excused
+            for each in self.arrivals
+        )
+
     def arrive(self, connection):
         """Record a request that reached an endpoint."""
         excused = connection.gateway.excused_until > self.time.at
         self.arrivals.append(
-            Arrival(self.time.at, connection.body, connection.endpoint, excused)
+            Arrival(
+                self.time.at,
+                connection.body,
+                connection.endpoint,
+                excused,
+                connection.parts,
+            )
         )
 
     def reply(self, link, method):
@@ -221,6 +257,10 @@
             self.crashes.append((self.time.at, connection.body))
             self.crash(connection.endpoint)
             raise BrokenReplyError("closed", begun=False)
+        if deadly := connection.parts & self.crashing_parts:
+            self.part_crashes.append((self.time.at, deadly))
+            self.crash(connection.endpoint)
+            raise BrokenReplyError("closed", begun=False)
         reply = answer(pieces=[EVENT % 1, EVENT % 2], attempt_id="")
         take_piece = reply.next_bytes
 
