Find the part of prompts that crashes endpoints, and refuse prompts that have it

Cause: crashes were counted by a digest of the whole request, so each crash was the first of its request.

Why this works: what a crash interrupted before its answer began makes suspects of its parts, an answer that begins clears them, and the fewest parts that explain the crashes are held back. Neighbours that cannot be told from the cause are tried, one at a time over all gateways.

Ruled out: counting by part without clearing (refuses whatever is popular), and refusing each part with enough crashes (refuses a first part that is always beside the crashing one).

--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -15,7 +15,6 @@
     decide_during_outage,
     max_retry_after,
 )
-from azurefold.core.attempts.crashes import CRASHES_ENDPOINTS
 from azurefold.core.attempts.outcome import Failure, RunStatus
 from azurefold.core.attempts.request_state import DispatchAgain, Fail, RequestState
 from azurefold.core.clock import Millis
@@ -30,6 +29,7 @@
     GivenUp,
     Part,
 )
+from azurefold.gateway.callers.quarantine import Restriction, refusal, restriction_on
 from azurefold.gateway.endpoints.attempt import Attempt, Progress
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
@@ -54,7 +54,6 @@
 anything: those to an endpoint out of reach, or to a rank whose group is down."""
 
 _OUTAGES = (Unavailable.GROUPS_DOWN.value, Unavailable.OUT_OF_REACH.value)
-_DETAIL_CRASHES = "The request was not run: endpoints that ran it crashed."
 _DETAIL_DEADLINE = "No answer came in time."
 
 
@@ -65,7 +64,6 @@
     ATTEMPTS_USED = "attempts_used"
     NO_TIME_LEFT = "no_time_left"
     BUDGET_SPENT = "budget_spent"
-    CRASHES_ENDPOINTS = CRASHES_ENDPOINTS
 
 
 @dataclass(slots=True)
@@ -120,10 +118,8 @@
             self._log_end()
 
     def _run(self) -> Iterator[Part]:
-        if self._is_quarantined():
-            yield self._give_up(
-                Failure(RunStatus.NOT_RUN, CRASHES_ENDPOINTS, _DETAIL_CRASHES)
-            )
+        if restriction := restriction_on(self.call, self.state):
+            yield self._give_up(refusal(restriction))
             return
         placed = self._place()
         self._queued_ms = self.state.clock.now() - self.call.arrived
@@ -182,26 +178,6 @@
         request = OutageRequest(self.call.deadline - now, self.call.route.timeout_ms)
         return decide_during_outage(request, self.service.forms_in(now))
 
-    def _is_quarantined(self) -> bool:
-        """Whether the request is quarantined; if so, log that it is refused."""
-        now = self.state.clock.now()
-        quarantine = self.state.crashes.get_quarantine(self.call.identity, now)
-        if quarantine is None:
-            return False
-        log_event(
-            _log,
-            "request_quarantined",
-            logging.WARNING,
-            request=self.call.id,
-            identity=f"{self.call.identity:016x}",
-            service=self.call.service,
-            crashes=quarantine.crashes,
-            age_ms=now - quarantine.since,
-            left_ms=quarantine.until - now,
-            attempts=self.attempts,
-        )
-        return True
-
     def _ticket(self, awaits_group_ms: Millis = 0) -> Ticket:
         call = self.call
         now = self.state.clock.now()
@@ -253,7 +229,7 @@
         )
         return denial is None
 
-    def _retry_denial(self, budget_left: float) -> _RetryDenial | None:
+    def _retry_denial(self, budget_left: float) -> _RetryDenial | Restriction | None:
         """Return what forbids another attempt; None if nothing does.
 
         The budget is asked here and charged when the attempt is sent. Between the two
@@ -261,8 +237,8 @@
         who wait would be sent within a window that their charges had left. An
         endpoint that was out of reach got nothing, so the next one is not a repeat.
         """
-        if self._is_quarantined():
-            return _RetryDenial.CRASHES_ENDPOINTS
+        if restriction := restriction_on(self.call, self.state):
+            return restriction
         # All ranks of a group stop together: another one would refuse as well.
         is_unavailable = self.service.admission.pool.is_unavailable
         if is_unavailable and isinstance(self._in_outage(), RefuseRequest):
@@ -304,7 +280,7 @@
             self._progress.result = "endpoint_error"
             return self._progress.own_answer
         self._progress.result = f"refused_{failure.reason}"
-        if failure.reason == CRASHES_ENDPOINTS:
+        if failure.reason == Restriction.QUARANTINED:
             # A retry would crash another endpoint, so no Retry-After is sent.
             failure = replace(failure, retry_after_ms=None)
         elif self.service.admission.pool.is_unavailable or self.state.is_cut_off:
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from azurefold.core.attempts.crashes import CRASHES_ENDPOINTS
 from azurefold.core.attempts.events import EventSplitter, EventTiming
 from azurefold.core.attempts.outcome import RunStatus
 from azurefold.core.attempts.request_state import EndpointFailed, Event, NotDispatched
@@ -27,6 +26,7 @@
     Part,
     Piece,
 )
+from azurefold.gateway.callers.quarantine import restriction_on, take_trial
 from azurefold.gateway.endpoints.connections import Link
 from azurefold.gateway.endpoints.crash_check import CrashCheck
 from azurefold.gateway.endpoints.reply import BrokenReplyError, Reply, read_reply
@@ -116,11 +116,9 @@
         entry = self.service.entries.get(self.endpoint)
         if entry is None:
             return NotDispatched("endpoint_gone")
-        if self.state.crashes.get_quarantine(
-            self.call.identity, self.state.clock.now()
-        ):
+        if restriction := restriction_on(self.call, self.state):
             # Endpoints may have crashed while the request was queued.
-            return NotDispatched(CRASHES_ENDPOINTS)
+            return NotDispatched(restriction)
         fresh = not self.call.route.is_safe_to_rerun
         try:
             links = self.state.links
@@ -133,6 +131,8 @@
             # The endpoint may have refused another request during connection setup.
             self.progress.free_refusals += 1
             return NotDispatched("endpoint_backoff")
+        if restriction := take_trial(self.call, self.state):
+            return NotDispatched(restriction)
         if self.progress.dispatched and not self.service.admission.try_retry():
             return NotDispatched("retry_budget_spent")
         try:
@@ -186,6 +186,8 @@
 
     def _whole(self, reply: Reply) -> Iterator[Part]:
         body = reply.whole_body()
+        if _OK <= reply.head.status < _REDIRECT:
+            self._note_begun(self.state.clock.now())
         self._done(reply, Answered())
         self.progress.result = f"answered_{reply.head.status}"
         yield Begun(reply.head.status, reply.head.forwarded, body)
@@ -200,7 +202,7 @@
             if not events:
                 continue
             now = self.state.clock.now()
-            self._has_begun = True
+            self._note_begun(now)
             pool.record_first_token(self.endpoint, self.id, now)
             if self.service.is_group:
                 self.service.group_served(self.endpoint, self._sent_at, now)
@@ -218,6 +220,11 @@
             yield Begun(reply.head.status, reply.head.forwarded, b"")
         return None
 
+    def _note_begun(self, now: Millis) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self.state.crashing_parts.record_begun(self.call.head.shared_parts, now)
+
     def _server_error(self, reply: Reply) -> Event:
         body = reply.whole_body()
         self._done(reply, Failed())
--- a/src/azurefold/gateway/endpoints/crash_check.py
+++ b/src/azurefold/gateway/endpoints/crash_check.py
@@ -60,7 +60,9 @@
     def _report_crash(self) -> None:
         is_planned = self._is_planned
         if not is_planned:
-            self.state.note_crash(self.call.identity, self.entry)
+            # Nothing in a prompt whose answer has begun crashes at its begin.
+            parts = () if self.has_begun else self.call.head.shared_parts
+            self.state.note_crash(self.call.identity, parts, self.entry)
         log_event(
             _log,
             "endpoint_crashed",
@@ -69,8 +71,7 @@
             address=self.entry.address,
             request=self.call.id,
             identity=f"{self.call.identity:016x}",
-            parts=",".join(f"{part:x}" for part in self.call.head.shared_parts)
-            or "none",
+            parts=self.call.head.parts_text,
             begun=self.has_begun,
             after_ms=self.state.clock.now() - self.sent_at,
             planned=is_planned,
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -50,6 +50,10 @@
         yield _gauge("crash_suspects", "Requests with crashes", crashes.size)
         quarantined = crashes.count_quarantined(state.clock.now())
         yield _gauge("quarantined_requests", "Requests that are refused", quarantined)
+        parts = state.crashing_parts
+        yield _gauge("crash_suspect_parts", "Parts of prompts with crashes", parts.size)
+        refused = parts.count_quarantined(state.clock.now())
+        yield _gauge("quarantined_parts", "Parts whose prompts are refused", refused)
         yield self._coordinator_stalls()
         yield self._endpoints()
         yield self._quotas()
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -23,6 +23,7 @@
     MOST_BYTES,
     CrashPortions,
     GroupPortions,
+    PartPortions,
     QuotaPortions,
     departed_marks,
     heaviest,
@@ -114,6 +115,8 @@
     _groups: GroupPortions = field(default_factory=GroupPortions)
     _quotas: QuotaPortions = field(default_factory=QuotaPortions)
     _crashes: CrashPortions = field(default_factory=CrashPortions)
+    _parts: PartPortions = field(default_factory=PartPortions)
+    _part_reports: int = 0
 
     @property
     def peers(self) -> dict[str, Peer]:
@@ -200,6 +203,7 @@
         rates = {mark: word.rate for mark, word in quotas.items()}
         is_waiting = self.state.is_waiting
         crashes = self.state.crashes
+        self._update_parts()
         configuration = self.state.configuration_freshness
         endpoints = self.state.endpoints_freshness
         departed = departed_marks(self.state.registry.departed)
@@ -216,6 +220,8 @@
         owes_reports = self._owes_quotas(now) or self._owes_crashes(now)
         to_all = at_once or owes_reports or self._owes_all(coordination, now)
         is_due = now - self._sent_at >= _QUIET_MS
+        if self.cell.count <= 1 and self._parts.is_behind:
+            is_due |= now - self._sent_at >= _LOOK_MS
         if told == self._sent and not is_due and not to_all:
             return
         self._sent, self._sent_at = told, now
@@ -223,7 +229,11 @@
             self._sent_to_all, self._sent_to_all_at = coordination, now
             self._sent_quotas_at = self._sent_crashes_at = now
         self._sequence += 1
-        crash_beats = self._crashes.next(crashes.build_reports(), now)
+        is_told_to_all = to_all or self.cell.count <= 1
+        part_beats = self._parts.next(now, is_counted=is_told_to_all)
+        crash_beats = self._crashes.next(
+            crashes.build_reports(), now, is_alone=not part_beats
+        )
         settings = self.state.settings
         message = PeerMessage(
             settings.name,
@@ -235,7 +245,7 @@
             coordination.term,
             coordination.ended_term,
             self._groups.next(coordination.groups, now),
-            heaviest(loads, len(crash_beats), len(departed)),
+            heaviest(loads, len(crash_beats), len(departed), part_beats),
             coordination.is_changing,
             self._quotas.next(quotas, now),
             self.state.has_callers,
@@ -244,6 +254,7 @@
             table_beat(configuration.watermark),
             table_beat(endpoints.watermark, departed),
             self.state.store_time.at(now),
+            part_beats,
         )
         data = self._fitting(message)
         hosts = self._hosts()
@@ -300,11 +311,20 @@
         """
         if self.cell.count <= 1:
             return False
-        crashes = self.state.crashes
-        if crashes.has_changed_locally_since(self._sent_crashes_at):
+        crashes, parts = self.state.crashes, self.state.crashing_parts
+        then = self._sent_crashes_at
+        if crashes.has_changed_locally_since(then) or parts.has_urgent_since(then):
             return True
-        is_due = now - self._sent_crashes_at >= _QUIET_MS
-        return is_due and crashes.has_changed_locally_since(now - _CRASH_REPEAT_MS)
+        if now - self._sent_crashes_at < _QUIET_MS:
+            return False
+        is_recent = crashes.has_changed_locally_since(now - _CRASH_REPEAT_MS)
+        return is_recent or self._parts.is_behind
+
+    def _update_parts(self) -> None:
+        tracker = self.state.crashing_parts
+        if tracker.changes != self._part_reports:
+            self._part_reports = tracker.changes
+            self._parts.update(tracker.build_reports(), tracker.take_urgent())
 
     def _share_quotas(self) -> None:
         """Deal the quotas of endpoints to gateways that have requests for them."""
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -161,6 +161,9 @@
         for beat in message.crashes:
             now = state.clock.now()
             state.crashes.merge(beat.identity, crash_report(beat, now), now)
+        for beat in message.parts:
+            now = state.clock.now()
+            state.crashing_parts.merge(beat.identity, crash_report(beat, sent), now)
         if message.endpoints is not None and message.endpoints.departed:
             state.endpoints_told_departed(message.endpoints.departed, message.node)
         news.merge_statements(
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -58,12 +58,12 @@
 
 
 class CrashBeat(msgspec.Struct, array_like=True, frozen=True):
-    """The crash report of one request, as it is sent.
+    """The crash report of one request or part of prompts, as it is sent.
 
     Parameters
     ----------
     identity : int
-        Identity of the request.
+        Identity of the request, or the part's id.
     answered : int or None
         Milliseconds since the last known answer.
     crashes : tuple of (int, int)
@@ -134,6 +134,8 @@
     sent_at : int or None
         Store's time when it was sent; None if the sender does not know that. The ages
         in the message are as of then.
+    parts : tuple of CrashBeat
+        Crash reports of some parts of prompts; others follow in later messages.
     """
 
     node: str
@@ -154,6 +156,7 @@
     configuration: TableBeat | None = None
     endpoints: TableBeat | None = None
     sent_at: Millis | None = None
+    parts: tuple[CrashBeat, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -4,10 +4,11 @@
 message tells a portion, and the next one goes on behind it.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import astuple, dataclass, field
 from heapq import nlargest
 from itertools import zip_longest
+from math import ceil
 
 import msgspec
 
@@ -29,6 +30,7 @@
     "MOST_BYTES",
     "CrashPortions",
     "GroupPortions",
+    "PartPortions",
     "QuotaPortions",
     "crash_report",
     "departed_marks",
@@ -55,6 +57,13 @@
 _LOADS_PER_CRASH_BEAT = 16
 """Number of loads omitted for each crash report to keep within ``MOST_BYTES``."""
 
+_MOST_PART_BYTES = 280
+_BYTES_OF_A_PART = 18
+_BYTES_OF_A_CRASH = 11
+_BYTES_OF_A_LOAD = 7
+_TIMES_TOLD = 3
+"""How often an urgent report is sent at once, as some messages may be lost."""
+
 _SETTLED_MS: Millis = 3_000
 """After this time without a change all that are there have heard of the ranks."""
 
@@ -74,7 +83,10 @@
 
 
 def heaviest(
-    loads: dict[int, int], crash_beats: int = 0, departed: int = 0
+    loads: dict[int, int],
+    crash_beats: int = 0,
+    departed: int = 0,
+    parts: tuple[CrashBeat, ...] = (),
 ) -> dict[int, int]:
     """Return the loads by endpoint that a message has room for, the largest.
 
@@ -85,8 +97,11 @@
         Number of crash reports in the same message.
     departed : int, default=0
         Number of departed endpoints in it.
+    parts : tuple of CrashBeat
+        Crash reports of parts of prompts in it.
     """
     most = _MOST_LOADS - crash_beats * _LOADS_PER_CRASH_BEAT - departed
+    most -= ceil(sum(map(_part_size, parts)) / _BYTES_OF_A_LOAD)
     if len(loads) <= most:
         return loads
     return dict(nlargest(most, loads.items(), key=lambda load: load[1]))
@@ -210,7 +225,11 @@
     _next: int = 0
 
     def next(
-        self, reports: Mapping[int, CrashReport], now: Millis
+        self,
+        reports: Mapping[int, CrashReport],
+        now: Millis,
+        *,
+        is_alone: bool = True,
     ) -> tuple[CrashBeat, ...]:
         """Return the next message's reports: the latest ones and another in rotation.
 
@@ -219,18 +238,71 @@
         reports : mapping of int to CrashReport
             By identity of the request, most recently changed first.
         now : int
+        is_alone : bool
+            Whether the message has no reports of parts of prompts.
         """
+        most = _MOST_CRASH_BEATS if is_alone else 1
         identities = list(reports)
-        chosen, others = (
-            identities[: _MOST_CRASH_BEATS - 1],
-            identities[_MOST_CRASH_BEATS - 1 :],
-        )
+        chosen, others = identities[: most - 1], identities[most - 1 :]
         if others:
             chosen.append(others[self._next % len(others)])
             self._next += 1
         return tuple(_crash_beat(each, reports[each], now) for each in chosen)
 
 
+@dataclass(slots=True)
+class PartPortions:
+    """Distributes crash reports of parts of prompts over successive messages.
+
+    One crash makes suspects of all parts of the prompts that it interrupted. Urgent
+    reports go first, the rest in rotation.
+    """
+
+    _told: dict[int, tuple[CrashReport, int]] = field(default_factory=dict)
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether an urgent report has not been sent as often as it should be."""
+        return any(times < _TIMES_TOLD for _, times in self._told.values())
+
+    def update(
+        self, reports: Mapping[int, CrashReport], urgent: Collection[int]
+    ) -> None:
+        """Take in the present reports, by part, those with most crashes first."""
+        times = {part: times for part, (_, times) in self._told.items()}
+        self._told = {
+            part: (report, 0 if part in urgent else times.get(part, _TIMES_TOLD))
+            for part, report in reports.items()
+        }
+
+    def next(self, now: Millis, *, is_counted: bool) -> tuple[CrashBeat, ...]:
+        """Return the next message's reports.
+
+        Parameters
+        ----------
+        now : int
+        is_counted : bool
+            Whether the message goes to all that need to be told.
+        """
+        beats = []
+        room = _MOST_PART_BYTES
+        # The sort is stable: of those told equally often, most crashes go first.
+        for part in sorted(self._told, key=lambda part: self._told[part][1]):
+            report, times = self._told[part]
+            beat = _crash_beat(part, report, now)
+            room -= _part_size(beat)
+            if room < 0:
+                break
+            beats.append(beat)
+            if is_counted or times >= _TIMES_TOLD:
+                self._told[part] = report, times + 1
+        return tuple(beats)
+
+
+def _part_size(beat: CrashBeat) -> int:
+    return _BYTES_OF_A_PART + _BYTES_OF_A_CRASH * len(beat.crashes)
+
+
 def _crash_beat(identity: int, report: CrashReport, now: Millis) -> CrashBeat:
     answered = None if report.answered_at is None else max(0, now - report.answered_at)
     crashes = tuple((mark, max(0, now - at)) for mark, at in report.crashes.items())
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -3,11 +3,13 @@
 import logging
 import random
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from gevent.event import Event
 
 from azurefold.core.attempts.crashes import CrashTracker
+from azurefold.core.attempts.crashing_parts import PartTracker, TrialTurn
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.freshness import TableFreshness
 from azurefold.core.membership.registry import EndpointEntry, EndpointRegistry
@@ -90,6 +92,8 @@
         Of the retries that all gateways may make beside a share of the requests.
     crashes : CrashTracker
         Endpoint crashes by request, including those reported by other gateways.
+    crashing_parts : PartTracker
+        The same by shared part of prompts.
     configuration_freshness, endpoints_freshness : TableFreshness
         What is in force here of the store's two tables, and as of when.
     store_time : StoreClock
@@ -131,6 +135,7 @@
     cell: Cell = field(default_factory=Cell)
     retry_part: RetryAllowance = field(kw_only=True)
     crashes: CrashTracker = field(default_factory=CrashTracker)
+    crashing_parts: PartTracker = field(default_factory=PartTracker)
     configuration_freshness: TableFreshness = field(default_factory=TableFreshness)
     endpoints_freshness: TableFreshness = field(default_factory=TableFreshness)
     store_time: StoreClock = field(default_factory=StoreClock)
@@ -204,6 +209,13 @@
         """For how long endpoints may have changed unnoticed."""
         return self.endpoints_freshness.age(self.store_now)
 
+    @property
+    def trial_turn(self) -> TrialTurn:
+        """Whose turn it is to try prompts that may crash endpoints."""
+        own = self.settings.name
+        nodes = {own}.union(*self.cell.cells)
+        return TrialTurn(own, nodes, self.store_now)
+
     @property
     def endpoints_known_at(self) -> Millis:
         """When the endpoints were last known in full; now if that isn't known."""
@@ -282,17 +294,23 @@
             )
         self._version = configuration.version
 
-    def note_crash(self, identity: int, entry: EndpointEntry) -> None:
+    def note_crash(
+        self, identity: int, parts: Iterable[int], entry: EndpointEntry
+    ) -> None:
         """Note that an endpoint crashed while running a request, and report it.
 
         Parameters
         ----------
         identity : int
             Identity of the request.
+        parts : iterable of int
+            Parts of its prompt that may be the cause.
         entry : EndpointEntry
         """
         incarnation = endpoint_hash(f"{entry.name}@{entry.started_at_ms}")
-        self.crashes.record_crash(identity, incarnation, self.clock.now())
+        now = self.clock.now()
+        self.crashes.record_crash(identity, incarnation, now)
+        self.crashing_parts.record_crash(parts, incarnation, now)
         self.demand_changed.set()
 
     def endpoint_restarted(self, name: str) -> None:
--- a/src/azurefold/platform/headers.py
+++ b/src/azurefold/platform/headers.py
@@ -116,6 +116,11 @@
     forwarded: tuple[tuple[str, str], ...]
     shared_parts: tuple[int, ...] = ()
 
+    @property
+    def parts_text(self) -> str:
+        """The shared parts for a log line."""
+        return ",".join(f"{part:x}" for part in self.shared_parts) or "none"
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
--- a/tests/gateway/crash_world.py
+++ b/tests/gateway/crash_world.py
@@ -5,6 +5,8 @@
 from heapq import heappop, heappush
 from itertools import count
 
+import gevent
+from gevent.event import Event
 from tests.gateway.conftest import ScriptedStore, settings_of
 from tests.gateway.test_relays_answer_truthfully import EVENT, answer
 
@@ -70,6 +72,18 @@
     parts: frozenset[int] = frozenset()
 
 
+@dataclass
+class Outcome:
+    """What became of a launched request.
+
+    ``reason`` is None while it has no answer, and empty if it was answered.
+    """
+
+    at: int
+    parts: frozenset[int]
+    reason: str | None = None
+
+
 class _StubNews:
     def merge_statements(self, configuration, endpoints):
         pass
@@ -119,6 +133,10 @@
         Fraction of messages between gateways that are lost.
     delay_ms : (int, int)
         Minimum and maximum delay of such a message.
+    first_event_ms : int
+        From the arrival of a request that was launched to its first event.
+    is_group : bool
+        Whether all endpoints stop with each crash, until all run again.
     """
 
     gateways: int
@@ -126,6 +144,8 @@
     seed: int = 1
     loss: float = 0.0
     delay_ms: tuple[int, int] = (1, 3)
+    first_event_ms: int = 0
+    is_group: bool = False
     time: ManualTime = field(default_factory=lambda: ManualTime(at=100_000))
     crashing: set[bytes] = field(default_factory=set)
     crashing_parts: set[int] = field(default_factory=set)
@@ -139,6 +159,9 @@
         self._draw = random.Random(self.seed)
         self._events = []
         self._numbers = count(1)
+        self._waiting = {}
+        self._greenlets = []
+        self.outcomes = []
         for n in range(self.endpoints):
             self.running[f"rank-{n}.0"] = f"10.0.0.{n}:80"
         names = [f"gw-{n:03}" for n in range(self.gateways)]
@@ -154,6 +177,7 @@
             self.time.at += STEP_MS
             while self._events and self._events[0][0] <= self.time.at:
                 heappop(self._events)[2]()
+                self._yield()
             for gateway in self.by_name.values():
                 changed = gateway.state.demand_changed
                 if changed.is_set() or self.time.at % 60 == 0:
@@ -184,6 +208,26 @@
         finish(rest)
         return first
 
+    def launch(self, name, body, parts=()):
+        """Send a request that is answered while the clock advances."""
+
+        def serve():
+            outcome = Outcome(self.time.at, frozenset(parts))
+            self.outcomes.append(outcome)
+            first, rest = self.open(name, body, parts)
+            outcome.reason = getattr(getattr(first, "failure", None), "reason", "")
+            finish(rest)
+
+        self._greenlets.append(gevent.spawn(serve))
+        self._yield()
+
+    def stop(self):
+        """End all requests that were launched."""
+        gevent.killall(self._greenlets)
+
+    def _yield(self):
+        gevent.idle()
+
     def restart(self, name):
         """Replace a gateway by a new process without its state."""
         self.by_name[name] = self._start(name)
@@ -198,6 +242,10 @@
     def crash(self, endpoint):
         """Crash an endpoint, which restarts under another name."""
         address = self.running.pop(endpoint)
+        hit = self.endpoints_of_group() if self.is_group else [endpoint]
+        for each in hit:
+            for wake in self._waiting.pop(each, []):
+                wake.set()
         name, _, start = endpoint.partition(".")
         successor = f"{name}.{int(start) + 1}"
 
@@ -207,6 +255,10 @@
 
         self._schedule(self.time.at + RESTART_MS, restart_endpoint)
 
+    def endpoints_of_group(self):
+        """Return the endpoints that stop when one of them crashes."""
+        return [*self.running, *self._waiting]
+
     def sent_after_third_crash(self, body):
         """Return how often a request reached endpoints after its third crash.
 
@@ -253,6 +305,10 @@
     def reply(self, link, method):
         """Return an endpoint's answer: a stream of two events, unless it crashes."""
         connection = link.sock
+        if self.is_group and len(self.running) < self.endpoints:
+            return answer(503, sealed=False, not_run=True, attempt_id="")
+        if self.first_event_ms:
+            self._await_first_event(connection)
         if connection.body in self.crashing:
             self.crashes.append((self.time.at, connection.body))
             self.crash(connection.endpoint)
@@ -272,6 +328,16 @@
         reply.next_bytes = next_bytes
         return reply
 
+    def _await_first_event(self, connection):
+        wake = Event()
+        self._waiting.setdefault(connection.endpoint, []).append(wake)
+        self._schedule(self.time.at + self.first_event_ms, wake.set)
+        wake.wait()
+        if connection.endpoint not in self.running:
+            raise BrokenReplyError("closed", begun=False)
+        if self.is_group and len(self.running) < self.endpoints:
+            raise BrokenReplyError("reset", begun=False)
+
     def post(self, data, sender, receiver):
         """Deliver a message between gateways after a delay, unless it is lost."""
         if self._draw.random() >= self.loss:
@@ -296,6 +362,7 @@
     def _start(self, name):
         settings = settings_of(name=name, is_first_start=True)
         state = new_gateway_state(settings, manual_clock(self.time))
+        state.store_time.observe(self.time.at, self.time.at, self.time.at)
         state.draw.seed(f"{self.seed} {name}")
         view = RoutedService(SERVICE, 64, None)
         state.apply(RoutingConfiguration(1, (ROUTE,), {SERVICE: view}))
