Check messages of earlier releases by their fields' names, and of later ones, too

test_gateways_of_an_earlier_release_are_understood took the last field of a message for the time of its sending. Crash reports of parts were added behind it, as new fields must be, so the test failed on, though messages of an earlier release are understood. It now leaves out either of the two newest fields and what follows, which is stricter, and a second test reads a message with a field more than this release knows.

--- a/tests/gateway/test_words_that_waited.py
+++ b/tests/gateway/test_words_that_waited.py
@@ -9,6 +9,7 @@
 from azurefold.core.routes.model import RoutedService, RoutingConfiguration
 from azurefold.gateway.peers.exchange import Peer, _decode
 from azurefold.gateway.peers.membership import new_peers
+from azurefold.gateway.peers.messages import PeerMessage
 from azurefold.gateway.state import new_gateway_state
 from azurefold.gateway.store.news import new_news
 from azurefold.platform.headers import AnswerHead
@@ -133,15 +134,30 @@
         site.run(100)
 
 
-def test_gateways_of_an_earlier_release_are_understood():
+@pytest.mark.parametrize("first_unknown", ["sent_at", "parts"])
+def test_gateways_of_an_earlier_release_are_understood(first_unknown):
     """While a release is put in place, no gateway reads the messages of the others."""
     site = Site(knows_store_time=True)
     first, reader, _ = site.gateways
     first.answered(10.0)
     first.message()
     fields = msgspec.msgpack.decode(first.sent)
-    assert fields[-1] == STORE_MS
-    reader.read(_decode(msgspec.msgpack.encode(fields[:-1])))
+    names = PeerMessage.__struct_fields__
+    assert len(fields) == len(names)
+    assert fields[names.index("sent_at")] == STORE_MS
+    earlier = fields[: names.index(first_unknown)]
+    reader.read(_decode(msgspec.msgpack.encode(earlier)))
+    assert reader.quota == 10.0
+
+
+def test_gateways_of_an_earlier_release_understand_longer_messages():
+    """While a release is put in place, no older gateway reads the messages of newer."""
+    site = Site(knows_store_time=True)
+    first, reader, _ = site.gateways
+    first.answered(10.0)
+    first.message()
+    later = [*msgspec.msgpack.decode(first.sent), ["unknown"]]
+    reader.read(_decode(msgspec.msgpack.encode(later)))
     assert reader.quota == 10.0
 
 
