Close new connections unread at a gateway that gets far more than the others

What callers see without: while a balancer hands most new connections to one gateway, its part of the endpoints is full, and it refuses what others could serve.

Cause: endpoints are dealt to cells, 1/4 of them at 36 gateways, 1/11 at 98.

Why this works: a connection that is closed before its request is read costs the caller one try, which reaches another gateway. One in four is accepted, as a ready gateway must take some.

Ruled out: the contended part of the room (others do not wait then) and the group's limit (it follows demand).

--- /dev/null
+++ b/src/azurefold/core/admission/connection_spread.py
@@ -0,0 +1,84 @@
+"""Declining of new connections at a node that gets far more of them than others.
+
+A balancer in front may send most new connections to one node. Its cell has only a part
+of the endpoints and the process only one core, so it would refuse requests that other
+nodes could serve. A connection that is closed before its request is read costs nothing:
+the caller's next try reaches another node.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from azurefold.core.clock import Millis
+
+__all__ = ["ConnectionSpread", "NodeLoad"]
+
+_EXCESS_FACTOR = 4
+_EXCESS_MARGIN = 16
+"""Requests; with less, nodes differ as much by the chance of who their callers are."""
+
+_ACCEPTED_SHARE = 4
+"""One in so many connections is accepted, as a node that is ready must take some."""
+
+_LATE_MS: Millis = 100
+"""By which loops run late at a node whose processor is used up."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeLoad:
+    """Load of one node.
+
+    Parameters
+    ----------
+    requests : int
+        Requests in flight or queued.
+    peers : collection of int
+        Requests in flight at each of the other nodes of its cell.
+    is_cell_full : bool
+        Whether requests are queued here while other cells may have room.
+    lateness : int
+        Milliseconds by which loops run late.
+    """
+
+    requests: int
+    peers: Collection[int]
+    is_cell_full: bool
+    lateness: Millis
+
+    @property
+    def is_excessive(self) -> bool:
+        """Whether this node has far more requests than others, and too many."""
+        if not self.peers or not (self.is_cell_full or self.lateness >= _LATE_MS):
+            return False
+        mean = sum(self.peers) / len(self.peers)
+        return self.requests >= _EXCESS_FACTOR * mean + _EXCESS_MARGIN
+
+
+@dataclass(slots=True)
+class ConnectionSpread:
+    """Decides which new connections a node accepts.
+
+    Parameters
+    ----------
+    declined : int
+        Connections declined so far.
+    """
+
+    declined: int = 0
+    _successive: int = 0
+
+    @property
+    def is_first_declined(self) -> bool:
+        """Whether the last connection was the first one of a series to be declined."""
+        return self._successive == 1
+
+    def accepts(self, load: NodeLoad) -> bool:
+        """Whether to accept a new connection; otherwise close it unread."""
+        if not load.is_excessive:
+            self._successive = 0
+            return True
+        self._successive += 1
+        if self._successive % _ACCEPTED_SHARE == 0:
+            return True
+        self.declined += 1
+        return False
--- a/src/azurefold/core/routing/peer_loads.py
+++ b/src/azurefold/core/routing/peer_loads.py
@@ -89,6 +89,13 @@
             if received.digest.has_callers
         )
 
+    @property
+    def requests_by_node(self) -> list[int]:
+        """Number of requests in flight at each other node."""
+        return [
+            sum(received.digest.loads.values()) for received in self._received.values()
+        ]
+
     @property
     def waiting_node_count(self) -> int:
         """Number of other nodes that have queued requests."""
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -54,6 +54,8 @@
         yield _gauge("crash_suspect_parts", "Parts of prompts with crashes", parts.size)
         refused = parts.count_quarantined(state.clock.now())
         yield _gauge("quarantined_parts", "Parts whose prompts are refused", refused)
+        declined = state.spread.declined
+        yield _gauge("connections_declined", "Connections closed unread", declined)
         yield self._coordinator_stalls()
         yield self._endpoints()
         yield self._quotas()
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -10,6 +10,7 @@
 
 from azurefold.core.clock import Millis
 from azurefold.gateway.callers.app import GatewayApp
+from azurefold.gateway.callers.connections import accepts_connection
 from azurefold.gateway.callers.front import front_server
 from azurefold.gateway.metrics import gateway_registry
 from azurefold.gateway.peers.membership import new_peers
@@ -71,6 +72,7 @@
     store = store_client(settings.store)
     news = new_news(state, store)
     peers = new_peers(state, store, news)
+    callers.accepts = lambda: accepts_connection(state, peers.exchange.loads)
     for loop in (news.configuration.run, news.endpoints.run, *peers.loops()):
         spawn_loop(loop)
     spawn_loop(_tick_for_ever, state, callers, news)
@@ -132,7 +134,9 @@
 
 def _tick_for_ever(state: GatewayState, callers: TimedServer, news: News) -> None:
     while True:
+        began = state.clock.now()
         gevent.sleep(_TICK_MS / _SECOND_MS)
+        state.lateness = max(0, state.clock.now() - began - _TICK_MS)
         news.tick(state.clock.now())
         changed = state.registry.tick(state.clock.now())
         for name in changed:
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -8,6 +8,7 @@
 
 from gevent.event import Event
 
+from azurefold.core.admission.connection_spread import ConnectionSpread
 from azurefold.core.attempts.crashes import CrashTracker
 from azurefold.core.attempts.crashing_parts import PartTracker, TrialTurn
 from azurefold.core.clock import Clock, Millis
@@ -113,6 +114,10 @@
         gone.
     store_returns : int
         How often it has.
+    spread : ConnectionSpread
+        Which new connections of callers are accepted.
+    lateness : int
+        Milliseconds by which this process's loops run late.
     coordinator_stalls : Counter of str
         How often this gateway gave its coordination up as a loop of it made no
         progress, by reason.
@@ -146,6 +151,8 @@
     demand_changed: Event = field(default_factory=Event)
     store_returned: Event = field(default_factory=Event)
     store_returns: int = 0
+    spread: ConnectionSpread = field(default_factory=ConnectionSpread)
+    lateness: Millis = 0
     coordinator_stalls: Counter = field(default_factory=Counter)
     _version: int = 0
     _version_at_start: int = 0
--- a/src/azurefold/internal/http_server.py
+++ b/src/azurefold/internal/http_server.py
@@ -94,10 +94,22 @@
 
 
 class TimedServer(WSGIServer):
-    """A server whose handlers observe its timeouts, which may be changed."""
+    """A server whose handlers observe its timeouts, which may be changed.
+
+    Attributes
+    ----------
+    accepts : callable
+        Returns whether to read from a new connection; otherwise it is closed.
+    """
 
     header_timeout_ms: Millis = _HEADER_TIMEOUT_MS
     idle_timeout_ms: Millis = _IDLE_TIMEOUT_MS
+    accepts: Callable[[], bool] = staticmethod(lambda: True)
+
+    def handle(self, sock: socket.socket, address: tuple) -> None:
+        """Serve a new connection, or close it unread."""
+        if self.accepts():
+            super().handle(sock, address)
 
 
 def http_server(
--- /dev/null
+++ b/tests/core/admission/test_connection_spread.py
@@ -0,0 +1,49 @@
+"""A node with far more requests than others declines new connections."""
+
+import pytest
+
+from azurefold.core.admission.connection_spread import ConnectionSpread, NodeLoad
+
+
+@pytest.fixture
+def spread():
+    return ConnectionSpread()
+
+
+def load(requests, peers=(4, 4, 4), is_cell_full=True, lateness=0):
+    return NodeLoad(requests, peers, is_cell_full, lateness)
+
+
+def test_three_in_four_connections_are_declined(spread):
+    """Guards against a node that is ready and takes no connection at all."""
+    accepted = [spread.accepts(load(32)) for _ in range(8)]
+    assert accepted == [False, False, False, True] * 2
+    assert spread.declined == 6
+
+
+@pytest.mark.parametrize(
+    "usual",
+    [
+        load(31),
+        load(500, peers=()),
+        load(500, is_cell_full=False),
+        load(60, peers=(12, 12)),
+    ],
+    ids=["little more", "alone", "room left", "all busy"],
+)
+def test_a_usual_load_is_accepted(spread, usual):
+    assert all(spread.accepts(usual) for _ in range(20))
+
+
+def test_a_process_that_runs_late_declines(spread):
+    late = load(500, is_cell_full=False, lateness=150)
+    assert not spread.accepts(late)
+
+
+def test_only_the_first_of_a_series_is_marked(spread):
+    """Guards against a log line for each connection."""
+    marks = []
+    for each in [load(32), load(32), load(0), load(32)]:
+        spread.accepts(each)
+        marks.append(spread.is_first_declined)
+    assert marks == [True, False, False, True]
--- a/tests/gateway/group_world.py
+++ b/tests/gateway/group_world.py
@@ -14,6 +14,7 @@
 from azurefold.core.routing.peer_loads import endpoint_hash
 from azurefold.core.routing.rank_groups import GroupStatus, Standing
 from azurefold.entry.admission import Ticket
+from azurefold.gateway.callers.connections import accepts_connection
 
 SLOTS = 3
 STEP_MS, STEPS_PER_PASS = 5.85, 8
@@ -69,6 +70,10 @@
         Each of them sends to one gateway.
     skew : float
         Work of the busiest rank relative to the mean.
+    preferred : str
+        Gateway that gets most new connections; empty if none does.
+    preferred_share : float
+        Share of the new connections that it gets.
     """
 
     per_second: float = 0.0
@@ -76,6 +81,8 @@
     streams_per_second: float = 100.0
     callers: int = 100
     skew: float = 1.25
+    preferred: str = ""
+    preferred_share: float = 0.0
     streams: list[Stream] = field(default_factory=list)
 
     def __post_init__(self):
@@ -151,6 +158,7 @@
         stream.last_at = now
         if stream.events == EVENTS_PER_STREAM:
             self._at_rank[stream.endpoint].remove(stream)
+            self._state_of(stream.gateway).in_flight -= 1
             service.admission.finished(stream.endpoint, stream.number, Answered(136))
 
     def _tell_status(self):
@@ -169,12 +177,25 @@
         expected = self.streams_per_second * self.step_ms / 1_000
         count = int(expected + self._callers.random())
         for _ in range(count):
-            name = self._callers.choice(self._entries)
+            name = self._choose_gateway()
             stream = Stream(f"s{len(self.streams)}", name, self.time.at)
             self.streams.append(stream)
             gevent.spawn(self._ask_for, stream)
 
+    def _choose_gateway(self):
+        if self.preferred and self._callers.random() < self.preferred_share:
+            gateway = self.by_name[self.preferred].exchange
+            if accepts_connection(gateway.state, gateway.loads):
+                return self.preferred
+        return self._callers.choice(self._entries)
+
     def _ask_for(self, stream):
+        self._state_of(stream.gateway).in_flight += 1
+        self._ask_service_for(stream)
+        if stream.is_refused:
+            self._state_of(stream.gateway).in_flight -= 1
+
+    def _ask_service_for(self, stream):
         service = self._service_of(stream.gateway)
         service.check_stall(self.time.at)
         on_time_by = stream.asked_at + OBJECTIVE_MS - round(service.usual_first_ms)
@@ -196,8 +217,11 @@
         stream.endpoint, stream.sent_at = chosen.endpoint, self.time.at
         self._at_rank.setdefault(chosen.endpoint, []).append(stream)
 
+    def _state_of(self, name):
+        return self.by_name[name].exchange.state
+
     def _service_of(self, name):
-        return self.by_name[name].exchange.state.services[SERVICE]
+        return self._state_of(name).services[SERVICE]
 
     def _start(self, name):
         gateway = super()._start(name)
