Keep the parts that crash endpoints in the store, for gateways that all start again

Each quarantined part has a row with its crashes, written by gateways that saw one of them and read once at each start. Weighed and not taken: keeping every suspect (a write for each crash and part), reading the table again and again (gateways that run tell each other).

Duplicates: none but of shape.

--- a/src/azurefold/core/attempts/crashing_parts.py
+++ b/src/azurefold/core/attempts/crashing_parts.py
@@ -113,6 +113,7 @@
     crashes: dict[int, Millis] = field(default_factory=dict)
     begun_at: Millis | None = None
     changed_at: Millis = 0
+    is_observed: bool = False
 
     @property
     def last_crash_at(self) -> Millis:
@@ -225,6 +226,20 @@
             if isinstance(group.judge(group.parts, now), Quarantine)
         )
 
+    def find_quarantined(self) -> dict[int, CrashReport]:
+        """Return the reports of all parts that are quarantined or await a trial."""
+        return {
+            part: CrashReport(dict(self._suspects[part].find_counted()))
+            for group in self._judged
+            if group.quarantine is not None
+            for part in group.parts
+        }
+
+    def has_observed(self, part: int) -> bool:
+        """Whether this node itself observed a crash under a part."""
+        suspect = self._suspects.get(part)
+        return suspect is not None and suspect.is_observed
+
     def record_crash(self, parts: Iterable[int], endpoint: int, now: Millis) -> None:
         """Record that an endpoint crashed before it began to answer a prompt.
 
@@ -240,6 +255,7 @@
             suspect = self._suspects.setdefault(part, _Suspect())
             suspect.add_begun(self._begun.get(part))
             suspect.drop_cleared(now - self._policy.cleared_retention)
+            suspect.is_observed = True
             if suspect.add_crash(endpoint, now, self._policy):
                 self._mark_changed(suspect, now)
                 self._mark_urgent(part, now)
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -17,6 +17,7 @@
 from azurefold.gateway.settings import changed_settings
 from azurefold.gateway.state import GatewayState, new_gateway_state
 from azurefold.gateway.store.news import News, new_news
+from azurefold.gateway.store.part_records import PartRecords
 from azurefold.internal.admin_http import AdminViews, admin_server
 from azurefold.internal.clock import suspended_time_clock
 from azurefold.internal.http_server import TimedServer
@@ -72,8 +73,14 @@
     store = store_client(settings.store)
     news = new_news(state, store)
     peers = new_peers(state, store, news)
+    records = PartRecords(state, store)
     callers.accepts = lambda: accepts_connection(state, peers.exchange.loads)
-    for loop in (news.configuration.run, news.endpoints.run, *peers.loops()):
+    for loop in (
+        news.configuration.run,
+        news.endpoints.run,
+        records.run,
+        *peers.loops(),
+    ):
         spawn_loop(loop)
     spawn_loop(_tick_for_ever, state, callers, news)
     gevent.signal_handler(signal.SIGHUP, _reload, path, state, news)
--- a/src/azurefold/platform/names.py
+++ b/src/azurefold/platform/names.py
@@ -5,3 +5,6 @@
 
 GROUPS = "azurefold_groups"
 """A row for the coordinator of the groups' maps."""
+
+CRASHING_PARTS = "azurefold_crashing_parts"
+"""A row for each quarantined part of prompts: the crashes that count against it."""
--- a/tests/gateway/crash_world.py
+++ b/tests/gateway/crash_world.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import Event
 from tests.gateway.conftest import ScriptedStore, settings_of
+from tests.gateway.row_store import RowStore
 from tests.gateway.test_relays_answer_truthfully import EVENT, answer
 
 from azurefold.core.clock import ManualTime, manual_clock
@@ -26,6 +27,7 @@
 from azurefold.gateway.peers.exchange import Peer, _decode
 from azurefold.gateway.peers.membership import new_peers
 from azurefold.gateway.state import new_gateway_state
+from azurefold.gateway.store.part_records import PartRecords
 from azurefold.platform.headers import read_request
 
 SERVICE = "drafts"
@@ -53,6 +55,7 @@
 
     name: str
     peers: object
+    records: PartRecords
     excused_until: int = 0
     cut_until: int = 0
 
@@ -162,6 +165,7 @@
         self._waiting = {}
         self._greenlets = []
         self.outcomes = []
+        self.rows = RowStore()
         for n in range(self.endpoints):
             self.running[f"rank-{n}.0"] = f"10.0.0.{n}:80"
         names = [f"gw-{n:03}" for n in range(self.gateways)]
@@ -183,6 +187,8 @@
                 if changed.is_set() or self.time.at % 60 == 0:
                     changed.clear()
                     gateway.peers.exchange.send()
+                if self.time.at % 260 == 0:
+                    gateway.records.save()
 
     def open(self, name, body, parts=()):
         """Send a request and return the first and the remaining parts of its answer.
@@ -370,7 +376,9 @@
         peers.exchange.incarnation = self.time.at
         peers.exchange._sock = _PeerSocket(self, name)
         peers.exchange.set_peers(self._listed)
-        gateway = Gateway(name, peers)
+        records = PartRecords(state, self.rows)
+        records.load()
+        gateway = Gateway(name, peers, records)
         self._list(state)
         return gateway
 
--- a/tests/gateway/test_prompt_parts_that_crash_endpoints.py
+++ b/tests/gateway/test_prompt_parts_that_crash_endpoints.py
@@ -3,8 +3,15 @@
 import logging
 
 import pytest
-from tests.gateway.crash_world import CrashSite, install
+from tests.gateway.crash_world import STABLE_MS, CrashSite, install
+from tests.gateway.row_store import RowStore
 
+from azurefold.core.attempts.crashing_parts import PartPolicy
+from azurefold.gateway.callers.calls import Begun
+from azurefold.platform import names
+from azurefold.platform.store_messages import RowKey, RowWrite
+
+POLICY = PartPolicy()
 MAX_SENDS_AFTER_FIFTH_CRASH = 3
 DEADLY = 0xBAD
 CALLERS_PART, OTHER_PART = 0xCA11, 0x0DD
@@ -50,3 +57,58 @@
     site = site_of(gateways)
     send_deadly(site, 12, PLACES[place])
     assert site.sent_after_fifth_crash(DEADLY) <= MAX_SENDS_AFTER_FIFTH_CRASH
+
+
+def test_gateways_that_all_start_again_know_the_part(site_of):
+    """Guards against three more crashes after each power cut of all gateways."""
+    site = site_of(6)
+    send_deadly(site, 6)
+    assert len(site.part_crashes) == 3
+    for _ in range(3):
+        for name in site.by_name:
+            site.restart(name)
+        site.run(2 * STABLE_MS)
+        send_deadly(site, 6)
+    assert len(site.part_crashes) == 3
+
+
+def test_a_gateway_that_joins_late_knows_the_part(site_of):
+    site = site_of(6)
+    send_deadly(site, 6)
+    site.rows = RowStore()
+    site.restart("gw-003")
+    site.run(STABLE_MS)
+    site.send("gw-003", b"prompt", (DEADLY,))
+    assert len(site.part_crashes) == 3
+
+
+def test_a_part_that_is_sound_again_is_served_and_its_record_removed(site_of):
+    """Guards against a part that stays refused after a release that mends it."""
+    site = site_of(3)
+    send_deadly(site, 4)
+    assert site.rows.read_table(names.CRASHING_PARTS).rows
+    site.crashing_parts.clear()
+    site.run(POLICY.trial_slot)
+    for gateway in site.by_name.values():
+        # The quarantine is over.
+        for suspect in gateway.state.crashing_parts._suspects.values():
+            for mark in suspect.crashes:
+                suspect.crashes[mark] -= POLICY.durations[0]
+        gateway.state.crashing_parts._groups = None
+    for name in site.by_name:
+        site.send(name, b"prompt", (DEADLY,))
+    site.run(1_000)
+    for name in site.by_name:
+        assert isinstance(site.send(name, b"prompt", (DEADLY,)), Begun)
+    assert not site.rows.read_table(names.CRASHING_PARTS).rows
+
+
+def test_an_unreadable_record_is_left_out(site_of, caplog):
+    site = site_of(1)
+    send_deadly(site, 4)
+    rows = site.rows
+    rows.transact(writes=[RowWrite(RowKey(names.CRASHING_PARTS, "no part"), b"x")])
+    with caplog.at_level(logging.ERROR, "azurefold.gateway"):
+        site.restart("gw-000")
+    assert "part_record_unreadable" in caplog.text
+    assert site.by_name["gw-000"].state.crashing_parts.size == 1
