Show that answers which end with their connection are whole, or cut off

No fault was found: 72 cases over sockets hold on the code as it is, for plain answers, empty ones, errors, refusals and streams, over HTTP/1.0 and 1.1, kept alive, closed or unsaid, cut inside the head, inside an event, or reset.

--- /dev/null
+++ b/tests/gateway/test_answers_that_end_with_their_connection.py
@@ -0,0 +1,169 @@
+"""Answers without a length and without chunks, which end with their connection."""
+
+import contextlib
+import socket
+import struct
+
+import pytest
+from tests.gateway.test_relays_answer_truthfully import EVENT, relay_of
+
+from azurefold.core.routes.model import AnswerKind
+from azurefold.gateway.callers.calls import AnswerCutOffError, Begun, GivenUp, Piece
+from azurefold.gateway.endpoints.connections import Link
+from azurefold.internal.stream_socket import StreamSocket
+
+HEADS = {
+    "1.1": "HTTP/1.1 {} Status\r\n{}Server-Seal: s\r\n{}\r\n",
+    "1.0": "HTTP/1.0 {} Status\r\n{}Server-Seal: s\r\n{}\r\n",
+}
+KEPT = "Connection: keep-alive\r\nKeep-Alive: timeout=5\r\n"
+CLOSED = "Connection: close\r\n"
+
+
+@pytest.fixture(params=["1.1", "1.0"])
+def version(request):
+    return request.param
+
+
+@pytest.fixture(params=[KEPT, CLOSED, ""], ids=["kept", "closed", "unsaid"])
+def connection(request):
+    return request.param
+
+
+@pytest.fixture
+def head_of(version, connection):
+    def make(status=200, extra=""):
+        return HEADS[version].format(status, connection, extra).encode()
+
+    return make
+
+
+@pytest.fixture
+def kept():
+    """Connections that were kept for another request."""
+    return []
+
+
+@pytest.fixture
+def answers(state, monkeypatch, kept):
+    """Bytes of the answers to successive attempts, and whether a reset ends them."""
+    script = []
+
+    def take(links, endpoint, address, *, fresh):
+        data, is_reset = script.pop(0)
+        server = socket.create_server(("127.0.0.1", 0))
+        caller = StreamSocket()
+        caller.connect(server.getsockname())
+        peer, _ = server.accept()
+        server.close()
+        peer.sendall(data)
+        if is_reset:
+            peer.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        else:
+            peer.shutdown(socket.SHUT_WR)
+        connections.append(peer)
+        if is_reset:
+            peer.close()
+        return Link(caller, is_new=fresh)
+
+    connections = []
+    links = type(state.links)
+    monkeypatch.setattr(links, "take", take)
+    monkeypatch.setattr(links, "keep", lambda self, *a: kept.append(a))
+    monkeypatch.setattr(links, "refuses_connections", lambda self, *a: False)
+    yield script
+    for peer in connections:
+        peer.close()
+
+
+def read(relay):
+    """Return the parts of an answer, and whether it was cut off."""
+    parts = []
+    with contextlib.suppress(AnswerCutOffError):
+        for part in relay.run():
+            parts.append(part)
+        return parts, False
+    return parts, True
+
+
+def test_a_whole_plain_answer(state, answers, head_of, kept):
+    answers.append((head_of() + b"whole", False))
+    [begun], is_cut_off = read(relay_of(state, AnswerKind.IDEMPOTENT))
+    assert (begun.status, begun.body, is_cut_off) == (200, b"whole", False)
+    assert not kept
+
+
+def test_an_empty_answer(state, answers, head_of, kept):
+    answers.append((head_of(), False))
+    [begun], _ = read(relay_of(state, AnswerKind.IDEMPOTENT))
+    assert begun.body == b""
+    assert not kept
+
+
+def test_an_error_of_the_endpoint(state, answers, head_of, kept):
+    answers.append((head_of(500) + b"why", False))
+    [begun], _ = read(relay_of(state, AnswerKind.NON_IDEMPOTENT))
+    assert (begun.status, begun.body) == (500, b"why")
+    assert not kept
+
+
+def test_a_refusal_of_the_endpoint(state, answers, head_of):
+    """Guards against a request that is not sent elsewhere though it was not run."""
+    answers.append((head_of(503, "Not-Executed: 1\r\n") + b"full", False))
+    answers.append((head_of() + b"whole", False))
+    relay = relay_of(state, AnswerKind.NON_IDEMPOTENT, max_attempts=2)
+    [begun], _ = read(relay)
+    assert begun.body == b"whole"
+
+
+def test_a_whole_stream(state, answers, head_of, kept):
+    answers.append((head_of() + EVENT % 1 + EVENT % 2, False))
+    parts, is_cut_off = read(relay_of(state, AnswerKind.STREAMING))
+    assert isinstance(parts[0], Begun)
+    assert b"".join(part.data for part in parts[1:]) == EVENT % 1 + EVENT % 2
+    assert not is_cut_off
+    assert not kept
+
+
+def test_a_stream_cut_inside_an_event_is_resumed(state, answers, head_of):
+    """Guards against a stream that looks complete, or joins two halves of an event."""
+    answers.append((head_of() + EVENT % 1 + (EVENT % 2)[:7], False))
+    answers.append((head_of() + EVENT % 2, False))
+    relay = relay_of(state, AnswerKind.STREAMING, max_attempts=2, is_resumable=True)
+    parts, is_cut_off = read(relay)
+    events = b"".join(part.data for part in parts if isinstance(part, Piece))
+    assert (events, is_cut_off) == (EVENT % 1 + EVENT % 2, False)
+
+
+def test_a_stream_cut_inside_an_event_is_cut_off_where_it_cannot_be_resumed(
+    state, answers, head_of
+):
+    answers.append((head_of() + EVENT % 1 + (EVENT % 2)[:7], False))
+    parts, is_cut_off = read(relay_of(state, AnswerKind.STREAMING))
+    assert is_cut_off
+    assert parts[-1] == Piece(EVENT % 1)
+
+
+@pytest.mark.parametrize("kind", [AnswerKind.NON_IDEMPOTENT, AnswerKind.STREAMING])
+def test_an_answer_cut_inside_its_head_is_none(state, answers, head_of, kind):
+    answers.append((head_of()[:30], False))
+    [given_up], _ = read(relay_of(state, kind))
+    assert isinstance(given_up, GivenUp)
+    assert given_up.status == 502
+
+
+@pytest.mark.parametrize("body", [b"", b"half of it"])
+def test_a_reset_answer_is_not_whole(state, answers, head_of, body):
+    """Guards against a reset that passes for the end of an answer."""
+    answers.append((head_of() + body, True))
+    [given_up], _ = read(relay_of(state, AnswerKind.NON_IDEMPOTENT))
+    assert isinstance(given_up, GivenUp)
+    assert given_up.status == 502
+
+
+def test_a_reset_stream_is_cut_off(state, answers, head_of):
+    answers.append((head_of() + EVENT % 1, True))
+    parts, is_cut_off = read(relay_of(state, AnswerKind.STREAMING))
+    assert is_cut_off or isinstance(parts[0], GivenUp)
