Let the endpoint of these tests read the request before it answers

A reset taken for an end failed no test: the endpoint reset its connection before the request was sent, so that no answer was read at all. It reads the request first now.

--- a/tests/gateway/test_answers_that_end_with_their_connection.py
+++ b/tests/gateway/test_answers_that_end_with_their_connection.py
@@ -4,6 +4,8 @@
 import socket
 import struct
 
+import gevent
+import gevent.socket
 import pytest
 from tests.gateway.test_relays_answer_truthfully import EVENT, relay_of
 
@@ -49,33 +51,28 @@
     """Bytes of the answers to successive attempts, and whether a reset ends them."""
     script = []
 
-    def take(links, endpoint, address, *, fresh):
-        data, is_reset = script.pop(0)
-        server = socket.create_server(("127.0.0.1", 0))
-        caller = StreamSocket()
-        caller.connect(server.getsockname())
-        peer, _ = server.accept()
-        server.close()
+    def serve(peer, data, is_reset):
+        peer.recv(65_536)
         peer.sendall(data)
         if is_reset:
             peer.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
             )
-        else:
-            peer.shutdown(socket.SHUT_WR)
-        connections.append(peer)
-        if is_reset:
-            peer.close()
+        peer.close()
+
+    def take(links, endpoint, address, *, fresh):
+        with gevent.socket.create_server(("127.0.0.1", 0)) as server:
+            caller = StreamSocket()
+            caller.connect(server.getsockname())
+            peer, _ = server.accept()
+        gevent.spawn(serve, peer, *script.pop(0))
         return Link(caller, is_new=fresh)
 
-    connections = []
     links = type(state.links)
     monkeypatch.setattr(links, "take", take)
     monkeypatch.setattr(links, "keep", lambda self, *a: kept.append(a))
     monkeypatch.setattr(links, "refuses_connections", lambda self, *a: False)
-    yield script
-    for peer in connections:
-        peer.close()
+    return script
 
 
 def read(relay):
