Let a crash in a trial decide, also shortly after many others

In a world of 16 plain endpoints, 6 gateways, and the part in three of four prompts, trials went on for up to 5 s and 12 endpoints crashed: a suspect keeps eight crashes, and a later one near any of them was dropped, so that those kept seemed to be of one moment. The first and the newest are kept now, and of the others the one that tells least goes. A test fails before.

--- a/src/azurefold/core/attempts/crashing_parts.py
+++ b/src/azurefold/core/attempts/crashing_parts.py
@@ -129,19 +129,21 @@
         """Add a crash and return whether it was unknown and is kept."""
         if endpoint in self.crashes:
             return False
-        if len(self.crashes) < policy.max_crashes:
-            self.crashes[endpoint] = at
-            return True
-        if any(abs(at - each) < policy.separation for each in self.crashes.values()):
-            return False
-        # Crashes far apart tell most: one that followed closely on another is replaced.
-        by_time = sorted(self.crashes, key=self.crashes.get)
-        closest = min(
-            pairwise(by_time), key=lambda p: self.crashes[p[1]] - self.crashes[p[0]]
-        )
-        del self.crashes[closest[1]]
         self.crashes[endpoint] = at
-        return True
+        if len(self.crashes) > policy.max_crashes:
+            del self.crashes[self._find_least_telling()]
+        return endpoint in self.crashes
+
+    def _find_least_telling(self) -> int:
+        """Return the crash that followed most closely on another.
+
+        The first and the last one tell how far apart they are.
+        """
+        by_time = sorted(self.crashes, key=lambda mark: (self.crashes[mark], mark))
+        pairs = list(pairwise(by_time))[:-1]
+        return min(
+            pairs, key=lambda pair: self.crashes[pair[1]] - self.crashes[pair[0]]
+        )[1]
 
     def add_begun(self, at: Millis | None) -> bool:
         """Add the begin of an answer and return whether it clears any crash."""
--- a/tests/core/attempts/test_crashing_parts.py
+++ b/tests/core/attempts/test_crashing_parts.py
@@ -68,6 +68,13 @@
     assert isinstance(tracker.judge({DEADLY}, now + APART_MS), Quarantine)
 
 
+def test_a_trial_shortly_after_many_crashes_decides(tracker):
+    """Guards against trials that go on as their crashes are near earlier ones."""
+    now = record_crashes(tracker, *[{DEADLY}] * 8, apart=200)
+    record_crashes(tracker, {DEADLY}, start=now + POLICY.separation // 2)
+    assert isinstance(tracker.judge({DEADLY}, now + APART_MS), Quarantine)
+
+
 def test_crashes_that_one_part_explains_count_against_no_other(tracker):
     """Guards against refusing parts that were beside a crashing one now and then."""
     beside = [{DEADLY, 10}, {DEADLY, 11}, {DEADLY, 10}, {DEADLY, 10}, {DEADLY, 12}]
