Try parts that cannot be told apart as soon as one prompt with them arrives

A gateway that sends a trial tells the others now. Any gateway may try a prompt that has just arrived, with a chance by how many arrive and how many gateways there are; what has waited still goes by turns.

--- a/src/azurefold/core/attempts/crashing_parts.py
+++ b/src/azurefold/core/attempts/crashing_parts.py
@@ -13,7 +13,7 @@
 Each trial either clears parts or at least halves the group.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import pairwise
@@ -21,7 +21,7 @@
 from azurefold.core.attempts.crashes import CrashReport, Quarantine
 from azurefold.core.clock import Millis
 
-__all__ = ["PartPolicy", "PartTracker", "TrialOnly", "TrialTurn"]
+__all__ = ["PartPolicy", "PartTracker", "TrialOnly", "TrialRequest"]
 
 _MINUTE_MS: Millis = 60_000
 _HOUR_MS: Millis = 60 * _MINUTE_MS
@@ -45,8 +45,11 @@
         Milliseconds after the last crash for which a suspect is remembered.
     cleared_retention : int
         The same for crashes that an answer has cleared, for other nodes to hear of it.
-    trial_slot : int
-        Milliseconds for which one node may send trials, in turn.
+    trial_interval : int
+        Milliseconds after a trial, in which no other of its group is sent; the
+        time from a trial to its result is shorter.
+    trial_delay : int
+        Milliseconds until other nodes have heard of a trial.
     max_suspects, max_begun, max_crashes : int
         Number of suspects, of parts whose last answer is remembered, and of crashes
         for each suspect.
@@ -57,7 +60,8 @@
     durations: tuple[Millis, ...] = (10 * _MINUTE_MS, 6 * _HOUR_MS)
     retention: Millis = 30 * 24 * _HOUR_MS
     cleared_retention: Millis = _MINUTE_MS
-    trial_slot: Millis = 1_000
+    trial_interval: Millis = 1_000
+    trial_delay: Millis = 150
     max_suspects: int = 512
     max_begun: int = 4_096
     max_crashes: int = 8
@@ -73,37 +77,47 @@
         Identifies the group of suspects that a trial is for.
     crashes : int
         Number of endpoint crashes that count against them.
+    last_crash_at : int
     """
 
     group: int
     crashes: int
+    last_crash_at: Millis
 
 
 @dataclass(frozen=True, slots=True)
-class TrialTurn:
-    """Whose turn it is to send trials.
+class TrialRequest:
+    """A prompt that may only be sent as a trial, and the node that asks for it.
 
     Parameters
     ----------
+    trial : TrialOnly
+    now : int
+    arrived : int
+        When the prompt arrived.
+    draw : float
+        A number between 0 and 1, the same each time for this prompt.
     node : str
     nodes : collection of str
         Names of all nodes, ``node`` among them.
     shared_now : int or None
-        Time in milliseconds on a clock that all nodes share; None if it is not known,
-        and then it is nobody's turn.
+        Time in milliseconds on a clock that all nodes share; None if it is not known.
     """
 
+    trial: TrialOnly
+    now: Millis
+    arrived: Millis
+    draw: float
     node: str
     nodes: Collection[str]
     shared_now: Millis | None
 
-    def find_slot(self, duration: Millis) -> tuple[int, bool]:
-        """Return the number of the present slot, and whether it is this node's."""
+    def is_in_turn(self, duration: Millis) -> bool:
+        """Whether the present slot of the shared clock belongs to this node."""
         if self.shared_now is None:
-            return 0, False
-        slot = self.shared_now // duration
+            return False
         names = sorted(self.nodes)
-        return slot, names[slot % len(names)] == self.node
+        return names[self.shared_now // duration % len(names)] == self.node
 
 
 @dataclass(slots=True)
@@ -170,13 +184,14 @@
     Parameters
     ----------
     parts : frozenset of int
-    crashes : int
+    crashes, last_crash_at : int
     quarantine : Quarantine or None
         None while the parts are only on trial.
     """
 
     parts: frozenset[int]
     crashes: int
+    last_crash_at: Millis
     quarantine: Quarantine | None
 
     def judge(
@@ -189,7 +204,7 @@
         is_quarantined = self.quarantine is not None and now < self.quarantine.until
         if is_likely and is_quarantined:
             return self.quarantine
-        return TrialOnly(min(self.parts), self.crashes)
+        return TrialOnly(min(self.parts), self.crashes, self.last_crash_at)
 
 
 class PartTracker:
@@ -210,7 +225,9 @@
         self._suspects: dict[int, _Suspect] = {}
         self._begun: OrderedDict[int, Millis] = OrderedDict()
         self._groups: list[_Group] | None = []
-        self._trials: dict[int, int] = {}
+        self._trials: dict[int, Millis] = {}
+        self._own_trials: dict[int, Millis] = {}
+        self._trial_prompts: deque[Millis] = deque(maxlen=1_024)
         self._urgent: set[int] = set()
         self._urgent_at: Millis | None = None
         self.changes = 0
@@ -303,20 +320,58 @@
             restrictions[0] if restrictions else None,
         )
 
-    def take_trial(self, trial: TrialOnly, turn: TrialTurn) -> bool:
-        """Whether this node may send a trial now; true once in each of its turns."""
-        slot, _ = turn.find_slot(self._policy.trial_slot)
-        if not self.may_try(trial, turn):
+    def may_try(self, request: TrialRequest) -> bool:
+        """Whether a prompt may be sent as a trial now.
+
+        Nobody sends one within ``trial_interval`` after another of which it has heard.
+        Prompts that waited are sent by one node at a time, as many nodes send what has
+        waited at the same moment. Of those that have just arrived a share may be sent,
+        so that few are on their way to endpoints before other nodes hear of the first.
+        """
+        policy = self._policy
+        last = self._trials.get(request.trial.group)
+        if last is not None and request.now - last < policy.trial_interval:
             return False
-        self._trials = {
-            group: at for group, at in self._trials.items() if at == slot
-        } | {trial.group: slot}
-        return True
+        if request.is_in_turn(policy.trial_interval):
+            return True
+        is_counted = request.now - request.trial.last_crash_at >= policy.trial_interval
+        if not is_counted or request.now - request.arrived > policy.trial_delay:
+            return False
+        prompts = self._count_trial_prompts(request.now) * len(request.nodes)
+        unheard = prompts * policy.trial_delay / policy.trial_interval
+        return request.draw * unheard < 1.0
+
+    def take_trial(self, request: TrialRequest) -> None:
+        """Record that a prompt is sent as a trial, for other nodes to hear of it."""
+        self.record_trial(request.trial.group, request.now)
+        self._own_trials[request.trial.group] = request.now
+        self._urgent_at = request.now
+        self.changes += 1
+
+    def record_trial(self, group: int, at: Millis) -> None:
+        """Record a trial that this node or another one has sent."""
+        self._trials[group] = max(at, self._trials.get(group, at))
+        if len(self._trials) > self._policy.max_suspects:
+            del self._trials[min(self._trials, key=self._trials.get)]
+
+    def record_trial_prompt(self, now: Millis) -> None:
+        """Record the arrival of a prompt that may only be sent as a trial."""
+        self._trial_prompts.append(now)
+
+    def find_own_trials(self, now: Millis) -> dict[int, Millis]:
+        """Return when this node sent trials of which others may not have heard."""
+        self._own_trials = {
+            group: at
+            for group, at in self._own_trials.items()
+            if now - at < self._policy.trial_interval
+        }
+        return self._own_trials
 
-    def may_try(self, trial: TrialOnly, turn: TrialTurn) -> bool:
-        """Whether :meth:`take_trial` would allow a trial now."""
-        slot, is_own = turn.find_slot(self._policy.trial_slot)
-        return is_own and self._trials.get(trial.group) != slot
+    def _count_trial_prompts(self, now: Millis) -> int:
+        prompts = self._trial_prompts
+        while prompts and now - prompts[0] >= self._policy.trial_interval:
+            prompts.popleft()
+        return max(1, len(prompts))
 
     def build_reports(self) -> dict[int, CrashReport]:
         """Return the reports for other nodes, those with most crashes first."""
@@ -378,7 +433,7 @@
             return is_within and len(missing) <= 1 and missing <= by_chance
 
         parts = frozenset(part for part in suspects if may_explain(suspects[part]))
-        return _Group(parts, len(crashes), quarantine)
+        return _Group(parts, len(crashes), max(crashes.values()), quarantine)
 
     def _find_quarantine(self, times: list[Millis]) -> Quarantine | None:
         """Return the quarantine that crashes at these times, in order, lead to."""
--- a/src/azurefold/gateway/callers/quarantine.py
+++ b/src/azurefold/gateway/callers/quarantine.py
@@ -2,21 +2,22 @@
 
 import logging
 from enum import StrEnum
+from zlib import crc32
 
 from azurefold.core.attempts.crashes import CRASHES_ENDPOINTS, Quarantine
-from azurefold.core.attempts.crashing_parts import TrialOnly
+from azurefold.core.attempts.crashing_parts import TrialOnly, TrialRequest
 from azurefold.core.attempts.outcome import Failure, RunStatus
 from azurefold.core.clock import Millis
 from azurefold.gateway.callers.calls import Call
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
 
-__all__ = ["Restriction", "refusal", "restriction_on", "take_trial"]
+__all__ = ["Restriction", "admit", "refusal", "restriction_on", "take_trial"]
 
 _log = logging.getLogger("azurefold.gateway")
 
 _TRIAL_RETRY_MS: Millis = 1_000
-"""Until another gateway's turn, whose trial may have cleared the prompt."""
+"""By then another prompt's trial may have cleared this one's parts."""
 
 
 class Restriction(StrEnum):
@@ -37,7 +38,9 @@
     match verdict := _judge(call, state):
         case Quarantine():
             restriction = Restriction.QUARANTINED
-        case TrialOnly() if not state.crashing_parts.may_try(verdict, state.trial_turn):
+        case TrialOnly() if not state.crashing_parts.may_try(
+            _trial_request(verdict, call, state)
+        ):
             restriction = Restriction.ON_TRIAL
         case _:
             return None
@@ -45,11 +48,19 @@
     return restriction
 
 
+def admit(call: Call, state: GatewayState) -> Restriction | None:
+    """Return the same for a request that has just arrived."""
+    if isinstance(_judge(call, state), TrialOnly):
+        state.crashing_parts.record_trial_prompt(state.clock.now())
+    return restriction_on(call, state)
+
+
 def take_trial(call: Call, state: GatewayState) -> Restriction | None:
     """Return the same right before a request is sent, and count a trial as sent."""
     restriction = restriction_on(call, state)
     if restriction is None and isinstance(verdict := _judge(call, state), TrialOnly):
-        state.crashing_parts.take_trial(verdict, state.trial_turn)
+        state.crashing_parts.take_trial(_trial_request(verdict, call, state))
+        state.demand_changed.set()
         log_event(
             _log,
             "part_trial_sent",
@@ -74,6 +85,18 @@
     return quarantine or state.crashing_parts.judge(call.head.shared_parts, now)
 
 
+def _trial_request(verdict: TrialOnly, call: Call, state: GatewayState) -> TrialRequest:
+    return TrialRequest(
+        verdict,
+        now=state.clock.now(),
+        arrived=call.arrived,
+        draw=crc32(call.id.encode()) / 2**32,
+        node=state.settings.name,
+        nodes=state.node_names,
+        shared_now=state.store_now,
+    )
+
+
 def _log_refusal(
     call: Call,
     state: GatewayState,
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -29,7 +29,12 @@
     GivenUp,
     Part,
 )
-from azurefold.gateway.callers.quarantine import Restriction, refusal, restriction_on
+from azurefold.gateway.callers.quarantine import (
+    Restriction,
+    admit,
+    refusal,
+    restriction_on,
+)
 from azurefold.gateway.endpoints.attempt import Attempt, Progress
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
@@ -118,7 +123,7 @@
             self._log_end()
 
     def _run(self) -> Iterator[Part]:
-        if restriction := restriction_on(self.call, self.state):
+        if restriction := admit(self.call, self.state):
             yield self._give_up(refusal(restriction))
             return
         placed = self._place()
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -28,6 +28,7 @@
     departed_marks,
     heaviest,
     table_beat,
+    trial_ages,
 )
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
@@ -207,6 +208,7 @@
         configuration = self.state.configuration_freshness
         endpoints = self.state.endpoints_freshness
         departed = departed_marks(self.state.registry.departed)
+        trials = self.state.crashing_parts.find_own_trials(now)
         told = (
             loads,
             configuration.own_confirmed_at,
@@ -216,6 +218,7 @@
             is_waiting,
             crashes.version,
             departed,
+            tuple(trials.items()),
         )
         owes_reports = self._owes_quotas(now) or self._owes_crashes(now)
         to_all = at_once or owes_reports or self._owes_all(coordination, now)
@@ -255,6 +258,7 @@
             table_beat(endpoints.watermark, departed),
             self.state.store_time.at(now),
             part_beats,
+            trial_ages(trials, now),
         )
         data = self._fitting(message)
         hosts = self._hosts()
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -164,6 +164,8 @@
         for beat in message.parts:
             now = state.clock.now()
             state.crashing_parts.merge(beat.identity, crash_report(beat, sent), now)
+        for group, age in message.trials:
+            state.crashing_parts.record_trial(group, sent - age)
         if message.endpoints is not None and message.endpoints.departed:
             state.endpoints_told_departed(message.endpoints.departed, message.node)
         news.merge_statements(
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -136,6 +136,8 @@
         in the message are as of then.
     parts : tuple of CrashBeat
         Crash reports of some parts of prompts; others follow in later messages.
+    trials : tuple of (int, int)
+        Group of suspects for which the sender has sent a trial, and milliseconds since.
     """
 
     node: str
@@ -157,6 +159,7 @@
     endpoints: TableBeat | None = None
     sent_at: Millis | None = None
     parts: tuple[CrashBeat, ...] = ()
+    trials: tuple[tuple[int, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -39,6 +39,7 @@
     "sent_at",
     "table_beat",
     "table_statement",
+    "trial_ages",
 ]
 
 MOST_BYTES = 1_400
@@ -57,7 +58,8 @@
 _LOADS_PER_CRASH_BEAT = 16
 """Number of loads omitted for each crash report to keep within ``MOST_BYTES``."""
 
-_MOST_PART_BYTES = 280
+_MOST_PART_BYTES = 224
+_MOST_TRIALS = 4
 _BYTES_OF_A_PART = 18
 _BYTES_OF_A_CRASH = 11
 _BYTES_OF_A_LOAD = 7
@@ -299,6 +301,14 @@
         return tuple(beats)
 
 
+def trial_ages(
+    trials: Mapping[int, Millis], now: Millis
+) -> tuple[tuple[int, int], ...]:
+    """Return the trials that a message has room for, the latest, by their age."""
+    latest = nlargest(_MOST_TRIALS, trials.items(), key=lambda trial: trial[1])
+    return tuple((group, max(0, now - at)) for group, at in latest)
+
+
 def _part_size(beat: CrashBeat) -> int:
     return _BYTES_OF_A_PART + _BYTES_OF_A_CRASH * len(beat.crashes)
 
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -10,7 +10,7 @@
 
 from azurefold.core.admission.connection_spread import ConnectionSpread
 from azurefold.core.attempts.crashes import CrashTracker
-from azurefold.core.attempts.crashing_parts import PartTracker, TrialTurn
+from azurefold.core.attempts.crashing_parts import PartTracker
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.freshness import TableFreshness
 from azurefold.core.membership.registry import EndpointEntry, EndpointRegistry
@@ -217,11 +217,9 @@
         return self.endpoints_freshness.age(self.store_now)
 
     @property
-    def trial_turn(self) -> TrialTurn:
-        """Whose turn it is to try prompts that may crash endpoints."""
-        own = self.settings.name
-        nodes = {own}.union(*self.cell.cells)
-        return TrialTurn(own, nodes, self.store_now)
+    def node_names(self) -> frozenset[str]:
+        """All gateways of the site that are known, this one included."""
+        return frozenset({self.settings.name}).union(*self.cell.cells)
 
     @property
     def endpoints_known_at(self) -> Millis:
--- a/tests/gateway/test_prompt_parts_that_crash_endpoints.py
+++ b/tests/gateway/test_prompt_parts_that_crash_endpoints.py
@@ -88,7 +88,7 @@
     send_deadly(site, 4)
     assert site.rows.read_table(names.CRASHING_PARTS).rows
     site.crashing_parts.clear()
-    site.run(POLICY.trial_slot)
+    site.run(POLICY.trial_interval)
     for gateway in site.by_name.values():
         # The quarantine is over.
         for suspect in gateway.state.crashing_parts._suspects.values():
