Show that up to 390 gateways refuse a crashing part within a second

From the third crash, which decides, with three in ten messages between gateways lost: 1, 6, 36, 98 and 390 gateways all refuse within 1 s, and no fourth endpoint crashes.

--- a/tests/gateway/test_prompt_parts_that_crash_endpoints.py
+++ b/tests/gateway/test_prompt_parts_that_crash_endpoints.py
@@ -6,6 +6,7 @@
 from tests.gateway.crash_world import STABLE_MS, CrashSite, install
 from tests.gateway.row_store import RowStore
 
+from azurefold.core.attempts.crashes import Quarantine
 from azurefold.core.attempts.crashing_parts import PartPolicy
 from azurefold.gateway.callers.calls import Begun
 from azurefold.platform import names
@@ -13,6 +14,7 @@
 
 POLICY = PartPolicy()
 MAX_SENDS_AFTER_FIFTH_CRASH = 3
+REFUSED_WITHIN_MS = 1_000
 DEADLY = 0xBAD
 CALLERS_PART, OTHER_PART = 0xCA11, 0x0DD
 
@@ -112,3 +114,20 @@
         site.restart("gw-000")
     assert "part_record_unreadable" in caplog.text
     assert site.by_name["gw-000"].state.crashing_parts.size == 1
+
+
+@pytest.mark.parametrize("gateways", [1, 6, 36, 98, 390])
+def test_all_gateways_refuse_soon_after_the_deciding_crash(site_of, gateways):
+    """Guards against gateways of other cells that go on sending such prompts."""
+    site = site_of(gateways, endpoints=max(16, 2 * gateways), loss=0.3)
+    names = list(site.by_name)
+    while len(site.part_crashes) < POLICY.crash_threshold:
+        number = len(site.part_crashes)
+        site.send(names[7 * number % gateways], b"prompt %d" % number, (DEADLY,))
+        if len(site.part_crashes) < POLICY.crash_threshold:
+            site.run(POLICY.separation)
+    site.run(REFUSED_WITHIN_MS)
+    assert len(site.part_crashes) == POLICY.crash_threshold
+    for gateway in site.by_name.values():
+        verdict = gateway.state.crashing_parts.judge({DEADLY}, site.time.at)
+        assert isinstance(verdict, Quarantine)
