Have the soak send most calls to one gateway now and then

Which gateway and when is drawn apart from the faults, so that a seed's series of faults stays as it was.

Beside it, tests of what was there already: a queued prompt is looked at again, a planned end makes no suspects, and a request whose answer had begun neither.

--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -8,8 +8,9 @@
 again by signals; links delayed, cut and silenced by a relay; a store that is
 down, silent, slow, forgets its history or loses answers; endpoints that lose
 answers, break off, refuse, take orders late and leave; configurations meanwhile.
-Faults overlap. Callers check each answer while it runs, and what callers and
-endpoints saw is compared at the end. Only processes started here are ended.
+Faults overlap, and for some seconds now and then most calls go to one gateway. Callers
+check each answer while it runs, and what callers and endpoints saw is compared at the
+end. Only processes started here are ended.
 """
 
 import argparse
@@ -46,6 +47,9 @@
 _STABLE_S = 3.0
 """Until all must be well again, and a quota that was named must be kept to."""
 
+_PREFERENCE_S = 3.0
+_PREFERRED_SHARE = 0.8
+
 _LONGEST_FAULT_S = 3.0
 _LONGEST_ANSWER_S = 5.3
 """The routes' timeout of 4 s, and 1.3 s for a busy machine."""
@@ -92,12 +96,15 @@
         For which faults are injected.
     returns : bool
         Whether the store also comes back from an older copy, after all else.
+    preference : int
+        Seed of which gateway gets most calls when.
     """
 
     site: GatewaySite
     draw: random.Random
     seconds: float
     returns: bool = False
+    preference: int = 0
     findings: list[Finding] = field(default_factory=list)
     faults: Counter = field(default_factory=Counter)
     leavings: list[Leaving] = field(default_factory=list)
@@ -134,11 +141,22 @@
         caller = Caller(f"c{number}-{draw.getrandbits(24):x}", draw)
         self.callers.append(caller)
         while not self._stop.is_set():
-            gateway = draw.choice(list(self.site.gateways))
+            gateway = self._choose_gateway(draw)
             kind = draw.choice(list(Kind))
             caller.call(kind, gateway, self.site.gateways[gateway])
             time.sleep(_PAUSE_S)
 
+    def _choose_gateway(self, draw: random.Random) -> str:
+        """Return the gateway for a call: for some seconds now and then mostly one."""
+        gateways = list(self.site.gateways)
+        window = int(time.monotonic() // _PREFERENCE_S)
+        preferred = random.Random(f"{self.preference} {window}").choice(
+            [*gateways, *[None] * len(gateways)]
+        )
+        if preferred is not None and draw.random() < _PREFERRED_SHARE:
+            return preferred
+        return draw.choice(gateways)
+
     def _disturb_and_calm(self) -> float:
         """Return from when on all must be well again."""
         until = time.monotonic() + self.seconds
@@ -368,7 +386,7 @@
     """Run one seed and return what came of it."""
     draw = random.Random(seed)
     site = new_gateway_site(folder, gateways, retries=_RETRIES)
-    soak = Soak(site, draw, seconds, returns)
+    soak = Soak(site, draw, seconds, returns, preference=seed)
     try:
         site.start()
         soak.run()
--- a/tests/gateway/test_crashes_are_told_apart.py
+++ b/tests/gateway/test_crashes_are_told_apart.py
@@ -141,3 +141,5 @@
     ):
         parts_of(relay)
     assert f"parts=a,1b begun={begun}" in caplog.text
+    # Guards against suspecting the parts of a request that ran beside the cause.
+    assert state.crashing_parts.size == (0 if begun else 2)
--- a/tests/gateway/test_prompt_parts_that_crash_endpoints.py
+++ b/tests/gateway/test_prompt_parts_that_crash_endpoints.py
@@ -6,9 +6,12 @@
 from tests.gateway.crash_world import STABLE_MS, CrashSite, install
 from tests.gateway.row_store import RowStore
 
-from azurefold.core.attempts.crashes import Quarantine
+from azurefold.core.attempts.crashes import CRASHES_ENDPOINTS, Quarantine
 from azurefold.core.attempts.crashing_parts import PartPolicy
+from azurefold.core.attempts.outcome import RunStatus
+from azurefold.entry.admission import Admission
 from azurefold.gateway.callers.calls import Begun
+from azurefold.gateway.endpoints.crash_check import CrashCheck
 from azurefold.platform import names
 from azurefold.platform.store_messages import RowKey, RowWrite
 
@@ -116,6 +119,31 @@
     assert site.by_name["gw-000"].state.crashing_parts.size == 1
 
 
+def test_a_queued_prompt_is_checked_again_before_it_is_sent(site_of, monkeypatch):
+    """Guards against sending a prompt whose part was found while it was queued."""
+    site = site_of(1)
+    acquire = Admission.acquire
+
+    def acquire_after_crashes(self, ticket):
+        monkeypatch.setattr(Admission, "acquire", acquire)
+        send_deadly(site, 4)
+        return acquire(self, ticket)
+
+    monkeypatch.setattr(Admission, "acquire", acquire_after_crashes)
+    refusal = site.send("gw-000", b"queued", (DEADLY,))
+    assert refusal.failure.reason == CRASHES_ENDPOINTS
+    assert refusal.failure.ran is RunStatus.NOT_RUN
+    assert len(site.part_crashes) == POLICY.crash_threshold
+
+
+def test_a_planned_end_of_an_endpoint_makes_no_suspects(site_of, monkeypatch):
+    """Guards against refusing popular parts because endpoints are replaced."""
+    site = site_of(2)
+    monkeypatch.setattr(CrashCheck, "_is_planned", True)
+    send_deadly(site, 4)
+    assert site.by_name["gw-000"].state.crashing_parts.size == 0
+
+
 @pytest.mark.parametrize("gateways", [1, 6, 36, 98, 390])
 def test_all_gateways_refuse_soon_after_the_deciding_crash(site_of, gateways):
     """Guards against gateways of other cells that go on sending such prompts."""
