--- a/tests/gateway/test_crashing_parts_in_drawn_worlds.py
+++ b/tests/gateway/test_crashing_parts_in_drawn_worlds.py
@@ -46,6 +46,11 @@
         Milliseconds for which the parts crash nothing.
     random_crashes : int
         Crashes of other causes.
+    decoys : int
+        Parts of others that a hostile caller puts beside each crashing one.
+    cut_ms : int
+        Milliseconds for which two gateways are cut off from the others, from the first
+        crashing prompts on.
     """
 
     per_second: float = 20.0
@@ -56,6 +61,8 @@
     first_of_deadly: int | None = None
     is_sound_until: int = 0
     random_crashes: int = 0
+    decoys: int = 0
+    cut_ms: int = 0
     begins_ms: int = 8_000
     lasts_ms: int = 40_000
     site: dict = field(default_factory=dict)
@@ -72,6 +79,9 @@
             now = step * STEP_MS
             if now >= self.is_sound_until:
                 site.crashing_parts.update(self.deadly)
+            if now == self.begins_ms and self.cut_ms:
+                for name in list(site.by_name)[:2]:
+                    site.cut(name, self.cut_ms)
             if step in crashes:
                 site.crash(draw.choice(list(site.running)))
             for _ in range(int(self.per_second * STEP_MS / 1_000 + draw.random())):
@@ -90,6 +100,7 @@
                 parts[0] if self.first_of_deadly is None else self.first_of_deadly
             )
             parts.insert(self.place, draw.choice(self.deadly))
+            parts += draw.sample(range(self.first_parts), self.decoys)
         return tuple(parts)
 
     def check(self, site):
@@ -124,6 +135,8 @@
     ),
     "sound before": World(begins_ms=0, share=0.2, is_sound_until=15_000),
     "other crashes": World(random_crashes=10, site={"is_group": False}),
+    "parts of others beside it": World(decoys=5, share=0.1),
+    "two gateways cut off": World(cut_ms=10_000, share=0.1),
     "messages lost": World(site={"loss": 0.3}),
     "72 ranks": World(
         per_second=40.0,
