--- a/src/azurefold/core/attempts/crashing_parts.py
+++ b/src/azurefold/core/attempts/crashing_parts.py
@@ -13,15 +13,16 @@
 Each trial either clears parts or at least halves the group.
 """
 
-from collections import OrderedDict, deque
-from collections.abc import Collection, Iterable, Mapping
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import pairwise
 
 from azurefold.core.attempts.crashes import CrashReport, Quarantine
+from azurefold.core.attempts.part_trials import TrialOnly
 from azurefold.core.clock import Millis
 
-__all__ = ["PartPolicy", "PartTracker", "TrialOnly", "TrialRequest"]
+__all__ = ["PartPolicy", "PartTracker"]
 
 _MINUTE_MS: Millis = 60_000
 _HOUR_MS: Millis = 60 * _MINUTE_MS
@@ -45,11 +46,6 @@
         Milliseconds after the last crash for which a suspect is remembered.
     cleared_retention : int
         The same for crashes that an answer has cleared, for other nodes to hear of it.
-    trial_interval : int
-        Milliseconds after a trial, in which no other of its group is sent; the
-        time from a trial to its result is shorter.
-    trial_delay : int
-        Milliseconds until other nodes have heard of a trial.
     max_suspects, max_begun, max_crashes : int
         Number of suspects, of parts whose last answer is remembered, and of crashes
         for each suspect.
@@ -60,66 +56,11 @@
     durations: tuple[Millis, ...] = (10 * _MINUTE_MS, 6 * _HOUR_MS)
     retention: Millis = 30 * 24 * _HOUR_MS
     cleared_retention: Millis = _MINUTE_MS
-    trial_interval: Millis = 1_000
-    trial_delay: Millis = 150
     max_suspects: int = 512
     max_begun: int = 4_096
     max_crashes: int = 8
 
 
-@dataclass(frozen=True, slots=True)
-class TrialOnly:
-    """A prompt may only be sent as a trial, of which there is one at a time.
-
-    Parameters
-    ----------
-    group : int
-        Identifies the group of suspects that a trial is for.
-    crashes : int
-        Number of endpoint crashes that count against them.
-    last_crash_at : int
-    """
-
-    group: int
-    crashes: int
-    last_crash_at: Millis
-
-
-@dataclass(frozen=True, slots=True)
-class TrialRequest:
-    """A prompt that may only be sent as a trial, and the node that asks for it.
-
-    Parameters
-    ----------
-    trial : TrialOnly
-    now : int
-    arrived : int
-        When the prompt arrived.
-    draw : float
-        A number between 0 and 1, the same each time for this prompt.
-    node : str
-    nodes : collection of str
-        Names of all nodes, ``node`` among them.
-    shared_now : int or None
-        Time in milliseconds on a clock that all nodes share; None if it is not known.
-    """
-
-    trial: TrialOnly
-    now: Millis
-    arrived: Millis
-    draw: float
-    node: str
-    nodes: Collection[str]
-    shared_now: Millis | None
-
-    def is_in_turn(self, duration: Millis) -> bool:
-        """Whether the present slot of the shared clock belongs to this node."""
-        if self.shared_now is None:
-            return False
-        names = sorted(self.nodes)
-        return names[self.shared_now // duration % len(names)] == self.node
-
-
 @dataclass(slots=True)
 class _Suspect:
     """A part in prompts that were interrupted by crashes."""
@@ -225,9 +166,6 @@
         self._suspects: dict[int, _Suspect] = {}
         self._begun: OrderedDict[int, Millis] = OrderedDict()
         self._groups: list[_Group] | None = []
-        self._trials: dict[int, Millis] = {}
-        self._own_trials: dict[int, Millis] = {}
-        self._trial_prompts: deque[Millis] = deque(maxlen=1_024)
         self._urgent: set[int] = set()
         self._urgent_at: Millis | None = None
         self.changes = 0
@@ -320,59 +258,6 @@
             restrictions[0] if restrictions else None,
         )
 
-    def may_try(self, request: TrialRequest) -> bool:
-        """Whether a prompt may be sent as a trial now.
-
-        Nobody sends one within ``trial_interval`` after another of which it has heard.
-        Prompts that waited are sent by one node at a time, as many nodes send what has
-        waited at the same moment. Of those that have just arrived a share may be sent,
-        so that few are on their way to endpoints before other nodes hear of the first.
-        """
-        policy = self._policy
-        last = self._trials.get(request.trial.group)
-        if last is not None and request.now - last < policy.trial_interval:
-            return False
-        if request.is_in_turn(policy.trial_interval):
-            return True
-        is_counted = request.now - request.trial.last_crash_at >= policy.trial_interval
-        if not is_counted or request.now - request.arrived > policy.trial_delay:
-            return False
-        prompts = self._count_trial_prompts(request.now) * len(request.nodes)
-        unheard = prompts * policy.trial_delay / policy.trial_interval
-        return request.draw * unheard < 1.0
-
-    def take_trial(self, request: TrialRequest) -> None:
-        """Record that a prompt is sent as a trial, for other nodes to hear of it."""
-        self.record_trial(request.trial.group, request.now)
-        self._own_trials[request.trial.group] = request.now
-        self._urgent_at = request.now
-        self.changes += 1
-
-    def record_trial(self, group: int, at: Millis) -> None:
-        """Record a trial that this node or another one has sent."""
-        self._trials[group] = max(at, self._trials.get(group, at))
-        if len(self._trials) > self._policy.max_suspects:
-            del self._trials[min(self._trials, key=self._trials.get)]
-
-    def record_trial_prompt(self, now: Millis) -> None:
-        """Record the arrival of a prompt that may only be sent as a trial."""
-        self._trial_prompts.append(now)
-
-    def find_own_trials(self, now: Millis) -> dict[int, Millis]:
-        """Return when this node sent trials of which others may not have heard."""
-        self._own_trials = {
-            group: at
-            for group, at in self._own_trials.items()
-            if now - at < self._policy.trial_interval
-        }
-        return self._own_trials
-
-    def _count_trial_prompts(self, now: Millis) -> int:
-        prompts = self._trial_prompts
-        while prompts and now - prompts[0] >= self._policy.trial_interval:
-            prompts.popleft()
-        return max(1, len(prompts))
-
     def build_reports(self) -> dict[int, CrashReport]:
         """Return the reports for other nodes, those with most crashes first."""
         latest = sorted(
--- a/src/azurefold/gateway/callers/quarantine.py
+++ b/src/azurefold/gateway/callers/quarantine.py
@@ -5,8 +5,8 @@
 from zlib import crc32
 
 from azurefold.core.attempts.crashes import CRASHES_ENDPOINTS, Quarantine
-from azurefold.core.attempts.crashing_parts import TrialOnly, TrialRequest
 from azurefold.core.attempts.outcome import Failure, RunStatus
+from azurefold.core.attempts.part_trials import TrialOnly, TrialRequest
 from azurefold.core.clock import Millis
 from azurefold.gateway.callers.calls import Call
 from azurefold.gateway.state import GatewayState
@@ -38,7 +38,7 @@
     match verdict := _judge(call, state):
         case Quarantine():
             restriction = Restriction.QUARANTINED
-        case TrialOnly() if not state.crashing_parts.may_try(
+        case TrialOnly() if not state.part_trials.may_try(
             _trial_request(verdict, call, state)
         ):
             restriction = Restriction.ON_TRIAL
@@ -51,7 +51,7 @@
 def admit(call: Call, state: GatewayState) -> Restriction | None:
     """Return the same for a request that has just arrived."""
     if isinstance(_judge(call, state), TrialOnly):
-        state.crashing_parts.record_trial_prompt(state.clock.now())
+        state.part_trials.record_prompt(state.clock.now())
     return restriction_on(call, state)
 
 
@@ -59,7 +59,7 @@
     """Return the same right before a request is sent, and count a trial as sent."""
     restriction = restriction_on(call, state)
     if restriction is None and isinstance(verdict := _judge(call, state), TrialOnly):
-        state.crashing_parts.take_trial(_trial_request(verdict, call, state))
+        state.part_trials.record_sent(_trial_request(verdict, call, state))
         state.demand_changed.set()
         log_event(
             _log,
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -208,7 +208,7 @@
         configuration = self.state.configuration_freshness
         endpoints = self.state.endpoints_freshness
         departed = departed_marks(self.state.registry.departed)
-        trials = self.state.crashing_parts.find_own_trials(now)
+        trials = self.state.part_trials.find_own(now)
         told = (
             loads,
             configuration.own_confirmed_at,
@@ -319,6 +319,8 @@
         then = self._sent_crashes_at
         if crashes.has_changed_locally_since(then) or parts.has_urgent_since(then):
             return True
+        if self.state.part_trials.has_sent_since(then):
+            return True
         if now - self._sent_crashes_at < _QUIET_MS:
             return False
         is_recent = crashes.has_changed_locally_since(now - _CRASH_REPEAT_MS)
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -165,7 +165,7 @@
             now = state.clock.now()
             state.crashing_parts.merge(beat.identity, crash_report(beat, sent), now)
         for group, age in message.trials:
-            state.crashing_parts.record_trial(group, sent - age)
+            state.part_trials.record(group, sent - age)
         if message.endpoints is not None and message.endpoints.departed:
             state.endpoints_told_departed(message.endpoints.departed, message.node)
         news.merge_statements(
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -11,6 +11,7 @@
 from azurefold.core.admission.connection_spread import ConnectionSpread
 from azurefold.core.attempts.crashes import CrashTracker
 from azurefold.core.attempts.crashing_parts import PartTracker
+from azurefold.core.attempts.part_trials import PartTrials
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.membership.freshness import TableFreshness
 from azurefold.core.membership.registry import EndpointEntry, EndpointRegistry
@@ -95,6 +96,8 @@
         Endpoint crashes by request, including those reported by other gateways.
     crashing_parts : PartTracker
         The same by shared part of prompts.
+    part_trials : PartTrials
+        Of prompts with parts that may crash endpoints.
     configuration_freshness, endpoints_freshness : TableFreshness
         What is in force here of the store's two tables, and as of when.
     store_time : StoreClock
@@ -141,6 +144,7 @@
     retry_part: RetryAllowance = field(kw_only=True)
     crashes: CrashTracker = field(default_factory=CrashTracker)
     crashing_parts: PartTracker = field(default_factory=PartTracker)
+    part_trials: PartTrials = field(default_factory=PartTrials)
     configuration_freshness: TableFreshness = field(default_factory=TableFreshness)
     endpoints_freshness: TableFreshness = field(default_factory=TableFreshness)
     store_time: StoreClock = field(default_factory=StoreClock)
