Tell reports that are not urgent twice a second, and forget cleared suspects

Found when the diff was read again: a suspect was kept for 30 days after one crash, cleared or not, and told in each message to the cell, 224 bytes of up to 16 messages a second to each of eight gateways. Reports that are not urgent go twice a second now, and a cleared suspect leaves a minute after its crash. Both tests fail before. Urgent reports are as fast as before: the tests of 1 to 390 gateways and of drawn worlds hold.

--- a/src/azurefold/core/attempts/crashing_parts.py
+++ b/src/azurefold/core/attempts/crashing_parts.py
@@ -362,12 +362,12 @@
         self.changes += 1
 
     def _evict(self, now: Millis) -> None:
-        """Remove suspects without crashes, old ones, and over the limit the weakest."""
+        """Remove suspects that are cleared or old, and over the limit the weakest."""
         policy = self._policy
         expired = [
             part
             for part, suspect in self._suspects.items()
-            if now - suspect.last_crash_at >= policy.retention
+            if now - suspect.last_crash_at >= self._find_retention(suspect)
         ]
         excess = len(self._suspects) - len(expired) - policy.max_suspects
         if excess > 0:
@@ -377,6 +377,11 @@
             self._groups = None
             self.changes += 1
 
+    def _find_retention(self, suspect: _Suspect) -> Millis:
+        policy = self._policy
+        is_counted = bool(suspect.find_counted())
+        return policy.retention if is_counted else policy.cleared_retention
+
     def _eviction_key(self, part: int) -> tuple[int, Millis]:
         suspect = self._suspects[part]
         return len(suspect.find_counted()), suspect.last_crash_at
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -63,6 +63,9 @@
 _BYTES_OF_A_PART = 18
 _BYTES_OF_A_CRASH = 11
 _BYTES_OF_A_LOAD = 7
+_ROTATE_EVERY_MS: Millis = 500
+"""Between reports that are not urgent, which may be kept for weeks."""
+
 _TIMES_TOLD = 3
 """How often an urgent report is sent at once, as some messages may be lost."""
 
@@ -261,6 +264,7 @@
     """
 
     _told: dict[int, tuple[CrashReport, int]] = field(default_factory=dict)
+    _rotated_at: Millis | None = None
 
     @property
     def is_behind(self) -> bool:
@@ -286,6 +290,12 @@
         is_counted : bool
             Whether the message goes to all that need to be told.
         """
+        is_recent = (
+            self._rotated_at is not None and now - self._rotated_at < _ROTATE_EVERY_MS
+        )
+        if not self._told or (is_recent and not self.is_behind):
+            return ()
+        self._rotated_at = now
         beats = []
         room = _MOST_PART_BYTES
         # The sort is stable: of those told equally often, most crashes go first.
--- a/tests/core/attempts/test_crashing_parts.py
+++ b/tests/core/attempts/test_crashing_parts.py
@@ -170,6 +170,14 @@
     assert isinstance(tracker.judge({DEADLY}, now), Quarantine)
 
 
+def test_cleared_suspects_are_forgotten(tracker):
+    """Guards against messages that go on telling of them for weeks."""
+    now = record_crashes(tracker, {OTHER})
+    tracker.record_begun({OTHER}, now)
+    tracker.record_crash({DEADLY}, 99, now + POLICY.cleared_retention)
+    assert list(tracker.build_reports()) == [DEADLY]
+
+
 @given(
     st.lists(st.sets(st.integers(10, 30), max_size=6), min_size=20, max_size=40),
     st.integers(0, 3),
--- a/tests/gateway/test_prompt_parts_that_crash_endpoints.py
+++ b/tests/gateway/test_prompt_parts_that_crash_endpoints.py
@@ -6,13 +6,18 @@
 from tests.gateway.crash_world import STABLE_MS, CrashSite, install
 from tests.gateway.row_store import RowStore
 
-from azurefold.core.attempts.crashes import CRASHES_ENDPOINTS, Quarantine
+from azurefold.core.attempts.crashes import (
+    CRASHES_ENDPOINTS,
+    CrashReport,
+    Quarantine,
+)
 from azurefold.core.attempts.crashing_parts import PartPolicy
 from azurefold.core.attempts.outcome import RunStatus
 from azurefold.core.attempts.part_trials import TrialPolicy
 from azurefold.entry.admission import Admission
 from azurefold.gateway.callers.calls import Begun
 from azurefold.gateway.endpoints.crash_check import CrashCheck
+from azurefold.gateway.peers.portions import PartPortions
 from azurefold.platform import names
 from azurefold.platform.store_messages import RowKey, RowWrite
 
@@ -145,6 +150,15 @@
     assert site.by_name["gw-000"].state.crashing_parts.size == 0
 
 
+def test_reports_that_are_not_urgent_are_sent_now_and_then():
+    """Guards against suspects that fill each message for weeks."""
+    portions = PartPortions()
+    portions.update({part: CrashReport({1: 0}) for part in range(200)}, urgent=())
+    messages = [portions.next(now, is_counted=True) for now in range(0, 10_000, 60)]
+    assert sum(bool(beats) for beats in messages) <= 10_000 / 500 + 1
+    assert {beat.identity for beats in messages for beat in beats} >= set(range(50))
+
+
 @pytest.mark.parametrize("gateways", [1, 6, 36, 98, 390])
 def test_all_gateways_refuse_soon_after_the_deciding_crash(site_of, gateways):
     """Guards against gateways of other cells that go on sending such prompts."""
