Judge each group once a look, not once for each of its ranks

Callers saw slow streams at the gateway that coordinates a large group, and a long standstill after a takeover: its loop had no processor time left.

Cause: every 20 ms each rank's interval was worked out anew, and each time all ranks of its group were looked through, three times over. The work grew with the square of the ranks.

Evidence: the new test fails on the code before (72 judgements of a group in one look, one allowed).

--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -113,9 +113,13 @@
         """
         now = self.state.clock.now()
         self._forget_gone()
+        # By group, not by endpoint: judging a group takes a look at all its ranks.
+        intervals = {name: _look_every(view) for name, view in self.groups.items()}
         for endpoint in self.service.entries:
             asked = self._asked_at.get(endpoint, _LONG_AGO)
-            if endpoint in self._asking or now - asked < self._look_every(endpoint):
+            group = self._group_of.get(endpoint)
+            every = intervals.get(group, _LOOK_BROKEN_MS)
+            if endpoint in self._asking or now - asked < every:
                 continue
             self._asked_at[endpoint] = now
             self._asking.add(endpoint)
@@ -184,12 +188,6 @@
         self._draw.shuffle(names)
         return sorted(names, key=lambda name: name not in first)
 
-    def _look_every(self, endpoint: str) -> Millis:
-        view = self.groups.get(self._group_of.get(endpoint, ""))
-        if view is None or not view.is_whole:
-            return _LOOK_BROKEN_MS
-        return _LOOK_HELD_MS if view.is_held else _LOOK_EVERY_MS
-
     def _ask_report(self, endpoint: str) -> None:
         """Ask a rank for its report; runs as a call."""
         try:
@@ -359,6 +357,12 @@
         return self.calls.ask_all(clients, question)
 
 
+def _look_every(view: GroupView) -> Millis:
+    if not view.is_whole:
+        return _LOOK_BROKEN_MS
+    return _LOOK_HELD_MS if view.is_held else _LOOK_EVERY_MS
+
+
 def _thousandths(rates: tuple[float, ...]) -> list[int]:
     total = sum(rates) or 1.0
     return [round(1_000 * rate / total) for rate in rates]
--- a/tests/gateway/test_ranks_are_asked_at_once.py
+++ b/tests/gateway/test_ranks_are_asked_at_once.py
@@ -1,8 +1,12 @@
 """Calls to all ranks of a group, also when they are stopped in the middle."""
 
 import gevent
+from tests.gateway.rank_world import SERVICE, RankWorld
 
 from azurefold.gateway.groups.rank_calls import RankCalls
+from azurefold.gateway.groups.view import GroupView
+from azurefold.gateway.groups.watch import ServiceWatch
+from azurefold.platform.ranks import RankReport
 
 MANY = 100
 
@@ -61,3 +65,19 @@
     calls = RankCalls()
     asked = calls.ask_all([1, 0, 2], lambda client: 10 // client)
     assert asked == [10, None, 5]
+
+
+def test_a_look_judges_each_group_once(monkeypatch):
+    """The time of a look grows with the square of the ranks: it takes half a core."""
+    world = RankWorld(size=72)
+    state = world.fleet[0].coordinator.state
+    watch = ServiceWatch(state, state.services[SERVICE])
+    for rank in range(world.size):
+        report = RankReport("group", world.size, world.group.view(rank))
+        watch.take_report(f"{world.name}-{rank}", report, state.clock.now())
+    judged = []
+    is_whole = GroupView.is_whole.fget
+    counted = property(lambda view: judged.append(view) or is_whole(view))
+    monkeypatch.setattr(GroupView, "is_whole", counted)
+    watch.look_at_due()
+    assert len(judged) == 1
