Let a leader that resigned follow a successor that resigned or stopped

Callers of a group saw it stand still for up to six seconds: two gateways had resigned in turn, each waits six seconds before it takes over again, and there was no third one. The same happened if the successor's process ended within those six seconds.

Cause: the wait after a resignation is there for others to go first, but it went on after their turn had come and gone. Now it ends when a successor is heard of, and until its old end such a node comes after those that have not tried.

Five of the new unit tests fail on the code before.

--- a/src/azurefold/core/groups/leadership.py
+++ b/src/azurefold/core/groups/leadership.py
@@ -43,7 +43,10 @@
     retry_delay : int
         Time until a node tries again after the store gave no answer.
     resign_backoff : int
-        Time for which a leader that resigned does not try to take over.
+        Time for which a leader that resigned does not try to take over, unless its
+        successor is gone, too.
+    resigned_stagger : int
+        Least additional delay of such a node: nodes that have not tried go first.
     confirmation_ttl : int
         Time for which a confirmed write of the row counts as recent. Shorter than
         ``heartbeat_timeout``, so no other node has taken over yet.
@@ -56,6 +59,7 @@
     stagger: Millis = 150
     retry_delay: Millis = 700
     resign_backoff: Millis = 6_000
+    resigned_stagger: Millis = 1_200
     confirmation_ttl: Millis = 900
 
 
@@ -104,6 +108,7 @@
     _has_heartbeat: bool = False
     _is_leader_changing: bool = False
     _resigned_term: int = 0
+    _resigned_at: Millis | None = None
     _retry_at: Millis = 0
 
     @property
@@ -120,7 +125,7 @@
         if heartbeat.term < self.term or heartbeat.node == self.node:
             return False
         self.term = heartbeat.term
-        self._waiting_since = now
+        self._waiting_since = self._retry_at = now
         self._has_heartbeat = True
         self._is_leader_changing = heartbeat.is_changing
         has_lost_term = self._is_leader
@@ -138,26 +143,36 @@
             return
         self.term = self._resigned_term = heartbeat.term
         self._waiting_since = now - self.policy.heartbeat_timeout
+        self._retry_at = now
 
     def should_take_over(self, now: Millis) -> bool:
         """Whether this node should try to replace the row."""
         if self._is_leader or now < self._retry_at:
             return False
-        return now - self._waiting_since >= self._takeover_delay()
+        return now - self._waiting_since >= self._takeover_delay(now)
 
-    def _takeover_delay(self) -> Millis:
+    def _takeover_delay(self, now: Millis) -> Millis:
         policy = self.policy
         if self._has_heartbeat and self._is_leader_changing:
-            return (
-                policy.heartbeat_timeout_in_change
-                + self.position * policy.stagger_in_change
+            timeout = policy.heartbeat_timeout_in_change
+            stagger = self.position * policy.stagger_in_change
+        else:
+            timeout = (
+                policy.heartbeat_timeout
+                if self._has_heartbeat
+                else policy.initial_heartbeat_timeout
             )
-        timeout = (
-            policy.heartbeat_timeout
-            if self._has_heartbeat
-            else policy.initial_heartbeat_timeout
+            stagger = self.position * policy.stagger
+        if self._backs_off(now):
+            stagger = max(stagger, policy.resigned_stagger)
+        return timeout + stagger
+
+    def _backs_off(self, now: Millis) -> bool:
+        """Whether this node resigned a short time ago."""
+        resigned_at = self._resigned_at
+        return (
+            resigned_at is not None and now - resigned_at < self.policy.resign_backoff
         )
-        return timeout + self.position * policy.stagger
 
     def is_confirmed(self, now: Millis) -> bool:
         """Whether a recent write confirmed that this node is the leader."""
@@ -212,5 +227,5 @@
     def resign(self, now: Millis) -> None:
         """Step down, so that another node can take over."""
         self._is_leader = False
-        self._waiting_since = now
+        self._waiting_since = self._resigned_at = now
         self._retry_at = now + self.policy.resign_backoff
--- a/tests/core/groups/test_leadership.py
+++ b/tests/core/groups/test_leadership.py
@@ -121,6 +121,50 @@
     assert second_node.should_take_over(100 + second_node.policy.resign_backoff)
 
 
+def resigned_node(position=0):
+    node = Leadership("n1", position=position)
+    node.on_row_acquired(5, sent_at=0)
+    node.resign(now=100)
+    return node
+
+
+@pytest.mark.parametrize("position", [0, 1, 7])
+def test_a_leader_that_resigned_follows_a_successor_that_resigned(position):
+    """Two gateways resign in turn, and a group stays held for six seconds."""
+    node = resigned_node(position)
+    node.on_heartbeat(LeaderHeartbeat("n2", 6), now=300)
+    node.on_resignation(LeaderHeartbeat("n2", 6), now=2_000)
+    # Others are heard to resign up to 150 ms late, and one in last position waits.
+    last_of_others = 2_000 + 7 * node.policy.stagger + 150
+    assert not node.should_take_over(last_of_others - 1)
+    assert node.should_take_over(2_000 + node.policy.resigned_stagger)
+
+
+def test_a_leader_that_resigned_follows_a_successor_never_heard():
+    """The successor's first message was lost, or said at once that it resigns."""
+    node = resigned_node()
+    node.on_resignation(LeaderHeartbeat("n2", 6), now=600)
+    assert node.should_take_over(600 + node.policy.resigned_stagger)
+
+
+def test_a_leader_that_resigned_follows_a_successor_that_stopped():
+    """A successor's process ends, and a group stays held for six seconds."""
+    node = resigned_node()
+    node.on_heartbeat(LeaderHeartbeat("n2", 6, is_changing=True), now=300)
+    policy = node.policy
+    due = 300 + policy.heartbeat_timeout_in_change + policy.resigned_stagger
+    assert not node.should_take_over(due - 1)
+    assert node.should_take_over(due)
+
+
+def test_a_leader_that_resigned_long_ago_waits_as_others_do():
+    node = resigned_node()
+    now = 100 + node.policy.resign_backoff
+    node.on_heartbeat(LeaderHeartbeat("n2", 6), now)
+    node.on_resignation(LeaderHeartbeat("n2", 6), now)
+    assert node.should_take_over(now)
+
+
 def test_a_takeover_is_delayed_after_no_answer_of_the_store(second_node):
     now = 10_000
     assert second_node.should_take_over(now)
