Split evidence on crashing parts and verdicts from the tracker

The tests of parts that crash endpoints hold as they were; one mutant patches the class under its new name.

--- a/tests/gateway/test_crashing_parts_in_drawn_worlds.py
+++ b/tests/gateway/test_crashing_parts_in_drawn_worlds.py
@@ -7,8 +7,8 @@
 import pytest
 from tests.gateway.crash_world import STABLE_MS, STEP_MS, CrashSite, install
 
-from azurefold.core.attempts import crashing_parts
 from azurefold.core.attempts.crashing_parts import PartTracker
+from azurefold.core.attempts.part_suspects import PartSuspect
 from azurefold.gateway.peers.portions import PartPortions
 
 DEADLY, ALSO_DEADLY = 0xBAD, 0xBAE
@@ -176,7 +176,7 @@
         since = -1 if self.begun_at is None else self.begun_at + 60_000
         return {mark: at for mark, at in self.crashes.items() if at > since}
 
-    monkeypatch.setattr(crashing_parts._Suspect, "find_counted", find_counted)
+    monkeypatch.setattr(PartSuspect, "find_counted", find_counted)
 
 
 def count_nothing(monkeypatch):
