Check that sound prompts begin at the first send beside a crashing part

The drawn worlds counted a sound prompt as served if it was answered, sends after the first included, and all sound prompts as one. The users' rule (LOST) is about those that share their caller or their first part with crashing ones, at the first attempt.

--- a/tests/gateway/crash_world.py
+++ b/tests/gateway/crash_world.py
@@ -31,6 +31,9 @@
 from azurefold.platform.headers import read_request
 
 SERVICE = "drafts"
+_OWN_PARTS = 2**32
+"""Added to a request's number, the id of the last part of its prompt."""
+
 SLOTS = 6
 STEP_MS = 20
 TIMEOUT_MS = 8_000
@@ -73,6 +76,7 @@
     endpoint: str
     is_excused: bool
     parts: frozenset[int] = frozenset()
+    number: int = 0
 
 
 @dataclass
@@ -83,9 +87,15 @@
     """
 
     at: int
-    parts: frozenset[int]
+    number: int
+    parts: tuple[int, ...]
+    organisation: str
     reason: str | None = None
 
+    @property
+    def first_part(self):
+        return self.parts[0]
+
 
 class _StubNews:
     def merge_statements(self, configuration, endpoints):
@@ -101,6 +111,7 @@
     endpoint: str
     body: bytes = b""
     parts: frozenset[int] = frozenset()
+    number: int = 0
 
     def sendall(self, data):
         head, _, self.body = data.partition(b"\r\n\r\n")
@@ -108,7 +119,7 @@
             name, _, value = line.partition(": ")
             if name == "Prefix-Hash":
                 ids = [int(each.partition(":")[0], 16) for each in value.split(",")]
-                self.parts = frozenset(ids[:-1])
+                self.parts, self.number = frozenset(ids[:-1]), ids[-1] - _OWN_PARTS
         self.site.arrive(self)
 
     def close(self):
@@ -190,19 +201,29 @@
                 if self.time.at % 260 == 0:
                     gateway.records.save()
 
-    def open(self, name, body, parts=()):
+    def open(self, name, body, parts=(), organisation="o", number=None):
         """Send a request and return the first and the remaining parts of its answer.
 
         Its prompt has the shared ``parts`` and one of its own behind them.
         """
         gateway = self.by_name[name]
-        number, now = next(self._numbers), self.time.at
-        prefix = ",".join(f"{part:x}:40" for part in (*parts, 2**32 + number))
+        number, now = number or next(self._numbers), self.time.at
+        prefix = ",".join(f"{part:x}:40" for part in (*parts, _OWN_PARTS + number))
         head = read_request(
             [("Attempt-Id", f"a{number}"), ("Host", "h"), ("Prefix-Hash", prefix)]
         )
         call = Call(
-            "POST", "/r/x", body, head, ROUTE, SERVICE, "o", 1, now, now + TIMEOUT_MS, 1
+            "POST",
+            "/r/x",
+            body,
+            head,
+            ROUTE,
+            SERVICE,
+            organisation,
+            1,
+            now,
+            now + TIMEOUT_MS,
+            1,
         )
         service = gateway.state.services[SERVICE]
         parts = Relay(call, gateway.state, service).run()
@@ -214,13 +235,14 @@
         finish(rest)
         return first
 
-    def launch(self, name, body, parts=()):
+    def launch(self, name, body, parts=(), organisation="o"):
         """Send a request that is answered while the clock advances."""
 
         def serve():
-            outcome = Outcome(self.time.at, frozenset(parts))
+            number = next(self._numbers)
+            outcome = Outcome(self.time.at, number, parts, organisation)
             self.outcomes.append(outcome)
-            first, rest = self.open(name, body, parts)
+            first, rest = self.open(name, body, parts, organisation, number)
             outcome.reason = getattr(getattr(first, "failure", None), "reason", "")
             finish(rest)
 
@@ -305,6 +327,7 @@
                 connection.endpoint,
                 excused,
                 connection.parts,
+                connection.number,
             )
         )
 
--- a/tests/gateway/test_prompt_parts_that_crash_endpoints.py
+++ b/tests/gateway/test_prompt_parts_that_crash_endpoints.py
@@ -16,6 +16,7 @@
 from azurefold.core.attempts.part_trials import TrialPolicy
 from azurefold.entry.admission import Admission
 from azurefold.gateway.callers.calls import Begun
+from azurefold.gateway.endpoints import attempt
 from azurefold.gateway.endpoints.crash_check import CrashCheck
 from azurefold.gateway.peers.portions import PartPortions
 from azurefold.platform import names
@@ -142,6 +143,13 @@
     assert len(site.part_crashes) == POLICY.crash_threshold
 
 
+def test_a_prompt_that_is_not_checked_after_its_wait_is_detected(site_of, monkeypatch):
+    monkeypatch.setattr(attempt, "restriction_on", lambda call, state: None)
+    monkeypatch.setattr(attempt, "take_trial", lambda call, state: None)
+    with pytest.raises(AssertionError):
+        test_a_queued_prompt_is_checked_again_before_it_is_sent(site_of, monkeypatch)
+
+
 def test_a_planned_end_of_an_endpoint_makes_no_suspects(site_of, monkeypatch):
     """Guards against refusing popular parts because endpoints are replaced."""
     site = site_of(2)
