Decline connections at a gateway that has used up its parts of quotas

While most new connections went to one gateway and all endpoints of a service named quotas, callers were refused at that gateway (over_quota) though other gateways' parts of the quotas were free.

Cause: what was turned away at once is never in flight, so the gateway did not count as one with far more requests than the others. Requests turned away in the last second count now, and messages tell the others' (a field at their end, which earlier releases pass over). If all gateways turn away alike nobody declines, as a connection closed unread has no Retry-After.

--- a/src/azurefold/core/admission/connection_spread.py
+++ b/src/azurefold/core/admission/connection_spread.py
@@ -1,9 +1,10 @@
 """Declining of new connections at a node that gets far more of them than others.
 
 A balancer in front may send most new connections to one node. Its cell has only a part
-of the endpoints and the process only one core, so it would refuse requests that other
-nodes could serve. A connection that is closed before its request is read costs nothing:
-the caller's next try reaches another node.
+of the endpoints, the node only a part of the quotas that endpoints name, and the
+process only one core, so it would refuse requests that other nodes could serve. A
+connection that is closed before its request is read costs nothing: the caller's next
+try reaches another node.
 """
 
 from collections.abc import Collection
@@ -17,6 +18,9 @@
 _EXCESS_MARGIN = 16
 """Requests; with less, nodes differ as much by the chance of who their callers are."""
 
+_TURNED_AWAY_MARGIN = 4
+"""The same while requests are turned away, which others might serve."""
+
 _ACCEPTED_SHARE = 4
 """One in so many connections is accepted, as a node that is ready must take some."""
 
@@ -32,8 +36,10 @@
     ----------
     requests : int
         Requests in flight or queued.
+    turned_away : int
+        Requests refused in the last second because quotas are used up here.
     peers : collection of int
-        Requests in flight at each of the other nodes of its cell.
+        Requests in flight or turned away at each of the other nodes of its cell.
     is_cell_full : bool
         Whether requests are queued here while other cells may have room.
     lateness : int
@@ -41,6 +47,7 @@
     """
 
     requests: int
+    turned_away: int
     peers: Collection[int]
     is_cell_full: bool
     lateness: Millis
@@ -48,10 +55,13 @@
     @property
     def is_excessive(self) -> bool:
         """Whether this node has far more requests than others, and too many."""
-        if not self.peers or not (self.is_cell_full or self.lateness >= _LATE_MS):
+        is_short = self.is_cell_full or self.turned_away or self.lateness >= _LATE_MS
+        if not self.peers or not is_short:
             return False
         mean = sum(self.peers) / len(self.peers)
-        return self.requests >= _EXCESS_FACTOR * mean + _EXCESS_MARGIN
+        margin = _TURNED_AWAY_MARGIN if self.turned_away else _EXCESS_MARGIN
+        asked = self.requests + self.turned_away
+        return asked >= _EXCESS_FACTOR * mean + margin
 
 
 @dataclass(slots=True)
--- a/src/azurefold/core/routing/peer_loads.py
+++ b/src/azurefold/core/routing/peer_loads.py
@@ -37,6 +37,8 @@
         Whether the node has recently received requests, refused ones included.
     is_waiting : bool
         Whether requests are queued at the node because no endpoint has room.
+    turned_away : int
+        Requests refused there in the last second because quotas are used up.
     """
 
     node: str
@@ -45,6 +47,7 @@
     loads: Mapping[int, int]
     has_callers: bool = False
     is_waiting: bool = False
+    turned_away: int = 0
 
 
 @dataclass(slots=True)
@@ -91,10 +94,9 @@
 
     @property
     def requests_by_node(self) -> list[int]:
-        """Number of requests in flight at each other node."""
-        return [
-            sum(received.digest.loads.values()) for received in self._received.values()
-        ]
+        """Requests in flight, or turned away in the last second, at each other node."""
+        digests = [received.digest for received in self._received.values()]
+        return [sum(digest.loads.values()) + digest.turned_away for digest in digests]
 
     @property
     def waiting_node_count(self) -> int:
--- a/src/azurefold/entry/admission.py
+++ b/src/azurefold/entry/admission.py
@@ -10,6 +10,7 @@
 
 from azurefold.core.admission.messages import Priority, QueueItem, Refused, RefusedItem
 from azurefold.core.admission.queue import FairQueue, QueuePolicy
+from azurefold.core.admission.recent_count import RecentCount
 from azurefold.core.attempts.outcome import Failure, RunStatus
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.routing.messages import (
@@ -121,6 +122,8 @@
         Called whenever a request has got an endpoint, or begins to wait for one.
     contenders : int
         Nodes that have requests waiting for these endpoints, this one included.
+    turned_away : RecentCount
+        Requests refused because this node's parts of the endpoints' quotas are used up.
     """
 
     clock: Clock
@@ -131,6 +134,7 @@
     retries: RetryBudget = field(default_factory=RetryBudget)
     on_demand: Callable[[], None] = lambda: None
     contenders: int = 1
+    turned_away: RecentCount = field(default_factory=RecentCount)
     _next_part_at: Millis = 0
     _waiting: dict[str, tuple[Ticket, AsyncResult]] = field(default_factory=dict)
 
@@ -303,6 +307,8 @@
             return self._granted(ticket, chosen)
         if chosen.reason in _OUTAGES and ticket.awaits_group:
             return None
+        if chosen.reason is Unavailable.OVER_QUOTA:
+            self.turned_away.add(now)
         if chosen.reason is not Unavailable.ALL_FULL:
             return _failure(chosen.reason.value, chosen.retry_after_ms)
         return None
--- a/src/azurefold/gateway/callers/connections.py
+++ b/src/azurefold/gateway/callers/connections.py
@@ -23,6 +23,7 @@
     """
     load = NodeLoad(
         state.in_flight,
+        state.turned_away,
         loads.requests_by_node,
         is_cell_full=state.is_waiting and state.cell.count > 1,
         lateness=state.lateness,
@@ -35,8 +36,9 @@
             "connections_declined",
             logging.WARNING,
             in_flight=load.requests,
+            turned_away=load.turned_away,
             peers=len(load.peers),
-            peers_in_flight=sum(load.peers),
+            peers_requests=sum(load.peers),
             is_cell_full=load.is_cell_full,
             late_ms=load.lateness,
             declined=spread.declined,
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -259,6 +259,7 @@
             self.state.store_time.at(now),
             part_beats,
             trial_ages(trials, now),
+            self.state.turned_away,
         )
         data = self._fitting(message)
         hosts = self._hosts()
@@ -379,6 +380,7 @@
             message.loads,
             message.has_callers,
             message.is_waiting,
+            message.turned_away,
         )
         if message.node not in self._peers:
             log_event(_log, "peer_joined", peer=message.node, ip=ip)
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -138,6 +138,8 @@
         Crash reports of some parts of prompts; others follow in later messages.
     trials : tuple of (int, int)
         Group of suspects for which the sender has sent a trial, and milliseconds since.
+    turned_away : int
+        Requests that the sender refused in the last second because quotas are used up.
     """
 
     node: str
@@ -160,6 +162,7 @@
     sent_at: Millis | None = None
     parts: tuple[CrashBeat, ...] = ()
     trials: tuple[tuple[int, int], ...] = ()
+    turned_away: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -250,6 +250,13 @@
         """Whether requests wait for a place at an endpoint."""
         return any(service.admission.waiting for service in self.services.values())
 
+    @property
+    def turned_away(self) -> int:
+        """Requests refused in the last second because quotas are used up here."""
+        now = self.clock.now()
+        services = self.services.values()
+        return sum(service.admission.turned_away.at(now) for service in services)
+
     def note_request(self) -> None:
         """Note that a caller has sent a request."""
         self._requested_at = self.clock.now()
--- a/tests/core/admission/test_connection_spread.py
+++ b/tests/core/admission/test_connection_spread.py
@@ -1,5 +1,7 @@
 """A node with far more requests than others declines new connections."""
 
+from dataclasses import replace
+
 import pytest
 
 from azurefold.core.admission.connection_spread import ConnectionSpread, NodeLoad
@@ -10,8 +12,8 @@
     return ConnectionSpread()
 
 
-def load(requests, peers=(4, 4, 4), is_cell_full=True, lateness=0):
-    return NodeLoad(requests, peers, is_cell_full, lateness)
+def load(requests, peers=(4, 4, 4), is_cell_full=True, lateness=0, turned_away=0):
+    return NodeLoad(requests, turned_away, peers, is_cell_full, lateness)
 
 
 def test_three_in_four_connections_are_declined(spread):
@@ -47,3 +49,11 @@
         spread.accepts(each)
         marks.append(spread.is_first_declined)
     assert marks == [True, False, False, True]
+
+
+def test_connections_are_declined_while_quotas_are_used_up(spread):
+    """Guards against refusals at one node while others have their parts of quotas."""
+    few = load(4, peers=(3, 3), is_cell_full=False)
+    assert spread.accepts(few)
+    assert not spread.accepts(replace(few, turned_away=12))
+    assert spread.accepts(replace(few, turned_away=12, peers=(12, 12)))
--- a/tests/gateway/quota_world.py
+++ b/tests/gateway/quota_world.py
@@ -20,6 +20,7 @@
 )
 from azurefold.core.routing.quotas import QuotaReport
 from azurefold.entry.admission import Ticket
+from azurefold.gateway.callers.connections import accepts_connection
 from azurefold.gateway.peers.exchange import Exchange, Peer, _decode, new_exchange
 from azurefold.gateway.peers.messages import Coordination
 from azurefold.gateway.peers.portions import sent_at
@@ -72,6 +73,10 @@
         For which requests wait for a place at an endpoint.
     knows_store_time : bool
         Whether the store has answered the gateways.
+    preferred : str or None
+        Gateway to which a balancer sends most new connections.
+    preferred_share : float
+        Of the connections; a connection that is declined meets another gateway.
     seed : int
     """
 
@@ -85,6 +90,8 @@
     step_ms: int = STEP_MS
     waits_ms: int = 0
     knows_store_time: bool = True
+    preferred: str | None = None
+    preferred_share: float = 0.9
     time: ManualTime = field(default_factory=lambda: ManualTime(at=100_000))
     needs: dict[str, list[Need]] = field(default_factory=dict)
     arrivals: dict[str, list[tuple[int, str]]] = field(default_factory=dict)
@@ -175,6 +182,12 @@
         begin = need.begin + begin_after
         return share_used(need, self.arrivals.get(endpoint, []), begin, self.time.at)
 
+    def share_served(self, ms):
+        """Run for ``ms`` and return the share of requests that got an endpoint."""
+        asked, refused = self.asked, self.refused
+        self.run(ms)
+        return 1.0 - (self.refused - refused) / (self.asked - asked)
+
     def rate_of(self, endpoint):
         """Return the quota that an endpoint names now, if any."""
         needs = self.needs.get(endpoint, [])
@@ -250,6 +263,11 @@
         gateway.exchange._take(message, message.node)
 
     def _ask(self, gateway):
+        if self.preferred and self._draw.random() < self.preferred_share:
+            preferred = self.by_name[self.preferred]
+            exchange = preferred.exchange
+            if accepts_connection(exchange.state, exchange.loads):
+                gateway = preferred
         if not gateway.has_callers:
             return
         self.asked += 1
@@ -269,6 +287,7 @@
             return
         endpoint, sent_at = chosen.endpoint, self.time.at
         self.requests_of_ranks[endpoint] += 1
+        gateway.exchange.state.in_flight += 1
         if sent_at >= gateway.excused_until:
             self.arrivals.setdefault(endpoint, []).append((sent_at, gateway.name))
 
@@ -285,6 +304,7 @@
 
         def end():
             self.requests_of_ranks[endpoint] -= 1
+            gateway.exchange.state.in_flight -= 1
             outcome = Answered() if gateway.cut_until < self.time.at else Cancelled()
             gateway.pool.record_end(endpoint, number, outcome, self.time.at)
 
--- a/tests/gateway/test_connections_that_all_go_to_one_gateway.py
+++ b/tests/gateway/test_connections_that_all_go_to_one_gateway.py
@@ -4,6 +4,7 @@
 
 import pytest
 from tests.gateway.group_world import GroupSite
+from tests.gateway.quota_world import QuotaSite
 
 BEFORE_MS, STABLE_MS, DURING_MS = 6_000, 4_000, 4_000
 SERVED_DURING_TO_BEFORE = 0.75
@@ -47,3 +48,25 @@
         served_before = share_served(site, began + 2_000, began + BEFORE_MS)
         served = share_served(site, since, since + DURING_MS - 1_200)
         assert served >= SERVED_DURING_TO_BEFORE * served_before
+
+
+@pytest.mark.parametrize(
+    ("gateways", "endpoints", "per_second", "quota"),
+    [(9, 18, 4.0, 2.5), (9, 18, 4.0, 1.5), (36, 72, 2.0, 0.7)],
+)
+def test_callers_are_served_while_all_endpoints_name_quotas(
+    gateways, endpoints, per_second, quota
+):
+    """Guards against refusals at a gateway that has only its part of each quota."""
+    site = QuotaSite(gateways, endpoints, per_second=per_second)
+    site.run(STABLE_MS)
+    for endpoint in site.ranks:
+        site.needs_help(endpoint, quota)
+    site.run(2 * BEFORE_MS)
+    served_before = site.share_served(BEFORE_MS)
+    for name in site.names[:2]:
+        site.preferred = name
+        site.run(STABLE_MS)
+        served = site.share_served(DURING_MS)
+        assert served >= SERVED_DURING_TO_BEFORE * served_before
+    site.check()
