Wait in a scenario until the operator is told that an endpoint drains

A listed scenario failed at loads of 9 and more: 'drafts-0 ran 6 more'. Its three seconds counted from the start of the command that drains, which is 0.7 s of processor time by itself, and more beside others. They count now from the command's line that the endpoint takes no new work; what must hold after them is as it was.

--- a/src/azurefold_standins/scenario/parser.py
+++ b/src/azurefold_standins/scenario/parser.py
@@ -224,6 +224,9 @@
     def wait_entries(self, parts):
         return steps.WaitEntries()
 
+    def wait_leaving(self, parts):
+        return steps.WaitLeaving(*parts)
+
     def all_whole(self, parts):
         return expectations.Whole()
 
--- a/src/azurefold_standins/scenario/runner.py
+++ b/src/azurefold_standins/scenario/runner.py
@@ -66,6 +66,12 @@
                 )
             case steps.WaitEntries():
                 world.wait_entries()
+            case steps.WaitLeaving(endpoint=endpoint):
+                drain = self.drains[endpoint]
+                wait_until(
+                    lambda: "takes no new work" in drain.output() or not drain.running,
+                    f"{endpoint} takes no new work",
+                )
             case _:
                 self._fault_or_check(step)
 
--- a/src/azurefold_standins/scenario/steps.py
+++ b/src/azurefold_standins/scenario/steps.py
@@ -271,6 +271,13 @@
     """Wait until running entries know all endpoints near them."""
 
 
+@dataclass(frozen=True, slots=True)
+class WaitLeaving:
+    """Wait until the operator has been told that an endpoint is leaving."""
+
+    endpoint: str
+
+
 Step = object
 """Any of the classes above, or of :mod:`.expectations`."""
 
