--- a/review/standins.py
+++ b/review/standins.py
@@ -198,6 +198,8 @@
     service : str
     reply : callable or None
         Takes the handler and the headers that vouch for the answer, and answers.
+    rejects : callable or None
+        Returns whether the worker rejects a request, as if it were full.
 
     Attributes
     ----------
@@ -205,7 +207,9 @@
         What it ran: time, attempt id, method, path and body.
     """
 
-    def __init__(self, name, number, record, service="desk", reply=None):
+    def __init__(
+        self, name, number, record, service="desk", reply=None, rejects=None
+    ):
         self.name = name
         self.service = service
         self.runs = []
@@ -219,6 +223,10 @@
                 if self.headers.get("Expect-Instance") != worker.name:
                     self.give(421, headers=headers)
                     return
+                if rejects is not None and rejects():
+                    record(f"{worker.name} rejects {attempt}")
+                    self.give(503, b"", [*headers, ("Not-Executed", "1")])
+                    return
                 worker.runs.append(
                     (time.monotonic(), attempt, self.command, self.path, body)
                 )
@@ -341,7 +349,12 @@
         self._settings.write_text(json.dumps(settings), "utf-8")
         self.process = None
 
-    def start(self):
+    def start(self, *, is_first=True):
+        """Start the process; ``Bootstrap`` is true at the site's first start only."""
+        if not is_first:
+            settings = json.loads(self._settings.read_text("utf-8"))
+            settings["Bootstrap"] = False
+            self._settings.write_text(json.dumps(settings), "utf-8")
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))
         words = deploy["roles"]["gateway"]["run"].split()
         if words[0] == "python3":
