--- a/review/standins.py
+++ b/review/standins.py
@@ -207,9 +207,7 @@
         What it ran: time, attempt id, method, path and body.
     """
 
-    def __init__(
-        self, name, number, record, service="desk", reply=None, rejects=None
-    ):
+    def __init__(self, name, number, record, service="desk", reply=None, rejects=None):
         self.name = name
         self.service = service
         self.runs = []
@@ -365,7 +363,11 @@
         environment["AZUREFOLD_NODE_FILE"] = str(self._settings)
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
-                words, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                words,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
                 env=environment,
             )
 
@@ -382,7 +384,8 @@
     def is_ready(self):
         try:
             with connect(self.ready, 1.0) as sock:
-                sock.sendall(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                lines = (b"GET /readyz HTTP/1.1", b"Host: x", b"Connection: close")
+                sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n")
                 return b" 200 " in read_all(sock, 1.0)[:32]
         except OSError:
             return False
@@ -470,8 +473,13 @@
         return Reader(sock).answer()
 
 
+def _stop(*_):
+    raise CannotRun("told to stop")
+
+
 def play(case, folder):
     """Run a case and exit with 1 if it says that its rule was broken, else 0."""
+    signal.signal(signal.SIGTERM, _stop)
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {has_trouble}")
