--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import contextlib
 import json
 import os
 import select
@@ -55,9 +56,29 @@
     daemon_threads = True
     request_queue_size = 256
 
+    def __init__(self, *arguments):
+        self._open = set()
+        super().__init__(*arguments)
+
     def handle_error(self, request, client_address):
         """A peer that leaves is no error."""
 
+    def process_request(self, request, client_address):
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self):
+        """Close the port and all connections at once."""
+        self.shutdown()
+        self.server_close()
+        for request in list(self._open):
+            with contextlib.suppress(OSError):
+                request.shutdown(socket.SHUT_RDWR)
+
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -80,8 +101,8 @@
         self.wfile.flush()
 
 
-def _serve(ip, handler):
-    server = _Server((ip, 0), handler)
+def _serve(ip, handler, port=0):
+    server = _Server((ip, port), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server, f"{ip}:{server.server_address[1]}"
 
@@ -234,8 +255,19 @@
 
             do_POST = do_GET
 
+        self._handler = Handler
         self.server, self.address = _serve(f"{_NET}.{10 + number}", Handler)
 
+    def crash(self):
+        """End at once; nobody answers at its address until it starts again."""
+        self.server.crash()
+
+    def start_again(self):
+        """Start at the same address and under the same id."""
+        self.server, _ = _serve(
+            split(self.address)[0], self._handler, split(self.address)[1]
+        )
+
     def entry(self, **more):
         """Return its row in the store."""
         entry = {
