--- a/review/standins.py
+++ b/review/standins.py
@@ -28,6 +28,7 @@
 KEY = "a-key"
 TENANT = "shops"
 DRAIN_MS = 2_000
+HEARTBEAT_S = 1.2
 GRACE_S = 8
 APPLY_MS = 2_000
 _NET = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 250 + 1}"
@@ -232,6 +233,7 @@
         self.name = name
         self.service = service
         self.runs = []
+        self.record = record
         worker = self
 
         class Handler(_Handler):
@@ -278,11 +280,56 @@
             "Slots": 6,
             "State": "ready",
             "ColdLeftMs": 0,
-            "SeqNo": 0,
         }
         return entry | more
 
 
+class Beats(threading.Thread):
+    """Writes a worker's entry each ``HeartbeatMs``, as a sound worker does.
+
+    Parameters
+    ----------
+    store : Store
+    worker : Worker
+    born : int or None
+        The time of its start by its own clock; None for the true time.
+    """
+
+    def __init__(self, store, worker, born=None):
+        super().__init__(daemon=True)
+        self._store, self._worker = store, worker
+        self._born = round(time.time() * 1_000) if born is None else born
+        self._number = 0
+        self._stopped = threading.Event()
+
+    def write(self, state="ready"):
+        """Write the entry; return when the store acknowledged it."""
+        self._number += 1
+        entry = self._worker.entry(born=self._born, SeqNo=self._number, State=state)
+        at = self._store.put("servers", self._worker.name, entry)
+        self._worker.record(
+            f"{self._worker.name} writes {state}, SeqNo {self._number}, "
+            f"born {self._born}"
+        )
+        return at
+
+    def run(self):
+        while not self._stopped.wait(HEARTBEAT_S):
+            self.write()
+
+    def stop(self):
+        self._stopped.set()
+        self.join()
+
+
+def begin(store, worker, born=None):
+    """Have a worker write its entry, now and each ``HeartbeatMs``."""
+    beats = Beats(store, worker, born)
+    beats.write()
+    beats.start()
+    return beats
+
+
 def _plain(handler, headers):
     time.sleep(0.02)
     handler.give(200, b"answer to " + handler.path.encode(), headers)
@@ -357,7 +404,7 @@
             "PortRange": [port, port],
             "Seeds": [],
             "Bootstrap": True,
-            "HeartbeatMs": 1_200,
+            "HeartbeatMs": round(HEARTBEAT_S * 1_000),
             "Limits": {"MemoryMb": 300, "MaxFds": 4_100, "LinkMbps": 1_000.0},
             "Bounds": {
                 "StableMs": 3_000,
