Log how a stream's body ended, and with which event it was gone on with

Three hypotheses of streams that reach callers out of order looked alike in the logs: no line said how an answer's body was framed, behind which event a stream was resumed, or with which id the next run began. An end of the connection inside a chunked answer was logged as not_an_answer, like wrong bytes.

attempt_failed now has last_id and framing, stream_resumed tells after and first_id, request_end has framing, and two counters tell streams by framing and broken replies by reason. No decision changes. tests/gateway without scenarios, tests/core/attempts and tests/docs pass; one new test.

--- a/src/azurefold/core/attempts/events.py
+++ b/src/azurefold/core/attempts/events.py
@@ -10,7 +10,7 @@
 
 from azurefold.core.clock import Millis
 
-__all__ = ["EventTiming", "EventSplitter", "EventGapMonitor"]
+__all__ = ["EventTiming", "EventSplitter", "EventGapMonitor", "first_event_id"]
 
 _EVENT_END = b"\n\n"
 _EVENT_END_CRLF = b"\r\n\r\n"
@@ -31,6 +31,20 @@
 """Callers are guaranteed gaps of at most 120 ms; half of that delays nobody."""
 
 
+def first_event_id(events: bytes) -> str | None:
+    r"""Return the first id in some events, or None without one.
+
+    Examples
+    --------
+    >>> first_event_id(b"weight-versions: 3\nid: 7\ndata: a\n\nid: 8\ndata: b\n\n")
+    '7'
+    """
+    for line in events.splitlines():
+        if line.startswith(_ID_FIELD):
+            return line[len(_ID_FIELD) :].strip().decode("latin-1")
+    return None
+
+
 @dataclass(slots=True)
 class EventSplitter:
     r"""Splitter of a byte stream into complete events.
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -382,6 +382,7 @@
             first_ms=self._progress.pace.time_to_first_event(call.arrived),
             longest_gap_ms=self._progress.pace.longest_gap,
             events=events,
+            framing=self._progress.framing,
             **self._admission_fields(),
             **self._work.fields(events),
         )
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -4,7 +4,11 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from azurefold.core.attempts.events import EventSplitter, EventTiming
+from azurefold.core.attempts.events import (
+    EventSplitter,
+    EventTiming,
+    first_event_id,
+)
 from azurefold.core.attempts.outcome import RunStatus
 from azurefold.core.attempts.request_state import EndpointFailed, Event, NotDispatched
 from azurefold.core.clock import Millis
@@ -73,6 +77,8 @@
         rank refused because of another one.
     is_list_outdated : bool
         Whether no newer endpoint list came after this process stood still.
+    framing : str
+        What ends the body of the last answer to a stream; "none" without one.
     own_answer : Begun or None
         An endpoint's own error, for want of a better answer.
     result : str
@@ -86,6 +92,7 @@
     dispatched: bool = False
     free_refusals: int = 0
     is_list_outdated: bool = False
+    framing: str = "none"
     own_answer: Begun | None = None
     result: str = "abandoned"
 
@@ -172,6 +179,7 @@
             return (yield from self._answer(reply))
         except BrokenReplyError as error:
             event = self._failed("broken_reply", error.reason, sent=True)
+            self.state.broken_replies[self.call.service, error.reason] += 1
             now = self.state.clock.now()
             self.service.record_cold_sign(self.endpoint, ColdSign.BROKEN_REPLY, now)
             if not error.is_timeout:
@@ -248,10 +256,15 @@
         splitter = self.progress.splitter
         splitter.discard_partial_event()
         pool = self.service.admission.pool
+        self.progress.framing = reply.framing
+        self.state.streams[self.call.service, reply.framing] += 1
+        resumed_after = self._resume_at
         while data := reply.next_bytes():
             events = splitter.feed(data)
             if not events:
                 continue
+            if self.progress.begun and not self._has_begun:
+                self._log_resumed(resumed_after, events)
             now = self.state.clock.now()
             self._note_begun(now)
             pool.record_first_token(self.endpoint, self.id, now)
@@ -344,9 +357,24 @@
             why=event,
             detail=detail,
             passed=self.progress.splitter.event_count,
+            last_id=self.progress.splitter.last_id or "none",
+            framing=self.progress.framing,
             new_connection=self._link.is_new if self._link else "none",
         )
 
+    def _log_resumed(self, after: str | None, events: bytes) -> None:
+        log_event(
+            _log,
+            "stream_resumed",
+            request=self.call.id,
+            attempt=self.number,
+            endpoint=self.endpoint,
+            after=after or "none",
+            first_id=first_event_id(events) or "none",
+            passed=self.progress.passed,
+            framing=self.progress.framing,
+        )
+
     def _observe_events(self, now: Millis) -> None:
         gap = self.progress.pace.record_events(now)
         timings = self.state.timings
@@ -358,15 +386,19 @@
             timings.event_gaps.of(service).observe(gap)
             self.service.event_gap(self.endpoint, gap, now)
 
+    @property
+    def _resume_at(self) -> str | None:
+        """Id of the event behind which the endpoint is asked to go on."""
+        return self.progress.splitter.last_id or self.call.head.last_event_id
+
     def _request_bytes(self) -> bytes:
         call = self.call
-        resume_at = self.progress.splitter.last_id or call.head.last_event_id
         headers = endpoint_headers(
             call.head,
             endpoint=self.endpoint,
             organisation=call.organisation,
             left_ms=max(1, call.deadline - self.state.clock.now()),
-            last_event_id=resume_at,
+            last_event_id=self._resume_at,
             priority=self.service.engine_priority(call),
             passes_key=call.passes_key,
         )
--- a/src/azurefold/gateway/endpoints/reply.py
+++ b/src/azurefold/gateway/endpoints/reply.py
@@ -1,6 +1,7 @@
 """Reading one answer of an endpoint off a connection."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from geventhttpclient.response import (
     HTTPParseError,
@@ -13,7 +14,7 @@
 from azurefold.gateway.endpoints.connections import Link
 from azurefold.platform.headers import AnswerHead, read_answer
 
-__all__ = ["BrokenReplyError", "Reply", "read_reply"]
+__all__ = ["BrokenReplyError", "Framing", "Reply", "read_reply"]
 
 _BLOCK_BYTES = 16_384
 _SECOND_MS = 1_000
@@ -21,6 +22,14 @@
 _TIMEOUT_REASON = "silent"
 
 
+class Framing(StrEnum):
+    """How an answer says where its body ends (RFC 9112, 6.3)."""
+
+    CHUNKED = "chunked"
+    LENGTH = "length"
+    CONNECTION = "connection"
+
+
 class BrokenReplyError(Exception):
     """The answer broke off, or was none; what was sent may have been run.
 
@@ -76,6 +85,15 @@
         """Whether all of the answer has come."""
         return self._parser.message_complete
 
+    @property
+    def framing(self) -> Framing:
+        """What ends the body."""
+        if "transfer-encoding" in self._parser:
+            return Framing.CHUNKED
+        if "content-length" in self._parser:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
     @property
     def may_reuse(self) -> bool:
         """Whether the connection can carry another request."""
@@ -161,7 +179,8 @@
     except HTTPParseError as error:
         if parser.message_complete and parser.headers_complete:
             return False
-        raise BrokenReplyError("not_an_answer", begun) from error
+        reason = "not_an_answer" if data else "closed"
+        raise BrokenReplyError(reason, begun) from error
     if not data and not parser.message_complete:
         raise BrokenReplyError("closed", begun)
     return bool(data)
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -1,5 +1,6 @@
 """What a gateway counts, read off its state when somebody asks."""
 
+from collections import Counter
 from collections.abc import Iterator
 
 from prometheus_client import CollectorRegistry
@@ -25,14 +26,16 @@
 
     def collect(self) -> Iterator[Metric]:
         state = self._state
-        answers = CounterMetricFamily(
-            "azurefold_gateway_answers",
-            "Final answers to callers",
-            labels=["service", "result"],
+        yield _counter("answers", "Final answers to callers", "result", state.answers)
+        yield _counter(
+            "streams", "Streams by what ends their body", "framing", state.streams
+        )
+        yield _counter(
+            "broken_replies",
+            "Answers of endpoints that are broken",
+            "reason",
+            state.broken_replies,
         )
-        for (service, result), number in state.answers.items():
-            answers.add_metric([service, result], number)
-        yield answers
         yield _gauge("configuration_version", "Version in force", state.version)
         yield self._table_ages()
         yield _gauge("in_flight", "Requests not yet answered", state.in_flight)
@@ -244,6 +247,17 @@
         return family
 
 
+def _counter(
+    name: str, text: str, label: str, counts: Counter[tuple[str, str]]
+) -> Metric:
+    family = CounterMetricFamily(
+        f"azurefold_gateway_{name}", text, labels=["service", label]
+    )
+    for labels, number in counts.items():
+        family.add_metric(labels, number)
+    return family
+
+
 def _gauge(name: str, text: str, value: float) -> Metric:
     return GaugeMetricFamily(f"azurefold_gateway_{name}", text, value=value)
 
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -96,6 +96,10 @@
         Requests read and not yet answered.
     answers : Counter of (str, str)
         By service and result.
+    streams : Counter of (str, str)
+        Endpoints' streams by service and by what ends their bodies.
+    broken_replies : Counter of (str, str)
+        Endpoints' answers that were broken, by service and reason.
     timings : Timings
         Of answers, for the metrics.
     nodes : int
@@ -164,6 +168,8 @@
     drain_began: Millis = 0
     in_flight: int = 0
     answers: Counter[tuple[str, str]] = field(default_factory=Counter)
+    streams: Counter[tuple[str, str]] = field(default_factory=Counter)
+    broken_replies: Counter[tuple[str, str]] = field(default_factory=Counter)
     timings: Timings = field(default_factory=Timings)
     nodes: int = _USUAL_NODES
     cell: Cell = field(default_factory=Cell)
--- a/tests/gateway/test_answers_that_end_with_their_connection.py
+++ b/tests/gateway/test_answers_that_end_with_their_connection.py
@@ -164,3 +164,20 @@
     answers.append((head_of() + EVENT % 1, True))
     parts, is_cut_off = read(relay_of(state, AnswerKind.STREAMING))
     assert is_cut_off or isinstance(parts[0], GivenUp)
+
+
+def test_logs_tell_how_a_stream_ended_and_was_gone_on_with(
+    state, answers, head_of, caplog
+):
+    answers.append((head_of() + EVENT % 1 + (EVENT % 2)[:7], False))
+    chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(EVENT % 2), EVENT % 2)
+    answers.append((head_of(200, "Transfer-Encoding: chunked\r\n") + chunk, False))
+    with caplog.at_level("INFO", "azurefold.gateway"):
+        read(relay_of(state, AnswerKind.STREAMING, max_attempts=2, is_resumable=True))
+    lines = [record.getMessage() for record in caplog.records]
+    [failed] = [line for line in lines if "event=attempt_failed" in line]
+    assert "detail=half_an_event passed=1 last_id=1 framing=connection" in failed
+    [resumed] = [line for line in lines if "event=stream_resumed" in line]
+    assert "after=1 first_id=2 passed=1 framing=chunked" in resumed
+    assert sorted(framing for _, framing in state.streams) == ["chunked", "connection"]
+    assert [reason for _, reason in state.broken_replies] == ["half_an_event"]
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -24,7 +24,7 @@
 from azurefold.gateway.callers.relay import Relay
 from azurefold.gateway.endpoints import attempt as attempts
 from azurefold.gateway.endpoints.connections import Link
-from azurefold.gateway.endpoints.reply import BrokenReplyError
+from azurefold.gateway.endpoints.reply import BrokenReplyError, Framing
 from azurefold.platform.headers import AnswerHead, read_request
 
 EVENT = b"id: %d\ndata: x\n\n"
@@ -54,6 +54,7 @@
     pieces: list
     may_reuse: bool = True
     idle_timeout_ms: int | None = None
+    framing: Framing = Framing.CHUNKED
 
     def next_bytes(self):
         piece = self.pieces.pop(0) if self.pieces else b""
