--- a/src/azurefold_standins/gateway_caller.py
+++ b/src/azurefold_standins/gateway_caller.py
@@ -12,7 +12,15 @@
 from azurefold_standins.bare_layout import EVENTS, expected_event
 from azurefold_standins.gateway_site import HOST, KEY
 
-__all__ = ["HINTS", "HONEST_HINT", "Call", "Caller", "Kind", "Result"]
+__all__ = [
+    "HINTS",
+    "HONEST_HINT",
+    "Call",
+    "Caller",
+    "Kind",
+    "Result",
+    "StreamKind",
+]
 
 _PROMISES = (408, 421, 429, 503)
 _TIMEOUT_S = 6.0
@@ -43,6 +51,13 @@
     LIST = "lists"
 
 
+class StreamKind(Enum):
+    """What endpoints in processes of their own are asked for: streams."""
+
+    NOTE = "notes"
+    TALK = "talks"
+
+
 class Result(Enum):
     """What came of a call."""
 
@@ -58,7 +73,7 @@
     """One call and its end."""
 
     id: str
-    kind: Kind
+    kind: Kind | StreamKind
     gateway: str
     result: Result
     status: int
@@ -88,12 +103,18 @@
         # Of its own, so that hints change nothing else that is drawn.
         self._hints = random.Random(self.name)
 
-    def call(self, kind: Kind, gateway: str, address: str, prefix: str = "") -> Call:
+    def call(
+        self,
+        kind: Kind | StreamKind,
+        gateway: str,
+        address: str,
+        prefix: str = "",
+    ) -> Call:
         """Make a call and check the answer.
 
         Parameters
         ----------
-        kind : Kind
+        kind : Kind or StreamKind
         gateway, address : str
         prefix : str
             Of the route, ``"/"`` at both ends; by default the kind's own.
@@ -113,7 +134,7 @@
 
     def _ask(
         self,
-        kind: Kind,
+        kind: Kind | StreamKind,
         path: str,
         gateway: str,
         address: str,
@@ -169,12 +190,14 @@
     }
 
 
-def _judge(kind: Kind, path: str, body: bytes, status: int, data: bytes) -> Result:
+def _judge(
+    kind: Kind | StreamKind, path: str, body: bytes, status: int, data: bytes
+) -> Result:
     if status in _PROMISES:
         return Result.REFUSED
     if status != 200:
         return Result.FAILED
-    if kind is Kind.DRAFT:
+    if kind is Kind.DRAFT or isinstance(kind, StreamKind):
         numbers = range(1, EVENTS + 1)
         whole = b"".join(expected_event(path, number) for number in numbers)
     else:
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -4,12 +4,14 @@
 import json
 import os
 import random
+import socket
 import urllib.request
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
+from azurefold.internal.http_server import split_address
 from azurefold_standins.bare_layout import (
     CLASS_ROUTES,
     BareEndpoint,
@@ -52,6 +54,8 @@
         Where callers reach each gateway.
     has_classes : bool
         Whether there are routes of three priorities to the plain service.
+    streamers : list of BareEndpoint
+        Endpoints that are processes of their own.
     """
 
     processes: Processes
@@ -65,18 +69,23 @@
     version: int = 0
     has_classes: bool = False
     extra_routes: list[str] = field(default_factory=list)
+    streamers: list[BareEndpoint] = field(default_factory=list)
     _since_copy: dict[tuple[str, str], object] = field(default_factory=dict)
 
     def start(self) -> None:
         """Start all, with a configuration and all endpoints in the store."""
         for name in ("store", "relay", "endpoints"):
             self.processes[name].start()
+        for endpoint in self.streamers:
+            self.start_streamer(endpoint)
         wait_until(lambda: self._answers(self.store, "/stand-in/calls"), "the store")
         wait_until(lambda: self._answers(self.control, "/journal"), "the endpoints")
         wait_until(lambda: self._answers(self.relay, "/links"), "the relay")
         self.configure()
         for endpoint in self.endpoints:
             self.register(endpoint)
+        for endpoint in self.streamers:
+            self.register(endpoint, direct=True)
         for name in self.gateways:
             self.processes[name].start()
         for name in self.gateways:
@@ -89,6 +98,13 @@
         settings = json.loads(Path(path).read_text("utf-8")) | {"Bootstrap": False}
         Path(path).write_text(json.dumps(settings), "utf-8")
 
+    def start_streamer(self, endpoint: BareEndpoint) -> None:
+        """Start an endpoint's process, again if it has ended, and wait for it."""
+        process = self.processes[endpoint.name]
+        process.start()
+        address = split_address(endpoint.address)
+        wait_until(lambda: _listens(address), f"{endpoint.name} listens")
+
     def wait_ready(self, gateway: str) -> None:
         """Wait until a gateway is ready."""
         address = self.admins[gateway]
@@ -120,8 +136,9 @@
         direct : bool, default=False
             Whether the entry has the endpoint's own address instead of the relay's.
         """
-        relay_address = self.links[f"endpoint-{endpoint.name}"][0]
-        address = endpoint.address if direct else relay_address
+        address = endpoint.address
+        if not direct:
+            address = self.links[f"endpoint-{endpoint.name}"][0]
         entry = {
             "Service": endpoint.service,
             "Address": address,
@@ -204,6 +221,14 @@
             return answer.read()
 
 
+def _listens(address: tuple[str, int]) -> bool:
+    try:
+        socket.create_connection(address, _TIMEOUT_S).close()
+    except OSError:
+        return False
+    return True
+
+
 @dataclass(slots=True)
 class _Ports:
     """Ports of one address, each given once.
@@ -235,6 +260,7 @@
     desks: int = 2,
     retries: Allowance = _RETRIES,
     *,
+    streamers: int = 0,
     is_contended: bool = False,
 ) -> GatewaySite:
     """Return a site that is not started yet.
@@ -247,6 +273,8 @@
         Processes in front, ranks of the group, plain endpoints.
     retries : Allowance
         Over all gateways, with a window in seconds.
+    streamers : int, default=0
+        Processes that stream, each one an endpoint.
     is_contended : bool, default=False
         Whether endpoints are in two data centres by turns, which can be evacuated, and
         the plain service has three priorities.
@@ -281,6 +309,9 @@
         control=control,
         links=links,
         has_classes=is_contended,
+        streamers=[
+            BareEndpoint(f"notes-{n}", "notes", free()) for n in range(streamers)
+        ],
     )
     _add_stand_ins(site, folder)
     for name in names:
@@ -303,6 +334,9 @@
         ["--address", site.relay, "--links", str(links)],
     )
     add("endpoints", "azurefold_standins.bare_endpoints", ["--layout", str(layout)])
+    for each in site.streamers:
+        arguments = ["--address", each.address, "--name", each.name]
+        add(each.name, "azurefold_standins.stream_endpoint", arguments)
 
 
 def _add_gateway(
@@ -335,6 +369,8 @@
         _route("/drafts/", "streaming", "drafts", Resumable=True, MaxAttempts=3),
         _route("/acks/", "non_idempotent", "desk"),
         _route("/lists/", "idempotent", "desk", MaxAttempts=2),
+        _route("/notes/", "streaming", "notes", Resumable=True, MaxAttempts=3),
+        _route("/talks/", "streaming", "notes", MaxAttempts=3),
     ]
     routes += [_route(prefix, "idempotent", "desk") for prefix in extra_routes]
     if has_classes:
@@ -358,6 +394,7 @@
         "Services": [
             {"Name": "drafts", "MaxConns": 64, "Engine": engine},
             {"Name": "desk", "MaxConns": 64},
+            {"Name": "notes", "MaxConns": 64},
         ],
         "Limits": {"IdleTimeoutMs": 15000},
         "Tenants": [{"Name": "shops", "ApiKeys": [KEY]}],
