Cut off a stream that cannot be resumed, whatever status its endpoint fails with

Callers saw a stream end as complete before its last event: a resumable stream broke off, the endpoint asked to go on with it failed with a sealed status below 500 (400, 404, 413, 304), and Attempt took this for a whole answer. Its second Begun was dropped on the way to the caller, and the stream got its closing chunk.

--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -236,10 +236,12 @@
             return self._refused(reply)
         if not head.sealed or head.encoded:
             return self._failed("not_its_answer", str(head.status), sent=True)
-        if head.status >= _SERVER_ERROR:
-            return self._server_error(reply)
+        is_success = _OK <= head.status < _REDIRECT
+        # Only the rest of a stream can follow on its beginning.
+        if head.status >= _SERVER_ERROR or (self.progress.begun and not is_success):
+            return self._endpoint_error(reply)
         is_stream = self.call.route.kind is AnswerKind.STREAMING
-        if is_stream and _OK <= head.status < _REDIRECT:
+        if is_stream and is_success:
             return (yield from self._stream(reply))
         return (yield from self._whole(reply))
 
@@ -289,7 +291,7 @@
             self._has_begun = True
             self.state.crashing_parts.record_begun(self.call.head.shared_parts, now)
 
-    def _server_error(self, reply: Reply) -> Event:
+    def _endpoint_error(self, reply: Reply) -> Event:
         body = reply.whole_body()
         self._done(reply, Failed())
         self.progress.own_answer = Begun(reply.head.status, reply.head.forwarded, body)
