Pass on only events whose ids rise, and go on elsewhere where they don't

Callers saw events of two runs joined, events twice, and bytes that are no events: the splitter passed on whatever stood before an empty line and noted ids without comparing them. An endpoint that was asked to go on behind event 2 and began anew had its events 1 to 12 appended; wrong bytes in a body, or a second answer behind one without a length, were passed on as events, and the next resumption started from an id that they contained.

Ids of a stream's events increase. EventSplitter compares each with the one before it, over all runs, and with the caller's own Last-Event-Id. One that isn't higher, or an event without an id where ids are known or needed to resume, ends the attempt as broken; what came before it is passed on. A run that begins with the very event that was named is taken, and this event dropped. Comments and empty lines need no id. An event of more than 1 MiB is none.

The unit test that used discard_partial_event uses begin_run, with the same checks. New unit tests: drawn ids, breaks and cuts; a run that begins anew; the event named; comments; a stream without ids; an event without end.

--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -118,6 +118,8 @@
             is_idempotent=route.is_safe_to_rerun,
             is_resumable=route.kind is AnswerKind.STREAMING and route.is_resumable,
         )
+        # Without an id of each event no place is known at which to resume.
+        self._progress.splitter.needs_ids = route.is_resumable
 
     def run(self) -> Iterator[Part]:
         """Yield the parts of the answer.
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -4,11 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from azurefold.core.attempts.events import (
-    EventSplitter,
-    EventTiming,
-    first_event_id,
-)
+from azurefold.core.attempts.events import EventSplitter, EventTiming
 from azurefold.core.attempts.outcome import RunStatus
 from azurefold.core.attempts.request_state import EndpointFailed, Event, NotDispatched
 from azurefold.core.clock import Millis
@@ -256,17 +252,20 @@
 
     def _stream(self, reply: Reply) -> Iterator[Part]:
         splitter = self.progress.splitter
-        splitter.discard_partial_event()
+        splitter.begin_run(self._resume_at)
         pool = self.service.admission.pool
         self.progress.framing = reply.framing
         self.state.streams[self.call.service, reply.framing] += 1
         resumed_after = self._resume_at
+        is_logged = resumed_after is None
         while data := reply.next_bytes():
             events = splitter.feed(data)
+            if splitter.first_id is not None and not is_logged:
+                is_logged = True
+                self._log_resumed(resumed_after)
             if not events:
+                self._check_events()
                 continue
-            if self.progress.begun and not self._has_begun:
-                self._log_resumed(resumed_after, events)
             now = self.state.clock.now()
             self._note_begun(now)
             pool.record_first_token(self.endpoint, self.id, now)
@@ -278,6 +277,7 @@
                 yield Begun(reply.head.status, reply.head.forwarded, None)
             self.progress.passed = splitter.event_count
             yield Piece(events)
+            self._check_events()
         if splitter.has_partial_event:
             raise BrokenReplyError("half_an_event", begun=True)
         self._done(reply, Answered(splitter.event_count))
@@ -286,6 +286,11 @@
             yield Begun(reply.head.status, reply.head.forwarded, b"")
         return None
 
+    def _check_events(self) -> None:
+        fault = self.progress.splitter.fault
+        if fault is not None:
+            raise BrokenReplyError(fault, begun=True)
+
     def _note_begun(self, now: Millis) -> None:
         if not self._has_begun:
             self._has_begun = True
@@ -364,15 +369,15 @@
             new_connection=self._link.is_new if self._link else "none",
         )
 
-    def _log_resumed(self, after: str | None, events: bytes) -> None:
+    def _log_resumed(self, after: str) -> None:
         log_event(
             _log,
             "stream_resumed",
             request=self.call.id,
             attempt=self.number,
             endpoint=self.endpoint,
-            after=after or "none",
-            first_id=first_event_id(events) or "none",
+            after=after,
+            first_id=self.progress.splitter.first_id,
             passed=self.progress.passed,
             framing=self.progress.framing,
         )
--- a/tests/core/attempts/test_event_streams.py
+++ b/tests/core/attempts/test_event_streams.py
@@ -1,10 +1,12 @@
 """Streams are forwarded in complete events and resumed where they were interrupted."""
 
+import re
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from azurefold.core.attempts.events import EventSplitter
+from azurefold.core.attempts.events import EventFault, EventSplitter
 from azurefold.core.attempts.outcome import RunStatus
 from azurefold.core.attempts.request_state import (
     DispatchAgain,
@@ -17,6 +19,82 @@
 STREAM = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 9))
 
 
+def event_of(number):
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+@given(
+    ids=st.lists(st.integers(0, 12), max_size=12),
+    breaks=st.sets(st.integers(0, 11)),
+    cuts=st.lists(st.integers(1, 20), min_size=1),
+)
+def test_ids_of_forwarded_events_only_increase(ids, breaks, cuts):
+    """Guards against events that come twice or go back, in one run or over several."""
+    splitter = EventSplitter(needs_ids=True)
+    forwarded = b""
+    for position, number in enumerate(ids):
+        if position in breaks:
+            splitter.begin_run(splitter.last_id)
+        event = event_of(number)
+        cut = cuts[position % len(cuts)]
+        forwarded += splitter.feed(event[:cut]) + splitter.feed(event[cut:])
+    numbers = [int(each) for each in re.findall(rb"id: (\d+)", forwarded)]
+    assert numbers == sorted(set(numbers))
+    assert forwarded == b"".join(map(event_of, numbers))
+
+
+@pytest.mark.parametrize("first", [1, 3])
+def test_run_that_does_not_go_on_where_it_was_asked_to_is_not_forwarded(first):
+    """Guards against a run that begins anew behind the events of another."""
+    splitter = EventSplitter()
+    splitter.feed(b"".join(map(event_of, range(1, 5))))
+    splitter.begin_run("4")
+    run = b"".join(map(event_of, range(first, 9)))
+    assert splitter.feed(run) == b""
+    assert splitter.fault is EventFault.ID_NOT_HIGHER
+
+
+def test_event_that_the_caller_named_is_not_forwarded_again():
+    splitter = EventSplitter()
+    splitter.begin_run("4")
+    run = b"".join(map(event_of, range(4, 7)))
+    assert splitter.feed(run) == event_of(5) + event_of(6)
+    assert splitter.fault is None
+
+
+def test_events_before_wrong_bytes_are_forwarded():
+    splitter = EventSplitter(needs_ids=True)
+    data = event_of(1) + b"junk\n\n" + event_of(2)
+    assert splitter.feed(data) == event_of(1)
+    assert splitter.fault is EventFault.NO_ID
+    assert splitter.feed(event_of(2)) == b""
+
+
+@pytest.mark.parametrize("needs_ids", [False, True])
+@pytest.mark.parametrize("ignored", [b": still here\n\n", b"\n\n"])
+def test_comments_and_empty_lines_need_no_id(needs_ids, ignored):
+    splitter = EventSplitter(needs_ids=needs_ids)
+    data = ignored + event_of(1) + ignored + event_of(2)
+    assert splitter.feed(data) == data
+    assert (splitter.fault, splitter.event_count) == (None, 2)
+
+
+def test_stream_without_ids_is_forwarded_where_none_are_needed():
+    splitter = EventSplitter()
+    assert splitter.feed(b"data: a\n\ndata: b\n\n") == b"data: a\n\ndata: b\n\n"
+
+
+def test_event_without_end_is_not_kept():
+    """Guards against bytes without end that fill the memory."""
+    splitter = EventSplitter()
+    fed = 0
+    while splitter.fault is None:
+        splitter.feed(b"x" * 65_536)
+        fed += 65_536
+    assert splitter.fault is EventFault.TOO_LONG
+    assert fed <= 2 * 1_048_576
+
+
 @given(st.lists(st.integers(1, len(STREAM) - 1), max_size=12))
 def test_events_do_not_depend_on_chunk_boundaries(cut_positions):
     splitter = EventSplitter()
@@ -40,7 +118,7 @@
     """
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
-    splitter.discard_partial_event()
+    splitter.begin_run("1")
     assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
     assert splitter.last_id == "2"
 
