Don't take the end of a crashed endpoint's connection for the end of its answer

Callers saw streams end as complete before their last event. An answer without a length and without chunks ends with its connection, and the kernel closes the connections of a process that is killed as if it had done so itself (FIN, no reset). Cut between two events, or before the first, such a stream got its closing chunk.

- An endpoint that refuses a new connection after such an end, and wasn't leaving, has crashed: the attempt failed, also that of a plain answer (the same cause).
- A stream without any event, ended so, is none.
- A resumable stream that ends so at an endpoint that is still there is gone on with once at another one, within the route's attempts and with at most half of the retries: what comes is the rest; if nothing comes, or the question fails, the end is taken.

Weighed: to cut off all such streams (a whole one would look broken), to ask without a bound (endpoints that frame no answer would get each request twice).

--- a/src/azurefold/core/attempts/request_state.py
+++ b/src/azurefold/core/attempts/request_state.py
@@ -19,9 +19,11 @@
     "RequestState",
     "DeadlinePassed",
     "DispatchAgain",
+    "EndUnconfirmed",
     "EndpointFailed",
     "Event",
     "Fail",
+    "Finish",
     "AnswerTextExpired",
     "NotDispatched",
     "ResumeAt",
@@ -99,6 +101,14 @@
     """The agent no longer keeps the text from which to resume."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndUnconfirmed:
+    """The answer ended with its connection, which says nothing of its length.
+
+    The endpoint is still there, so it has probably closed the connection itself.
+    """
+
+
 Event = (
     NotDispatched
     | ConnectionLost
@@ -107,6 +117,7 @@
     | EndpointFailed
     | DeadlinePassed
     | AnswerTextExpired
+    | EndUnconfirmed
 )
 
 
@@ -134,7 +145,12 @@
     failure: Failure
 
 
-NextAction = DispatchAgain | QueryAttemptStatus | ResumeAt | Fail
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """End the answer as complete with what was forwarded."""
+
+
+NextAction = DispatchAgain | QueryAttemptStatus | ResumeAt | Fail | Finish
 
 
 @dataclass(slots=True)
@@ -157,6 +173,12 @@
     is_resumable: bool = False
     _status_queries: int = 0
     _may_have_run: bool = False
+    _unconfirmed_end: int | None = None
+
+    @property
+    def is_confirming(self) -> bool:
+        """Whether only the end of the answer is still to be confirmed."""
+        return self._unconfirmed_end == self.forwarded
 
     def handle_event(self, event: Event, may_retry: Callable[[], bool]) -> NextAction:
         """Return the action to take after ``event``.
@@ -172,7 +194,11 @@
         -------
         NextAction
         """
+        if self.is_confirming:
+            return Finish()
         match event:
+            case EndUnconfirmed():
+                return self._on_unconfirmed_end(may_retry)
             case NotDispatched(reason=reason):
                 return self._on_not_run(reason, may_retry)
             case ConnectionLost():
@@ -247,6 +273,13 @@
         ran = RunStatus.RAN if self.forwarded > 0 else RunStatus.UNKNOWN
         return _fail(ran, reason, _DETAIL[ran])
 
+    def _on_unconfirmed_end(self, may_retry: Callable[[], bool]) -> NextAction:
+        self._unconfirmed_end = self.forwarded
+        if self.is_resumable and may_retry():
+            # Another endpoint sends what is missing, or nothing.
+            return self._dispatch_again()
+        return Finish()
+
     def _dispatch_again(self) -> NextAction:
         self._status_queries = 0
         return DispatchAgain()
--- a/src/azurefold/core/routing/retries.py
+++ b/src/azurefold/core/routing/retries.py
@@ -165,6 +165,12 @@
             0.0, least_left - retries[-1] + self._allowance.effective_retries(now)
         )
 
+    def is_half_left(self, now: Millis) -> bool:
+        """Whether as many retries are left as were spent in the last window."""
+        first_step = self._first_needed_step(now)
+        spent = self._retries.totals(first_step, now // _STEP_MS + 1)[-1]
+        return self.retries_left(now) >= max(1.0, spent)
+
     def try_acquire(self, now: Millis) -> bool:
         """Take one retry from the budget; return whether one was left."""
         if self.retries_left(now) < 1.0:
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -17,7 +17,11 @@
 from azurefold.core.attempts.outcome import Failure, RunStatus
 from azurefold.core.attempts.request_state import (
     DispatchAgain,
+    EndUnconfirmed,
+    Event,
     Fail,
+    Finish,
+    NextAction,
     NotDispatched,
     RequestState,
 )
@@ -137,7 +141,9 @@
         try:
             yield from self._run()
         except DeadlinePassedError:
-            yield self._too_late()
+            self._course.forwarded = self._progress.passed
+            if not self._course.is_confirming:
+                yield self._too_late()
         except CallerGoneError:
             self._progress.result = "caller_gone"
             raise
@@ -157,14 +163,18 @@
         while True:
             event = yield from self._attempt(placed.endpoint)
             if event is None:
-                events = self._progress.splitter.event_count
-                self._work.record_whole(events, self.state.timings)
+                self._record_whole()
                 return
-            self._course.forwarded = self._progress.passed
-            step = self._course.handle_event(event, self._may_retry)
+            step = self._next_step(event)
             match step:
+                case Finish():
+                    self._record_whole()
+                    return
                 case DispatchAgain():
                     placed = self._place_again()
+                    if isinstance(placed, Failure) and self._course.is_confirming:
+                        self._record_whole()
+                        return
                     if isinstance(placed, Failure):
                         yield self._give_up(self._course.correct_refusal(placed))
                         return
@@ -172,6 +182,24 @@
                     yield self._give_up(failure)
                     return
 
+    def _next_step(self, event: Event) -> NextAction:
+        self._course.forwarded = self._progress.passed
+        if not isinstance(event, EndUnconfirmed):
+            return self._course.handle_event(event, self._may_retry)
+        step = self._course.handle_event(event, self._may_confirm)
+        log_event(
+            _log,
+            "stream_end_unconfirmed",
+            request=self.call.id,
+            passed=self._progress.passed,
+            outcome="taken" if isinstance(step, Finish) else "asked",
+        )
+        return step
+
+    def _record_whole(self) -> None:
+        events = self._progress.splitter.event_count
+        self._work.record_whole(events, self.state.timings)
+
     def _place(self) -> Chosen | Failure:
         """Wait for an endpoint for the first attempt."""
         admission = self.service.admission
@@ -245,6 +273,14 @@
         began = self.call.deadline - route.timeout_ms
         return began + route.objective_ms - round(self.service.usual_first_ms)
 
+    def _may_confirm(self) -> bool:
+        """Whether to ask another endpoint for what may follow the end of a stream.
+
+        At most half of the retries go to such questions: others are needed more.
+        """
+        retries = self.service.admission.retries
+        return retries.is_half_left(self.state.clock.now()) and self._may_retry()
+
     def _may_retry(self) -> bool:
         now = self.state.clock.now()
         budget_left = self.service.admission.retries.retries_left(now)
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -6,7 +6,12 @@
 
 from azurefold.core.attempts.events import EventSplitter, EventTiming
 from azurefold.core.attempts.outcome import RunStatus
-from azurefold.core.attempts.request_state import EndpointFailed, Event, NotDispatched
+from azurefold.core.attempts.request_state import (
+    EndpointFailed,
+    EndUnconfirmed,
+    Event,
+    NotDispatched,
+)
 from azurefold.core.clock import Millis
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.core.routes.model import AnswerKind
@@ -31,7 +36,12 @@
 from azurefold.gateway.callers.quarantine import restriction_on, take_trial
 from azurefold.gateway.endpoints.connections import Link
 from azurefold.gateway.endpoints.crash_check import CrashCheck
-from azurefold.gateway.endpoints.reply import BrokenReplyError, Reply, read_reply
+from azurefold.gateway.endpoints.reply import (
+    BrokenReplyError,
+    Framing,
+    Reply,
+    read_reply,
+)
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
@@ -172,7 +182,7 @@
         try:
             self._send()
             reply = read_reply(self._link, self.call.method)
-            return (yield from self._answer(reply))
+            return (yield from self._answer(reply, entry))
         except BrokenReplyError as error:
             event = self._failed("broken_reply", error.reason, sent=True)
             self.state.broken_replies[self.call.service, error.reason] += 1
@@ -219,7 +229,7 @@
                 raise
             raise BrokenReplyError("send_failed", begun=False) from error
 
-    def _answer(self, reply: Reply) -> Iterator[Part]:
+    def _answer(self, reply: Reply, entry: EndpointEntry) -> Iterator[Part]:
         head = reply.head
         if head.attempt_id and head.attempt_id != self.call.id:
             return self._failed("foreign_answer", head.attempt_id, sent=True)
@@ -238,11 +248,13 @@
             return self._endpoint_error(reply)
         is_stream = self.call.route.kind is AnswerKind.STREAMING
         if is_stream and is_success:
-            return (yield from self._stream(reply))
-        return (yield from self._whole(reply))
+            return (yield from self._stream(reply, entry))
+        return (yield from self._whole(reply, entry))
 
-    def _whole(self, reply: Reply) -> Iterator[Part]:
+    def _whole(self, reply: Reply, entry: EndpointEntry) -> Iterator[Part]:
         body = reply.whole_body()
+        if self._has_crashed_at_end(reply, entry):
+            return self._failed("crashed_at_end", str(reply.head.status), sent=True)
         if _OK <= reply.head.status < _REDIRECT:
             self._note_begun(self.state.clock.now())
         self._done(reply, Answered())
@@ -250,7 +262,7 @@
         yield Begun(reply.head.status, reply.head.forwarded, body)
         return None
 
-    def _stream(self, reply: Reply) -> Iterator[Part]:
+    def _stream(self, reply: Reply, entry: EndpointEntry) -> Iterator[Part]:
         splitter = self.progress.splitter
         splitter.begin_run(self._resume_at)
         pool = self.service.admission.pool
@@ -280,11 +292,25 @@
             self._check_events()
         if splitter.has_partial_event:
             raise BrokenReplyError("half_an_event", begun=True)
+        is_unconfirmed = reply.framing is Framing.CONNECTION
+        if is_unconfirmed and not self._has_begun:
+            raise BrokenReplyError("no_event", begun=True)
+        if self._has_crashed_at_end(reply, entry):
+            return self._failed("crashed_at_end", str(reply.head.status), sent=True)
         self._done(reply, Answered(splitter.event_count))
         self.progress.result = f"answered_{reply.head.status}"
         if not self.progress.begun:
             yield Begun(reply.head.status, reply.head.forwarded, b"")
-        return None
+        return EndUnconfirmed() if is_unconfirmed else None
+
+    def _has_crashed_at_end(self, reply: Reply, entry: EndpointEntry) -> bool:
+        """Whether what ended the body was the end of its endpoint.
+
+        Connections of a process that is killed are closed as if it had done so itself.
+        """
+        if reply.framing is not Framing.CONNECTION:
+            return False
+        return self._crash_check(entry).run()
 
     def _check_events(self) -> None:
         fault = self.progress.splitter.fault
--- a/src/azurefold/gateway/endpoints/crash_check.py
+++ b/src/azurefold/gateway/endpoints/crash_check.py
@@ -44,11 +44,20 @@
     sent_at: Millis
     has_begun: bool
 
-    def run(self) -> None:
-        """Log and count a crash if the endpoint refuses a new connection."""
+    def run(self) -> bool:
+        """Log and count a crash if the endpoint refuses a new connection.
+
+        Returns
+        -------
+        bool
+            Whether the endpoint crashed; not if its exit was planned.
+        """
         links = self.state.links
-        if links.refuses_connections(self.entry.name, self.entry.address):
-            self._report_crash()
+        if not links.refuses_connections(self.entry.name, self.entry.address):
+            return False
+        is_planned = self._is_planned
+        self._report_crash(is_planned)
+        return not is_planned
 
     @property
     def _is_planned(self) -> bool:
@@ -57,8 +66,7 @@
             return True
         return self.service.admission.pool.has_announced_leaving(self.entry.name)
 
-    def _report_crash(self) -> None:
-        is_planned = self._is_planned
+    def _report_crash(self, is_planned: bool) -> None:
         if not is_planned:
             # Nothing in a prompt whose answer has begun crashes at its begin.
             parts = () if self.has_begun else self.call.head.shared_parts
--- a/src/azurefold/gateway/endpoints/reply.py
+++ b/src/azurefold/gateway/endpoints/reply.py
@@ -19,6 +19,7 @@
 _BLOCK_BYTES = 16_384
 _SECOND_MS = 1_000
 _FIRST_FINAL_STATUS = 200
+_WITHOUT_BODY = (204, 304)
 _TIMEOUT_REASON = "silent"
 
 
@@ -90,7 +91,8 @@
         """What ends the body."""
         if "transfer-encoding" in self._parser:
             return Framing.CHUNKED
-        if "content-length" in self._parser:
+        is_empty = self.head.status in _WITHOUT_BODY or self._parser.method == "HEAD"
+        if is_empty or "content-length" in self._parser:
             return Framing.LENGTH
         return Framing.CONNECTION
 
--- a/tests/core/attempts/test_event_streams.py
+++ b/tests/core/attempts/test_event_streams.py
@@ -11,7 +11,9 @@
 from azurefold.core.attempts.request_state import (
     DispatchAgain,
     EndpointFailed,
+    EndUnconfirmed,
     Fail,
+    Finish,
     NotDispatched,
     RequestState,
 )
@@ -156,3 +158,43 @@
         EndpointFailed(RunStatus.UNKNOWN), lambda: False
     )
     assert action.failure.ran is RunStatus.RAN
+
+
+def at_an_unconfirmed_end(may_retry, is_resumable=True):
+    request_state = RequestState(is_idempotent=True, is_resumable=is_resumable)
+    request_state.forwarded = 4
+    action = request_state.handle_event(EndUnconfirmed(), lambda: may_retry)
+    return request_state, action
+
+
+def test_end_that_nothing_confirms_is_asked_for_at_another_endpoint():
+    request_state, action = at_an_unconfirmed_end(may_retry=True)
+    assert action == DispatchAgain()
+    assert request_state.is_confirming
+
+
+@pytest.mark.parametrize(
+    ("may_retry", "is_resumable"), [(False, True), (True, False), (False, False)]
+)
+def test_end_that_cannot_be_confirmed_is_taken(may_retry, is_resumable):
+    _, action = at_an_unconfirmed_end(may_retry, is_resumable)
+    assert action == Finish()
+
+
+@pytest.mark.parametrize(
+    "event",
+    [NotDispatched("full"), EndpointFailed(RunStatus.UNKNOWN), EndUnconfirmed()],
+)
+def test_one_question_confirms_an_end_or_is_given_up(event):
+    request_state, _ = at_an_unconfirmed_end(may_retry=True)
+    assert request_state.handle_event(event, lambda: True) == Finish()
+
+
+def test_stream_that_went_on_is_not_taken_for_whole_when_it_breaks():
+    """Guards against the end of one run that excuses a break of the next one."""
+    request_state, _ = at_an_unconfirmed_end(may_retry=True)
+    request_state.forwarded = 6
+    event = EndpointFailed(RunStatus.UNKNOWN)
+    assert not request_state.is_confirming
+    assert request_state.handle_event(event, lambda: True) == DispatchAgain()
+    assert isinstance(request_state.handle_event(event, lambda: False), Fail)
--- a/tests/core/routing/test_retry_budget.py
+++ b/tests/core/routing/test_retry_budget.py
@@ -32,6 +32,19 @@
         assert retry_ratio(RetryBudget(RetryPolicy(retries_per_request=10.0))) < 0.10
 
 
+def test_half_of_the_retries_can_be_kept_for_others():
+    """Guards against retries that are spent on what only some callers need."""
+    budget = RetryBudget(RetryPolicy(0.2))
+    for now in range(0, 20_000, 10):
+        budget.record_request(now)
+    allowed = budget.retries_left(20_000)
+    made = 0
+    while budget.is_half_left(20_000) and budget.try_acquire(20_000):
+        made += 1
+    assert abs(made - allowed / 2) <= 1.0
+    assert budget.try_acquire(20_000)
+
+
 def test_node_with_few_requests_can_retry():
     budget = RetryBudget()
     assert budget.try_acquire(0)
--- a/tests/gateway/test_answers_that_end_with_their_connection.py
+++ b/tests/gateway/test_answers_that_end_with_their_connection.py
@@ -166,6 +166,56 @@
     assert is_cut_off or isinstance(parts[0], GivenUp)
 
 
+@pytest.fixture
+def crashed(monkeypatch, state, answers):
+    """All endpoints refuse connections when they are looked at."""
+    links = type(state.links)
+    monkeypatch.setattr(links, "refuses_connections", lambda self, *a: True)
+
+
+@pytest.mark.parametrize("kind", [AnswerKind.NON_IDEMPOTENT, AnswerKind.STREAMING])
+def test_an_answer_that_ends_with_its_endpoint_is_not_whole(
+    state, answers, head_of, kind, crashed
+):
+    """Guards against a crash that passes for the end of an answer."""
+    answers.append((head_of() + EVENT % 1, False))
+    parts, is_cut_off = read(relay_of(state, kind))
+    assert is_cut_off or isinstance(parts[0], GivenUp)
+
+
+def test_an_answer_that_ends_with_its_endpoint_is_asked_for_elsewhere(
+    state, answers, head_of, crashed
+):
+    answers.append((head_of() + b"hal", False))
+    answers.append((head_of(200, "Content-Length: 5\r\n") + b"whole", False))
+    [begun], _ = read(relay_of(state, AnswerKind.IDEMPOTENT, max_attempts=2))
+    assert begun.body == b"whole"
+
+
+def test_an_answer_of_an_endpoint_that_left_as_planned_is_whole(
+    state, answers, head_of, monkeypatch
+):
+    answers.append((head_of() + b"whole", False))
+    relay = relay_of(state, AnswerKind.NON_IDEMPOTENT)
+
+    def leave_and_refuse(links, endpoint, address):
+        del relay.service.entries[endpoint]
+        return True
+
+    monkeypatch.setattr(type(state.links), "refuses_connections", leave_and_refuse)
+    [begun], _ = read(relay)
+    assert begun.body == b"whole"
+
+
+@pytest.mark.parametrize("status", [204, 304])
+def test_an_answer_without_a_body_does_not_end_with_its_connection(
+    state, answers, head_of, status, crashed
+):
+    answers.append((head_of(status), False))
+    [begun], _ = read(relay_of(state, AnswerKind.NON_IDEMPOTENT))
+    assert begun.status == status
+
+
 def test_logs_tell_how_a_stream_ended_and_was_gone_on_with(
     state, answers, head_of, caplog
 ):
--- a/tests/gateway/test_streams_of_endpoints_in_processes.py
+++ b/tests/gateway/test_streams_of_endpoints_in_processes.py
@@ -139,6 +139,12 @@
     assert call(NOTE, BROKEN, closed) is Result.WHOLE
 
 
+def test_a_stream_that_went_on_behind_its_end_is_not_whole_at_its_deadline(call):
+    """Guards against an end that was in doubt and is taken though more has come."""
+    closed = Conduct(Framing.UNFRAMED, Ending.CLOSED, 3)
+    assert call(NOTE, closed, Conduct(ending=Ending.SILENT, events=6)) is Result.CUT_OFF
+
+
 @pytest.mark.parametrize("ending", [Ending.CLOSED, Ending.KILLED, Ending.JUNK])
 def test_a_stream_that_ends_before_its_first_event_is_none(call, framing, ending):
     """Guards against a connection closed behind the head that passes for a stream."""
