Stop reading answers of endpoints that have no end

Bytes that are no answer may come without end, in a head or a body.

An answer is broken once 64 KiB have come that are no part of a body (a head, interim answers, a chunk's extension, a trailer), once a body that is kept until it is whole passes 16 MiB, or all such bodies together 64 MiB. An event may have 1 MiB (before this), a rank's answer too. The request goes on elsewhere as after any broken answer.

--- a/src/azurefold/gateway/endpoints/connections.py
+++ b/src/azurefold/gateway/endpoints/connections.py
@@ -12,7 +12,7 @@
 from azurefold.internal.sockets import tune_connection
 from azurefold.internal.stream_socket import StreamSocket
 
-__all__ = ["EndpointLinks", "Link"]
+__all__ = ["EndpointLinks", "HeldBytes", "Link"]
 
 CONNECT_TIMEOUT_MS: Millis = 400
 """A connection takes some 5 ms; a first packet that was dropped is sent again
@@ -27,6 +27,13 @@
 _SECOND_MS = 1_000
 
 
+@dataclass(slots=True)
+class HeldBytes:
+    """Bytes of all answers that are kept until they are whole."""
+
+    total: int = 0
+
+
 @dataclass(slots=True, eq=False)
 class Link:
     """One connection to an endpoint."""
@@ -34,6 +41,7 @@
     sock: StreamSocket
     is_new: bool = True
     usable_until: Millis = 0
+    held: HeldBytes = field(default_factory=HeldBytes)
 
     def close(self) -> None:
         """Close the connection; most endpoints then drop its request."""
@@ -69,6 +77,7 @@
 
     clock: Clock
     opened: int = 0
+    _held: HeldBytes = field(default_factory=HeldBytes)
     _idle: dict[str, deque[Link]] = field(default_factory=dict)
     _busy: dict[str, set[Link]] = field(default_factory=dict)
 
@@ -179,4 +188,4 @@
             sock.close()
             raise
         self.opened += 1
-        return Link(sock)
+        return Link(sock, held=self._held)
--- a/src/azurefold/gateway/endpoints/reply.py
+++ b/src/azurefold/gateway/endpoints/reply.py
@@ -20,6 +20,15 @@
 _SECOND_MS = 1_000
 _FIRST_FINAL_STATUS = 200
 _WITHOUT_BODY = (204, 304)
+
+_MOST_OVERHEAD_BYTES = 65_536
+"""Of a head, and between two pieces of a body: four times what callers may send."""
+
+_LARGEST_BODY_BYTES = 16 * 1_048_576
+"""Of an answer that is kept until it is whole: four times what callers may send."""
+
+_MOST_HELD_BYTES = 64 * 1_048_576
+"""Of all such answers together; the smallest gateways have 200 MB."""
 _TIMEOUT_REASON = "silent"
 
 
@@ -118,10 +127,13 @@
         BrokenReplyError
             If the connection ends before the answer does.
         """
+        overhead = 0
         while not self._parser._body_buffer:
             if self._parser.message_complete:
                 return b""
-            self._receive()
+            received, is_clean = _feed(self._link, self._parser, begun=True)
+            self._spoiled |= not is_clean
+            overhead = _checked_overhead(overhead + received)
         data = bytes(self._parser._body_buffer)
         self._parser._body_buffer.clear()
         return data
@@ -134,13 +146,17 @@
         BrokenReplyError
             If the connection ends before the answer does.
         """
-        pieces = []
-        while piece := self.next_bytes():
-            pieces.append(piece)
-        return b"".join(pieces)
-
-    def _receive(self) -> None:
-        self._spoiled |= not _feed(self._link, self._parser, begun=True)
+        body = bytearray()
+        held = self._link.held
+        try:
+            while piece := self.next_bytes():
+                body += piece
+                held.total += len(piece)
+                if len(body) > _LARGEST_BODY_BYTES or held.total > _MOST_HELD_BYTES:
+                    raise BrokenReplyError("body_too_long", begun=True)
+        finally:
+            held.total -= len(body)
+        return bytes(body)
 
 
 def read_reply(link: Link, method: str) -> Reply:
@@ -153,17 +169,31 @@
     """
     parser = _Parser(method)
     clean = True
-    begun = False
+    received = 0
     while not parser.headers_complete or parser.get_code() < _FIRST_FINAL_STATUS:
-        clean &= _feed(link, parser, begun)
-        begun = True
+        count, is_clean = _feed(link, parser, begun=received > 0)
+        clean &= is_clean
+        received = _checked_overhead(received + count)
     pairs = [(name, str(value)) for name, value in parser.items()]
     head = read_answer(parser.get_code(), pairs)
     return Reply(head, link, parser, not clean)
 
 
-def _feed(link: Link, parser: _Parser, begun: bool) -> bool:
-    """Read once; return whether the connection still makes sense."""
+def _checked_overhead(received: int) -> int:
+    """Return how much has come without a piece of a body, if that is not too much.
+
+    Raises
+    ------
+    BrokenReplyError
+        If bytes come without end that are no part of an answer.
+    """
+    if received > _MOST_OVERHEAD_BYTES:
+        raise BrokenReplyError("no_end_of_head", begun=True)
+    return received
+
+
+def _feed(link: Link, parser: _Parser, begun: bool) -> tuple[int, bool]:
+    """Read once; return how much, and whether the connection still makes sense."""
     try:
         data = link.sock.recv(_BLOCK_BYTES)
     except CutOffError:
@@ -180,9 +210,9 @@
         parser.feed(data)
     except HTTPParseError as error:
         if parser.message_complete and parser.headers_complete:
-            return False
+            return len(data), False
         reason = "not_an_answer" if data else "closed"
         raise BrokenReplyError(reason, begun) from error
     if not data and not parser.message_complete:
         raise BrokenReplyError("closed", begun)
-    return bool(data)
+    return len(data), bool(data)
--- a/src/azurefold/internal/http_client.py
+++ b/src/azurefold/internal/http_client.py
@@ -14,7 +14,13 @@
 from azurefold.internal.sockets import tune_connection
 from azurefold.internal.stream_socket import StreamSocket
 
-__all__ = ["CONNECTION_ERRORS", "fresh_client", "http_client", "lines_at_once"]
+__all__ = [
+    "CONNECTION_ERRORS",
+    "fresh_client",
+    "http_client",
+    "lines_at_once",
+    "read_body",
+]
 
 CONNECTION_ERRORS = (OSError, gevent.socket.timeout, HTTPParseError)
 """What a broken, refused or silent connection raises."""
@@ -65,6 +71,23 @@
     return client
 
 
+def read_body(response: HTTPSocketResponse, most_bytes: int) -> bytes:
+    """Wait for the whole body of an answer.
+
+    Raises
+    ------
+    HTTPParseError
+        If it is larger than ``most_bytes``; the connection is closed.
+    """
+    body = bytearray()
+    while piece := response.read(_BLOCK_BYTES):
+        body += piece
+        if len(body) > most_bytes:
+            response.release()
+            raise HTTPParseError(f"a body of more than {most_bytes} bytes")
+    return bytes(body)
+
+
 def lines_at_once(response: HTTPSocketResponse) -> list[bytes]:
     """Wait for a line of a body and return all whole lines that are there.
 
--- a/src/azurefold/platform/ranks.py
+++ b/src/azurefold/platform/ranks.py
@@ -21,13 +21,16 @@
     Verdict,
 )
 from azurefold.core.groups.sampled_popularity import CountSample
-from azurefold.internal.http_client import CONNECTION_ERRORS, http_client
+from azurefold.internal.http_client import CONNECTION_ERRORS, http_client, read_body
 
 __all__ = ["HeldExperts", "RankClient", "RankReport", "rank_client"]
 
 _CALL_TIMEOUT_MS: Millis = 400
 """An answer takes some 5 ms, that to a map of 72 ranks on a slow link 200."""
 
+_LARGEST_ANSWER_BYTES = 1_048_576
+"""Counts and maps of a rank have some ten kilobytes."""
+
 _SECOND_MS = 1_000
 _OPEN = "open"
 
@@ -187,7 +190,8 @@
         try:
             with gevent.Timeout(timeout_ms / _SECOND_MS, TimeoutError("silent")):
                 response = self._client.request(method, uri, body, headers)
-                return response.status_code, bytes(response.read())
+                answer = read_body(response, _LARGEST_ANSWER_BYTES)
+                return response.status_code, answer
         except CONNECTION_ERRORS:
             return None
 
