Reset the connection of a caller without chunks whose answer is cut off

A caller of HTTP/1.0 gets a stream without chunks, whose end is the end of the connection. A cut was a connection closed in order, so the stream looked complete. It is reset now.

The users' callers speak HTTP/1.1, so this isn't what they saw.

--- a/src/azurefold/gateway/callers/front.py
+++ b/src/azurefold/gateway/callers/front.py
@@ -1,13 +1,14 @@
 """The HTTP server that callers connect to."""
 
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
 from gevent.greenlet import Greenlet
 
-from azurefold.gateway.callers.calls import CallerGoneError
+from azurefold.gateway.callers.calls import CallerGoneError, CutOffError
 from azurefold.internal.http_server import RequestHandler, TimedServer, http_server
 
 __all__ = ["CONNECTION", "CallerConnection", "front_server"]
@@ -96,6 +97,19 @@
         _check_framing(message)
         return message
 
+    def run_application(self) -> None:
+        try:
+            super().run_application()
+        except CutOffError:
+            if self.headers_sent and not self.response_use_chunked:
+                self._reset_on_close()
+            raise
+
+    def _reset_on_close(self) -> None:
+        # Without chunks the end of the connection would be the end of the answer.
+        no_linger = struct.pack("ii", 1, 0)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+
     def get_environ(self) -> dict[str, object]:
         environ = super().get_environ()
         pairs = [(name, value) for name, value in self.headers.items()]
