Count an end that came while the gateway stood still as a crash, and teach the soak streams

The soak has callers of streams now, resumable and not, whose endpoints are processes of their own that are killed, paused, stopped, break off, begin anew, fail, or send wrong bytes with and without end.

- an endpoint that is told to stop closed its connections before its port: it is watched for a tenth of a second after such a stream, in which a new connection has to stay open;
- an endpoint that was killed and started again while the gateway was paused accepts connections when the gateway looks: an end that came after a standstill, with nothing received since, is no end.

--- a/src/azurefold/core/membership/standstill.py
+++ b/src/azurefold/core/membership/standstill.py
@@ -29,6 +29,7 @@
 
     is_outdated: bool = False
     _ran_at: Millis | None = None
+    _resumed_at: Millis | None = None
 
     def is_running(self, now: Millis) -> bool:
         """Whether the process has not stood still, so that no check is needed."""
@@ -59,12 +60,32 @@
         """
         stood_ms = 0 if self._ran_at is None else now - self._ran_at
         self._ran_at = now
+        if stood_ms > _MAX_TURN_MS:
+            self._resumed_at = now
         if age_ms is None or age_ms <= max_age_ms:
             self.is_outdated = False
         elif stood_ms > _MAX_TURN_MS and age_ms - stood_ms <= max_age_ms:
             self.is_outdated = True
         return self.is_outdated
 
+    def has_stood_still(self, since: Millis, now: Millis) -> bool:
+        """Whether the process stood still for some time after ``since``.
+
+        Examples
+        --------
+        >>> monitor = StandstillMonitor()
+        >>> _ = monitor.check(1_000, 0, 2_000), monitor.check(1_250, 0, 2_000)
+        >>> monitor.has_stood_still(1_100, 1_300), monitor.has_stood_still(1_100, 9_300)
+        (False, True)
+        >>> _ = monitor.check(9_300, 0, 2_000)
+        >>> monitor.has_stood_still(1_100, 9_310), monitor.has_stood_still(9_305, 9_310)
+        (True, False)
+        """
+        ran_at, resumed_at = self._ran_at, self._resumed_at
+        if ran_at is not None and now - ran_at > _MAX_TURN_MS:
+            return True
+        return resumed_at is not None and resumed_at >= since
+
     def release(self) -> None:
         """Allow the use of the list as it is: the store does not answer."""
         self.is_outdated = False
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -57,6 +57,10 @@
 ENDPOINTS_OUTDATED = "endpoints_outdated"
 """Reason of a refusal: this process stood still and has no newer endpoint list yet."""
 
+_WATCH_MS: Millis = 100
+"""How long an endpoint is watched after a stream that ended with its connection. The
+caller has all events by then and waits only for the end."""
+
 _SERVER_ERROR = 500
 _OK = 200
 _REDIRECT = 300
@@ -125,9 +129,11 @@
     progress: Progress
     endpoint: str
     number: int
+    _entry: EndpointEntry | None = None
     _link: Link | None = None
     _outcome: Outcome = Cancelled()
     _sent_at: Millis = 0
+    _heard_at: Millis = 0
     _has_begun: bool = False
 
     @property
@@ -146,6 +152,7 @@
         entry = self.service.entries.get(self.endpoint)
         if entry is None:
             return NotDispatched("endpoint_gone")
+        self._entry = entry
         if restriction := restriction_on(self.call, self.state):
             # Endpoints may have crashed while the request was queued.
             return NotDispatched(restriction)
@@ -182,7 +189,7 @@
         try:
             self._send()
             reply = read_reply(self._link, self.call.method)
-            return (yield from self._answer(reply, entry))
+            return (yield from self._answer(reply))
         except BrokenReplyError as error:
             event = self._failed("broken_reply", error.reason, sent=True)
             self.state.broken_replies[self.call.service, error.reason] += 1
@@ -220,7 +227,7 @@
 
     def _send(self) -> None:
         self.progress.dispatched = True
-        self._sent_at = self.state.clock.now()
+        self._sent_at = self._heard_at = self.state.clock.now()
         self.service.request_sent(self._sent_at)
         try:
             self._link.sock.sendall(self._request_bytes())
@@ -229,7 +236,7 @@
                 raise
             raise BrokenReplyError("send_failed", begun=False) from error
 
-    def _answer(self, reply: Reply, entry: EndpointEntry) -> Iterator[Part]:
+    def _answer(self, reply: Reply) -> Iterator[Part]:
         head = reply.head
         if head.attempt_id and head.attempt_id != self.call.id:
             return self._failed("foreign_answer", head.attempt_id, sent=True)
@@ -248,12 +255,12 @@
             return self._endpoint_error(reply)
         is_stream = self.call.route.kind is AnswerKind.STREAMING
         if is_stream and is_success:
-            return (yield from self._stream(reply, entry))
-        return (yield from self._whole(reply, entry))
+            return (yield from self._stream(reply))
+        return (yield from self._whole(reply))
 
-    def _whole(self, reply: Reply, entry: EndpointEntry) -> Iterator[Part]:
+    def _whole(self, reply: Reply) -> Iterator[Part]:
         body = reply.whole_body()
-        if self._has_crashed_at_end(reply, entry):
+        if self._has_crashed_at_end(reply):
             return self._failed("crashed_at_end", str(reply.head.status), sent=True)
         if _OK <= reply.head.status < _REDIRECT:
             self._note_begun(self.state.clock.now())
@@ -262,7 +269,7 @@
         yield Begun(reply.head.status, reply.head.forwarded, body)
         return None
 
-    def _stream(self, reply: Reply, entry: EndpointEntry) -> Iterator[Part]:
+    def _stream(self, reply: Reply) -> Iterator[Part]:
         splitter = self.progress.splitter
         splitter.begin_run(self._resume_at)
         pool = self.service.admission.pool
@@ -278,7 +285,7 @@
             if not events:
                 self._check_events()
                 continue
-            now = self.state.clock.now()
+            now = self._heard_at = self.state.clock.now()
             self._note_begun(now)
             pool.record_first_token(self.endpoint, self.id, now)
             if self.service.is_group:
@@ -295,7 +302,7 @@
         is_unconfirmed = reply.framing is Framing.CONNECTION
         if is_unconfirmed and not self._has_begun:
             raise BrokenReplyError("no_event", begun=True)
-        if self._has_crashed_at_end(reply, entry):
+        if self._has_crashed_at_end(reply, _WATCH_MS):
             return self._failed("crashed_at_end", str(reply.head.status), sent=True)
         self._done(reply, Answered(splitter.event_count))
         self.progress.result = f"answered_{reply.head.status}"
@@ -303,14 +310,18 @@
             yield Begun(reply.head.status, reply.head.forwarded, b"")
         return EndUnconfirmed() if is_unconfirmed else None
 
-    def _has_crashed_at_end(self, reply: Reply, entry: EndpointEntry) -> bool:
+    def _has_crashed_at_end(self, reply: Reply, watch_ms: Millis = 0) -> bool:
         """Whether what ended the body was the end of its endpoint.
 
         Connections of a process that is killed are closed as if it had done so itself.
+        While this process stood still, the endpoint may have started again.
         """
         if reply.framing is not Framing.CONNECTION:
             return False
-        return self._crash_check(entry).run()
+        standstill, now = self.state.standstill, self.state.clock.now()
+        if standstill.has_stood_still(self._heard_at, now):
+            return True
+        return self._crash_check(self._entry).run(watch_ms)
 
     def _check_events(self) -> None:
         fault = self.progress.splitter.fault
--- a/src/azurefold/gateway/endpoints/connections.py
+++ b/src/azurefold/gateway/endpoints/connections.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+import gevent
 from gevent import socket as gevent_socket
 
 from azurefold.core.clock import Clock, Millis
@@ -136,14 +137,27 @@
         if len(idle) > _KEPT_PER_ENDPOINT:
             idle.popleft().close()
 
-    def refuses_connections(self, endpoint: str, address: str) -> bool:
+    def refuses_connections(
+        self, endpoint: str, address: str, watch_ms: Millis = 0
+    ) -> bool:
         """Return whether an endpoint refuses a new connection, as after a crash.
 
         A connection that succeeds is kept for the next request. Other errors, such
         as a timeout, do not count as a refusal.
+
+        Parameters
+        ----------
+        endpoint, address : str
+        watch_ms : int, default=0
+            For so long it must stay open, else another one is tried. A process that is
+            told to stop may close its port after its connections.
         """
         try:
             link = self._open(address)
+            gevent.sleep(watch_ms / _SECOND_MS)
+            if watch_ms and not link.is_quiet:
+                link.close()
+                link = self._open(address)
         except CutOffError:
             # An OSError too, but it ends the whole request.
             raise
--- a/src/azurefold/gateway/endpoints/crash_check.py
+++ b/src/azurefold/gateway/endpoints/crash_check.py
@@ -44,16 +44,22 @@
     sent_at: Millis
     has_begun: bool
 
-    def run(self) -> bool:
+    def run(self, watch_ms: Millis = 0) -> bool:
         """Log and count a crash if the endpoint refuses a new connection.
 
+        Parameters
+        ----------
+        watch_ms : int, default=0
+            For how long a new connection has to stay open.
+
         Returns
         -------
         bool
             Whether the endpoint crashed; not if its exit was planned.
         """
         links = self.state.links
-        if not links.refuses_connections(self.entry.name, self.entry.address):
+        name, address = self.entry.name, self.entry.address
+        if not links.refuses_connections(name, address, watch_ms):
             return False
         is_planned = self._is_planned
         self._report_crash(is_planned)
--- a/src/azurefold_standins/fault_soak.py
+++ b/src/azurefold_standins/fault_soak.py
@@ -10,9 +10,10 @@
 answers, break off, refuse, take orders late and leave; configurations meanwhile;
 data centres that are evacuated. Faults overlap, and for some seconds now and then
 most calls go to one gateway. Some callers have three priorities, and more calls than
-there are slots while a data centre is evacuated. Callers check each answer while it
-runs, and what callers and endpoints saw is compared at the end. Only processes
-started here are ended.
+there are slots while a data centre is evacuated. Others call for streams whose
+endpoints, processes of their own, are killed, paused and stopped, break off, send wrong
+bytes or begin anew. Callers check each answer while it runs, byte by byte, and what
+callers and endpoints saw is compared at the end. Only processes started here are ended.
 """
 
 import argparse
@@ -46,6 +47,7 @@
 from azurefold_standins.gateway_site import GatewaySite, new_gateway_site
 from azurefold_standins.quota_allowance import Need, quota_excesses
 from azurefold_standins.retry_allowance import Allowance, excesses, repeats_among
+from azurefold_standins.stream_series import StreamSeries
 
 __all__ = ["Finding", "Soak", "check", "main", "run_soak"]
 
@@ -54,6 +56,9 @@
 _CLASS_CALLERS = 8
 """For each priority while faults are injected, later one."""
 
+_STREAM_CALLERS = 4
+_STREAMERS = 4
+
 _PAUSE_S = 0.03
 _UNSERVED_PAUSE_S = 0.3
 """As long as an answer takes: calls that fail at once must not outnumber all others in
@@ -130,6 +135,7 @@
     needy: str = ""
     need: Need | None = None
     evacuations: EvacuationSeries = field(init=False)
+    streams: StreamSeries = field(init=False)
     _stop: threading.Event = field(default_factory=threading.Event)
     _calm: threading.Event = field(default_factory=threading.Event)
     _paused: set[str] = field(default_factory=set)
@@ -138,6 +144,7 @@
 
     def __post_init__(self) -> None:
         self.evacuations = EvacuationSeries(self.site, self.preference)
+        self.streams = StreamSeries(self.site, self.preference)
 
     def run(self) -> None:
         """Call and disturb, then check."""
@@ -148,6 +155,16 @@
             threading.Thread(target=self._call_in_classes, args=(n,))
             for n in range(_CLASS_CALLERS)
         ]
+        signals = (self._stop, self._calm)
+        threads += [
+            threading.Thread(
+                target=self.streams.call, args=(n, *signals, self._choose_gateway)
+            )
+            for n in range(_STREAM_CALLERS)
+        ]
+        threads.append(
+            threading.Thread(target=self.streams.disturb_endpoints, args=signals)
+        )
         for thread in threads:
             thread.start()
         try:
@@ -162,7 +179,7 @@
     def calls(self) -> list[Call]:
         """All calls of all callers."""
         groups = [group.values() for group in self.class_callers]
-        callers = [*self.callers, *chain.from_iterable(groups)]
+        callers = [*self.callers, *chain.from_iterable(groups), *self.streams.callers]
         return [call for caller in callers for call in caller.calls]
 
     @property
@@ -418,7 +435,8 @@
             note("at most once", call)
         if call.result is Result.REFUSED and call.kind is Kind.ACK and runs:
             note("not run is true", call)
-        if call.result is Result.WHOLE and not runs:
+        is_journalled = isinstance(call.kind, Kind)
+        if call.result is Result.WHOLE and is_journalled and not runs:
             note("an answer of an endpoint", call)
         if call.status == 404 or call.status == 401:
             note("what is in force is known", call)
@@ -454,7 +472,9 @@
     ]
     found += [
         Finding("no call fails for its hint", failure)
-        for failure in hint_failures(soak.calls)
+        for failure in hint_failures(
+            call for call in soak.calls if isinstance(call.kind, Kind)
+        )
     ]
     versions = {name: soak.site.status(name)["version"] for name in soak.site.gateways}
     if set(versions.values()) != {soak.site.version}:
@@ -465,7 +485,7 @@
 def _retry_findings(calls: list[Call], journal: Journal) -> Iterator[Finding]:
     """Yield the first window of each service that has too many repeats."""
     for service, arrivals in journal.arrivals.items():
-        sent = [call.sent_at for call in calls if _SERVICE_OF[call.kind] == service]
+        sent = [call.sent_at for call in calls if _SERVICE_OF.get(call.kind) == service]
         over = excesses(sorted(sent), repeats_among(arrivals), _RETRIES)
         for excess in islice(over, 1):
             yield Finding("retries stay allowed", f"{service}: {excess}")
@@ -488,7 +508,9 @@
 ) -> Soak:
     """Run one seed and return what came of it."""
     draw = random.Random(seed)
-    site = new_gateway_site(folder, gateways, retries=_RETRIES, is_contended=True)
+    site = new_gateway_site(
+        folder, gateways, retries=_RETRIES, streamers=_STREAMERS, is_contended=True
+    )
     soak = Soak(site, draw, seconds, returns, preference=seed)
     try:
         site.start()
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -310,7 +310,8 @@
         links=links,
         has_classes=is_contended,
         streamers=[
-            BareEndpoint(f"notes-{n}", "notes", free()) for n in range(streamers)
+            BareEndpoint(f"notes-{n}", "notes", free(), None, zones[n % len(zones)])
+            for n in range(streamers)
         ],
     )
     _add_stand_ins(site, folder)
--- a/tests/gateway/crash_world.py
+++ b/tests/gateway/crash_world.py
@@ -434,7 +434,7 @@
     def take(links, endpoint, address, *, fresh):
         return site.connect(links, endpoint, address)
 
-    def refuses(links, endpoint, address):
+    def refuses(links, endpoint, address, watch_ms):
         return address not in site.running.values()
 
     monkeypatch.setattr(EndpointLinks, "take", take)
--- a/tests/gateway/test_answers_that_end_with_their_connection.py
+++ b/tests/gateway/test_answers_that_end_with_their_connection.py
@@ -195,13 +195,36 @@
     assert begun.body == b"whole"
 
 
+@pytest.mark.parametrize("is_resumable", [False, True])
+def test_an_answer_that_ended_while_the_gateway_stood_still_is_not_whole(
+    state, time, answers, head_of, is_resumable
+):
+    """Guards against a crash of which nothing shows once the endpoint has restarted."""
+    answers.append((head_of() + EVENT % 1, False))
+    chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(EVENT % 2), EVENT % 2)
+    answers.append((head_of(200, "Transfer-Encoding: chunked\r\n") + chunk, False))
+    kind = AnswerKind.STREAMING
+    relay = relay_of(state, kind, max_attempts=2, is_resumable=is_resumable)
+    state.check_standstill()
+    events = b""
+    is_cut_off = False
+    try:
+        for part in relay.run():
+            events += part.data if isinstance(part, Piece) else b""
+            time.at += 3_000 if events == EVENT % 1 else 0
+    except AnswerCutOffError:
+        is_cut_off = True
+    assert is_cut_off is not is_resumable
+    assert events == EVENT % 1 + (EVENT % 2 if is_resumable else b"")
+
+
 def test_an_answer_of_an_endpoint_that_left_as_planned_is_whole(
     state, answers, head_of, monkeypatch
 ):
     answers.append((head_of() + b"whole", False))
     relay = relay_of(state, AnswerKind.NON_IDEMPOTENT)
 
-    def leave_and_refuse(links, endpoint, address):
+    def leave_and_refuse(links, endpoint, address, watch_ms):
         del relay.service.entries[endpoint]
         return True
 
