Cut off a stream that its endpoint stops when its time is over

Callers saw streams end as complete before their last event, at a sound endpoint: it is told how long the caller will wait and stops work then. One that ends its answer in order (a server whose handler returns writes the closing chunk) came before the gateway's own timer, which runs out at the same moment.

A stream whose end is read when its time is over is cut off, as the timer would have done; and endpoints are told 0.1 s more for streams than the gateway waits, so that one whose clock or timer is ahead doesn't stop before.

Tests: real processes, an end behind the deadline by hand, and what endpoints are told.

--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -61,6 +61,10 @@
 """How long an endpoint is watched after a stream that ended with its connection. The
 caller has all events by then and waits only for the end."""
 
+_STOP_MARGIN_MS: Millis = 100
+"""By which an endpoint may work on a stream for longer than its caller waits. One that
+stops in time ends the stream as if it were whole; it is cut off here before that."""
+
 _SERVER_ERROR = 500
 _OK = 200
 _REDIRECT = 300
@@ -297,6 +301,9 @@
             self.progress.passed = splitter.event_count
             yield Piece(events)
             self._check_events()
+        if self.state.clock.now() >= self.call.deadline:
+            # The endpoint may have stopped for want of time.
+            raise DeadlinePassedError("deadline")
         if splitter.has_partial_event:
             raise BrokenReplyError("half_an_event", begun=True)
         is_unconfirmed = reply.framing is Framing.CONNECTION
@@ -435,13 +442,20 @@
         """Id of the event behind which the endpoint is asked to go on."""
         return self.progress.splitter.last_id or self.call.head.last_event_id
 
+    def _time_left(self) -> Millis:
+        """Return how long the endpoint is told to work on the request."""
+        left = max(1, self.call.deadline - self.state.clock.now())
+        if self.call.route.kind is AnswerKind.STREAMING:
+            return left + _STOP_MARGIN_MS
+        return left
+
     def _request_bytes(self) -> bytes:
         call = self.call
         headers = endpoint_headers(
             call.head,
             endpoint=self.endpoint,
             organisation=call.organisation,
-            left_ms=max(1, call.deadline - self.state.clock.now()),
+            left_ms=self._time_left(),
             last_event_id=self._resume_at,
             priority=self.service.engine_priority(call),
             passes_key=call.passes_key,
--- a/src/azurefold_standins/stream_endpoint.py
+++ b/src/azurefold_standins/stream_endpoint.py
@@ -16,8 +16,9 @@
 import signal
 import socket
 import struct
+import time
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 import gevent
@@ -30,6 +31,7 @@
 __all__ = ["Conduct", "Ending", "Framing", "main"]
 
 _PAUSE_S = 0.01
+_SECOND_MS = 1_000
 _PART = 7
 """Bytes of an event that are written before the rest of it."""
 
@@ -53,7 +55,8 @@
     named instead of the next, ``FAILED`` is an answer of its own, and
     ``ANSWERED_TWICE`` repeats the whole answer. Behind a number of events the others
     close the connection, between two events or inside one, reset it, have the process
-    killed, fall silent, or go on with wrong bytes, with or without an end.
+    killed, fall silent, end the answer in order when its time is over (``STOPPED``), or
+    go on with wrong bytes, with or without an end.
     """
 
     WHOLE = "whole"
@@ -66,13 +69,14 @@
     RESET = "reset"
     KILLED = "kill"
     SILENT = "silent"
+    STOPPED = "stopped"
     JUNK = "junk"
     JUNK_EVENTS = "junkevents"
     ENDLESS = "endless"
     ENDLESS_HEAD = "endlesshead"
 
 
-_BEHIND_EVENTS = (
+_BROKEN_OFF = (
     Ending.CLOSED,
     Ending.HALF,
     Ending.RESET,
@@ -82,6 +86,7 @@
     Ending.JUNK_EVENTS,
     Ending.ENDLESS,
 )
+_BEHIND_EVENTS = (*_BROKEN_OFF, Ending.STOPPED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +127,7 @@
     sock: socket.socket
     path: str
     headers: dict[str, str]
+    began: float = field(default_factory=time.monotonic)
 
     def answer(self, name: str) -> bool:
         """Answer the request; return whether the connection can carry another."""
@@ -179,13 +185,17 @@
                 os.kill(os.getpid(), signal.SIGKILL)
             case Ending.SILENT:
                 gevent.sleep(30)
+            case Ending.STOPPED:
+                time_left_ms = int(self.headers["deadline-ms"])
+                until = self.began + time_left_ms / _SECOND_MS
+                gevent.sleep(max(0.0, until - time.monotonic()))
             case Ending.JUNK:
                 self.sock.sendall(_JUNK)
             case Ending.JUNK_EVENTS:
                 self._send_body(_JUNK_EVENT, conduct.framing)
             case Ending.ENDLESS:
                 return self._send_for_ever(_LONG, conduct.framing)
-        if conduct.ending in _BEHIND_EVENTS:
+        if conduct.ending in _BROKEN_OFF:
             return False
         if conduct.framing is Framing.CHUNKED:
             self.sock.sendall(b"0\r\n\r\n")
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -1,5 +1,6 @@
 """What callers are told when attempts at bare endpoints go wrong."""
 
+import re
 from dataclasses import dataclass, field
 
 import pytest
@@ -332,3 +333,33 @@
     assert "request=a1 service=desk" in line
     assert "budget_left=" in line
     assert "nodes=" in line
+
+
+@pytest.mark.parametrize("is_resumable", [False, True])
+def test_a_stream_that_ends_when_its_time_is_over_is_cut_off(
+    state, time, script, sockets, is_resumable
+):
+    """Guards against an endpoint's stop for want of time that passes for an end."""
+
+    class Stopped(FakeReply):
+        def next_bytes(self):
+            if not self.pieces:
+                time.at += TIMEOUT_MS
+            return super().next_bytes()
+
+    script.append(Stopped(answer().head, [EVENT % 1]))
+    relay = relay_of(state, AnswerKind.STREAMING, is_resumable=is_resumable)
+    with pytest.raises(AnswerCutOffError):
+        parts_of(relay)
+
+
+@pytest.mark.parametrize("kind", list(AnswerKind))
+def test_an_endpoint_stops_a_stream_later_than_the_gateway(
+    state, script, sockets, kind
+):
+    """Guards against an endpoint that ends a stream in order before it is cut off."""
+    script.append(answer(200, [EVENT % 1]))
+    parts_of(relay_of(state, kind))
+    told = re.search(rb"Deadline-Ms: (\d+)", sockets[0].sent[0])[1]
+    is_stream = kind is AnswerKind.STREAMING
+    assert TIMEOUT_MS + 50 * is_stream <= int(told) <= TIMEOUT_MS + 500 * is_stream
--- a/tests/gateway/test_streams_of_endpoints_in_processes.py
+++ b/tests/gateway/test_streams_of_endpoints_in_processes.py
@@ -7,6 +7,7 @@
 import re
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from zlib import crc32
 
@@ -147,6 +148,16 @@
     assert call(NOTE, closed, Conduct(ending=Ending.SILENT, events=6)) is Result.CUT_OFF
 
 
+def test_streams_that_are_stopped_at_their_deadline_are_not_whole(site):
+    """Guards against an endpoint's stop that comes just before the gateway's own."""
+    [(gateway, address)] = site.gateways.items()
+    prefix = f"/talks/{Conduct(ending=Ending.STOPPED, events=3)}.{SOUND}/"
+    callers = [Caller(f"stopped-{n}", random.Random(n)) for n in range(20)]
+    with ThreadPoolExecutor(len(callers)) as pool:
+        calls = pool.map(lambda c: c.call(TALK, gateway, address, prefix), callers)
+        assert Result.WRONG not in {call.result for call in calls}
+
+
 @pytest.mark.parametrize("ending", [Ending.CLOSED, Ending.KILLED, Ending.JUNK])
 def test_a_stream_that_ends_before_its_first_event_is_none(call, framing, ending):
     """Guards against a connection closed behind the head that passes for a stream."""
