Test that an endpoint is watched after a stream that ends with its connection

Three tests now: the port closes soon after the connections, it stays open, and only streams are watched.

--- a/tests/gateway/test_answers_that_end_with_their_connection.py
+++ b/tests/gateway/test_answers_that_end_with_their_connection.py
@@ -195,6 +195,22 @@
     assert begun.body == b"whole"
 
 
+def test_an_endpoint_is_watched_after_a_stream_but_not_after_a_plain_answer(
+    state, answers, head_of, monkeypatch
+):
+    """Guards against a process told to stop that closes its port after its streams."""
+    answers += [(head_of() + EVENT % 1, False), (head_of() + b"whole", False)]
+    monkeypatch.setattr(
+        type(state.links),
+        "refuses_connections",
+        lambda links, endpoint, address, watch_ms: watch_ms > 0,
+    )
+    _, is_cut_off = read(relay_of(state, AnswerKind.STREAMING))
+    assert is_cut_off
+    [begun], _ = read(relay_of(state, AnswerKind.NON_IDEMPOTENT))
+    assert begun.body == b"whole"
+
+
 @pytest.mark.parametrize("is_resumable", [False, True])
 def test_an_answer_that_ended_while_the_gateway_stood_still_is_not_whole(
     state, time, answers, head_of, is_resumable
--- a/tests/gateway/test_crashes_are_told_apart.py
+++ b/tests/gateway/test_crashes_are_told_apart.py
@@ -5,6 +5,7 @@
 import socket
 from dataclasses import replace
 
+import gevent
 import pytest
 from tests.gateway.test_relays_answer_truthfully import (
     BROKEN,
@@ -48,6 +49,18 @@
     assert links.refuses_connections("e0", address)
 
 
+def test_a_port_that_closes_soon_after_refuses_connections(links, listener):
+    """Guards against an endpoint that is still there for a moment when it stops."""
+    address = address_of(listener)
+    gevent.spawn_later(0.02, listener.close)
+    assert links.refuses_connections("e0", address, watch_ms=100)
+
+
+def test_an_endpoint_that_stays_open_refuses_no_connections(links, listener):
+    address = address_of(listener)
+    assert not links.refuses_connections("e0", address, watch_ms=20)
+
+
 def test_a_connection_timeout_is_not_a_refusal(links, monkeypatch):
     def time_out(address):
         raise TimeoutError
