--- a/tests/gateway/test_answers_that_end_with_their_connection.py
+++ b/tests/gateway/test_answers_that_end_with_their_connection.py
@@ -297,9 +297,7 @@
     assert isinstance(begun, Begun)
 
 
-def test_logs_tell_how_a_stream_ended_and_was_gone_on_with(
-    state, answers, head_of, caplog
-):
+def test_logs_tell_how_a_stream_ended_and_was_resumed(state, answers, head_of, caplog):
     answers.append((head_of() + EVENT % 1 + (EVENT % 2)[:7], False))
     chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(EVENT % 2), EVENT % 2)
     answers.append((head_of(200, "Transfer-Encoding: chunked\r\n") + chunk, False))
--- a/tests/gateway/test_streams_of_endpoints_in_processes.py
+++ b/tests/gateway/test_streams_of_endpoints_in_processes.py
@@ -132,17 +132,17 @@
 
 
 @pytest.mark.parametrize("events", [1, 3])
-def test_a_resumable_stream_that_just_ends_is_gone_on_with(call, framing, events):
+def test_a_resumable_stream_that_ends_early_is_resumed(call, framing, events):
     """Guards against a connection closed early that passes for a stream's end."""
     assert call(NOTE, Conduct(framing, Ending.CLOSED, events)) is Result.WHOLE
 
 
-def test_a_resumed_stream_that_just_ends_is_gone_on_with(call, framing):
+def test_a_resumed_stream_that_ends_early_is_resumed_again(call, framing):
     closed = Conduct(framing, Ending.CLOSED, 4)
     assert call(NOTE, BROKEN, closed) is Result.WHOLE
 
 
-def test_a_stream_that_went_on_behind_its_end_is_not_whole_at_its_deadline(call):
+def test_events_after_an_unconfirmed_end_are_not_whole_at_the_deadline(call):
     """Guards against an end that was in doubt and is taken though more has come."""
     closed = Conduct(Framing.UNFRAMED, Ending.CLOSED, 3)
     assert call(NOTE, closed, Conduct(ending=Ending.SILENT, events=6)) is Result.CUT_OFF
