Look a route up within the length of the longest prefix of its host

What callers saw: a request whose path is 8,000 slashes took a gateway about as long as a hundred others, and requests of that kind sent behind one another left nobody else served. Cause: the search tries each prefix of the path that ends in a slash, and copies and hashes it: the square of the path's length, 32 MB for one request of 8 kB. Only prefixes as long as a configured one can match, so the path is cut to the longest prefix of its host first.

--- a/src/azurefold/core/routes/table.py
+++ b/src/azurefold/core/routes/table.py
@@ -12,6 +12,9 @@
 
     def __init__(self, by_host: dict[str, dict[str, Route]]) -> None:
         self._by_host = by_host
+        self._longest_by_host = {
+            host: max(map(len, prefixes)) for host, prefixes in by_host.items()
+        }
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``, or None.
@@ -23,10 +26,13 @@
         path : str
             Path without the query.
         """
-        prefixes = self._by_host.get(_normalise_host(host))
+        host = _normalise_host(host)
+        prefixes = self._by_host.get(host)
         if prefixes is None:
             return None
-        matches = (prefixes.get(prefix) for prefix in _list_prefixes(path))
+        # A path of slashes has as many prefixes as characters.
+        beginning = path[: self._longest_by_host[host]]
+        matches = (prefixes.get(prefix) for prefix in _list_prefixes(beginning))
         return next((route for route in matches if route is not None), None)
 
 
--- a/tests/core/routes/test_route_table.py
+++ b/tests/core/routes/test_route_table.py
@@ -63,3 +63,16 @@
         make_route("r", "/", kind, is_resumable=is_resumable).is_safe_to_rerun
         is is_safe
     )
+
+
+def test_a_path_of_slashes_costs_no_more_than_the_longest_prefix(table, monkeypatch):
+    """Guards against a search that takes the square of a path's length."""
+    tried = []
+
+    def list_prefixes(path):
+        tried.append(path)
+        return iter(())
+
+    monkeypatch.setattr("azurefold.core.routes.table._list_prefixes", list_prefixes)
+    table.find("a.example", "/" * 16_000)
+    assert [len(path) for path in tried] == [len("/lots/recalls/")]
