Hold what entries and agents keep for callers within their memory

What callers saw: an entry that ended for want of memory.

Cause: as at gateways, nothing counted what is held.

Change: answers that an entry collects are reserved with their request; one that does not fit is told as run (502, answer_not_kept). Lines that wait for a slow caller are bounded in bytes, beyond which the agent is asked again at the caller's pace. An agent reads a body in pieces, sends it in lines of 64 K characters, and gives up the oldest answer that nobody reads where its memory is used up. memory_mb and descriptors are settings of all three programs.

--- a/src/azurefold/agent/buffer.py
+++ b/src/azurefold/agent/buffer.py
@@ -7,6 +7,7 @@
 
 from azurefold.agent.channels import Channel
 from azurefold.core.attempts.frames import text_digest
+from azurefold.core.callers.memory import Reservation
 from azurefold.wire.frames import (
     encode_broken,
     encode_end,
@@ -18,6 +19,8 @@
 __all__ = ["AnswerBuffer"]
 
 _BLANK_LINE = b"\n"
+_FRAME_CHARACTERS = 65_536
+"""Of a line, so that a reader takes a long answer in parts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,11 +42,14 @@
     status : int
         Status of the endpoint's answer, for services that have one.
     content_type : str
+    held : Reservation, optional
+        Of the text.
     """
 
     attempt_id: str
     status: int = 200
     content_type: str = "text/event-stream"
+    held: Reservation | None = None
     _readers: int = 0
     _followers: list[_Follower] = field(default_factory=list)
     _pieces: list[str] = field(default_factory=list)
@@ -108,8 +114,8 @@
         follower = _Follower(channel, number)
         if self._pieces or self._ended:
             follower.put(self._head())
-        if self._pieces:
-            follower.put(encode_frame(0, self.text))
+        for frame in self._frames(0, 0):
+            follower.put(frame)
         if self._ended:
             follower.put(self._last_line())
         else:
@@ -165,8 +171,7 @@
                 head_sent = True
                 yield self._head()
             elif piece < len(self._pieces):
-                text = self._text_from(piece, offset)
-                piece = len(self._pieces)
+                text, piece = self._text_from(piece, offset)
                 yield encode_frame(offset, text)
                 offset += len(text)
             elif self._ended:
@@ -189,12 +194,20 @@
             piece -= 1
         return piece
 
-    def _text_from(self, piece: int, offset: int) -> str:
-        if piece == len(self._pieces) - 1:
-            text = self._pieces[piece]
-        else:
-            text = "".join(self._pieces[piece:])
-        return text[offset - self._offsets[piece] :]
+    def _text_from(self, piece: int, offset: int) -> tuple[str, int]:
+        """Return text from an offset in a piece on, and the piece behind it."""
+        end = piece + 1
+        until = offset + _FRAME_CHARACTERS
+        while end < len(self._pieces) and self._offsets[end] < until:
+            end += 1
+        text = "".join(self._pieces[piece:end])
+        return text[offset - self._offsets[piece] :], end
+
+    def _frames(self, piece: int, offset: int) -> Iterator[bytes]:
+        while piece < len(self._pieces):
+            text, piece = self._text_from(piece, offset)
+            yield encode_frame(offset, text)
+            offset += len(text)
 
     def _head(self) -> bytes:
         return encode_head(self.status, self.content_type)
--- a/src/azurefold/agent/endpoint.py
+++ b/src/azurefold/agent/endpoint.py
@@ -1,5 +1,6 @@
 """Calls to the endpoint beside an agent: a model engine or a plain service."""
 
+import codecs
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -32,6 +33,7 @@
 _CONNECT_TIMEOUT_MS: Millis = 1_000
 _READ_TIMEOUT_MS: Millis = 10_000
 _DATA = b"data: "
+_BLOCK_BYTES = 65_536
 _OK = 200
 _NOT_FOUND = 404
 _JSON = "application/json"
@@ -247,8 +249,14 @@
 
 
 def _whole_body(response: object) -> Iterator:
-    text = response.read().decode("utf-8", "replace")
     yield EndpointHead(response.status_code, str(response.get("content-type", _JSON)))
-    if text:
-        yield EndpointText(0, text)
-    yield EndpointEnd(len(text))
+    decoder = codecs.getincrementaldecoder("utf-8")("replace")
+    total = 0
+    is_last = False
+    while not is_last:
+        data = bytes(response.read(_BLOCK_BYTES))
+        is_last = not data
+        if text := decoder.decode(data, final=is_last):
+            yield EndpointText(total, text)
+            total += len(text)
+    yield EndpointEnd(total)
--- a/src/azurefold/agent/metrics.py
+++ b/src/azurefold/agent/metrics.py
@@ -41,6 +41,12 @@
         yield counter_family(
             "azurefold_agent_ended", "Attempts that have ended", "phase", seen.ended
         )
+        yield counter_family(
+            "azurefold_agent_freed",
+            "Answers given up before their time",
+            "why",
+            {"memory": seen.freed},
+        )
         streams = {"resumed": seen.resumes, "cancelled": seen.cancelled}
         yield counter_family(
             "azurefold_agent_streams", "Orders about engine streams", "order", streams
--- a/src/azurefold/agent/runner.py
+++ b/src/azurefold/agent/runner.py
@@ -1,6 +1,7 @@
 """Runs attempts at the endpoint and keeps their answers."""
 
 import logging
+import sys
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -30,6 +31,7 @@
     Ledger,
     Refused,
 )
+from azurefold.core.callers.memory import MemoryBudget
 from azurefold.core.clock import Clock, Millis
 from azurefold.internal.logs import log_event
 
@@ -72,12 +74,15 @@
         Attempts by the phase they ended in.
     resumes, cancelled : int
         Streams taken up again at the engine, and streams stopped.
+    freed : int
+        Answers given up before their time for want of memory.
     """
 
     attempts: Counter[str] = field(default_factory=Counter)
     ended: Counter[str] = field(default_factory=Counter)
     resumes: int = 0
     cancelled: int = 0
+    freed: int = 0
 
 
 @dataclass(slots=True)
@@ -87,6 +92,7 @@
     ledger: Ledger
     target: ModelEngine | PlainService
     clock: Clock
+    budget: MemoryBudget
     channels: Channels = field(default_factory=Channels)
     seen: Seen = field(default_factory=Seen)
     _buffers: dict[str, AnswerBuffer] = field(default_factory=dict)
@@ -121,7 +127,7 @@
                 self.seen.attempts["attached"] += 1
                 return Attached(buffer, new=False)
             case Accepted():
-                buffer = AnswerBuffer(attempt_id)
+                buffer = AnswerBuffer(attempt_id, held=self.budget.reservation())
                 self._buffers[attempt_id] = buffer
                 gevent.spawn(self._to_an_end, buffer, self._run, call)
                 log_event(_log, "attempt_started", attempt=attempt_id)
@@ -160,7 +166,7 @@
         """Free answers that nobody may ask for any more."""
         now = self.clock.now()
         for attempt_id in self.ledger.find_expired_texts(now):
-            self._buffers.pop(attempt_id, None)
+            self._free(attempt_id)
         self.ledger.evict_expired(now)
 
     def cancel(self, attempt_id: str) -> None:
@@ -196,7 +202,8 @@
         if self.ledger.get_phase(attempt_id, organisation) is not None:
             return self._buffers.get(attempt_id)
         self.ledger.adopt(attempt_id, organisation)
-        buffer = AnswerBuffer(attempt_id, head.status, head.content_type)
+        held = self.budget.reservation()
+        buffer = AnswerBuffer(attempt_id, head.status, head.content_type, held)
         self._buffers[attempt_id] = buffer
         gevent.spawn(
             self._to_an_end, buffer, self._follow_adopted, engine, attempt_id, stream
@@ -272,6 +279,7 @@
                             "the endpoint skipped part of its answer"
                         )
                     if new:
+                        self._reserve(buffer, new)
                         buffer.append(new)
                 case EndpointHead(status=status, content_type=content_type):
                     buffer.status = status
@@ -281,6 +289,28 @@
                         raise StreamBrokeError("the endpoint's answer is not whole")
                     return
 
+    def _reserve(self, buffer: AnswerBuffer, text: str) -> None:
+        """Reserve the memory of a text; the oldest answers give way to it."""
+        size = sys.getsizeof(text)
+        while not buffer.held.grow(size):
+            if not self._free_oldest():
+                raise StreamBrokeError("there is no memory for more of the answer")
+
+    def _free_oldest(self) -> bool:
+        """Free the oldest answer that nobody reads; return whether there was one."""
+        for attempt_id, buffer in self._buffers.items():
+            if buffer.ended and not buffer.readers:
+                log_event(_log, "answer_freed", attempt=attempt_id, why="memory")
+                self.seen.freed += 1
+                self._free(attempt_id)
+                return True
+        return False
+
+    def _free(self, attempt_id: str) -> None:
+        buffer = self._buffers.pop(attempt_id, None)
+        if buffer is not None:
+            buffer.held.release()
+
     def _ended(self, buffer: AnswerBuffer, phase: AttemptPhase) -> None:
         # An engine ends a cancelled stream like a whole one. Passed on as
         # such, somebody who resumes it would take a part for the whole.
@@ -311,7 +341,19 @@
 
 
 def new_runner(
-    ledger: Ledger, target: ModelEngine | PlainService, clock: Clock
+    ledger: Ledger,
+    target: ModelEngine | PlainService,
+    clock: Clock,
+    budget: MemoryBudget | None = None,
 ) -> Runner:
-    """Return a runner that has run nothing yet."""
-    return Runner(ledger=ledger, target=target, clock=clock)
+    """Return a runner that has run nothing yet.
+
+    Parameters
+    ----------
+    ledger : Ledger
+    target : ModelEngine or PlainService
+    clock : Clock
+    budget : MemoryBudget, optional
+        Of the answers that are kept; by default without a bound.
+    """
+    return Runner(ledger, target, clock, budget or MemoryBudget(sys.maxsize))
--- a/src/azurefold/agent/service.py
+++ b/src/azurefold/agent/service.py
@@ -30,7 +30,11 @@
     ring_from_settings,
     stop_requested,
 )
-from azurefold.internal.process_limits import ProcessLimits, new_process_limits
+from azurefold.internal.process_limits import (
+    GRPC_OWN_BYTES,
+    ProcessLimits,
+    new_process_limits,
+)
 
 if TYPE_CHECKING:
     from azurefold.agent.expert_maps import ExpertMaps
@@ -85,11 +89,13 @@
         settings.endpoint, ring_from_settings(settings.keys), wall
     )
     ledger = new_ledger(str(identity.incarnation))
-    runner = new_runner(ledger, _target(settings), monotonic_clock())
+    process = new_process_limits(
+        settings.memory_bytes, settings.descriptors, GRPC_OWN_BYTES
+    )
+    runner = new_runner(ledger, _target(settings), monotonic_clock(), process.budget)
     metrics = new_agent_metrics(runner)
     heartbeats = new_heartbeats(settings, identity, runner, metrics.rejected)
     maps = _expert_maps(settings, identity, runner, metrics)
-    process = new_process_limits(settings.memory_bytes, settings.descriptors)
     entries = _entries_server(settings, identity, runner, heartbeats, metrics, process)
     admin = _admin(settings, identity, runner, metrics, maps, process)
     collector = CallerLimitsCollector(
--- a/src/azurefold/control/service.py
+++ b/src/azurefold/control/service.py
@@ -33,7 +33,11 @@
     ring_from_settings,
     stop_requested,
 )
-from azurefold.internal.process_limits import new_process_limits
+from azurefold.internal.process_limits import (
+    GRPC_OWN_BYTES,
+    ProcessLimits,
+    new_process_limits,
+)
 from azurefold.site_store.client import PlatformClient, platform_client
 from azurefold.site_store.configuration_store import configuration_store
 from azurefold.wire.group_maps import METHOD_REBALANCE, Rebalance
@@ -111,8 +115,11 @@
     use_gevent()
     stop = stop_requested()
     control = _build(settings)
-    server = _serve_grpc(control)
-    admin = _admin(control)
+    limits = new_process_limits(
+        settings.memory_bytes, settings.descriptors, GRPC_OWN_BYTES
+    )
+    server = _serve_grpc(control, limits)
+    admin = _admin(control, limits)
     control.port.start()
     admin.start()
     spawn_loop(control.membership.run)
@@ -187,7 +194,7 @@
     )
 
 
-def _serve_grpc(control: _Control) -> Server:
+def _serve_grpc(control: _Control, limits: ProcessLimits) -> Server:
     configuration = control.configuration
     drains = Drains(control.identity, control.membership)
     far = control.watch.far
@@ -210,18 +217,19 @@
         guard=control.identity.guard,
         clock=control.identity.wall,
         workers=_WORKERS,
+        max_connections=limits.rpc_connections,
     )
 
 
-def _admin(control: _Control) -> WSGIServer:
+def _admin(control: _Control, limits: ProcessLimits) -> WSGIServer:
     views = AdminViews(
         registry=control.metrics.registry,
         is_ready=lambda: control.configuration.revision > 0 and not control.stopping,
         status=lambda: _status(control),
     )
-    settings = control.settings
-    limits = new_process_limits(settings.memory_bytes, settings.descriptors)
-    admin = admin_server(settings.metrics, views, "azurefold.control.admin", limits)
+    admin = admin_server(
+        control.settings.metrics, views, "azurefold.control.admin", limits
+    )
     collector = CallerLimitsCollector(limits.budget, [admin.connections])
     control.metrics.registry.register(collector)
     return admin
--- a/src/azurefold/core/callers/memory.py
+++ b/src/azurefold/core/callers/memory.py
@@ -8,14 +8,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-__all__ = ["MemoryBudget", "MemoryShortError", "Reservation", "new_memory_budget"]
+__all__ = ["MemoryBudget", "Reservation", "new_memory_budget"]
 
 SMALL_BYTES = 65_536
 """Of one request, what is held even while large requests use up their share."""
 
 _MEGABYTE = 1_048_576
-_OWN_BYTES = 64 * _MEGABYTE
-"""For the program itself, with the configuration and state of a large deployment."""
+OWN_BYTES = 64 * _MEGABYTE
+"""For a program itself, with the configuration and state of a large deployment."""
 
 _SHARE = 0.75
 """Of the rest. The allocator keeps what it has freed in part, and a piece of a body may
@@ -27,10 +27,6 @@
 _LEAST_BYTES = 8 * _MEGABYTE
 
 
-class MemoryShortError(Exception):
-    """The budget does not allow a request to hold more."""
-
-
 @dataclass(slots=True)
 class MemoryBudget:
     """Bytes that may be held for callers, and those that are.
@@ -128,13 +124,19 @@
         self.shrink_to(0)
 
 
-def new_memory_budget(machine_bytes: int) -> MemoryBudget:
+def new_memory_budget(machine_bytes: int, own_bytes: int = OWN_BYTES) -> MemoryBudget:
     """Return the budget of a process on a machine, or in a slot, of this memory.
 
+    Parameters
+    ----------
+    machine_bytes : int
+    own_bytes : int
+        What the program needs for itself.
+
     Examples
     --------
     >>> new_memory_budget(300 * 1_048_576).limit // 1_048_576
     177
     """
-    rest = machine_bytes - _OWN_BYTES
+    rest = machine_bytes - own_bytes
     return MemoryBudget(max(_LEAST_BYTES, int(rest * _SHARE)))
--- a/src/azurefold/entry/answers.py
+++ b/src/azurefold/entry/answers.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from azurefold.core.attempts.ids import AnswerId
-from azurefold.core.attempts.outcome import Failure
+from azurefold.core.attempts.outcome import Failure, RunStatus
+from azurefold.core.callers.memory import Reservation
 from azurefold.entry.parts import Announced, AnswerHead, GivenUp, Part, Text, Whole
 from azurefold.entry.requests import CallerRequest
 
@@ -21,6 +22,14 @@
 _encode = msgspec.json.Encoder().encode
 _TEXT = b'"text":'
 _NO_TEXT = b'"text":""'
+_COPIES = 2
+"""Of a text while it is encoded."""
+
+_NOT_KEPT = Failure(
+    RunStatus.RAN,
+    "answer_not_kept",
+    "There is no memory for the whole answer; ask for it as a stream.",
+)
 
 
 class _Choice(msgspec.Struct):
@@ -58,11 +67,17 @@
     failure: Failure | None = None
 
 
-def collect(parts: Iterator[Part]) -> Collected:
+def collect(parts: Iterator[Part], held: Reservation | None = None) -> Collected:
     """Wait for the end of an answer.
 
     Nothing of an answer that breaks off is given out: a body cut short would
     look like a whole one.
+
+    Parameters
+    ----------
+    parts : iterator of Part
+    held : Reservation, optional
+        Grows by what is collected.
     """
     collected = Collected()
     pieces = []
@@ -74,6 +89,9 @@
                 collected.status = status
                 collected.content_type = content_type
             case Text(text=text):
+                if held is not None and not held.grow(_COPIES * len(text)):
+                    collected.failure = _NOT_KEPT
+                    return collected
                 pieces.append(text)
             case GivenUp(failure=failure):
                 collected.failure = failure
--- a/src/azurefold/entry/channels.py
+++ b/src/azurefold/entry/channels.py
@@ -13,6 +13,7 @@
 __all__ = ["Channel", "Followed"]
 
 _MAX_WAITING = 4_096
+_MAX_WAITING_BYTES = 1_048_576
 _SIGN_OF_LIFE_MS: Millis = 1_000
 
 
@@ -30,6 +31,7 @@
     attempt_id: str
     number: int
     _items: list[Line] = field(default_factory=list)
+    _bytes: int = 0
     _some: Event = field(default_factory=Event)
     _ended: bool = False
     _lost: bool = False
@@ -44,6 +46,11 @@
         """Lines not read yet."""
         return len(self._items)
 
+    @property
+    def is_overfull(self) -> bool:
+        """Whether more lines wait to be read than may."""
+        return len(self._items) > _MAX_WAITING or self._bytes > _MAX_WAITING_BYTES
+
     def put(self, line: bytes) -> None:
         """Take in a line."""
         try:
@@ -54,6 +61,7 @@
         if isinstance(message, EndFrame | Broken):
             self._ended = True
         self._items.append(message)
+        self._bytes += len(line)
         self._some.set()
 
     def sign_of_life(self) -> None:
@@ -77,6 +85,7 @@
             self._some.wait()
             self._some.clear()
             items, self._items = self._items, []
+            self._bytes = 0
             yield items
         raise LostError("the channel broke")
 
@@ -139,7 +148,7 @@
         followed.put(rest)
         # A caller too slow for its answer must not fill this process's
         # memory; the agent keeps the text, and is asked again later.
-        if followed.waiting > _MAX_WAITING:
+        if followed.is_overfull:
             followed.lose()
         if followed.ended:
             del self._followed[number]
--- a/src/azurefold/entry/http_api.py
+++ b/src/azurefold/entry/http_api.py
@@ -40,6 +40,7 @@
 from azurefold.entry.responses import give_failure, give_whole
 from azurefold.entry.services import Service
 from azurefold.entry.state import EntryState
+from azurefold.internal.http_server import HELD
 
 __all__ = ["entry_app"]
 
@@ -163,6 +164,7 @@
         idempotent=read_idempotent(req, service.view.idempotent),
         idempotency_key=key,
         resume_from=read_last_event_id(req),
+        held=req.env[HELD],
     )
 
 
--- a/src/azurefold/entry/requests.py
+++ b/src/azurefold/entry/requests.py
@@ -6,6 +6,7 @@
 
 from azurefold.core.admission.messages import Priority
 from azurefold.core.attempts.ids import AnswerId
+from azurefold.core.callers.memory import Reservation
 from azurefold.core.clock import Millis
 from azurefold.core.routing.messages import Prefix
 
@@ -74,6 +75,8 @@
         Of the prompt, that an endpoint may have cached.
     prompt_tokens : int
         Estimate of the prompt's part of ``tokens``.
+    held : Reservation or None
+        Of the request, to which its answer is added.
     """
 
     organisation: str
@@ -89,6 +92,7 @@
     resume_from: AnswerId | None = None
     prefixes: tuple[Prefix, ...] = ()
     prompt_tokens: int = 0
+    held: Reservation | None = None
 
 
 _decode_completion = msgspec.json.Decoder(CompletionBody).decode
--- a/src/azurefold/entry/responses.py
+++ b/src/azurefold/entry/responses.py
@@ -19,7 +19,7 @@
     request: CallerRequest, resp: falcon.Response, parts: Iterator[Part]
 ) -> None:
     """Answer with all parts in one body."""
-    collected = collect(parts)
+    collected = collect(parts, request.held)
     if collected.failure is not None:
         give_failure(resp, collected.failure)
         return
--- a/src/azurefold/entry/service.py
+++ b/src/azurefold/entry/service.py
@@ -30,7 +30,10 @@
     ring_from_settings,
     stop_requested,
 )
-from azurefold.internal.process_limits import new_process_limits
+from azurefold.internal.process_limits import (
+    GRPC_OWN_BYTES,
+    new_process_limits,
+)
 from azurefold.site_store.client import platform_client
 from azurefold.wire.grpc_caller import caller
 from azurefold.wire.grpc_service import use_gevent
@@ -106,7 +109,9 @@
         status=lambda: _status(settings, state),
     )
     metrics.registry.register(DecisionsCollector(state))
-    process = new_process_limits(settings.memory_bytes, settings.descriptors)
+    process = new_process_limits(
+        settings.memory_bytes, settings.descriptors, GRPC_OWN_BYTES
+    )
     connections = process.caller_connections("azurefold.entry")
     admin = admin_server(settings.metrics, views, "azurefold.entry.admin", process)
     collector = CallerLimitsCollector(process.budget, [connections, admin.connections])
--- a/src/azurefold/gateway/callers/front.py
+++ b/src/azurefold/gateway/callers/front.py
@@ -11,7 +11,12 @@
 from azurefold.core.callers.memory import Reservation
 from azurefold.gateway.callers.calls import CallerGoneError
 from azurefold.internal.caller_connections import OpenConnections
-from azurefold.internal.http_server import RequestHandler, TimedServer, http_server
+from azurefold.internal.http_server import (
+    HELD,
+    RequestHandler,
+    TimedServer,
+    http_server,
+)
 
 __all__ = ["CONNECTION", "CallerConnection", "front_server"]
 
@@ -101,7 +106,7 @@
     def get_environ(self) -> dict[str, object]:
         environ = super().get_environ()
         environ[CONNECTION] = CallerConnection(
-            self._head.target, self._head.fields, self._connection.held, self.socket
+            self._head.target, self._head.fields, environ[HELD], self.socket
         )
         return environ
 
--- a/src/azurefold/internal/http_server.py
+++ b/src/azurefold/internal/http_server.py
@@ -15,7 +15,10 @@
 from azurefold.internal.process_limits import new_process_limits
 from azurefold.internal.request_reader import ReadLimits, RequestBody, RequestReader
 
-__all__ = ["RequestHandler", "TimedServer", "http_server", "split_address"]
+__all__ = ["HELD", "RequestHandler", "TimedServer", "http_server", "split_address"]
+
+HELD = "azurefold.held"
+"""Key of the request's :class:`Reservation` in its environment."""
 
 _HEADER_TIMEOUT_MS: Millis = 10_000
 _RECEIVE_BUFFER_BYTES = 65_536
@@ -117,6 +120,7 @@
             "REMOTE_PORT": str(self.client_address[1]),
             "wsgi.input": self.wsgi_input,
             "wsgi.input_terminated": True,
+            HELD: self._connection.held,
         }
         return environ | self._field_variables(head)
 
--- a/src/azurefold/internal/process_limits.py
+++ b/src/azurefold/internal/process_limits.py
@@ -4,10 +4,17 @@
 import resource
 from dataclasses import dataclass
 
-from azurefold.core.callers.memory import MemoryBudget, new_memory_budget
+from azurefold.core.callers.memory import (
+    OWN_BYTES,
+    MemoryBudget,
+    new_memory_budget,
+)
 from azurefold.internal.caller_connections import OpenConnections
 
-__all__ = ["ProcessLimits", "new_process_limits"]
+__all__ = ["GRPC_OWN_BYTES", "ProcessLimits", "new_process_limits"]
+
+GRPC_OWN_BYTES = 96 * 1_048_576
+"""For a program itself that loads gRPC."""
 
 _FILES = 200
 """Descriptors for logs, libraries and the event loop."""
@@ -54,13 +61,20 @@
         limit = max(2, min(_MOST_ADMIN, int(self.sockets * _ADMIN_SHARE)))
         return OpenConnections(self.budget, limit, name, is_charged=False)
 
+    @property
+    def rpc_connections(self) -> int:
+        """Connections that other processes of the system may have open."""
+        return int(self.sockets * _CALLERS_SHARE)
+
     @property
     def idle_links(self) -> int:
         """Connections to endpoints that are kept for later requests."""
         return int(self.sockets * _IDLE_LINKS_SHARE)
 
 
-def new_process_limits(memory_bytes: int = 0, descriptors: int = 0) -> ProcessLimits:
+def new_process_limits(
+    memory_bytes: int = 0, descriptors: int = 0, own_bytes: int = OWN_BYTES
+) -> ProcessLimits:
     """Return the limits of a process.
 
     Parameters
@@ -69,12 +83,14 @@
         Of the machine, or of the slot on it; 0 for all memory there is.
     descriptors : int, default=0
         0 for as many as the system allows; never more than that.
+    own_bytes : int
+        What the program needs for itself.
     """
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if allowed == resource.RLIM_INFINITY or 0 < descriptors < allowed:
         allowed = descriptors or _machine_descriptors()
     return ProcessLimits(
-        new_memory_budget(memory_bytes or _machine_bytes()),
+        new_memory_budget(memory_bytes or _machine_bytes(), own_bytes),
         max(_LEAST_SOCKETS, allowed - _FILES),
     )
 
--- a/src/azurefold_standins/layout.py
+++ b/src/azurefold_standins/layout.py
@@ -1,6 +1,6 @@
 """What a test site consists of."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = ["Endpoint", "Layout"]
 
@@ -37,6 +37,8 @@
         Of the model engines and of the plain services.
     honours_fence : bool
         Whether engines refuse old fencing numbers.
+    machine : dict of str to int, optional
+        Limits of each entry, control and agent, as in their settings.
     relayed : bool
         Whether links between data centres, to the platform, to agents and to
         engines go through a relay whose faults can be switched.
@@ -48,3 +50,4 @@
     latency_ms: int = 20
     honours_fence: bool = True
     relayed: bool = False
+    machine: dict[str, int] = field(default_factory=dict)
--- a/src/azurefold_standins/plain.py
+++ b/src/azurefold_standins/plain.py
@@ -21,6 +21,7 @@
 from gevent.event import Event  # noqa: E402
 
 from azurefold.internal.http_server import http_server  # noqa: E402
+from azurefold_standins.bare_layout import requested_size  # noqa: E402
 from azurefold_standins.text import confirmation  # noqa: E402
 
 __all__ = ["main"]
@@ -37,6 +38,9 @@
         body = req.bounded_stream.read()
         self.journal.append(body.decode("utf-8", "replace"))
         gevent.sleep(self.latency_ms / _SECOND_MS)
+        if size := requested_size(path):
+            resp.data = b"x" * size
+            return
         resp.data = msgspec.json.encode({"confirmed": confirmation(body)})
 
     def on_get_journal(self, req, resp):
--- a/src/azurefold_standins/site.py
+++ b/src/azurefold_standins/site.py
@@ -213,6 +213,7 @@
         "platform": [_platform_of(site, data_centre)],
         "peers": peers,
         "keys": [_KEY],
+        **site.layout.machine,
     }
     site.add(name, "azurefold.control", site.write(name, settings))
 
@@ -229,6 +230,7 @@
         "control_name": control,
         "platform": [_platform_of(site, data_centre)],
         "keys": [_KEY],
+        **site.layout.machine,
     }
     site.add(name, "azurefold.entry", site.write(name, settings))
 
@@ -252,6 +254,7 @@
             if site.data_centre_of(control) == endpoint.data_centre
         ],
         "keys": [_KEY],
+        **site.layout.machine,
     }
     if site.layout.relayed:
         settings["http_bind"] = own["http"]
