Bound the connections to the ports between processes

Cause: the library bounds neither connections nor, for two minutes, a handshake that does not come. Change: as many connections as the descriptors of the process allow (grpc.max_allowed_incoming_connections), and two seconds for a handshake, after which a stranger's place is free again.

Not bounded: what the library itself buffers for a peer that has a connection and reads slowly; peers need a key for each call.

--- a/src/azurefold/agent/expert_maps.py
+++ b/src/azurefold/agent/expert_maps.py
@@ -30,6 +30,7 @@
 from azurefold.core.groups.messages import Ask, Message
 from azurefold.internal.identity import Identity
 from azurefold.internal.logs import log_event
+from azurefold.internal.process_limits import new_process_limits
 from azurefold.wire.group_maps import (
     METHOD_GET_EXPERTS,
     METHOD_PUT_MAP,
@@ -264,6 +265,7 @@
             registry=registry,
         ),
     )
+    limits = new_process_limits(descriptors=settings.descriptors)
     maps.server = serve(
         settings.grpc,
         (
@@ -277,6 +279,7 @@
         guard=identity.guard,
         clock=identity.wall,
         workers=_WORKERS,
+        max_connections=limits.rpc_connections,
     )
     return maps
 
--- a/src/azurefold/wire/grpc_service.py
+++ b/src/azurefold/wire/grpc_service.py
@@ -40,12 +40,17 @@
 METADATA_KEY = "azurefold-auth"
 RESPONSE = "grpc-response"
 _MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+_HANDSHAKE_TIMEOUT_MS: Millis = 2_000
 GRPC_OPTIONS = (
     ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
 )
 # Two processes must never share a port silently.
-_SERVER_OPTIONS = (*GRPC_OPTIONS, ("grpc.so_reuseport", 0))
+_SERVER_OPTIONS = (
+    *GRPC_OPTIONS,
+    ("grpc.so_reuseport", 0),
+    ("grpc.server_handshake_timeout_ms", _HANDSHAKE_TIMEOUT_MS),
+)
 
 OnReject = Callable[[Reason], None]
 
@@ -176,6 +181,7 @@
     guard: ReplayGuard | None = None,
     clock: Clock | None = None,
     workers: int = 32,
+    max_connections: int | None = None,
 ) -> Server:
     """Serve ``handlers`` at ``address`` and return at once.
 
@@ -197,6 +203,8 @@
         Wall clock.
     workers : int
         Calls handled at the same time.
+    max_connections : int, optional
+        Connections that may be open; without a bound by default.
 
     Raises
     ------
@@ -204,8 +212,11 @@
         If the address cannot be bound.
     """
     gate = _Gate(ring, sealer, guard or ReplayGuard(), clock or wall_clock(), on_reject)
+    options = _SERVER_OPTIONS
+    if max_connections is not None:
+        options += (("grpc.max_allowed_incoming_connections", max_connections),)
     server = grpc.server(
-        futures.ThreadPoolExecutor(max_workers=workers), options=_SERVER_OPTIONS
+        futures.ThreadPoolExecutor(max_workers=workers), options=options
     )
     methods = {handler.name: _method(handler, gate) for handler in handlers}
     generic = grpc.method_handlers_generic_handler(SERVICE, methods)
