Bound the log lines that wait to be written in bytes, too

What was seen: lines that nobody reads were held up to 4,000 of any length. A refused request's line has the host and the id that its caller sent, some kilobytes each, so callers could fill 64 MB of a process whose standard output stands still. Cause: the bound counted lines, with the size of usual ones in mind. Beyond 4 MB further lines are now dropped and counted as before.

--- a/src/azurefold/internal/log_writer.py
+++ b/src/azurefold/internal/log_writer.py
@@ -21,6 +21,9 @@
 _QUEUED_LINES = 4_000
 """About 1 MB, and some 5 s of a gateway at its busiest, 800 lines a second."""
 
+_QUEUED_BYTES = 4 * 1_048_576
+"""Lines with names that callers sent may have some kilobytes each."""
+
 _PAUSE_S = 0.05
 _BLOCK_BYTES = 32_768
 
@@ -44,19 +47,25 @@
     dropped: int = 0
     dropped_in_all: int = 0
     _lines: deque[bytes] = field(default_factory=deque)
+    _bytes: int = 0
     _rest: bytes = b""
 
     def add(self, line: str) -> None:
         """Queue a line, or count it as dropped."""
-        if len(self._lines) >= self.limit:
+        if len(self._lines) >= self.limit or self._bytes > _QUEUED_BYTES:
             self.dropped += 1
             self.dropped_in_all += 1
             return
         if self.dropped:
             told = event_line("log_lines_dropped", {"lines": self.dropped})
-            self._lines.append(told.encode() + b"\n")
+            self._queue(told)
             self.dropped = 0
-        self._lines.append(line.encode("utf-8", "replace") + b"\n")
+        self._queue(line)
+
+    def _queue(self, line: str) -> None:
+        data = line.encode("utf-8", "replace") + b"\n"
+        self._lines.append(data)
+        self._bytes += len(data)
 
     def flush(self) -> bool:
         """Write what can be written now; return whether all of it was."""
@@ -71,6 +80,7 @@
                 # Nobody will ever read it. Logs are not worth the process.
                 self._rest = b""
                 self._lines.clear()
+                self._bytes = 0
                 return True
             self._rest = block[written:]
         return True
@@ -79,7 +89,9 @@
         block = bytearray(self._rest)
         self._rest = b""
         while self._lines and len(block) < _BLOCK_BYTES:
-            block += self._lines.popleft()
+            line = self._lines.popleft()
+            self._bytes -= len(line)
+            block += line
         return bytes(block)
 
 
