Do not count a connection among the large requests of the memory budget

Cause: a connection is charged with 96 KB, over the 64 KB up to which a request counts as small, so the share for large requests bounded connections as well and what that share keeps free was for nobody. A connection's reservation is now exempt from it.

--- a/src/azurefold/core/callers/memory.py
+++ b/src/azurefold/core/callers/memory.py
@@ -67,9 +67,15 @@
         """Bytes up to which requests may hold more than ``SMALL_BYTES``."""
         return int(self.limit * _LARGE_SHARE)
 
-    def reservation(self) -> "Reservation":
-        """Return a reservation that holds nothing yet."""
-        return Reservation(self)
+    def reservation(self, *, is_exempt: bool = False) -> "Reservation":
+        """Return a reservation that holds nothing yet.
+
+        Parameters
+        ----------
+        is_exempt : bool, default=False
+            Whether it may be of any size within the limit, as that of a connection.
+        """
+        return Reservation(self, is_exempt=is_exempt)
 
     def _reserve(self, size: int, limit: int) -> bool:
         if self.held + size > limit and not self._has_made_room(size, limit):
@@ -95,14 +101,17 @@
     budget : MemoryBudget
     size : int, default=0
         Bytes.
+    is_exempt : bool, default=False
+        Whether ``large_limit`` does not apply to it.
     """
 
     budget: MemoryBudget
     size: int = 0
+    is_exempt: bool = False
 
     def grow(self, size: int) -> bool:
         """Reserve ``size`` bytes more; return False if they are not to be had."""
-        is_large = self.size + size > SMALL_BYTES
+        is_large = self.size + size > SMALL_BYTES and not self.is_exempt
         limit = self.budget.large_limit if is_large else self.budget.limit
         if not self.budget._reserve(size, limit):
             return False
--- a/src/azurefold/internal/caller_connections.py
+++ b/src/azurefold/internal/caller_connections.py
@@ -245,7 +245,7 @@
         if len(self._open) >= self.limit and not self._close_one("descriptors"):
             self.note("refused", "descriptors")
             return None
-        own = self.budget.reservation()
+        own = self.budget.reservation(is_exempt=True)
         if self.is_charged and not own.grow(CONNECTION_BYTES):
             self.note("refused", "memory")
             return None
