Add a soak of gateways on small machines, pressed by misbehaving callers

Callers who ask and read nothing, ask again and again, send bodies without their end, tiny chunks, trailers, half a head, nothing, or much too much, or leave at once, each with 24 open connections, press gateways and their ports of health checks while gateways are killed, stopped and started, paused and told to read their settings, and configurations change. Ordinary callers go on beside them. It checks that no process ends by itself or passes its machine's 96 MB and 512 descriptors, that no answer is wrong, none refused as not run has run, no at-most-once call ran twice, and that each gateway serves when the crowd is gone.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup test lint format bench slopes soak soak-faults demo clean
+.PHONY: setup test lint format bench slopes soak soak-faults soak-crowd demo clean
 
 setup: $(READY)
 
@@ -49,6 +49,13 @@
 		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
 		--gateways $(GATEWAYS) $(if $(RETURNS),--returns)
 
+# Gateways on small machines, pressed by misbehaving callers: make soak-crowd SEED=7
+CROWD ?= 12
+soak-crowd: setup
+	PYTHONPATH=src $(BIN)/python -m azurefold_standins.crowd_soak \
+		--seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
+		--gateways $(GATEWAYS) --crowd $(CROWD)
+
 demo: setup
 	PYTHONPATH=src $(BIN)/python -m azurefold_standins.demo
 
--- a/src/azurefold_standins/gateway_site.py
+++ b/src/azurefold_standins/gateway_site.py
@@ -105,6 +105,10 @@
         address = split_address(endpoint.address)
         wait_until(lambda: _listens(address), f"{endpoint.name} listens")
 
+    def is_ready(self, gateway: str) -> bool:
+        """Whether a gateway answers health checks as ready."""
+        return self._answers(self.admins[gateway], "/readyz")
+
     def wait_ready(self, gateway: str) -> None:
         """Wait until a gateway is ready."""
         address = self.admins[gateway]
--- a/tests/misbehaving/conftest.py
+++ b/tests/misbehaving/conftest.py
@@ -5,12 +5,13 @@
 import time
 from contextlib import ExitStack
 from dataclasses import dataclass, field
-from pathlib import Path
 
 import pytest
 
 from azurefold.internal.http_server import split_address
+from azurefold_standins.crowd_soak import memory_kb, open_descriptors
 from azurefold_standins.gateway_site import HOST, KEY, GatewaySite, new_gateway_site
+from azurefold_standins.misbehaving_callers import request_bytes
 from azurefold_standins.processes import Process
 
 MACHINE_MB = 96
@@ -24,19 +25,6 @@
 _HEALTH_CHECK = b"GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
 
-def memory_kb(process: Process) -> int:
-    """Return the most memory that a process has had, in KB."""
-    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM"):
-            return int(line.split()[1])
-    raise AssertionError("the kernel tells no VmHWM")
-
-
-def descriptors(process: Process) -> int:
-    """Return how many descriptors a process has open."""
-    return len(list(Path(f"/proc/{process.pid}/fd").iterdir()))
-
-
 @dataclass
 class Crowd:
     """Connections to one address, which stay open until the test ends."""
@@ -71,15 +59,8 @@
 
 def request_head(path: str, attempt: str, *lines: str, method: str = "POST") -> bytes:
     """Return the head of a request that the configuration allows."""
-    head = [
-        f"{method} {path} HTTP/1.1",
-        f"Host: {HOST}",
-        f"Attempt-Id: {attempt}",
-        f"Authorization: Bearer {KEY}",
-        "Deadline-Ms: 4000",
-        *lines,
-    ]
-    return "\r\n".join([*head, "", ""]).encode("latin-1")
+    head = request_bytes(path, attempt, *lines)
+    return head.replace(b"POST", method.encode(), 1)
 
 
 def ask(address: str, path: str, body: bytes = b"", **headers: str) -> tuple[int, int]:
@@ -133,7 +114,7 @@
         """Check that the process lives, within its machine's memory and descriptors."""
         assert self.process.running
         assert memory_kb(self.process) <= MACHINE_MB * 1_024
-        assert descriptors(self.process) <= MACHINE_FDS
+        assert open_descriptors(self.process) <= MACHINE_FDS
 
     def is_ready(self) -> None:
         """Check that a health check is answered, if not on the first try."""
--- a/tests/misbehaving/test_callers_of_a_site_of_entries.py
+++ b/tests/misbehaving/test_callers_of_a_site_of_entries.py
@@ -8,10 +8,11 @@
 
 from azurefold.internal.http_server import split_address
 from azurefold_standins.client import Client
+from azurefold_standins.crowd_soak import memory_kb, open_descriptors
 from azurefold_standins.operator import accept, wait_ready
 from azurefold_standins.processes import Process, wait_until
 from azurefold_standins.site import Layout, new_site
-from tests.misbehaving.conftest import Crowd, descriptors, memory_kb
+from tests.misbehaving.conftest import Crowd
 from tests.processes.conftest import CONFIGURATION, small_layout
 
 pytestmark = pytest.mark.scenario
@@ -72,7 +73,7 @@
 def _is_within(process: Process) -> None:
     assert process.running
     assert memory_kb(process) <= MACHINE_MB * 1_024, process.name
-    assert descriptors(process) <= MACHINE_FDS, process.name
+    assert open_descriptors(process) <= MACHINE_FDS, process.name
 
 
 def request(path, *lines, length=2):
