Give places of answers that nobody reads to requests that wait

Cause: once the budget is used up an answer is passed on as its caller reads it, and keeps its place at the endpoint until then; 12 callers who read nothing kept all places to their deadlines. Besides, what a slow reader held gave way only after a second.

Change: while requests wait for a service, as many answers that are passed on and whose piece was not taken for half a second are cut off, the slowest first, and never in calm. An unread answer gives way to others' memory after a quarter of a second. Answers that are written and not read any more count apart from requests in flight (unwritten), which the other gateways are told; a stop waits for both.

Ruled out: giving the place back when passing on begins, as the endpoint may hold its slot until its answer is read, and the next request would be refused there.

--- a/src/azurefold/gateway/callers/app.py
+++ b/src/azurefold/gateway/callers/app.py
@@ -212,7 +212,7 @@
     """The answer to one call, from its first part on.
 
     The server asks for one chunk after the other and calls :meth:`close` when
-    it is done, also when the caller has gone. Until then the request is in flight.
+    it is done, also when the caller has gone.
     """
 
     def __init__(
@@ -228,6 +228,7 @@
         self._watch = connection.watch()
         self._parts = self._relay_parts()
         self._pieces: Iterable[bytes] = ()
+        self._is_written_only = False
 
     def begin(self) -> Iterable[bytes]:
         """Wait for the first part and begin the answer with it."""
@@ -262,10 +263,15 @@
     def close(self) -> None:
         """End the request's work, whether or not it is done."""
         self._end_work()
-        self._app.state.in_flight -= 1
+        self._app.state.unwritten -= 1
 
     def _end_work(self) -> None:
         """Give the endpoint's place back; the answer may still be written."""
+        if self._is_written_only:
+            return
+        self._is_written_only = True
+        self._app.state.in_flight -= 1
+        self._app.state.unwritten += 1
         self._watch.close()
         self._parts.close()
 
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+import gevent
+
 from azurefold.core.attempts.events import EventSplitter, EventTiming
 from azurefold.core.attempts.outcome import RunStatus
 from azurefold.core.attempts.request_state import (
@@ -37,6 +39,7 @@
 from azurefold.gateway.endpoints.connections import Link
 from azurefold.gateway.endpoints.crash_check import CrashCheck
 from azurefold.gateway.endpoints.kept_body import KeptBody, check_end, keep_body
+from azurefold.gateway.endpoints.passed_on import PassedOnReader
 from azurefold.gateway.endpoints.reply import (
     BrokenReplyError,
     Framing,
@@ -264,10 +267,9 @@
         return (yield from self._whole(reply))
 
     def _whole(self, reply: Reply) -> Iterator[Part]:
-        held_before = self.call.held.size
         kept = keep_body(reply, self.call.held)
         if not kept.is_whole:
-            return (yield from self._passed_on(reply, kept, held_before))
+            return (yield from self._passed_on(reply, kept))
         if self._has_crashed_at_end(reply):
             return self._failed("crashed_at_end", str(reply.head.status), sent=True)
         if _OK <= reply.head.status < _REDIRECT:
@@ -277,19 +279,8 @@
         yield Begun(reply.head.status, reply.head.forwarded, kept.body)
         return None
 
-    def _passed_on(
-        self, reply: Reply, kept: KeptBody, held_before: int
-    ) -> Iterator[Part]:
-        """Yield an answer as its caller takes it; it can't be asked for again.
-
-        Parameters
-        ----------
-        reply : Reply
-        kept : KeptBody
-            Its beginning.
-        held_before : int
-            Bytes that the request held without this answer.
-        """
+    def _passed_on(self, reply: Reply, kept: KeptBody) -> Iterator[Part]:
+        """Yield an answer as its caller takes it; it can't be asked for again."""
         head = reply.head
         if _OK <= head.status < _REDIRECT:
             self._note_begun(self.state.clock.now())
@@ -306,16 +297,18 @@
             held_for_callers=self.call.held.budget.held,
         )
         yield Begun(head.status, head.forwarded, None, reply.content_length)
-        for piece in kept.pieces:
-            yield Piece(piece)
-        passed = kept.length
-        del kept
-        self.call.held.shrink_to(held_before)
-        while data := reply.next_bytes():
-            passed += len(data)
-            check_end(reply, passed)
-            self._heard_at = self.state.clock.now()
-            yield Piece(data)
+        reader = PassedOnReader(self.call.id, self.call.service, gevent.getcurrent())
+        self.state.passed_on.add(reader)
+        passed = 0
+        try:
+            for data in kept.take_and_read_on(reply):
+                passed += len(data)
+                check_end(reply, passed)
+                self._heard_at = reader.waits_since = self.state.clock.now()
+                yield Piece(data)
+                reader.waits_since = None
+        finally:
+            self.state.passed_on.discard(reader)
         if self._has_crashed_at_end(reply):
             return self._failed("crashed_at_end", str(head.status), sent=True)
         self._done(reply, Answered())
--- a/src/azurefold/gateway/endpoints/kept_body.py
+++ b/src/azurefold/gateway/endpoints/kept_body.py
@@ -5,6 +5,8 @@
 passed on as its caller takes it.
 """
 
+from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from azurefold.core.callers.memory import Reservation
@@ -21,18 +23,24 @@
 end, and nothing else tells them from a long one."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class KeptBody:
     """A body, or its beginning.
 
     Parameters
     ----------
-    pieces : tuple of bytes
+    pieces : deque of bytes
     is_whole : bool
+    held : Reservation
+        Of the request, with the pieces.
+    held_before : int
+        Bytes that the request held without them.
     """
 
-    pieces: tuple[bytes, ...]
+    pieces: deque[bytes]
     is_whole: bool
+    held: Reservation
+    held_before: int
 
     @property
     def length(self) -> int:
@@ -43,9 +51,17 @@
     def body(self) -> bytes | tuple[bytes, ...]:
         """The pieces, or the only one."""
         if len(self.pieces) > 1:
-            return self.pieces
+            return tuple(self.pieces)
         return self.pieces[0] if self.pieces else b""
 
+    def take_and_read_on(self, reply: Reply) -> Iterator[bytes]:
+        """Yield the pieces, none of which is kept longer, and the rest of the body."""
+        while self.pieces:
+            yield self.pieces.popleft()
+            self.held.shrink_to(self.held_before + self.length)
+        while data := reply.next_bytes():
+            yield data
+
 
 def keep_body(reply: Reply, held: Reservation) -> KeptBody:
     """Read a body until it is whole or no more of it can be kept.
@@ -63,14 +79,14 @@
     """
     before = held.size
     try:
-        return _read(reply, held)
+        return _read(reply, held, before)
     except BaseException:
         held.shrink_to(before)
         raise
 
 
-def _read(reply: Reply, held: Reservation) -> KeptBody:
-    pieces = []
+def _read(reply: Reply, held: Reservation, held_before: int) -> KeptBody:
+    pieces = deque()
     last = bytearray()
     length = 0
     is_whole = True
@@ -86,7 +102,7 @@
             break
     if last:
         pieces.append(bytes(last))
-    return KeptBody(tuple(pieces), is_whole)
+    return KeptBody(pieces, is_whole, held, held_before)
 
 
 def check_end(reply: Reply, length: int) -> None:
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -44,9 +44,14 @@
         for name, number in state.answers_passed_on.items():
             passed_on.add_metric([name], number)
         yield passed_on
+        cut_off = state.slow_readers_cut_off
+        yield _gauge(
+            "slow_readers_cut_off", "Answers unread while others wait", cut_off
+        )
         yield _gauge("configuration_version", "Version in force", state.version)
         yield self._table_ages()
         yield _gauge("in_flight", "Requests not yet answered", state.in_flight)
+        yield _gauge("unwritten", "Answers not yet written", state.unwritten)
         yield _gauge("nodes", "Gateways heard, this one included", state.nodes)
         yield _gauge(
             "connections_opened", "Connections to endpoints", state.links.opened
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -13,6 +13,7 @@
 from azurefold.gateway.callers.app import GatewayApp
 from azurefold.gateway.callers.connections import accepts_connection
 from azurefold.gateway.callers.front import front_server
+from azurefold.gateway.endpoints.passed_on import cut_off_slow_readers
 from azurefold.gateway.metrics import gateway_registry
 from azurefold.gateway.peers.membership import new_peers
 from azurefold.gateway.settings import changed_settings
@@ -193,6 +194,8 @@
         for service in state.services.values():
             service.tick()
         state.links.sweep()
+        if state.passed_on:
+            _cut_off_slow_readers(state)
         if state.configuration is not None:
             limits = state.configuration.limits
             callers.limits.head_bytes = limits.max_header_bytes
@@ -202,6 +205,15 @@
         state.tick_evacuations()
 
 
+def _cut_off_slow_readers(state: GatewayState) -> None:
+    waiting = {name: each.admission.waiting for name, each in state.services.items()}
+    requests = cut_off_slow_readers(state.passed_on, waiting, state.clock.now())
+    if requests:
+        state.slow_readers_cut_off += len(requests)
+        ids = ",".join(requests)
+        log_event(_log, "slow_readers_cut_off", logging.WARNING, requests=ids)
+
+
 def _status(state: GatewayState) -> dict[str, object]:
     return {
         "role": "gateway",
@@ -212,6 +224,7 @@
         "draining": state.draining,
         "evacuated": sorted(state.evacuations.data_centres),
         "in_flight": state.in_flight,
+        "unwritten": state.unwritten,
         "services": {
             name: {
                 "waiting": service.admission.waiting,
@@ -237,8 +250,9 @@
         if listening and waited >= _LISTEN_AFTER_STOP_MS:
             callers.close()
             listening = False
-        if not listening and state.in_flight == 0:
+        if not listening and state.in_flight + state.unwritten == 0:
             break
         gevent.sleep(_LOOK_MS / _SECOND_MS)
-    log_event(_log, "stopped", cut_off=state.in_flight)
-    return 1 if state.in_flight else 0
+    cut_off = state.in_flight + state.unwritten
+    log_event(_log, "stopped", cut_off=cut_off)
+    return 1 if cut_off else 0
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -34,6 +34,7 @@
 from azurefold.core.routing.rank_groups import GroupStatus
 from azurefold.core.routing.retries import RetryAllowance, RetryBudget, RetryPolicy
 from azurefold.gateway.endpoints.connections import EndpointLinks
+from azurefold.gateway.endpoints.passed_on import PassedOnReader
 from azurefold.gateway.service_state import GatewayService, new_gateway_service
 from azurefold.gateway.settings import GatewaySettings
 from azurefold.gateway.timings import Timings
@@ -96,6 +97,8 @@
         When it was told.
     in_flight : int
         Requests read and not yet answered.
+    unwritten : int
+        Requests whose answers are there and not yet written.
     answers : Counter of (str, str)
         By service and result.
     streams : Counter of (str, str)
@@ -104,6 +107,10 @@
         Endpoints' answers that were broken, by service and reason.
     answers_passed_on : Counter of str
         Answers that were not kept until they were whole, by service.
+    passed_on : set of PassedOnReader
+        Callers of such answers at present.
+    slow_readers_cut_off : int
+        Of these, those that were cut off as other requests waited.
     limits : ProcessLimits
         Of memory and descriptors.
     timings : Timings
@@ -173,10 +180,13 @@
     draining: bool = False
     drain_began: Millis = 0
     in_flight: int = 0
+    unwritten: int = 0
     answers: Counter[tuple[str, str]] = field(default_factory=Counter)
     streams: Counter[tuple[str, str]] = field(default_factory=Counter)
     broken_replies: Counter[tuple[str, str]] = field(default_factory=Counter)
     answers_passed_on: Counter[str] = field(default_factory=Counter)
+    passed_on: set[PassedOnReader] = field(default_factory=set)
+    slow_readers_cut_off: int = 0
     limits: ProcessLimits = field(kw_only=True)
     timings: Timings = field(default_factory=Timings)
     nodes: int = _USUAL_NODES
--- a/src/azurefold/internal/caller_connections.py
+++ b/src/azurefold/internal/caller_connections.py
@@ -40,6 +40,9 @@
 _SILENT_MS: Millis = 100
 """A caller sends its request along with its connection."""
 
+_UNREAD_MS: Millis = 250
+"""An answer that does not fit into the kernel's buffers is read on by then."""
+
 _WAITED_MS: Millis = 1_000
 _SWEEP_MS: Millis = 250
 _SECOND_MS = 1_000
@@ -58,6 +61,8 @@
 
 
 _HOLDING = (Wait.HEAD, Wait.BODY, Wait.ANSWER)
+_LEAST_MS = {Wait.SILENT: _SILENT_MS, Wait.ANSWER: _UNREAD_MS}
+"""For which a connection has to wait before it gives way; the others ``_WAITED_MS``."""
 
 
 class ConnectionEndedError(ConnectionError):
@@ -289,14 +294,14 @@
     def _close_one(self, why: str, waits: Iterable[Wait] = tuple(Wait)) -> bool:
         """Close the connection that has waited for longest, if it has for long."""
         now = self.clock.now()
-        for waiting, least_ms in (
-            (self._silent, _SILENT_MS),
-            (self._waiting, _WAITED_MS),
-        ):
+        for waiting in (self._silent, self._waiting):
             for connection in waiting:
-                if now - connection._since < least_ms:
+                waited = now - connection._since
+                if waited < min(_LEAST_MS.values()):
                     break
-                if connection._wait in waits and connection._watcher is not None:
+                is_due = waited >= _LEAST_MS.get(connection._wait, _WAITED_MS)
+                is_meant = is_due and connection._wait in waits
+                if is_meant and connection._watcher is not None:
                     self.note("closed", f"{why}_{connection._wait}")
                     connection.end(ConnectionEndedError(why))
                     self._forget(connection)
