Ignore a changed settings file until a starting gateway can read it

It is ignored from the first line on; the settings are read later anyhow.

A signal before the interpreter runs the first line still ends it.

--- a/src/azurefold/gateway/__main__.py
+++ b/src/azurefold/gateway/__main__.py
@@ -4,12 +4,18 @@
 of it takes a third of a start, as plugins of it are looked for some 25 times.
 """
 
-import argparse
-import os
+import signal
 
-from azurefold.core.admission.queue import DEFAULT_CLASS_FLOOR
-from azurefold.gateway.service import run_gateway
-from azurefold.platform.settings import SETTINGS_VARIABLE
+# Before the other modules are loaded, which takes long enough for a signal to come. The
+# settings are read after it in any case.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import argparse  # noqa: E402
+import os  # noqa: E402
+
+from azurefold.core.admission.queue import DEFAULT_CLASS_FLOOR  # noqa: E402
+from azurefold.gateway.service import run_gateway  # noqa: E402
+from azurefold.platform.settings import SETTINGS_VARIABLE  # noqa: E402
 
 _MAX_CLASS_FLOOR = 0.1
 """With ten classes, the nine less urgent ones are then owed nine tenths."""
