--- a/tests/misbehaving/conftest.py
+++ b/tests/misbehaving/conftest.py
@@ -1,10 +1,12 @@
 """A gateway on a small machine, and callers that keep outside the limits."""
 
 import http.client
+import json
 import socket
 import time
 from contextlib import ExitStack
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import pytest
 
@@ -110,6 +112,13 @@
     def admin(self) -> str:
         return self.site.admins["gateway-0"]
 
+    @property
+    def peers_address(self) -> str:
+        """Where other gateways send their datagrams."""
+        [path] = self.process.arguments[-1:]
+        [port, *_] = json.loads(Path(path).read_text("utf-8"))["PortRange"]
+        return f"{self.address.rpartition(':')[0]}:{port}"
+
     def stays_within_its_machine(self) -> None:
         """Check that the process lives, within its machine's memory and descriptors."""
         assert self.process.running
--- a/tests/misbehaving/test_callers_that_keep_a_gateway_busy.py
+++ b/tests/misbehaving/test_callers_that_keep_a_gateway_busy.py
@@ -1,9 +1,11 @@
 """Callers whose bytes keep a gateway at work for as long as they send."""
 
+import socket
 import threading
 
 import pytest
 
+from azurefold.internal.http_server import split_address
 from tests.misbehaving.conftest import answer_of, request_head
 
 pytestmark = pytest.mark.scenario
@@ -103,3 +105,25 @@
     head = request_head("/lists/small/", "small", CHUNKED, "Connection: close")
     status, body = answer_of(gateway.address, head + chunks + b"0\r\n\r\n")
     assert (status, body) == (200, b"/lists/small/:" + data)
+
+
+def test_datagrams_of_strangers_leave_callers_served(gateway):
+    """Guards against a process that reads datagrams and nothing else."""
+    address = split_address(gateway.peers_address)
+    stopped = threading.Event()
+
+    def flood():
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            while not stopped.is_set():
+                sock.sendto(b"\xc1" * 1_000, address)
+
+    threads = [threading.Thread(target=flood) for _ in range(SENDERS)]
+    for thread in threads:
+        thread.start()
+    try:
+        gateway.serves()
+        gateway.stays_within_its_machine()
+    finally:
+        stopped.set()
+        for thread in threads:
+            thread.join()
