Read a request's body before it is refused for its route or key, as before

Cause: the route was looked up first to spare the memory of a body that is refused in any case. The budget bounds that memory already, so the body comes first again.

--- a/src/azurefold/gateway/callers/app.py
+++ b/src/azurefold/gateway/callers/app.py
@@ -97,14 +97,14 @@
         configuration = self.state.configuration
         if configuration is None:
             raise _RefusalError(503, "no_configuration_yet", _STARTING_RETRY_MS)
-        # Before its body is read: what is refused in any case holds no memory.
-        route, holder = self._admitted(configuration, connection, head)
         body = self._body(environ, configuration.limits.max_body_bytes)
         if self._is_past_new_work():
             raise _RefusalError(503, "draining", _DRAINING_RETRY_MS)
-        if self.state.configuration is not configuration:
-            configuration = self.state.configuration
-            route, holder = self._admitted(configuration, connection, head)
+        path = connection.target.partition("?")[0]
+        route = self.state.routes.find(head.host, path)
+        if route is None:
+            raise self._unknown(404, "no_route")
+        holder = self._holder(configuration, route, head)
         wait = min(route.timeout_ms, head.deadline_ms or _NO_ROUTE_TIMEOUT_MS)
         return Call(
             method=str(environ["REQUEST_METHOD"]),
@@ -122,18 +122,6 @@
             held=connection.held,
         )
 
-    def _admitted(
-        self,
-        configuration: RoutingConfiguration,
-        connection: CallerConnection,
-        head: RequestHead,
-    ) -> tuple[Route, KeyHolder]:
-        path = connection.target.partition("?")[0]
-        route = self.state.routes.find(head.host, path)
-        if route is None:
-            raise self._unknown(404, "no_route")
-        return route, self._holder(configuration, route, head)
-
     def _body(self, environ: Environ, most: int) -> bytes:
         body: RequestBody = environ["wsgi.input"]
         if (body.content_length or 0) > most:
--- a/tests/misbehaving/test_callers_that_send_much.py
+++ b/tests/misbehaving/test_callers_that_send_much.py
@@ -1,5 +1,6 @@
 """Callers whose requests take memory before they are whole."""
 
+import select
 import time
 
 import pytest
@@ -63,6 +64,21 @@
     gateway.stays_within_its_machine()
 
 
+def test_a_caller_that_is_refused_is_answered_after_its_body(gateway, crowd):
+    """Guards against a proper caller who stops sending and whose connection ends."""
+    body = b"proper"
+    head = request_head("/nowhere/", "refused", f"Content-Length: {len(body)}")
+    sock = crowd.send(head)
+    assert select.select([sock], [], [], SETTLE_S)[0] == []
+    for _ in range(2):
+        sock.sendall(body)
+        answer = b""
+        while not answer.endswith(b"}}"):
+            answer += sock.recv(4_096)
+        assert answer.startswith(b"HTTP/1.1 404")
+        sock.sendall(head)
+
+
 def test_a_body_that_is_too_large_is_refused_unread(gateway):
     """Guards against a refusal that first takes the memory of what it refuses."""
     for _ in range(4):
