Refuse to wait on a connection that has given way

A connection that is closed for want of room is told by ending its wait. Where its caller's bytes came at the same moment the wait had ended already, and the connection went on uncounted: read from the code, not seen in a run. Its next wait now fails. test_a_connection_that_gave_way_waits_no_more fails without the change.

--- a/src/azurefold/internal/caller_connections.py
+++ b/src/azurefold/internal/caller_connections.py
@@ -266,7 +266,15 @@
     def begin_wait(
         self, connection: CallerConnection, wait: Wait, timeout_ms: Millis
     ) -> None:
-        """Note that a connection waits for its caller."""
+        """Note that a connection waits for its caller.
+
+        Raises
+        ------
+        ConnectionEndedError
+            If the connection has been closed for want of room.
+        """
+        if connection not in self._open:
+            raise ConnectionEndedError("closed")
         now = self.clock.now()
         if connection._wait is None:
             connection._since = now
--- a/tests/internal/test_connections_that_give_way.py
+++ b/tests/internal/test_connections_that_give_way.py
@@ -6,7 +6,12 @@
 
 from azurefold.core.callers.memory import MemoryBudget
 from azurefold.core.clock import ManualTime, manual_clock
-from azurefold.internal.caller_connections import CONNECTION_BYTES, OpenConnections
+from azurefold.internal.caller_connections import (
+    CONNECTION_BYTES,
+    ConnectionEndedError,
+    OpenConnections,
+    Wait,
+)
 from azurefold.internal.http_server import http_server
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -88,6 +93,16 @@
     assert [is_open(each) for each in (first, second, third)] == [True, True, False]
 
 
+def test_a_connection_that_gave_way_waits_no_more(connections, time):
+    """Guards against connections that are open and not counted."""
+    gone = connections.open(None)
+    gone.begin_wait(Wait.HEAD, 10_000)
+    connections.close(gone)
+    with pytest.raises(ConnectionEndedError):
+        gone.begin_wait(Wait.BODY, 10_000)
+    assert len(connections) == connections.budget.held == 0
+
+
 def test_nothing_is_held_once_all_have_left(connect, connections, time):
     """Guards against reservations that are never given back."""
     socks = [connect(REQUEST + REQUEST[:9]), connect(REQUEST)]
