--- a/tests/commands/test_report.py
+++ b/tests/commands/test_report.py
@@ -17,6 +17,7 @@
 from azurefold.core.objectives import burn
 from azurefold.entry.metrics import new_entry_metrics
 from azurefold.internal.admin_http import AdminViews, admin_server
+from azurefold.internal.process_limits import new_process_limits
 
 MINUTE = 60_000
 HOUR = 60 * MINUTE
@@ -164,7 +165,7 @@
 def served(entry):
     """Return the address where an entry's metrics are served."""
     views = AdminViews(entry.registry, lambda: True, dict)
-    server = admin_server("127.0.0.1:0", views, "entry")
+    server = admin_server("127.0.0.1:0", views, "entry", new_process_limits())
     server.start()
     yield f"127.0.0.1:{server.server_port}"
     server.stop(timeout=0)
