--- a/tests/misbehaving/test_callers_that_read_slowly.py
+++ b/tests/misbehaving/test_callers_that_read_slowly.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from azurefold_standins.processes import wait_until
 from tests.misbehaving.conftest import MACHINE_MB, ask, request_head
 
 pytestmark = pytest.mark.scenario
@@ -109,3 +110,24 @@
         crowd.send(request_head(f"/lists/size-{ANSWER_BYTES}/", f"never-{number}"))
     gateway.process.send(signal.SIGTERM)
     gateway.process.popen.wait(GRACE_S)
+
+
+def test_a_change_is_in_force_while_answers_are_left_unread(gateway, crowd):
+    """Guards against a gateway that hears nothing of the store while callers press."""
+    for number in range(CALLERS):
+        crowd.send(request_head(f"/lists/size-{ANSWER_BYTES}/", f"press-{number}"))
+    gateway.site.configure("/added-meanwhile/")
+    wait_until(
+        lambda: _status(gateway.address, "/added-meanwhile/") == 200,
+        "the added route is served",
+    )
+    gateway.is_ready()
+    gateway.stays_within_its_machine()
+
+
+def _status(address, path):
+    try:
+        status, _ = ask(address, path)
+    except OSError:
+        return 0
+    return status
--- a/tests/misbehaving/test_callers_that_send_much.py
+++ b/tests/misbehaving/test_callers_that_send_much.py
@@ -1,5 +1,6 @@
 """Callers whose requests take memory before they are whole."""
 
+import contextlib
 import select
 import time
 
@@ -15,6 +16,11 @@
 
 TINY_CALLERS = 36
 TINY_CHUNKS = 128 * 1_024
+ACKS = 24
+ACK_BYTES = 1_048_576
+PROMISES = (408, 421, 429, 503)
+"""Statuses that say that a request has not run and never will."""
+
 SETTLE_S = 1.0
 
 
@@ -92,3 +98,23 @@
     gateway.serves()
     gateway.stays_within_its_machine()
     assert "huge" not in str(gateway.site.journal().runs)
+
+
+def test_calls_that_are_refused_for_want_of_memory_have_not_run(gateway, crowd):
+    """Guards against a booking that runs though its caller was told that it did not."""
+    statuses = {}
+    for number in range(ACKS):
+        head = request_head("/lists/b/", f"b-{number}", f"Content-Length: {BODY_BYTES}")
+        crowd.send(head + bytes(BODY_BYTES - 1))
+        attempt = f"ack-{number}"
+        with contextlib.suppress(OSError):
+            statuses[attempt], _ = ask(
+                gateway.address, "/acks/", bytes(ACK_BYTES), **{"Attempt-Id": attempt}
+            )
+    runs = gateway.site.journal().runs
+    refused = [attempt for attempt, status in statuses.items() if status in PROMISES]
+    assert not any(attempt in runs for attempt in refused)
+    answered = [attempt for attempt, status in statuses.items() if status == 200]
+    assert [runs[attempt] for attempt in answered] == [1] * len(answered)
+    gateway.serves()
+    gateway.stays_within_its_machine()
