--- a/tests/misbehaving/test_callers_that_read_slowly.py
+++ b/tests/misbehaving/test_callers_that_read_slowly.py
@@ -13,6 +13,7 @@
 
 CALLERS = 48
 ANSWER_BYTES = 4 * 1_048_576
+STREAM_CALLERS = 300
 SETTLE_S = 3.0
 SLOW_PAUSE_S = 0.02
 READS_AGAIN_S = 4.5
@@ -65,6 +66,14 @@
     gateway.stays_within_its_machine()
 
 
+def test_streams_that_callers_leave_unread_stay_within_the_memory(gateway, crowd):
+    """Guards against events that are held for callers who do not read."""
+    for number in range(STREAM_CALLERS):
+        crowd.send(request_head("/drafts/s/", f"s-{number}", "Content-Length: 0"))
+    gateway.serves()
+    gateway.stays_within_its_machine()
+
+
 def test_an_answer_longer_than_the_memory_is_served(gateway):
     """Guards against a sound endpoint's answer that is refused for its length."""
     assert ask(gateway.address, f"/lists/size-{LONG_BYTES}/") == (200, LONG_BYTES)
--- a/tests/misbehaving/test_callers_that_send_odd_heads.py
+++ b/tests/misbehaving/test_callers_that_send_odd_heads.py
@@ -50,3 +50,17 @@
     status, body = answer_of(gateway.address, request)
     assert status == 200
     assert body.endswith(b":hi")
+
+
+def test_a_caller_that_waits_for_an_interim_answer_is_served(gateway, crowd):
+    """Guards against a body that is never asked for."""
+    head = request_head(
+        "/lists/r/", "expects", "Content-Length: 2", "Expect: 100-continue"
+    )
+    sock = crowd.send(head)
+    assert sock.recv(4_096).startswith(b"HTTP/1.1 100")
+    sock.sendall(b"hi")
+    answer = b""
+    while not answer.endswith(b":hi"):
+        answer += sock.recv(4_096)
+    assert answer.startswith(b"HTTP/1.1 200")
