--- a/src/azurefold_standins/crowd_soak.py
+++ b/src/azurefold_standins/crowd_soak.py
@@ -78,7 +78,7 @@
     most_descriptors: int = 0
     _stop: threading.Event = field(default_factory=threading.Event)
     _calm: threading.Event = field(default_factory=threading.Event)
-    _down: set[str] = field(default_factory=set)
+    _down: Counter[str] = field(default_factory=Counter)
     _undo: list[tuple[float, Callable[[], None]]] = field(default_factory=list)
 
     @property
@@ -142,7 +142,7 @@
     def _look(self) -> None:
         """Note processes that have ended by themselves or taken too much."""
         for name in self.site.gateways:
-            if name in self._down:
+            if self._down[name]:
                 continue
             process = self.site.processes[name]
             if not process.running:
@@ -165,11 +165,12 @@
             undo()
 
     def _until_undone(self, name: str, undo: Callable[[], None]) -> None:
-        self._down.add(name)
+        # Signals to one gateway overlap: it counts as down until all are undone.
+        self._down[name] += 1
 
         def undo_and_note() -> None:
             undo()
-            self._down.discard(name)
+            self._down[name] -= 1
 
         after = self.draw.uniform(0.2, _LONGEST_DOWN_S)
         self._undo.append((time.monotonic() + after, undo_and_note))
@@ -196,7 +197,7 @@
 
     def _reload(self, name: str) -> None:
         # A process that has just started would end: its handler is not there yet.
-        if name not in self._down and self.site.is_ready(name):
+        if not self._down[name] and self.site.is_ready(name):
             self.site.processes[name].send(signal.SIGHUP)
 
     def _configure(self, name: str) -> None:
