Read a refusal that nobody wants up to a bound, as before

A refusal's body (503 with Not-Executed) is read so that its connection can be used again. Since that had no bound: an endpoint whose refusal has no end kept its request to the deadline, where it was a broken reply after 16 MB before. Found by reading the diff. test_a_refusal_without_end_is_none failed without the change.

--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -38,7 +38,12 @@
 from azurefold.gateway.callers.quarantine import restriction_on, take_trial
 from azurefold.gateway.endpoints.connections import Link
 from azurefold.gateway.endpoints.crash_check import CrashCheck
-from azurefold.gateway.endpoints.kept_body import KeptBody, check_end, keep_body
+from azurefold.gateway.endpoints.kept_body import (
+    KeptBody,
+    check_end,
+    keep_body,
+    read_to_end,
+)
 from azurefold.gateway.endpoints.passed_on import PassedOnReader
 from azurefold.gateway.endpoints.reply import (
     BrokenReplyError,
@@ -395,8 +400,7 @@
 
     def _refused(self, reply: Reply) -> Event:
         head = reply.head
-        while reply.next_bytes():
-            pass
+        read_to_end(reply)
         at_fault = head.at_fault or self.endpoint
         is_own = at_fault in (self.endpoint, self.service.address_of(self.endpoint))
         if head.misdirected and is_own:
--- a/src/azurefold/gateway/endpoints/kept_body.py
+++ b/src/azurefold/gateway/endpoints/kept_body.py
@@ -12,7 +12,7 @@
 from azurefold.core.callers.memory import Reservation
 from azurefold.gateway.endpoints.reply import BrokenReplyError, Framing, Reply
 
-__all__ = ["KeptBody", "check_end", "keep_body"]
+__all__ = ["KeptBody", "check_end", "keep_body", "read_to_end"]
 
 _PIECE_BYTES = 65_536
 _MOST_KEPT_BYTES = 16 * 1_048_576
@@ -105,6 +105,21 @@
     return KeptBody(pieces, is_whole, held, held_before)
 
 
+def read_to_end(reply: Reply) -> None:
+    """Read a body that nobody wants, so that its connection can be used again.
+
+    Raises
+    ------
+    BrokenReplyError
+        If the connection ends before the body does, or the body is too long.
+    """
+    length = 0
+    while data := reply.next_bytes():
+        length += len(data)
+        if length > _MOST_KEPT_BYTES:
+            raise BrokenReplyError("body_too_long", begun=True)
+
+
 def check_end(reply: Reply, length: int) -> None:
     """Check that a body of so many bytes so far still has an end.
 
--- a/tests/gateway/test_answers_that_end_with_their_connection.py
+++ b/tests/gateway/test_answers_that_end_with_their_connection.py
@@ -286,6 +286,16 @@
     )
 
 
+def test_a_refusal_without_end_is_none(state, answers):
+    """Guards against a refusal that is read until the request's deadline."""
+    head = b"HTTP/1.1 503 S\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunk = b"%x\r\n" % 1_000_000 + b"x" * 1_000_000 + b"\r\n"
+    answers.append((head + chunk * 40, False))
+    [given_up] = read(relay_of(state, AnswerKind.IDEMPOTENT))[0]
+    assert isinstance(given_up, GivenUp)
+    assert [reason for _, reason in state.broken_replies] == ["body_too_long"]
+
+
 def test_answers_that_are_kept_have_a_bound_together(state, answers):
     """Guards against large answers that fill the memory together."""
     head = b"HTTP/1.1 200 S\r\nServer-Seal: s\r\n\r\n"
