Give others a turn between datagrams of other gateways

Cause, suspected from the code before: a read of a datagram does not wait while the next one is there, so the greenlet that reads them does not give way. It does after sixteen now.

--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -69,6 +69,8 @@
 _READ_BYTES = 2_048
 """More than any message has, so that none is cut off on its way in."""
 
+_MESSAGES_A_TURN = 16
+
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(ExtendedPeerMessage).decode
 _decode_permits = msgspec.msgpack.Decoder(PermitMessage).decode
@@ -180,8 +182,11 @@
     def receive_for_ever(self) -> None:
         """Take in messages."""
         while True:
-            data, (ip, _) = self._sock.recvfrom(_READ_BYTES)
-            self.receive(data, ip)
+            for _ in range(_MESSAGES_A_TURN):
+                data, (ip, _) = self._sock.recvfrom(_READ_BYTES)
+                self.receive(data, ip)
+            # A read does not wait while datagrams come without a pause.
+            gevent.sleep(0)
 
     def receive(self, data: bytes, ip: str) -> None:
         """Take in one message."""
