Log a process's first moment and the reason why it ends

All ends but bad settings had code 1, the code of a stop that cut requests off, and a traceback of 19 to 28 lines; an end by a signal in the first 25 ms left no line at all, like one before the interpreter ran.

Now the first line is event=starting, before modules and settings are loaded; a process that ends by an exception writes event=ended with why, code and trace in one line, and has code 70. A gateway's libraries leave a trace where they abort (faulthandler), and failed_reloads counts settings files that were not taken in. So the three hypotheses can be told apart: no line (a signal before the first one), starting without started (loading, ports), ended with the exception of a reload.

--- a/src/azurefold/gateway/__main__.py
+++ b/src/azurefold/gateway/__main__.py
@@ -10,8 +10,16 @@
 # settings are read after it in any case.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from azurefold.internal.process_log import announce_start, log_failure  # noqa: E402
+
+_NAME = "azurefold-gateway"
+if __name__ == "__main__":
+    announce_start(_NAME)
+
 import argparse  # noqa: E402
+import faulthandler  # noqa: E402
 import os  # noqa: E402
+import sys  # noqa: E402
 
 from azurefold.core.admission.queue import DEFAULT_CLASS_FLOOR  # noqa: E402
 from azurefold.gateway.service import run_gateway  # noqa: E402
@@ -27,7 +35,10 @@
     The library that the other binaries use for their command line would take
     1.3 MB of memory on each entry VM, for a few arguments.
     """
-    parser = argparse.ArgumentParser("azurefold-gateway")
+    if sys.stderr is not None:
+        # A library that aborts leaves a trace.
+        faulthandler.enable()
+    parser = argparse.ArgumentParser(_NAME)
     parser.add_argument(
         "settings",
         nargs="?",
@@ -53,13 +64,16 @@
         help="estimate the work of requests from their callers' hints on the answer",
     )
     arguments = parser.parse_args()
+    try:
+        code = run_gateway(
+            arguments.settings,
+            arguments.metrics_port,
+            arguments.class_floor,
+            uses_size_hints=arguments.size_hints,
+        )
+    except Exception as error:  # noqa: BLE001
+        code = log_failure(_NAME, error)
     # Nothing of what is left, such as idle connections, needs an orderly end.
-    code = run_gateway(
-        arguments.settings,
-        arguments.metrics_port,
-        arguments.class_floor,
-        uses_size_hints=arguments.size_hints,
-    )
     os._exit(code)
 
 
--- a/src/azurefold/gateway/metrics.py
+++ b/src/azurefold/gateway/metrics.py
@@ -58,6 +58,8 @@
         )
         unreadable = state.unreadable_entries
         yield _gauge("unreadable_entries", "Rows that name no endpoint", unreadable)
+        failed = state.failed_reloads
+        yield _gauge("failed_reloads", "Settings files not taken in", failed)
         returns = state.store_returns
         yield _gauge("store_returns", "Returns from an older copy", returns)
         withheld = len(state.registry.withheld)
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -163,11 +163,10 @@
     try:
         settings = load_settings(path)
     except BadSettingsError as error:
-        log_event(_log, "reload_failed", logging.ERROR, why=error)
+        _refuse_reload(state, str(error))
         return
     if settings.invalid:
-        why = f"invalid: {'; '.join(settings.invalid)}"
-        log_event(_log, "reload_failed", logging.ERROR, why=why)
+        _refuse_reload(state, f"invalid: {'; '.join(settings.invalid)}")
         return
     changed = changed_settings(state.settings, settings)
     if settings.store != state.settings.store:
@@ -176,6 +175,11 @@
     log_event(_log, "reloaded", changed=",".join(changed) or "nothing")
 
 
+def _refuse_reload(state: GatewayState, why: str) -> None:
+    state.failed_reloads += 1
+    log_event(_log, "reload_failed", logging.ERROR, why=why)
+
+
 def _tick_for_ever(state: GatewayState, callers: TimedServer, news: News) -> None:
     while True:
         began = state.clock.now()
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -142,6 +142,8 @@
         Whether this gateway reaches neither store nor peers nor any group.
     unreadable_entries : int
         Rows that named no endpoint to use, as often as they were read.
+    failed_reloads : int
+        Settings files that were not taken in when they changed.
     oversized_messages : int
         Messages to other gateways from which something was left out to fit.
     demand_changed : Event
@@ -204,6 +206,7 @@
     turn: PollSlot = field(default_factory=PollSlot)
     is_cut_off: bool = False
     unreadable_entries: int = 0
+    failed_reloads: int = 0
     oversized_messages: int = 0
     demand_changed: Event = field(default_factory=Event)
     is_grantor: bool = False
--- a/src/azurefold/internal/log_writer.py
+++ b/src/azurefold/internal/log_writer.py
@@ -103,6 +103,10 @@
     def emit(self, record: logging.LogRecord) -> None:
         self._lines.add(self.format(record))
 
+    def flush(self) -> None:
+        """Write what can be written now."""
+        self._lines.flush()
+
 
 def log_without_waiting(process: str, fd: int = 1) -> QueuedLines:
     """Send all logs of this process to a descriptor, in the background.
--- a/src/azurefold/internal/process.py
+++ b/src/azurefold/internal/process.py
@@ -14,6 +14,7 @@
 from azurefold.border.fields import Key
 from azurefold.border.findings import FindingsError
 from azurefold.border.settings import load_settings
+from azurefold.internal.process_log import announce_start, log_failure
 from azurefold.wire.seal import KeyRing, key_ring
 
 __all__ = ["load_or_exit", "ring_from_settings", "run_binary", "stop_requested"]
@@ -37,12 +38,17 @@
     if "--version" in sys.argv[1:]:
         print(f"{name} {__version__}")
         return
-    fire.Fire(_command(start), name=name)
+    fire.Fire(_command(start, name), name=name)
 
 
-def _command(start: Callable[[str], int]) -> Callable[[str], None]:
+def _command(start: Callable[[str], int], name: str) -> Callable[[str], None]:
     def run(settings: str) -> None:
-        sys.exit(start(str(settings)))
+        announce_start(name)
+        try:
+            code = start(str(settings))
+        except Exception as error:  # noqa: BLE001
+            code = log_failure(name, error)
+        sys.exit(code)
 
     run.__doc__ = start.__doc__
     return run
