Refuse an odd entry of the endpoints' table by itself

What operators saw: one odd row among those of the workers, and the machines that read the list ended again and again or stopped following it. Here the loop that follows the table failed each second for as long as the row stood: an endpoint that joined wasn't used, one that left was sent to, and a gateway that started never became ready.

Cause: decode_entry expected the decoder's own errors only. 20,000 levels raise RecursionError, a port of 5,000 digits ValueError. Others were taken in and failed later: slots of 300 digits, addresses and names that fit into no connection or header.

azurefold.border.decoding is now the one way to decode what others wrote: it raises one error, has the bounded number types, and checks addresses and names. An odd row is named once for each time it is written, with its version, and counted; all other rows are followed.

--- /dev/null
+++ b/src/azurefold/border/decoding.py
@@ -0,0 +1,141 @@
+"""One way to decode what other processes have written, and to refuse it."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, TypeVar
+
+import msgspec
+
+__all__ = [
+    "LARGEST_COUNT",
+    "Count",
+    "MillisecondsField",
+    "Port",
+    "UnreadableError",
+    "check_address",
+    "check_ip",
+    "check_name",
+    "json_decoder",
+    "msgpack_decoder",
+    "unreadable_as",
+]
+
+LARGEST_COUNT = 2**53
+"""Every larger whole number loses digits as a float."""
+
+_LONGEST_MS = 1e12
+_HIGHEST_PORT = 65_535
+_PORT_DIGITS = 5
+_LONGEST_SHOWN = 80
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=LARGEST_COUNT)]
+MillisecondsField = Annotated[float, msgspec.Meta(ge=0, le=_LONGEST_MS)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=_HIGHEST_PORT)]
+"""0 for none."""
+
+_Kind = TypeVar("_Kind")
+
+
+class UnreadableError(ValueError):
+    """Bytes of another writer that cannot be used; says why."""
+
+
+@contextmanager
+def unreadable_as(kind: type[Exception]) -> Iterator[None]:
+    """Raise ``kind`` for whatever decoding and converting raise.
+
+    That is more than the decoder's own errors: deep nesting raises
+    :class:`RecursionError`, a number of thousands of digits :class:`ValueError`, and an
+    infinite one :class:`OverflowError` where it becomes an integer.
+    """
+    try:
+        yield
+    except kind:
+        raise
+    except (
+        msgspec.MsgspecError,
+        ArithmeticError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise kind(str(error) or type(error).__name__) from error
+
+
+def json_decoder(kind: type[_Kind]) -> Callable[[bytes], _Kind]:
+    """Return a decoder of JSON that raises only :class:`UnreadableError`."""
+    return _guarded(msgspec.json.Decoder(kind).decode)
+
+
+def msgpack_decoder(kind: type[_Kind]) -> Callable[[bytes], _Kind]:
+    """Return a decoder of MessagePack that raises only :class:`UnreadableError`."""
+    return _guarded(msgspec.msgpack.Decoder(kind).decode)
+
+
+def _guarded(decode: Callable[[bytes], _Kind]) -> Callable[[bytes], _Kind]:
+    def guarded(data: bytes) -> _Kind:
+        try:
+            return decode(data)
+        except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+            raise UnreadableError(str(error)) from error
+
+    return guarded
+
+
+def check_address(text: str) -> str:
+    """Return an address ``"ip:port"`` that a connection can be made to.
+
+    Raises
+    ------
+    UnreadableError
+        If it has no IPv4 address of one machine, or no port.
+
+    Examples
+    --------
+    >>> check_address("10.1.0.40:8227")
+    '10.1.0.40:8227'
+    """
+    host, _, port = text.rpartition(":")
+    check_ip(host)
+    is_number = port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
+    if not (is_number and 0 < int(port) <= _HIGHEST_PORT):
+        raise UnreadableError(f"no port to connect to: {text[:_LONGEST_SHOWN]!r}")
+    return text
+
+
+def check_ip(text: str) -> str:
+    """Return the IPv4 address of one machine.
+
+    Raises
+    ------
+    UnreadableError
+        If it is none, or stands for any or several machines.
+    """
+    try:
+        ip = IPv4Address(text)
+    except AddressValueError as error:
+        raise UnreadableError(f"no address: {text[:_LONGEST_SHOWN]!r}") from error
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise UnreadableError(f"no address of one machine: {text}")
+    return text
+
+
+def check_name(text: str) -> str:
+    """Return a name that can stand in a header.
+
+    Raises
+    ------
+    UnreadableError
+        If it is empty, or has other characters than visible ASCII.
+
+    Examples
+    --------
+    >>> check_name("i-7f3a91c2")
+    'i-7f3a91c2'
+    """
+    is_visible = text.isascii() and text.isprintable()
+    if not text or not is_visible or text != text.strip():
+        raise UnreadableError(f"no name: {text[:_LONGEST_SHOWN]!r}")
+    return text
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -141,7 +141,7 @@
     is_cut_off : bool
         Whether this gateway reaches neither store nor peers nor any group.
     unreadable_entries : int
-        Rows that named no endpoint to use, as often as they were read.
+        Rows that named no endpoint to use, as often as they were written.
     failed_reloads : int
         Settings files that were not taken in when they changed.
     oversized_messages : int
--- a/src/azurefold/gateway/store/news.py
+++ b/src/azurefold/gateway/store/news.py
@@ -107,6 +107,7 @@
         self._decoder = configurations.ConfigurationDecoder()
         self._tried_row = 0
         self._unreadable_evacuation = 0
+        self._unreadable_entries: dict[str, int] = {}
 
     def configuration_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Take ``rows`` for the operators' whole table."""
@@ -177,6 +178,12 @@
         """Take ``rows`` for the whole list."""
         before = set(self._state.registry.entries)
         entries = [entry for row in rows if (entry := self._entry(row))]
+        listed = {row.key for row in rows}
+        self._unreadable_entries = {
+            key: version
+            for key, version in self._unreadable_entries.items()
+            if key in listed
+        }
         state = self._state
         restarted = state.registry.replace_all(
             entries, state.clock.now(), state.endpoints_known_at
@@ -237,13 +244,26 @@
         try:
             return registries.decode_entry(row.key, row.value)
         except registries.BadEntryError as error:
-            self._state.unreadable_entries += 1
-            why = str(error)[:_LONGEST_REASON]
-            log_event(
-                _log, "entry_unreadable", logging.ERROR, endpoint=row.key, why=why
-            )
+            self._note_unreadable(row, error)
             return None
 
+    def _note_unreadable(self, row: StoredRow, error: Exception) -> None:
+        """Count and log a row that cannot be read, once for each time it is written."""
+        # Each read of the whole table shows it again.
+        if self._unreadable_entries.get(row.key) == row.version:
+            return
+        self._unreadable_entries[row.key] = row.version
+        self._state.unreadable_entries += 1
+        why = str(error)[:_LONGEST_REASON]
+        log_event(
+            _log,
+            "entry_unreadable",
+            logging.ERROR,
+            endpoint=row.key,
+            row=row.version,
+            why=why,
+        )
+
     def _after_endpoints(
         self, before: set[str], rows: tuple[StoredRow, ...], restarted: list[str]
     ) -> None:
--- a/src/azurefold/platform/registry.py
+++ b/src/azurefold/platform/registry.py
@@ -1,10 +1,17 @@
 """Endpoints' own entries in the platform's store."""
 
 import logging
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
+from azurefold.border.decoding import (
+    Count,
+    check_address,
+    check_name,
+    json_decoder,
+    unreadable_as,
+)
 from azurefold.core.clock import Millis
 from azurefold.core.membership.registry import EndpointEntry
 from azurefold.internal.logs import log_event
@@ -17,7 +24,8 @@
 """The table in which endpoints register themselves, by their ids."""
 
 _LEAVING = "draining"
-_HIGHEST_PORT = 65_535
+_MOST_SLOTS = 65_536
+"""Far above what one endpoint runs at once."""
 
 _LONGEST_COLD_MS: Millis = 60_000
 """Longer times are cut, so that a wrong one does not exclude an endpoint for long."""
@@ -28,20 +36,22 @@
 
 
 class _Entry(msgspec.Struct):
-    service: str = msgspec.field(name="Service")
+    service: Annotated[str, msgspec.Meta(min_length=1)] = msgspec.field(name="Service")
     address: str = msgspec.field(name="Address")
     zone: str = msgspec.field(name="Zone")
-    slots: int = msgspec.field(name="Slots")
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)] = msgspec.field(
+        name="Slots"
+    )
     state: Literal["ready", "draining"] = msgspec.field(name="State")
     # Not read, but an entry in which they are of another type is not an endpoint's.
     software: str = msgspec.field(name="Version", default="")
-    orders: int = msgspec.field(name="SeqNo", default=0)
+    orders: Count = msgspec.field(name="SeqNo", default=0)
     cold_ms: float = msgspec.field(name="ColdLeftMs", default=0)
     # When the endpoint started, in Unix milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
-_decode = msgspec.json.Decoder(_Entry).decode
+_decode = json_decoder(_Entry)
 
 
 def decode_entry(name: str, value: bytes) -> EndpointEntry:
@@ -50,15 +60,13 @@
     Raises
     ------
     BadEntryError
-        If fields are missing or of another type, the address is none, or the state
-        is not known.
+        If fields are missing, of another type or out of range, the state is not known,
+        or the name or the address cannot be used.
     """
-    try:
+    with unreadable_as(BadEntryError):
+        check_name(name)
         read = _decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise BadEntryError(str(error)) from error
-    if not _is_address(read.address) or not read.service or read.slots < 1:
-        raise BadEntryError(f"no service, address or slots of use: {read}")
+        check_address(read.address)
     return EndpointEntry(
         name=name,
         service=read.service,
@@ -77,9 +85,3 @@
         return round(told)
     log_event(_log, "cold_time_out_of_range", logging.WARNING, endpoint=name, told=told)
     return _LONGEST_COLD_MS if told > 0 else 0
-
-
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    is_port = port.isascii() and port.isdecimal()
-    return bool(host) and is_port and 0 < int(port) <= _HIGHEST_PORT
--- /dev/null
+++ b/tests/gateway/test_odd_rows_of_other_writers.py
@@ -0,0 +1,168 @@
+"""An odd row of the store costs nothing but itself."""
+
+import json
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from azurefold.gateway.store.news import new_news
+from azurefold.platform.headers import endpoint_headers, read_request
+from azurefold.platform.registry import BadEntryError, decode_entry
+from azurefold.platform.store_messages import StoredRow
+
+LEVELS = 20_000
+DIGITS = 5_000
+
+NESTED = "[" * LEVELS + "]" * LEVELS
+ENTRY = {
+    "Service": "desk",
+    "Address": "10.0.0.1:80",
+    "Zone": "dc-a",
+    "Slots": 6,
+    "State": "ready",
+    "Version": "1",
+    "SeqNo": 3,
+    "ColdLeftMs": 0,
+    "born": 5,
+}
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "acks",
+            "Hostname": "a.example",
+            "Prefix": "/acks/",
+            "RouteKind": "idempotent",
+            "TimeoutMs": 800,
+            "SloMs": 300,
+            "Service": "desk",
+        }
+    ],
+    "Services": [{"Name": "desk", "MaxConns": 8, "Engine": {"Slots": 2}}],
+    "Limits": {"IdleTimeoutMs": 15000},
+    "Tenants": [{"Name": "shops", "ApiKeys": ["k"]}],
+}
+
+ODD_VALUES = [
+    NESTED,
+    '{"a":' * LEVELS + "1" + "}" * LEVELS,
+    "9" * DIGITS,
+    "9" * 300,
+    str(2**63),
+    str(2**64),
+    "-1",
+    "1e308",
+    "-1e308",
+    "1e999",
+    "null",
+    "true",
+    '""',
+    '"a\\r\\nHost: b"',
+    '"\\u2603"',
+    '"\\u0000"',
+    '"10.0.0.1:' + "9" * DIGITS + '"',
+    '"0.0.0.0:80"',
+    '"nowhere.example:80"',
+    "[]",
+    "{}",
+]
+
+
+def texts_of(value):
+    """Yield JSON texts of ``value`` with one field anywhere replaced by ``@``."""
+    if isinstance(value, dict):
+        for name in value:
+            for inner in ("@", *texts_of(value[name])):
+                yield _with(value, name, inner)
+        yield _with(value, "Later", "@")
+    if isinstance(value, list):
+        for inner in texts_of(value[0]):
+            yield f"[{inner}]"
+
+
+def _with(value, name, inner):
+    fields = {key: json.dumps(each) for key, each in value.items()} | {name: inner}
+    return "{" + ",".join(f'"{key}":{text}' for key, text in fields.items()) + "}"
+
+
+def odd_rows(value):
+    """Return a strategy of rows that hold ``value`` with an odd field."""
+    return st.builds(
+        lambda text, odd: text.replace("@", odd).encode(),
+        st.sampled_from(list(texts_of(value))),
+        st.sampled_from(ODD_VALUES),
+    )
+
+
+@settings(max_examples=300, deadline=None)
+@given(odd_rows(ENTRY))
+def test_an_odd_entry_is_refused_or_of_use(value):
+    """Guards against an entry that fails whoever uses it, or stops the list."""
+    try:
+        entry = decode_entry("e1", value)
+    except BadEntryError:
+        return
+    head = read_request([("Host", "a.example")])
+    headers = endpoint_headers(
+        head,
+        endpoint=entry.name,
+        organisation="",
+        left_ms=1,
+        last_event_id=None,
+        priority=5,
+        passes_key=False,
+    )
+    assert str(headers).encode("latin-1")
+    assert 0 < float(entry.slots) < 1e6
+    assert float(entry.started_at_ms) >= 0
+    msgspec.msgpack.encode((entry.slots, entry.started_at_ms, entry.cold_left_ms))
+
+
+def row(key, version, text):
+    return StoredRow(key, version, text.encode())
+
+
+ODD_ENTRIES = {
+    "nested": json.dumps(ENTRY)[:-1] + f',"Later":{NESTED}}}',
+    "long-port": json.dumps(ENTRY | {"Address": "10.0.0.1:" + "9" * DIGITS}),
+    "high-port": json.dumps(ENTRY | {"Address": "10.0.0.1:70000"}),
+    "no-host": json.dumps(ENTRY | {"Address": "a..b:80"}),
+    "large-slots": json.dumps(ENTRY | {"Slots": 10**300}),
+}
+
+
+@pytest.fixture
+def news(state, store):
+    news = new_news(state, store)
+    news.configuration.on_rows((row("config", 1, json.dumps(CONFIGURATION)),))
+    return news
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_all_others_are_followed_beside_an_odd_entry(news, state, caplog, odd):
+    """Guards against one row that stops a gateway from following the list."""
+    good = json.dumps(ENTRY)
+    rows = (row("e1", 2, good), row("odd", 3, odd), row("e2", 4, good))
+    news.endpoints.on_rows(rows)
+    assert set(state.services["desk"].entries) == {"e1", "e2"}
+    news.endpoints.on_changes((row("odd", 5, odd), row("e3", 6, good)))
+    assert set(state.services["desk"].entries) == {"e1", "e2", "e3"}
+    news.endpoints.on_changes((StoredRow("e2", 7, b"", removed=True),))
+    assert set(state.services["desk"].entries) == {"e1", "e3"}
+    # Read whole again and again, it is named and counted once for each writing.
+    for _ in range(3):
+        news.endpoints.on_rows(
+            (row("e1", 2, good), row("odd", 5, odd), row("e3", 6, good))
+        )
+    assert state.unreadable_entries == 2
+    lines = [r for r in caplog.messages if "event=entry_unreadable" in r]
+    assert len(lines) == 2
+
+
+@pytest.mark.parametrize("name", ["a\r\nHost: b", "", "\u2603", "a\0b"])
+def test_an_entry_whose_name_fits_into_no_header_names_no_endpoint(news, state, name):
+    """Guards against a name that breaks each request sent there."""
+    news.endpoints.on_rows((row(name, 2, json.dumps(ENTRY)),))
+    assert state.services["desk"].entries == {}
