Refuse an odd configuration without ending the loop that reads it

A configuration with 20,000 levels in a field that isn't known, in a route or in ColdStartS raised RecursionError past BadConfigurationError: the loop that follows the operators' table failed each second, and evacuations and later rows of the same read waited with it. Times of 1e308 ms and versions of 300 digits were taken in and failed where they were sent or compared.

The decoder refuses all of these as unreadable, as it did other odd values, and keeps what it knew of routes and services until a configuration was decoded whole.

--- a/src/azurefold/platform/configuration.py
+++ b/src/azurefold/platform/configuration.py
@@ -5,6 +5,12 @@
 
 import msgspec
 
+from azurefold.border.decoding import (
+    Count,
+    MillisecondsField,
+    json_decoder,
+    unreadable_as,
+)
 from azurefold.core.routes.model import (
     AnswerKind,
     CallerLimits,
@@ -60,39 +66,39 @@
     host: str = msgspec.field(name="Hostname")
     prefix: str = msgspec.field(name="Prefix")
     kind: AnswerKind = msgspec.field(name="RouteKind")
-    timeout_ms: float = msgspec.field(name="TimeoutMs")
-    objective_ms: float = msgspec.field(name="SloMs", default=0)
+    timeout_ms: MillisecondsField = msgspec.field(name="TimeoutMs")
+    objective_ms: MillisecondsField = msgspec.field(name="SloMs", default=0)
     priority: int = msgspec.field(name="Priority", default=0)
     # Either one service or a split over several, never both.
     service: str | None = msgspec.field(name="Service", default=None)
     split: list[_Split] = msgspec.field(name="Split", default_factory=list)
-    max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    max_attempts: Count = msgspec.field(name="MaxAttempts", default=1)
     public: bool = msgspec.field(name="Public", default=False)
     resumable: bool = msgspec.field(name="Resumable", default=False)
     # A pause between events, although its name speaks of tokens: one event
     # holds several.
-    event_gap_ms: float = msgspec.field(name="TbtTargetMs", default=0)
+    event_gap_ms: MillisecondsField = msgspec.field(name="TbtTargetMs", default=0)
 
 
 class _Engine(msgspec.Struct):
-    slots: int = msgspec.field(name="Slots")
-    stride: int = msgspec.field(name="Stride", default=1)
-    step_ms: float = 0.0
-    layer_sets: int = msgspec.field(name="Sets", default=0)
-    experts: int = msgspec.field(name="Experts", default=0)
-    places: int = msgspec.field(name="Placements", default=0)
+    slots: Count = msgspec.field(name="Slots")
+    stride: Count = msgspec.field(name="Stride", default=1)
+    step_ms: MillisecondsField = 0.0
+    layer_sets: Count = msgspec.field(name="Sets", default=0)
+    experts: Count = msgspec.field(name="Experts", default=0)
+    places: Count = msgspec.field(name="Placements", default=0)
     # Not places that are free: experts of one set that may be new to a rank
     # in one change.
-    loads_per_change: int = msgspec.field(name="Spare", default=0)
+    loads_per_change: Count = msgspec.field(name="Spare", default=0)
     expert_mb: float = msgspec.field(name="ExpertSizeMb", default=0.0)
     link_mbps: float = msgspec.field(name="LinkMbps", default=0.0)
-    form_ms: float = 0.0
+    form_ms: MillisecondsField = 0.0
     memory_tokens: float = msgspec.field(name="KvCapacity", default=0)
 
 
 class _Service(msgspec.Struct):
     name: str = msgspec.field(name="Name")
-    max_connections: int = msgspec.field(name="MaxConns", default=64)
+    max_connections: Count = msgspec.field(name="MaxConns", default=64)
     engine: _Engine | None = msgspec.field(name="Engine", default=None)
     # Of any type: a wrong one must not hold up all of a configuration.
     cold_start_s: object = msgspec.field(name="ColdStartS", default=0.0)
@@ -100,10 +106,14 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = msgspec.field(name="MaxHeaderBytes", default=16_384)
-    max_body_bytes: int = msgspec.field(name="MaxBodyBytes", default=4_194_304)
-    header_timeout_ms: float = msgspec.field(name="HeaderTimeoutMs", default=3_000)
-    idle_timeout_ms: float = msgspec.field(name="IdleTimeoutMs", default=15_000)
+    max_header_bytes: Count = msgspec.field(name="MaxHeaderBytes", default=16_384)
+    max_body_bytes: Count = msgspec.field(name="MaxBodyBytes", default=4_194_304)
+    header_timeout_ms: MillisecondsField = msgspec.field(
+        name="HeaderTimeoutMs", default=3_000
+    )
+    idle_timeout_ms: MillisecondsField = msgspec.field(
+        name="IdleTimeoutMs", default=15_000
+    )
 
 
 class _Tenant(msgspec.Struct):
@@ -113,15 +123,15 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int = msgspec.field(name="Version")
+    version: Count = msgspec.field(name="Version")
     routes: list[msgspec.Raw] = msgspec.field(name="Routes", default_factory=list)
     services: list[_Service] = msgspec.field(name="Services", default_factory=list)
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
     tenants: list[_Tenant] | None = msgspec.field(name="Tenants", default=None)
 
 
-_decode = msgspec.json.Decoder(_Configuration).decode
-_decode_route = msgspec.json.Decoder(_Route).decode
+_decode = json_decoder(_Configuration)
+_decode_route = json_decoder(_Route)
 
 
 class ConfigurationDecoder:
@@ -153,20 +163,21 @@
             If it is not of the known form.
         """
         self._invalid = []
-        try:
-            read = _decode(data)
-            self._routes = self._decode_routes(read.routes)
-        except msgspec.MsgspecError as error:
-            raise BadConfigurationError(str(error)) from error
-        self._services = {each.name: self._service(each) for each in read.services}
+        with unreadable_as(BadConfigurationError):
+            return self._decoded(_decode(data))
+
+    def _decoded(self, read: _Configuration) -> RoutingConfiguration:
+        routes = self._decode_routes(read.routes)
+        services = {each.name: self._service(each) for each in read.services}
         configuration = RoutingConfiguration(
             version=read.version,
-            routes=tuple(map(self._with_valid_priority, self._routes.values())),
-            services=self._services,
+            routes=tuple(map(self._with_valid_priority, routes.values())),
+            services=services,
             key_holders=self._key_holders(read.tenants or []),
             is_key_required=bool(read.tenants),
             limits=_limits(read.limits),
         )
+        self._routes, self._services = routes, services
         self._log_invalid(read.version)
         return configuration
 
--- a/tests/gateway/test_odd_rows_of_other_writers.py
+++ b/tests/gateway/test_odd_rows_of_other_writers.py
@@ -8,6 +8,10 @@
 from hypothesis import strategies as st
 
 from azurefold.gateway.store.news import new_news
+from azurefold.platform.configuration import (
+    BadConfigurationError,
+    decode_configuration,
+)
 from azurefold.platform.headers import endpoint_headers, read_request
 from azurefold.platform.registry import BadEntryError, decode_entry
 from azurefold.platform.store_messages import StoredRow
@@ -120,6 +124,17 @@
     msgspec.msgpack.encode((entry.slots, entry.started_at_ms, entry.cold_left_ms))
 
 
+@settings(max_examples=300, deadline=None)
+@given(odd_rows(CONFIGURATION))
+def test_an_odd_configuration_is_refused_or_of_use(value):
+    """Guards against a configuration that ends the loop which reads it."""
+    try:
+        read = decode_configuration(value)
+    except BadConfigurationError:
+        return
+    msgspec.msgpack.encode([read.version, *(r.timeout_ms for r in read.routes)])
+
+
 def row(key, version, text):
     return StoredRow(key, version, text.encode())
 
