Refuse odd rows, reports and messages that gateways read of each other

RecursionError passed by the handlers of rows of gateways, of the coordinator and the grantor, of records on parts of prompts, of the store's answers and of ranks' reports: the loop that read them failed each second. A port of 70,000 in a row or a datagram raises OverflowError where it is sent to, no OSError, and ended the sending loop for a second each time; a record's key of 200 hexadecimal digits fits into no message.

All of them go through azurefold.border.decoding with bounded numbers. Messages keep their form.

--- a/src/azurefold/gateway/groups/coordinator.py
+++ b/src/azurefold/gateway/groups/coordinator.py
@@ -7,6 +7,7 @@
 import gevent
 import msgspec
 
+from azurefold.border.decoding import Count, UnreadableError, json_decoder
 from azurefold.core.clock import Millis
 from azurefold.core.groups.leadership import LeaderHeartbeat, Leadership
 from azurefold.core.groups.order_numbers import fence_of, order_number
@@ -65,20 +66,23 @@
     """
 
     node: str
-    incarnation: int
-    popularity: dict[str, list[list[int]]] = {}
-    term: int = 0
+    incarnation: Count
+    popularity: dict[str, list[list[Count]]] = {}
+    term: Count = 0
 
     def is_same_holder(self, other: "_Holder") -> bool:
         """Whether both name the same process."""
         return (self.node, self.incarnation) == (other.node, other.incarnation)
 
 
+_decode_holder = json_decoder(_Holder)
+
+
 def _holder_in(value: bytes) -> _Holder:
     """Return the row's content; nobody's where it cannot be read."""
     try:
-        return msgspec.json.decode(value, type=_Holder)
-    except msgspec.MsgspecError as error:
+        return _decode_holder(value)
+    except UnreadableError as error:
         log_event(_log, "lease_unreadable", logging.ERROR, why=error)
         return _Holder("", 0)
 
--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -14,6 +14,7 @@
 import msgspec
 from gevent import socket as gevent_socket
 
+from azurefold.border.decoding import UnreadableError, msgpack_decoder
 from azurefold.core.clock import Millis
 from azurefold.core.membership.table_refresh import PollSlot
 from azurefold.core.routing.cells import Cell, cell_of
@@ -72,8 +73,8 @@
 _MESSAGES_A_TURN = 16
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(ExtendedPeerMessage).decode
-_decode_permits = msgspec.msgpack.Decoder(PermitMessage).decode
+_decode = msgpack_decoder(ExtendedPeerMessage)
+_decode_permits = msgpack_decoder(PermitMessage)
 _PERMITS_BEGIN = _encode(PermitMessage("", 0))[:2]
 """The array's length and its first field, which no other message has."""
 
@@ -195,7 +196,7 @@
                 self.on_permits(_decode_permits(data), ip)
             else:
                 self._take(_decode(data), ip)
-        except msgspec.MsgspecError as error:
+        except UnreadableError as error:
             log_event(_log, "peer_message_unreadable", peer=ip, why=error)
 
     def send_permits(self, message: PermitMessage, peers: Iterable[Peer]) -> None:
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -9,6 +9,12 @@
 import gevent
 import msgspec
 
+from azurefold.border.decoding import (
+    Port,
+    UnreadableError,
+    check_ip,
+    json_decoder,
+)
 from azurefold.core.clock import Millis
 from azurefold.core.routing.quotas import QuotaReport
 from azurefold.gateway.groups.coordinator import Coordinator, new_coordinator
@@ -59,7 +65,10 @@
 
 class _Node(msgspec.Struct, frozen=True):
     ip: str
-    port: int
+    port: Port
+
+
+_decode_node = json_decoder(_Node)
 
 
 @dataclass(slots=True)
@@ -195,8 +204,9 @@
 
 def _peer(row: StoredRow) -> Peer | None:
     try:
-        node = msgspec.json.decode(row.value, type=_Node)
-    except msgspec.MsgspecError as error:
+        node = _decode_node(row.value)
+        check_ip(node.ip)
+    except UnreadableError as error:
         log_event(_log, "peer_unreadable", logging.ERROR, peer=row.key, why=error)
         return None
     return Peer(row.key, node.ip, node.port)
--- a/src/azurefold/gateway/peers/messages.py
+++ b/src/azurefold/gateway/peers/messages.py
@@ -1,10 +1,11 @@
 """What gateways tell one another."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
-from azurefold.core.clock import Millis
+from azurefold.border.decoding import LARGEST_COUNT, Count, Port
 from azurefold.core.routing.rank_groups import GroupStatus, Standing
 
 __all__ = [
@@ -22,6 +23,15 @@
 ]
 
 
+_Mark = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
+_PartId = Annotated[int, msgspec.Meta(ge=0)]
+"""The format has no number above 64 bits."""
+_Age = Annotated[int, msgspec.Meta(ge=-LARGEST_COUNT, le=LARGEST_COUNT)]
+"""Of what a gateway with a clock that is ahead tells, it may be negative."""
+
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
+
 class GroupBeat(msgspec.Struct, array_like=True, frozen=True):
     """The coordinator's news of one group, as it is sent.
 
@@ -36,12 +46,12 @@
         Hundredths of a request that each of all its ranks runs, on average.
     """
 
-    service: int
-    group: int
-    epoch: int
+    service: _Mark
+    group: _Mark
+    epoch: Count
     standing: Standing
-    ranks: tuple[int, ...]
-    running: int | None = None
+    ranks: tuple[_Mark, ...]
+    running: Count | None = None
 
 
 class QuotaBeat(msgspec.Struct, array_like=True, frozen=True):
@@ -57,9 +67,9 @@
         Milliseconds from when the endpoint said so until the message was sent.
     """
 
-    endpoint: int
-    rate: float | None
-    age: int
+    endpoint: _Mark
+    rate: _Rate | None
+    age: _Age
 
 
 class CrashBeat(msgspec.Struct, array_like=True, frozen=True):
@@ -75,9 +85,9 @@
         Mark of the endpoint's incarnation and milliseconds since the crash, each.
     """
 
-    identity: int
-    answered: int | None
-    crashes: tuple[tuple[int, int], ...]
+    identity: _PartId
+    answered: _Age | None
+    crashes: tuple[tuple[_Mark, _Age], ...]
 
 
 class TableBeat(msgspec.Struct, array_like=True, frozen=True):
@@ -98,12 +108,12 @@
         copy of the store has brought back.
     """
 
-    era: int
-    newest: int
-    as_of: int
+    era: Count
+    newest: Count
+    as_of: Count
     is_exact: bool
-    answered_since: int | None
-    departed: tuple[int, ...] = ()
+    answered_since: Count | None
+    departed: tuple[_Mark, ...] = ()
 
 
 class WaitingBeat(msgspec.Struct, array_like=True, frozen=True):
@@ -117,8 +127,8 @@
         Number of waiting requests by class, the most urgent class first.
     """
 
-    service: int
-    waiting: tuple[int, ...]
+    service: _Mark
+    waiting: tuple[Count, ...]
 
 
 class PermitAsk(msgspec.Struct, array_like=True, frozen=True):
@@ -138,11 +148,11 @@
         Marks of the endpoints that the gateway can use.
     """
 
-    service: int
-    asked_at: int
-    number: int
-    urgency: int
-    endpoints: tuple[int, ...]
+    service: _Mark
+    asked_at: Count
+    number: Count
+    urgency: Count
+    endpoints: tuple[_Mark, ...]
 
 
 class PermitGrant(msgspec.Struct, array_like=True, frozen=True):
@@ -160,10 +170,10 @@
         Numbers of permits by endpoint.
     """
 
-    service: int
-    asked_at: int
-    wait_ms: int
-    permits: dict[int, int]
+    service: _Mark
+    asked_at: Count
+    wait_ms: Count
+    permits: dict[_Mark, Count]
 
 
 class PermitMessage(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -187,8 +197,8 @@
     """
 
     node: str
-    port: int
-    lease: tuple[int, int | None] | None = None
+    port: Port
+    lease: tuple[Count, Count | None] | None = None
     asks: tuple[PermitAsk, ...] = ()
     grants: tuple[PermitGrant, ...] = ()
 
@@ -235,15 +245,15 @@
     """
 
     node: str
-    incarnation: int
-    sequence: int
-    port: int
-    version: int
-    endpoints_version: int
-    term: int
-    ended_term: int
+    incarnation: Count
+    sequence: Count
+    port: Port
+    version: Count
+    endpoints_version: Count
+    term: Count
+    ended_term: Count
     groups: tuple[GroupBeat, ...]
-    loads: dict[int, int]
+    loads: dict[_Mark, Count]
     is_changing: bool = False
     quotas: tuple[QuotaBeat, ...] = ()
     has_callers: bool = False
@@ -251,10 +261,10 @@
     crashes: tuple[CrashBeat, ...] = ()
     configuration: TableBeat | None = None
     endpoints: TableBeat | None = None
-    sent_at: Millis | None = None
+    sent_at: Count | None = None
     parts: tuple[CrashBeat, ...] = ()
-    trials: tuple[tuple[int, int], ...] = ()
-    turned_away: int = 0
+    trials: tuple[tuple[_PartId, _Age], ...] = ()
+    turned_away: Count = 0
 
 
 class ExtendedPeerMessage(PeerMessage, array_like=True, frozen=True):
--- a/src/azurefold/gateway/peers/permits.py
+++ b/src/azurefold/gateway/peers/permits.py
@@ -11,6 +11,7 @@
 import gevent
 import msgspec
 
+from azurefold.border.decoding import Count, UnreadableError, json_decoder
 from azurefold.core.clock import Millis
 from azurefold.core.routing.cold_permits import PermitGrantor, permit_limit
 from azurefold.core.routing.grantor_lease import GrantorLease, LeaseRow, LeaseStep
@@ -61,8 +62,11 @@
     """The row's content; the serial number makes each renewal a change."""
 
     node: str
-    incarnation: int
-    serial: int
+    incarnation: Count
+    serial: Count
+
+
+_decode_holder = json_decoder(_Holder)
 
 
 @dataclass(slots=True)
@@ -280,8 +284,8 @@
 
     def _is_own(self, row: StoredRow) -> bool:
         try:
-            holder = msgspec.json.decode(row.value, type=_Holder)
-        except msgspec.MsgspecError as error:
+            holder = _decode_holder(row.value)
+        except UnreadableError as error:
             log_event(_log, "lease_unreadable", logging.ERROR, why=error)
             return False
         own = (self.state.settings.name, self.incarnation)
--- a/src/azurefold/gateway/store/part_records.py
+++ b/src/azurefold/gateway/store/part_records.py
@@ -6,10 +6,17 @@
 
 import logging
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import gevent
 import msgspec
 
+from azurefold.border.decoding import (
+    Count,
+    UnreadableError,
+    json_decoder,
+    unreadable_as,
+)
 from azurefold.core.attempts.crashes import CrashReport
 from azurefold.core.clock import Millis
 from azurefold.gateway.state import GatewayState
@@ -31,12 +38,19 @@
 _SECOND_MS = 1_000
 _LOOK_MS: Millis = 250
 _RETRY_MS: Millis = 700
+_LARGEST_PART = 2**64 - 1
+_LARGEST_MARK = 2**32 - 1
+
+_Mark = Annotated[int, msgspec.Meta(ge=0, le=_LARGEST_MARK)]
 
 
 class _Record(msgspec.Struct, frozen=True):
     """Hash of each crashed endpoint's incarnation, and the store's time then."""
 
-    crashes: tuple[tuple[int, int], ...]
+    crashes: tuple[tuple[_Mark, Count], ...]
+
+
+_decode_record = json_decoder(_Record)
 
 
 @dataclass(slots=True)
@@ -106,9 +120,9 @@
 
     def _take(self, row: StoredRow, store_ms: Millis | None) -> None:
         try:
-            part = int(row.key, 16)
-            record = msgspec.json.decode(row.value, type=_Record)
-        except (ValueError, msgspec.MsgspecError) as error:
+            part = _part_in(row.key)
+            record = _decode_record(row.value)
+        except UnreadableError as error:
             log_event(
                 _log, "part_record_unreadable", logging.ERROR, row=row.key, why=error
             )
@@ -133,5 +147,20 @@
         gevent.sleep(ms * (0.5 + self.state.draw.random()) / _SECOND_MS)
 
 
+def _part_in(key: str) -> int:
+    """Return the part that a row's key names.
+
+    Raises
+    ------
+    UnreadableError
+        If it names none; a larger number would fit into no message to other gateways.
+    """
+    with unreadable_as(UnreadableError):
+        part = int(key, 16)
+    if not 0 <= part <= _LARGEST_PART:
+        raise UnreadableError(f"no part: {key[:80]!r}")
+    return part
+
+
 def _row_key(part: int) -> RowKey:
     return RowKey(names.CRASHING_PARTS, f"{part:016x}")
--- a/src/azurefold/platform/ranks.py
+++ b/src/azurefold/platform/ranks.py
@@ -1,12 +1,20 @@
 """Reports, counts and orders of the ranks of a model group."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Annotated, TypeVar
 
 import gevent
 import msgspec
 from geventhttpclient import HTTPClient
 
+from azurefold.border.decoding import (
+    LARGEST_COUNT,
+    Count,
+    UnreadableError,
+    json_decoder,
+)
 from azurefold.core.balance.placement import Placement
 from azurefold.core.clock import Millis
 from azurefold.core.groups.map_orders import (
@@ -64,40 +72,46 @@
 
 class _Group(msgspec.Struct):
     name: str = msgspec.field(name="Name", default="")
-    epoch: int = 0
-    rank: int = 0
+    epoch: Count = 0
+    rank: Count = 0
     state: str = msgspec.field(name="State", default="")
 
 
 class _Report(msgspec.Struct):
     group: _Group | None = None
-    size: int = 0
-    step: int = 0
-    active: int = msgspec.field(name="Active", default=0)
-    pace: float = 1.0
+    size: Count = 0
+    step: Count = 0
+    active: Count = msgspec.field(name="Active", default=0)
+    pace: Annotated[float, msgspec.Meta(ge=0)] = 1.0
     # A version, although elsewhere a field of this name holds experts.
-    version: int = msgspec.field(name="ExpertMap", default=0)
-    prepared: int | None = msgspec.field(name="Prepared", default=None)
+    version: Count = msgspec.field(name="ExpertMap", default=0)
+    prepared: Count | None = msgspec.field(name="Prepared", default=None)
     armed: object = msgspec.field(name="Armed", default=None)
     held: object = None
-    born: int = 0
+    born: Count = 0
 
 
 class _Picked(msgspec.Struct):
-    epoch: int
-    step: int = 0
-    counts: list[int] = msgspec.field(name="Counts", default_factory=list)
+    epoch: Count
+    step: Count = 0
+    counts: list[Count] = msgspec.field(name="Counts", default_factory=list)
 
 
 class _Map(msgspec.Struct):
-    version: int = msgspec.field(name="Version", default=0)
-    experts: list[list[int]] = msgspec.field(name="Experts", default_factory=list)
+    version: Count = msgspec.field(name="Version", default=0)
+    experts: list[list[Count]] = msgspec.field(name="Experts", default_factory=list)
 
 
 class _Lists(msgspec.Struct):
     in_force: _Map = msgspec.field(name="ExpertMap")
 
 
+_Answer = TypeVar("_Answer")
+_decode_report = json_decoder(_Report)
+_decode_counts = json_decoder(_Picked)
+_decode_lists = json_decoder(_Lists)
+
+
 class RankClient:
     """Calls to one rank; made by :func:`rank_client`."""
 
@@ -107,7 +121,7 @@
 
     def report(self) -> RankReport | None:
         """Return the rank's report; None if there was no answer of use."""
-        read = self._decoded("/report", _Report)
+        read = self._decoded("/report", _decode_report)
         if read is None or read.group is None:
             return None
         group = read.group
@@ -127,7 +141,7 @@
 
     def counts(self, n_layers: int) -> tuple[CountSample, int] | None:
         """Return the rank's counts and the last pass that was begun."""
-        read = self._decoded("/picked", _Picked)
+        read = self._decoded("/picked", _decode_counts)
         if read is None or not read.counts:
             return None
         per_layer = len(read.counts) // n_layers
@@ -139,7 +153,7 @@
 
     def held_experts(self) -> HeldExperts | None:
         """Return which experts the rank holds."""
-        read = self._decoded("/picked?Lists=1", _Lists)
+        read = self._decoded("/picked?Lists=1", _decode_lists)
         if read is None:
             return None
         in_force = read.in_force
@@ -168,13 +182,13 @@
         """Close the connections."""
         self._client.close()
 
-    def _decoded(self, uri: str, kind: type):
+    def _decoded(self, uri: str, decode: Callable[[bytes], _Answer]) -> _Answer | None:
         answer = self._ask("GET", uri, b"")
         if answer is None or answer[0] != HTTPStatus.OK:
             return None
         try:
-            return msgspec.json.decode(answer[1], type=kind)
-        except msgspec.MsgspecError:
+            return decode(answer[1])
+        except UnreadableError:
             return None
 
     def _ask(
@@ -224,4 +238,5 @@
     """Return a number that comes bare or under a name beside others."""
     if isinstance(value, dict):
         value = value.get(name)
-    return value if isinstance(value, int) else None
+    is_number = isinstance(value, int) and 0 <= value <= LARGEST_COUNT
+    return value if is_number else None
--- a/src/azurefold/platform/store.py
+++ b/src/azurefold/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from azurefold.border.decoding import Count, UnreadableError, json_decoder
 from azurefold.core.clock import Millis
 from azurefold.internal.http_client import CONNECTION_ERRORS, http_client
 from azurefold.internal.logs import log_event
@@ -62,7 +63,7 @@
 
 class _Row(msgspec.Struct):
     key: str = msgspec.field(name="Key")
-    version: int = msgspec.field(name="Ver", default=0)
+    version: Count = msgspec.field(name="Ver", default=0)
     value: str = msgspec.field(name="Value", default="")
     deleted: bool = msgspec.field(name="Deleted", default=False)
 
@@ -70,11 +71,11 @@
 class _Rows(msgspec.Struct):
     rows: list[_Row] = msgspec.field(name="Rows", default_factory=list)
     has_more: bool = msgspec.field(name="HasMore", default=False)
-    version: int = msgspec.field(name="Ver", default=0)
-    store_ms: int | None = msgspec.field(name="NowMs", default=None)
+    version: Count = msgspec.field(name="Ver", default=0)
+    store_ms: Count | None = msgspec.field(name="NowMs", default=None)
 
 
-_decode_rows = msgspec.json.Decoder(_Rows).decode
+_decode_rows = json_decoder(_Rows)
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,7 +266,7 @@
         return Unavailable(f"status {answer.status}")
     try:
         return _decode_rows(answer.body)
-    except msgspec.MsgspecError as error:
+    except UnreadableError as error:
         return Unavailable(f"an answer not understood: {error}")
 
 
@@ -288,7 +289,7 @@
         return NotApplied(f"status {status}")
     try:
         read = _decode_rows(answer.body)
-    except msgspec.MsgspecError as error:
+    except UnreadableError as error:
         return Uncertain(f"status {status}, an answer not understood: {error}")
     if status == HTTPStatus.OK:
         return Applied(read.version, answer.era)
--- a/tests/gateway/test_odd_rows_of_other_writers.py
+++ b/tests/gateway/test_odd_rows_of_other_writers.py
@@ -7,6 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from azurefold.gateway.groups.coordinator import _holder_in
+from azurefold.gateway.peers.membership import _peer
 from azurefold.gateway.store.news import new_news
 from azurefold.platform.configuration import (
     BadConfigurationError,
@@ -48,6 +50,8 @@
     "Limits": {"IdleTimeoutMs": 15000},
     "Tenants": [{"Name": "shops", "ApiKeys": ["k"]}],
 }
+NODE = {"ip": "10.0.0.2", "port": 7340}
+HOLDER = {"node": "gateway-2", "incarnation": 5, "popularity": {"a": [[1]]}, "term": 3}
 
 ODD_VALUES = [
     NESTED,
@@ -135,6 +139,19 @@
     msgspec.msgpack.encode([read.version, *(r.timeout_ms for r in read.routes)])
 
 
+@settings(max_examples=200, deadline=None)
+@given(odd_rows(NODE))
+def test_an_odd_row_of_a_gateway_is_refused_or_of_use(value):
+    peer = _peer(StoredRow("gateway-2", 1, value))
+    assert peer is None or 0 <= peer.port < 65_536
+
+
+@settings(max_examples=200, deadline=None)
+@given(odd_rows(HOLDER))
+def test_an_odd_row_of_a_coordinator_is_nobodys_or_of_use(value):
+    msgspec.msgpack.encode(_holder_in(value).term)
+
+
 def row(key, version, text):
     return StoredRow(key, version, text.encode())
 
