Keep a gateway running whatever its settings file holds at a reload

A SIGHUP that came while the file was being written was refused, and the gateway kept the older settings until the next one.

The handler only sets an event now; a loop reloads, which logs what fails and goes on. The file is decoded as rows are, addresses are checked before anything changes, a number out of range is named and refused at a reload, and at a start its default holds. A file that can't be read is read again for 2 s, at a start too, before the process ends with its one line.

--- a/src/azurefold/gateway/peers/exchange.py
+++ b/src/azurefold/gateway/peers/exchange.py
@@ -151,10 +151,13 @@
             If it is taken.
         """
         settings = self.state.settings
-        self._sock = gevent_socket.socket(
-            gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
-        )
-        self._sock.bind((settings.ip, settings.peers_port))
+        sock = gevent_socket.socket(gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM)
+        try:
+            sock.bind((settings.ip, settings.peers_port))
+        except OSError:
+            sock.close()
+            raise
+        self._sock = sock
 
     def set_peers(self, peers: list[Peer]) -> None:
         """Take in the gateways that the store lists, beside those that are heard."""
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -92,9 +92,23 @@
     reach: Reach
     permits: Permits
 
-    def loops(self) -> tuple[Callable[[], None], ...]:
-        """Return the loops to run, with the port open."""
+    @property
+    def address(self) -> str:
+        """``"ip:port"`` at which the others reach this gateway."""
+        return f"{self.state.settings.ip}:{self.state.settings.peers_port}"
+
+    def open(self) -> None:
+        """Open the port.
+
+        Raises
+        ------
+        OSError
+            If it is taken.
+        """
         self.exchange.open()
+
+    def loops(self) -> tuple[Callable[[], None], ...]:
+        """Return the loops to run once the port is open."""
         return (
             self._be_known,
             self.exchange.receive_for_ever,
--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -16,7 +16,7 @@
 from azurefold.gateway.endpoints.passed_on import cut_off_slow_readers
 from azurefold.gateway.metrics import gateway_registry
 from azurefold.gateway.peers.membership import new_peers
-from azurefold.gateway.settings import changed_settings
+from azurefold.gateway.settings import GatewaySettings, changed_settings
 from azurefold.gateway.state import GatewayState, new_gateway_state
 from azurefold.gateway.store.news import News, new_news
 from azurefold.gateway.store.part_records import PartRecords
@@ -48,6 +48,11 @@
 _LOOK_MS: Millis = 50
 _ADMIN_PORTS = ("health", "metrics")
 
+_SETTINGS_WAIT_MS: Millis = 2_000
+"""A settings file that is being written is whole soon after."""
+
+_SETTINGS_LOOK_MS: Millis = 100
+
 
 def run_gateway(
     path: str,
@@ -75,7 +80,7 @@
         the settings cannot be used.
     """
     try:
-        settings = load_settings(path)
+        settings = _load_settled(path)
     except BadSettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_BAD_SETTINGS
@@ -101,6 +106,7 @@
     news = new_news(state, store)
     peers = new_peers(state, store, news)
     records = PartRecords(state, store)
+    peers.open()
     callers.accepts = lambda: accepts_connection(state, peers.exchange.loads)
     for loop in (
         news.configuration.run,
@@ -110,7 +116,10 @@
     ):
         spawn_loop(loop)
     spawn_loop(_tick_for_ever, state, callers, news)
-    gevent.signal_handler(signal.SIGHUP, _reload, path, state, news)
+    # An exception in a signal's handler would end the process.
+    changed = Event()
+    gevent.signal_handler(signal.SIGHUP, changed.set)
+    spawn_loop(_reload_for_ever, changed, path, state, news)
     for server in (callers, *admins):
         server.start()
     log_event(
@@ -158,10 +167,38 @@
     return stop
 
 
+def _load_settled(path: str) -> GatewaySettings:
+    """Read settings, for a short time again and again if they cannot be read.
+
+    Raises
+    ------
+    BadSettingsError
+        If they still cannot.
+    """
+    waited = 0
+    while True:
+        try:
+            return load_settings(path)
+        except BadSettingsError:
+            if waited >= _SETTINGS_WAIT_MS:
+                raise
+        gevent.sleep(_SETTINGS_LOOK_MS / _SECOND_MS)
+        waited += _SETTINGS_LOOK_MS
+
+
+def _reload_for_ever(
+    changed: Event, path: str, state: GatewayState, news: News
+) -> None:
+    while True:
+        changed.wait()
+        changed.clear()
+        _reload(path, state, news)
+
+
 def _reload(path: str, state: GatewayState, news: News) -> None:
     """Take in a settings file that has changed; addresses of our own stay."""
     try:
-        settings = load_settings(path)
+        settings = _load_settled(path)
     except BadSettingsError as error:
         _refuse_reload(state, str(error))
         return
--- a/src/azurefold/platform/settings.py
+++ b/src/azurefold/platform/settings.py
@@ -1,9 +1,16 @@
 """The platform's settings file of one process."""
 
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 
+from azurefold.border.decoding import (
+    Port,
+    check_address,
+    json_decoder,
+    unreadable_as,
+)
 from azurefold.gateway.settings import GatewaySettings
 
 __all__ = ["SETTINGS_VARIABLE", "BadSettingsError", "load_settings"]
@@ -12,11 +19,14 @@
 """Variable of the environment that holds the settings file's path."""
 
 _SECOND_MS = 1_000
-_NOT_NEGATIVE = ("EvacuateMs", "ColdOverage", "ColdSlack")
-"""Bounds for which the defaults hold if they are below 0. With an evacuation's bound of
+_LARGEST = 1e9
+"""Of all numbers. Above it and below 0 the default holds: with an evacuation's bound of
 -1 ms no configuration would ever count as new enough."""
 
 
+_Part = TypeVar("_Part", bound=msgspec.Struct)
+
+
 class BadSettingsError(Exception):
     """A settings file that cannot be used; says what is wrong with it."""
 
@@ -55,7 +65,7 @@
     name: str = msgspec.field(name="NodeName")
     zone: str = msgspec.field(name="Zone")
     listen: _Listen = msgspec.field(name="Listen")
-    port_range: list[int] = msgspec.field(name="PortRange")
+    port_range: list[Port] = msgspec.field(name="PortRange")
     store: _Platform = msgspec.field(name="Platform")
     # By data centre, its region.
     zones: dict[str, str] = msgspec.field(name="Zones", default_factory=dict)
@@ -66,6 +76,9 @@
     is_first_start: bool = msgspec.field(name="Bootstrap", default=False)
 
 
+_decode = json_decoder(_Settings)
+
+
 def load_settings(path: str) -> GatewaySettings:
     """Read the settings file, which the platform fills in as JSON.
 
@@ -76,17 +89,31 @@
     Raises
     ------
     BadSettingsError
-        If the file is missing, or a field is missing or of another type.
+        If the file is missing, a field is missing or of another type, or an address
+        cannot be used.
 
     Notes
     -----
-    Bounds of evacuations and cold endpoints below 0 are named in ``invalid``.
+    Numbers out of range are named in ``invalid``.
     """
     try:
-        settings = msgspec.json.decode(Path(path).read_bytes(), type=_Settings)
-    except (OSError, msgspec.MsgspecError) as error:
+        data = Path(path).read_bytes()
+        with unreadable_as(BadSettingsError):
+            return _settings(_decode(data))
+    except (OSError, BadSettingsError) as error:
         raise BadSettingsError(f"{path}: {error}") from error
-    bounds, invalid = _within_range(settings.bounds)
+
+
+def _settings(settings: _Settings) -> GatewaySettings:
+    for address in (
+        settings.listen.callers,
+        settings.listen.admin,
+        settings.store.address,
+    ):
+        check_address(address)
+    bounds, invalid_bounds = _within_range(settings.bounds)
+    limits, invalid_limits = _within_range(settings.limits)
+    own, invalid = _within_range(settings)
     return GatewaySettings(
         name=settings.name,
         data_centre=settings.zone,
@@ -98,29 +125,29 @@
         stall_ms=int(bounds.stall_ms),
         drain_ms=int(bounds.drain_ms),
         apply_ms=int(bounds.apply_ms),
-        heartbeat_ms=int(settings.heartbeat_ms),
+        heartbeat_ms=int(own.heartbeat_ms),
         retry_share=bounds.retry_share,
         retry_slack=bounds.retry_slack,
         retry_window_ms=int(bounds.retry_window_s * _SECOND_MS),
         fenced_orders=bounds.fenced_orders,
         is_first_start=settings.is_first_start,
-        link_mbps=settings.limits.link_mbps,
-        memory_mb=int(max(0, settings.limits.memory_mb)),
-        descriptors=int(max(0, settings.limits.descriptors)),
+        link_mbps=limits.link_mbps,
+        memory_mb=int(limits.memory_mb),
+        descriptors=int(limits.descriptors),
         evacuate_ms=int(bounds.evacuate_ms),
         cold_overage=bounds.cold_overage,
         cold_slack=bounds.cold_slack,
         data_centres=frozenset(settings.zones),
-        invalid=invalid,
+        invalid=(*invalid_bounds, *invalid_limits, *invalid),
     )
 
 
-def _within_range(bounds: _Bounds) -> tuple[_Bounds, tuple[str, ...]]:
-    """Return bounds with defaults for invalid values, and what these were."""
+def _within_range(told: _Part) -> tuple[_Part, list[str]]:
+    """Return a part with defaults for numbers out of range, and what these were."""
     defaults, invalid = {}, []
-    for field in msgspec.structs.fields(_Bounds):
-        told = getattr(bounds, field.name)
-        if field.encode_name in _NOT_NEGATIVE and told < 0:
+    for field in msgspec.structs.fields(told):
+        value = getattr(told, field.name)
+        if field.type is float and not 0 <= value <= _LARGEST:
             defaults[field.name] = field.default
-            invalid.append(f"{field.encode_name}={told}")
-    return msgspec.structs.replace(bounds, **defaults), tuple(invalid)
+            invalid.append(f"{field.encode_name}={value}")
+    return msgspec.structs.replace(told, **defaults), invalid
--- a/tests/gateway/test_settings_of_a_vm.py
+++ b/tests/gateway/test_settings_of_a_vm.py
@@ -52,3 +52,41 @@
 def test_what_is_no_number_is_named(tmp_path):
     with pytest.raises(BadSettingsError, match="RetrySlack"):
         loaded(tmp_path, {"RetrySlack": "many"})
+
+
+NESTED = "[" * 20_000 + "]" * 20_000
+
+ODD_TEXTS = {
+    "nested": lambda text: f'{text[:-1]}, "Later": {NESTED}}}',
+    "long-number": lambda text: text.replace("7340", "9" * 5_000),
+    "high-port": lambda text: text.replace("8227", "82270"),
+    "no-port": lambda text: text.replace(":8223", ""),
+    "host": lambda text: text.replace("10.200.1.7", "store.example"),
+    "half": lambda text: text[:40],
+}
+
+
+@pytest.mark.parametrize("odd", ODD_TEXTS.values(), ids=ODD_TEXTS)
+def test_an_odd_file_is_refused_with_one_error(tmp_path, odd):
+    """Guards against a start that ends with a traceback, and a reload that ends all."""
+    path = tmp_path / "settings.yaml"
+    path.write_text(odd(json.dumps(FILE)))
+    with pytest.raises(BadSettingsError, match="settings.yaml"):
+        load_settings(str(path))
+
+
+@pytest.mark.parametrize("value", [1e308, -5, 1e10])
+@pytest.mark.parametrize(
+    "section", [{"Bounds": "GraceS"}, {"Limits": "MemoryMb"}, {None: "HeartbeatMs"}]
+)
+def test_a_number_out_of_range_is_named_and_its_default_holds(tmp_path, section, value):
+    """Guards against a start that ends by a number that is infinite as an integer."""
+    [(part, name)] = section.items()
+    odd = {name: value} if part is None else {part: {name: value}}
+    path = tmp_path / "settings.yaml"
+    path.write_text(json.dumps(FILE | odd))
+    settings = load_settings(str(path))
+    assert settings.invalid == (f"{name}={float(value)}",)
+    assert settings.stop_grace_ms == 8_000
+    assert settings.memory_mb == 0
+    assert settings.heartbeat_ms == 1_200
