Wait for a port that another process still has

Its metrics' port, which no caller needs, ended it as well.

A start waits for the ports of callers, health checks and other gateways, tries again every 100 ms, says so at once and every 10 s (port_in_use, port_free), and ends by SIGTERM with code 0. The port of the metrics is opened in the background as soon as it is free.

--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -24,9 +24,10 @@
 from azurefold.internal.caller_metrics import CallerLimitsCollector
 from azurefold.internal.clock import suspended_time_clock
 from azurefold.internal.http_server import TimedServer
-from azurefold.internal.log_writer import log_without_waiting
+from azurefold.internal.log_writer import QueuedLines, log_without_waiting
 from azurefold.internal.logs import log_event
 from azurefold.internal.loops import spawn_loop
+from azurefold.internal.ports import open_when_free
 from azurefold.platform.settings import BadSettingsError, load_settings
 from azurefold.platform.store import store_client
 
@@ -46,7 +47,8 @@
 """Before the platform kills the process, to end what is left by ourselves."""
 
 _LOOK_MS: Millis = 50
-_ADMIN_PORTS = ("health", "metrics")
+_METRICS = "metrics"
+_ADMIN_PORTS = ("health", _METRICS)
 
 _SETTINGS_WAIT_MS: Millis = 2_000
 """A settings file that is being written is whole soon after."""
@@ -106,7 +108,8 @@
     news = new_news(state, store)
     peers = new_peers(state, store, news)
     records = PartRecords(state, store)
-    peers.open()
+    if not open_when_free(peers.open, peers.address, "peers", stop):
+        return _stopped_at_start(lines)
     callers.accepts = lambda: accepts_connection(state, peers.exchange.loads)
     for loop in (
         news.configuration.run,
@@ -120,8 +123,14 @@
     changed = Event()
     gevent.signal_handler(signal.SIGHUP, changed.set)
     spawn_loop(_reload_for_ever, changed, path, state, news)
-    for server in (callers, *admins):
-        server.start()
+    for name, server in zip(
+        ("callers", *_ADMIN_PORTS), (callers, *admins), strict=False
+    ):
+        address = "{}:{}".format(*server.address)
+        if name == _METRICS:
+            gevent.spawn(open_when_free, server.start, address, name, stop)
+        elif not open_when_free(server.start, address, name, stop):
+            return _stopped_at_start(lines)
     log_event(
         _log,
         "started",
@@ -186,6 +195,12 @@
         waited += _SETTINGS_LOOK_MS
 
 
+def _stopped_at_start(lines: QueuedLines) -> int:
+    log_event(_log, "stopped", cut_off=0, why="starting")
+    lines.flush()
+    return 0
+
+
 def _reload_for_ever(
     changed: Event, path: str, state: GatewayState, news: News
 ) -> None:
--- a/tests/gateway/test_ports_that_are_in_use.py
+++ b/tests/gateway/test_ports_that_are_in_use.py
@@ -8,6 +8,7 @@
 
 from azurefold_standins.gateway_site import new_gateway_site
 from azurefold_standins.processes import wait_until
+from azurefold_standins.site import free_port
 
 pytestmark = pytest.mark.scenario
 
@@ -59,3 +60,41 @@
         held.close()
     site.wait_ready("gateway-0")
     assert "event=port_in_use" in process.output()
+
+
+def test_a_gateway_starts_without_the_port_of_its_metrics(tmp_path):
+    """Guards against a start that ends for a port that no caller needs."""
+    site = new_gateway_site(tmp_path, gateways=1, ranks=1)
+    process = site.processes["gateway-0"]
+    ip = site.gateways["gateway-0"].rpartition(":")[0]
+    metrics = f"{ip}:{free_port(ip)}"
+    *module, path = process.arguments
+    port = metrics.rpartition(":")[2]
+    process.arguments = (*module, "--metrics-port", port, path)
+    held = held_port(metrics, socket.SOCK_STREAM)
+    try:
+        site.start()
+        assert site.is_ready("gateway-0")
+    finally:
+        held.close()
+    try:
+        wait_until(lambda: site._answers(metrics, "/metrics"), "metrics are served")
+    finally:
+        site.processes.kill_all()
+
+
+def test_a_stop_ends_a_start_that_waits_for_a_port(site):
+    """Guards against a process that has to be killed as its port is never free."""
+    process = site.processes["gateway-0"]
+    process.kill()
+    held = held_port(*addresses(process)["health"])
+    try:
+        before = process.output().count("event=port_in_use")
+        process.start()
+        wait_until(
+            lambda: process.output().count("event=port_in_use") > before,
+            "the port is in use",
+        )
+        assert process.stop() == 0
+    finally:
+        held.close()
