Give up answers that come without end, wherever they are read

What operators saw: a faulty worker sent bytes without end, in a head or a body, and the machine that had called it kept them all and ran out of memory. The HTTP library keeps a head, a trailer or interim answers of any size, and a body that is read whole.

A connection of these clients now takes 32 MB since its last request, or since its reader took something; more ends the call as a broken connection does. Streams and long bodies that are read piece by piece go on.

--- a/src/azurefold/agent/endpoint.py
+++ b/src/azurefold/agent/endpoint.py
@@ -11,7 +11,9 @@
     CONNECTION_ERRORS,
     fresh_client,
     http_client,
+    is_status,
     lines_at_once,
+    note_taken,
 )
 
 __all__ = [
@@ -249,12 +251,16 @@
 
 
 def _whole_body(response: object) -> Iterator:
-    yield EndpointHead(response.status_code, str(response.get("content-type", _JSON)))
+    status = response.status_code
+    if not is_status(status):
+        raise StreamBrokeError(f"the endpoint sent no status: {status}")
+    yield EndpointHead(status, str(response.get("content-type", _JSON)))
     decoder = codecs.getincrementaldecoder("utf-8")("replace")
     total = 0
     is_last = False
     while not is_last:
         data = bytes(response.read(_BLOCK_BYTES))
+        note_taken(response)
         is_last = not data
         if text := decoder.decode(data, final=is_last):
             yield EndpointText(total, text)
--- a/src/azurefold/internal/http_client.py
+++ b/src/azurefold/internal/http_client.py
@@ -18,7 +18,9 @@
     "CONNECTION_ERRORS",
     "fresh_client",
     "http_client",
+    "is_status",
     "lines_at_once",
+    "note_taken",
     "read_body",
 ]
 
@@ -32,6 +34,27 @@
 """Of a call whose connection ends before its answer."""
 
 
+_LOWEST_STATUS, _HIGHEST_STATUS = 100, 599
+_SWITCHING_PROTOCOLS = 101
+"""Only sent to those who asked for it."""
+
+_MOST_UNREAD_BYTES = 32 * 1_048_576
+"""Of one answer that its reader has not taken: the longest body that is read whole,
+encoded as text, and its head."""
+
+
+def is_status(code: int) -> bool:
+    """Whether an answer of HTTP can have this status (RFC 9110, 15).
+
+    Examples
+    --------
+    >>> is_status(503), is_status(0), is_status(600)
+    (True, False, False)
+    """
+    is_known = _LOWEST_STATUS <= code <= _HIGHEST_STATUS
+    return is_known and code != _SWITCHING_PROTOCOLS
+
+
 class _Pool(ConnectionPool):
     """Connections without delayed writes, made for streams."""
 
@@ -39,6 +62,7 @@
         self, family: int, socktype: int, protocol: int
     ) -> StreamSocket:
         sock = StreamSocket(family, socktype, protocol)
+        sock.most_unread = _MOST_UNREAD_BYTES
         tune_connection(sock)
         return sock
 
@@ -82,6 +106,7 @@
     body = bytearray()
     while piece := response.read(_BLOCK_BYTES):
         body += piece
+        note_taken(response)
         if len(body) > most_bytes:
             response.release()
             raise HTTPParseError(f"a body of more than {most_bytes} bytes")
@@ -105,9 +130,16 @@
         _read_more(response)
     data = bytes(buffered[:end])
     del buffered[:end]
+    note_taken(response)
     return data.splitlines(keepends=True)
 
 
+def note_taken(response: HTTPSocketResponse) -> None:
+    """Note that what has come of an answer so far is not kept any more."""
+    if response._sock is not None:
+        response._sock.note_taken()
+
+
 def _read_more(response: HTTPSocketResponse) -> None:
     sock = response._sock
     if sock is None:
--- a/src/azurefold/internal/stream_socket.py
+++ b/src/azurefold/internal/stream_socket.py
@@ -5,6 +5,7 @@
 line, an exception, and a timer that nearly never fires.
 """
 
+import errno
 from dataclasses import dataclass, field
 
 import gevent
@@ -56,8 +57,26 @@
     """A socket that waits for data first and reads then.
 
     Its timeout for reading is observed to a tenth of a second.
+
+    Attributes
+    ----------
+    most_unread : int or None
+        Bytes that may come between two requests, or since :meth:`note_taken`; a peer
+        that sends more without end would take all memory. None for no bound.
     """
 
+    most_unread: int | None = None
+    _unread: int = 0
+
+    def sendall(self, data: bytes, flags: int = 0) -> None:
+        """Send a request, whose answer is counted anew."""
+        self._unread = 0
+        super().sendall(data, flags)
+
+    def note_taken(self) -> None:
+        """Count anew: what has come so far is not kept any more."""
+        self._unread = 0
+
     def recv(self, size: int, flags: int = 0) -> bytes:
         """Return what is there, waiting for it.
 
@@ -65,7 +84,17 @@
         ------
         TimeoutError
             If nothing comes within the socket's timeout.
+        OSError
+            If more has come than may be unread.
         """
+        data = self._receive(size, flags)
+        if self.most_unread is not None:
+            self._unread += len(data)
+            if self._unread > self.most_unread:
+                raise OSError(errno.EMSGSIZE, "an answer without end")
+        return data
+
+    def _receive(self, size: int, flags: int) -> bytes:
         if self._read_event is None or self.timeout == 0.0:
             return super().recv(size, flags)
         hub = self.hub
