Take no answer whose status is none of HTTP

Here a gateway took every status below 200 for an interim answer and waited for the final one until the deadline (504 after 8.0 s, played from outside), also for a request that may be repeated; 101 as well. 600 to 999 were taken for endpoints' own errors, and an agent passed them on.

A status outside 100 to 599, or 101, which nobody asks for, is a broken reply as soon as its head has come: what may be repeated goes elsewhere, the rest gets its 502 at once.

--- a/src/azurefold/gateway/endpoints/reply.py
+++ b/src/azurefold/gateway/endpoints/reply.py
@@ -12,6 +12,7 @@
 from azurefold.core.clock import Millis
 from azurefold.gateway.callers.calls import CutOffError
 from azurefold.gateway.endpoints.connections import Link
+from azurefold.internal.http_client import is_status
 from azurefold.platform.headers import AnswerHead, read_answer
 
 __all__ = ["BrokenReplyError", "Framing", "Reply", "read_reply"]
@@ -70,6 +71,12 @@
             raise HTTPProtocolViolationError("bytes behind the answer")
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        # One below 200 would pass for an interim answer, with the final one to come.
+        if not is_status(self.get_code()):
+            raise HTTPProtocolViolationError(f"no status: {self.get_code()}")
+        return super()._on_headers_complete()
+
 
 @dataclass(slots=True)
 class Reply:
