--- a/src/azurefold/border/decoding.py
+++ b/src/azurefold/border/decoding.py
@@ -16,6 +16,7 @@
     "check_address",
     "check_ip",
     "check_name",
+    "check_port",
     "json_decoder",
     "msgpack_decoder",
     "unreadable_as",
@@ -26,6 +27,7 @@
 
 _LONGEST_MS = 1e12
 _HIGHEST_PORT = 65_535
+_BROADCAST = IPv4Address("255.255.255.255")
 _PORT_DIGITS = 5
 _LONGEST_SHOWN = 80
 
@@ -97,12 +99,23 @@
     >>> check_address("10.1.0.40:8227")
     '10.1.0.40:8227'
     """
+    check_ip(check_port(text))
+    return text
+
+
+def check_port(text: str) -> str:
+    """Return the host of ``"host:port"``, whose port is one to connect to.
+
+    Raises
+    ------
+    UnreadableError
+        If it has no host or no such port.
+    """
     host, _, port = text.rpartition(":")
-    check_ip(host)
     is_number = port.isascii() and port.isdecimal() and len(port) <= _PORT_DIGITS
-    if not (is_number and 0 < int(port) <= _HIGHEST_PORT):
+    if not (host and is_number and 0 < int(port) <= _HIGHEST_PORT):
         raise UnreadableError(f"no port to connect to: {text[:_LONGEST_SHOWN]!r}")
-    return text
+    return host
 
 
 def check_ip(text: str) -> str:
@@ -117,7 +130,7 @@
         ip = IPv4Address(text)
     except AddressValueError as error:
         raise UnreadableError(f"no address: {text[:_LONGEST_SHOWN]!r}") from error
-    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+    if ip.is_unspecified or ip.is_multicast or ip == _BROADCAST:
         raise UnreadableError(f"no address of one machine: {text}")
     return text
 
--- a/src/azurefold/platform/settings.py
+++ b/src/azurefold/platform/settings.py
@@ -1,13 +1,14 @@
 """The platform's settings file of one process."""
 
 from pathlib import Path
-from typing import TypeVar
+from typing import Literal, TypeVar
 
 import msgspec
 
 from azurefold.border.decoding import (
     Port,
-    check_address,
+    check_ip,
+    check_port,
     json_decoder,
     unreadable_as,
 )
@@ -19,7 +20,8 @@
 """Variable of the environment that holds the settings file's path."""
 
 _SECOND_MS = 1_000
-_LARGEST = 1e9
+_ANY_HOST = "0.0.0.0"
+_LARGEST = 1e12
 """Of all numbers. Above it and below 0 the default holds: with an evacuation's bound of
 -1 ms no configuration would ever count as new enough."""
 
@@ -31,6 +33,12 @@
     """A settings file that cannot be used; says what is wrong with it."""
 
 
+_Empty = Literal[""] | None
+"""What stands in place of a value that is not set."""
+
+_Number = float | _Empty
+
+
 class _Listen(msgspec.Struct):
     callers: str = msgspec.field(name="Frontend")
     # Health checks only, not everything an operator would call "ready".
@@ -38,23 +46,23 @@
 
 
 class _Bounds(msgspec.Struct):
-    grace_s: float = msgspec.field(name="GraceS", default=8)
-    drain_ms: float = msgspec.field(name="DrainMs", default=2_000)
-    apply_ms: float = msgspec.field(name="ConfigApplyMs", default=2_000)
-    retry_share: float = msgspec.field(name="RetryRatio", default=0.2)
-    retry_window_s: float = msgspec.field(name="RetryWindowS", default=10)
-    retry_slack: float = msgspec.field(name="RetrySlack", default=40.0)
-    stall_ms: float = 1_500
-    fenced_orders: bool = msgspec.field(name="Fencing", default=False)
-    evacuate_ms: float = msgspec.field(name="EvacuateMs", default=0)
-    cold_overage: float = msgspec.field(name="ColdOverage", default=1.0)
-    cold_slack: float = msgspec.field(name="ColdSlack", default=0.0)
+    grace_s: _Number = msgspec.field(name="GraceS", default=8.0)
+    drain_ms: _Number = msgspec.field(name="DrainMs", default=2_000.0)
+    apply_ms: _Number = msgspec.field(name="ConfigApplyMs", default=2_000.0)
+    retry_share: _Number = msgspec.field(name="RetryRatio", default=0.2)
+    retry_window_s: _Number = msgspec.field(name="RetryWindowS", default=10.0)
+    retry_slack: _Number = msgspec.field(name="RetrySlack", default=40.0)
+    stall_ms: _Number = 1_500.0
+    fenced_orders: bool | _Empty = msgspec.field(name="Fencing", default=False)
+    evacuate_ms: _Number = msgspec.field(name="EvacuateMs", default=0.0)
+    cold_overage: _Number = msgspec.field(name="ColdOverage", default=1.0)
+    cold_slack: _Number = msgspec.field(name="ColdSlack", default=0.0)
 
 
 class _Limits(msgspec.Struct):
-    link_mbps: float = msgspec.field(name="LinkMbps", default=0.0)
-    memory_mb: float = msgspec.field(name="MemoryMb", default=0)
-    descriptors: float = msgspec.field(name="MaxFds", default=0)
+    link_mbps: _Number = msgspec.field(name="LinkMbps", default=0.0)
+    memory_mb: _Number = msgspec.field(name="MemoryMb", default=0.0)
+    descriptors: _Number = msgspec.field(name="MaxFds", default=0.0)
 
 
 class _Platform(msgspec.Struct):
@@ -65,15 +73,15 @@
     name: str = msgspec.field(name="NodeName")
     zone: str = msgspec.field(name="Zone")
     listen: _Listen = msgspec.field(name="Listen")
-    port_range: list[Port] = msgspec.field(name="PortRange")
     store: _Platform = msgspec.field(name="Platform")
+    port_range: list[Port] | _Empty = msgspec.field(name="PortRange")
     # By data centre, its region.
-    zones: dict[str, str] = msgspec.field(name="Zones", default_factory=dict)
-    bounds: _Bounds = msgspec.field(name="Bounds", default_factory=_Bounds)
-    limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
-    heartbeat_ms: float = msgspec.field(name="HeartbeatMs", default=1_200)
+    zones: dict[str, str] | _Empty = msgspec.field(name="Zones", default=None)
+    bounds: _Bounds | _Empty = msgspec.field(name="Bounds", default=None)
+    limits: _Limits | _Empty = msgspec.field(name="Limits", default=None)
+    heartbeat_ms: _Number = msgspec.field(name="HeartbeatMs", default=1_200.0)
     # Of the whole system, not of this process.
-    is_first_start: bool = msgspec.field(name="Bootstrap", default=False)
+    is_first_start: bool | _Empty = msgspec.field(name="Bootstrap", default=False)
 
 
 _decode = json_decoder(_Settings)
@@ -105,14 +113,11 @@
 
 
 def _settings(settings: _Settings) -> GatewaySettings:
-    for address in (
-        settings.listen.callers,
-        settings.listen.admin,
-        settings.store.address,
-    ):
-        check_address(address)
-    bounds, invalid_bounds = _within_range(settings.bounds)
-    limits, invalid_limits = _within_range(settings.limits)
+    _check_listen(settings.listen.callers)
+    _check_listen(settings.listen.admin)
+    check_port(settings.store.address)
+    bounds, invalid_bounds = _within_range(settings.bounds or _Bounds())
+    limits, invalid_limits = _within_range(_limits(settings.limits or _Limits()))
     own, invalid = _within_range(settings)
     return GatewaySettings(
         name=settings.name,
@@ -129,25 +134,49 @@
         retry_share=bounds.retry_share,
         retry_slack=bounds.retry_slack,
         retry_window_ms=int(bounds.retry_window_s * _SECOND_MS),
-        fenced_orders=bounds.fenced_orders,
-        is_first_start=settings.is_first_start,
+        fenced_orders=bool(bounds.fenced_orders),
+        is_first_start=bool(settings.is_first_start),
         link_mbps=limits.link_mbps,
         memory_mb=int(limits.memory_mb),
         descriptors=int(limits.descriptors),
         evacuate_ms=int(bounds.evacuate_ms),
         cold_overage=bounds.cold_overage,
         cold_slack=bounds.cold_slack,
-        data_centres=frozenset(settings.zones),
+        data_centres=frozenset(settings.zones or ()),
         invalid=(*invalid_bounds, *invalid_limits, *invalid),
     )
 
 
+def _check_listen(address: str) -> None:
+    """Check an address of our own, which may stand for all of a machine's."""
+    host = check_port(address)
+    if host != _ANY_HOST:
+        check_ip(host)
+
+
+def _limits(told: _Limits) -> _Limits:
+    """Return limits of which those below 0 are none."""
+    negative = {
+        name: 0.0
+        for name in told.__struct_fields__
+        if getattr(told, name) not in ("", None) and getattr(told, name) < 0
+    }
+    return msgspec.structs.replace(told, **negative)
+
+
 def _within_range(told: _Part) -> tuple[_Part, list[str]]:
-    """Return a part with defaults for numbers out of range, and what these were."""
+    """Return a part with defaults for numbers out of range, and what these were.
+
+    Those that are empty have their defaults, too.
+    """
     defaults, invalid = {}, []
     for field in msgspec.structs.fields(told):
         value = getattr(told, field.name)
-        if field.type is float and not 0 <= value <= _LARGEST:
+        if field.type != _Number:
+            continue
+        if value in ("", None):
+            defaults[field.name] = field.default
+        elif not 0 <= value <= _LARGEST:
             defaults[field.name] = field.default
             invalid.append(f"{field.encode_name}={value}")
     return msgspec.structs.replace(told, **defaults), invalid
