Log errors of greenlets without waiting for a reader

On the way the request's environment, with its key, was printed.

Such errors go into the queue of log lines as greenlet_failed with their trace. The greenlet that ends long reads can start again after a fault.

--- a/src/azurefold/internal/log_writer.py
+++ b/src/azurefold/internal/log_writer.py
@@ -10,6 +10,7 @@
 import os
 from collections import deque
 from dataclasses import dataclass, field
+from types import TracebackType
 
 import gevent
 from gevent.os import make_nonblocking
@@ -18,6 +19,8 @@
 
 __all__ = ["QueuedLines", "log_without_waiting"]
 
+_log = logging.getLogger("azurefold.greenlets")
+
 _QUEUED_LINES = 4_000
 """About 1 MB, and some 5 s of a gateway at its busiest, 800 lines a second."""
 
@@ -130,10 +133,22 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
+    # The hub's own way is to write to standard error, and to wait for its reader.
+    gevent.get_hub().print_exception = _log_hub_error
     gevent.spawn(_write_for_ever, lines)
     return lines
 
 
+def _log_hub_error(
+    context: object, kind: type, error: BaseException, trace: TracebackType | None
+) -> None:
+    """Log an exception that a greenlet or a callback of the event loop has raised."""
+    # Its text could hold what a caller sent, such as a key.
+    where = type(context).__name__
+    line = event_line("greenlet_failed", {"where": where, "why": kind.__name__})
+    _log.error(line, exc_info=(kind, error, trace))
+
+
 def _write_for_ever(lines: QueuedLines) -> None:
     while True:
         lines.flush()
--- a/src/azurefold/internal/stream_socket.py
+++ b/src/azurefold/internal/stream_socket.py
@@ -37,13 +37,15 @@
 
     def _run(self) -> None:
         # It ends when nobody reads, so that it keeps no process alive.
-        while self.began:
-            gevent.sleep(_SWEEP_MS / _SECOND_MS)
-            now = self.hub.loop.now()
-            for sock, began in list(self.began.items()):
-                if sock.timeout is not None and now - began > sock.timeout:
-                    sock.end_read()
-        self.running = False
+        try:
+            while self.began:
+                gevent.sleep(_SWEEP_MS / _SECOND_MS)
+                now = self.hub.loop.now()
+                for sock, began in list(self.began.items()):
+                    if sock.timeout is not None and now - began > sock.timeout:
+                        sock.end_read()
+        finally:
+            self.running = False
 
 
 _sweeps: dict[Hub, _Sweep] = {}
