Take in settings that change while a start waits

A gateway that was told to stop while it waited had its row in the store already, so the others counted one that serves nobody. An address that isn't up yet ended the start.

The handler stands before settings are read, the loop that reloads runs while ports are waited for, all ports are open before anything is written to the store, and EADDRNOTAVAIL is waited for as EADDRINUSE is. Bad settings leave event=ended with their code, too.

--- a/src/azurefold/gateway/service.py
+++ b/src/azurefold/gateway/service.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 import time
+from collections.abc import Sequence
 
 import gevent
 from gevent.event import Event
@@ -15,7 +16,7 @@
 from azurefold.gateway.callers.front import front_server
 from azurefold.gateway.endpoints.passed_on import cut_off_slow_readers
 from azurefold.gateway.metrics import gateway_registry
-from azurefold.gateway.peers.membership import new_peers
+from azurefold.gateway.peers.membership import Peers, new_peers
 from azurefold.gateway.settings import GatewaySettings, changed_settings
 from azurefold.gateway.state import GatewayState, new_gateway_state
 from azurefold.gateway.stopping import drain
@@ -25,10 +26,11 @@
 from azurefold.internal.caller_metrics import CallerLimitsCollector
 from azurefold.internal.clock import suspended_time_clock
 from azurefold.internal.http_server import TimedServer
-from azurefold.internal.log_writer import QueuedLines, log_without_waiting
-from azurefold.internal.logs import log_event
+from azurefold.internal.log_writer import log_without_waiting
+from azurefold.internal.logs import event_line, log_event
 from azurefold.internal.loops import spawn_loop
 from azurefold.internal.ports import open_when_free
+from azurefold.internal.process_log import print_event
 from azurefold.platform.settings import BadSettingsError, load_settings
 from azurefold.platform.store import store_client
 
@@ -40,8 +42,7 @@
 _SECOND_MS = 1_000
 _TICK_MS: Millis = 250
 
-_METRICS = "metrics"
-_ADMIN_PORTS = ("health", _METRICS)
+_ADMIN_PORTS = ("health", "metrics")
 
 _SETTINGS_WAIT_MS: Millis = 2_000
 """A settings file that is being written is whole soon after."""
@@ -74,10 +75,15 @@
         0 after a stop that cut nothing off, 1 if requests were cut off, 2 if
         the settings cannot be used.
     """
+    # An exception in a signal's handler would end the process.
+    changed = Event()
+    gevent.signal_handler(signal.SIGHUP, changed.set)
     try:
         settings = _load_settled(path)
     except BadSettingsError as error:
         print(error, file=sys.stderr)
+        told = {"why": error, "code": EXIT_BAD_SETTINGS}
+        print_event("azurefold-gateway", event_line("ended", told))
         return EXIT_BAD_SETTINGS
     lines = log_without_waiting(settings.name)
     if settings.invalid:
@@ -101,9 +107,12 @@
     news = new_news(state, store)
     peers = new_peers(state, store, news)
     records = PartRecords(state, store)
-    if not open_when_free(peers.open, peers.address, "peers", stop):
-        return _stopped_at_start(lines)
     callers.accepts = lambda: accepts_connection(state, peers.exchange.loads)
+    spawn_loop(_reload_for_ever, changed, path, state, news)
+    if not _open_ports(peers, callers, admins, stop):
+        log_event(_log, "stopped", cut_off=0, why="starting")
+        lines.flush()
+        return 0
     for loop in (
         news.configuration.run,
         news.endpoints.run,
@@ -112,18 +121,6 @@
     ):
         spawn_loop(loop)
     spawn_loop(_tick_for_ever, state, callers, news)
-    # An exception in a signal's handler would end the process.
-    changed = Event()
-    gevent.signal_handler(signal.SIGHUP, changed.set)
-    spawn_loop(_reload_for_ever, changed, path, state, news)
-    for name, server in zip(
-        ("callers", *_ADMIN_PORTS), (callers, *admins), strict=False
-    ):
-        address = "{}:{}".format(*server.address)
-        if name == _METRICS:
-            gevent.spawn(open_when_free, server.start, address, name, stop)
-        elif not open_when_free(server.start, address, name, stop):
-            return _stopped_at_start(lines)
     log_event(
         _log,
         "started",
@@ -188,10 +185,24 @@
         waited += _SETTINGS_LOOK_MS
 
 
-def _stopped_at_start(lines: QueuedLines) -> int:
-    log_event(_log, "stopped", cut_off=0, why="starting")
-    lines.flush()
-    return 0
+def _open_ports(
+    peers: Peers, callers: TimedServer, admins: Sequence[TimedServer], stop: Event
+) -> bool:
+    """Open all ports, as soon as they are free; return False if told to stop."""
+    health, *metrics = admins
+    for server in metrics:
+        # No caller needs them.
+        address = "{}:{}".format(*server.address)
+        spawn_loop(open_when_free, server.start, address, "metrics", stop)
+    needed = (
+        ("peers", peers.address, peers.open),
+        ("callers", "{}:{}".format(*callers.address), callers.start),
+        ("health", "{}:{}".format(*health.address), health.start),
+    )
+    return all(
+        open_when_free(open_port, address, name, stop)
+        for name, address, open_port in needed
+    )
 
 
 def _reload_for_ever(
--- a/src/azurefold/internal/ports.py
+++ b/src/azurefold/internal/ports.py
@@ -13,6 +13,9 @@
 
 _log = logging.getLogger("azurefold.ports")
 
+_LATER = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+"""In use, or the address is not up yet."""
+
 _RETRY_MS: Millis = 100
 _TOLD_EVERY_MS: Millis = 10_000
 _SECOND_MS = 1_000
@@ -45,7 +48,8 @@
         try:
             open_port()
         except OSError as error:
-            if error.errno != errno.EADDRINUSE:
+            why = errno.errorcode.get(error.errno, "unknown")
+            if error.errno not in _LATER:
                 raise
         else:
             if waited:
@@ -59,6 +63,7 @@
                 port=name,
                 address=address,
                 waited_ms=waited,
+                why=why,
             )
         if stop.wait(_RETRY_MS / _SECOND_MS):
             return False
--- a/src/azurefold/internal/process_log.py
+++ b/src/azurefold/internal/process_log.py
@@ -29,7 +29,7 @@
         Name of the binary; that of the VM is not known yet.
     """
     _open_standard_fds()
-    print_event(process, f"starting pid={os.getpid()}")
+    print_event(process, f"event=starting pid={os.getpid()}")
     signal.signal(signal.SIGTERM, lambda *_: _stop_early(process))
 
 
@@ -38,7 +38,7 @@
     now = time.time()
     moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(now))
     millis = int(now * 1_000) % 1_000
-    line = f"time={moment}.{millis:03d}Z level=info process={process} event={event}"
+    line = f"time={moment}.{millis:03d}Z level=info process={process} {event}"
     # A reader that has left, or a full pipe, is no reason not to start.
     with contextlib.suppress(OSError):
         is_blocking = os.get_blocking(fd)
@@ -85,5 +85,5 @@
 
 
 def _stop_early(process: str) -> None:
-    print_event(process, "stopped cut_off=0 why=starting")
+    print_event(process, "event=stopped cut_off=0 why=starting")
     os._exit(0)
--- a/tests/gateway/test_ports_that_are_in_use.py
+++ b/tests/gateway/test_ports_that_are_in_use.py
@@ -1,6 +1,7 @@
 """A gateway starts although somebody else still has one of its ports."""
 
 import json
+import signal
 import socket
 from pathlib import Path
 
@@ -52,6 +53,7 @@
     process = site.processes["gateway-0"]
     process.kill()
     held = held_port(*addresses(process)[name])
+    told = process.output().count(f"event=port_in_use port={name}")
     try:
         process.start()
         with pytest.raises(TimeoutError):
@@ -59,7 +61,35 @@
     finally:
         held.close()
     site.wait_ready("gateway-0")
-    assert "event=port_in_use" in process.output()
+    assert process.output().count(f"event=port_in_use port={name}") > told
+
+
+def test_settings_that_change_while_a_start_waits_are_taken_in(site):
+    """Guards against older settings until somebody changes them again."""
+    process = site.processes["gateway-0"]
+    process.kill()
+    path = Path(process.arguments[-1])
+    before = path.read_text("utf-8")
+    told = process.output()
+    held = held_port(*addresses(process)["peers"])
+    try:
+        process.start()
+        wait_until(
+            lambda: "event=port_in_use" in process.output()[len(told) :],
+            "the port is in use",
+        )
+        settings = json.loads(before)
+        settings["Bounds"]["DrainMs"] = 1_234
+        path.write_text(json.dumps(settings), "utf-8")
+        process.send(signal.SIGHUP)
+        wait_until(
+            lambda: "changed=drain_ms" in process.output()[len(told) :],
+            "the settings are taken in",
+        )
+    finally:
+        held.close()
+        path.write_text(before, "utf-8")
+    site.wait_ready("gateway-0")
 
 
 def test_a_gateway_starts_without_the_port_of_its_metrics(tmp_path):
--- a/tests/internal/test_process_log.py
+++ b/tests/internal/test_process_log.py
@@ -40,7 +40,7 @@
     reader, writer = os.pipe()
     if not is_open:
         os.close(reader)
-    print_event("azurefold-gateway", "starting", writer)
+    print_event("azurefold-gateway", "event=starting", writer)
     os.close(writer)
     if is_open:
         with os.fdopen(reader) as lines:
@@ -52,7 +52,7 @@
     os.set_blocking(writer, False)
     fill(writer)
     os.set_blocking(writer, True)
-    print_event("azurefold-gateway", "starting", writer)
+    print_event("azurefold-gateway", "event=starting", writer)
     assert os.get_blocking(writer)
     os.close(reader)
     os.close(writer)
