--- a/src/azurefold/gateway/endpoints/reply.py
+++ b/src/azurefold/gateway/endpoints/reply.py
@@ -26,6 +26,7 @@
 """Of a head, and between two pieces of a body: four times what callers may send."""
 
 _TIMEOUT_REASON = "silent"
+_MOST_DIGITS = 18
 
 
 class Framing(StrEnum):
@@ -117,7 +118,8 @@
         """How long the endpoint says it keeps an idle connection."""
         for part in str(self._parser.get("keep-alive", "")).split(","):
             name, _, seconds = part.strip().partition("=")
-            if name == "timeout" and seconds.isdecimal():
+            is_number = seconds.isascii() and seconds.isdecimal()
+            if name == "timeout" and is_number and len(seconds) <= _MOST_DIGITS:
                 return int(seconds) * _SECOND_MS
         return None
 
@@ -146,7 +148,8 @@
         if self.framing is not Framing.LENGTH:
             return None
         length = str(self._parser.get("content-length", ""))
-        return int(length) if length.isdecimal() else None
+        is_number = length.isascii() and length.isdecimal()
+        return int(length) if is_number and len(length) <= _MOST_DIGITS else None
 
 
 def read_reply(link: Link, method: str) -> Reply:
--- a/tests/gateway/test_answers_without_a_status.py
+++ b/tests/gateway/test_answers_without_a_status.py
@@ -53,3 +53,17 @@
 @pytest.mark.parametrize("status", ["200", "299", "404", "503", "599"])
 def test_an_answer_with_a_status_is_read(reply_to, status):
     assert reply_to(INTERIM + HEAD.format(status)).head.status == int(status)
+
+
+KEPT = HEAD.format(200).replace("\r\n\r\n", "\r\nKeep-Alive: timeout={}\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("seconds", "kept_ms"),
+    [("5", 5_000), ("9" * 5_000, None), ("\u00b2", None), ("-1", None), ("", None)],
+)
+def test_an_odd_time_of_an_idle_connection_spoils_no_answer(reply_to, seconds, kept_ms):
+    """Guards against a whole answer that its caller does not get."""
+    reply = reply_to(KEPT.format(seconds))
+    assert reply.next_bytes() == b"ok"
+    assert reply.idle_timeout_ms == kept_ms
