Take reports of ranks that fit no group or engine for none

An active count or an age near 2**53 was told on as a number that no other gateway reads, and all of that message with it. 24 ranks that answer without end took a gateway from 30 to 141 MB.

A report has to fit its own group, counts and maps the engine of the configuration; popularity starts anew when the number of experts changes; ages are limited when they are read, so that they can be told again; answers of ranks are given up after 2 MB.

--- a/src/azurefold/core/groups/sampled_popularity.py
+++ b/src/azurefold/core/groups/sampled_popularity.py
@@ -98,6 +98,7 @@
             for sample in samples
             if (rank_growth := self._growth(sample)) is not None
         ]
+        growths = [each for each in growths if _shape(each) == _shape(growths[0])]
         for sample in samples:
             self._last_samples[sample.endpoint] = sample
         elapsed = now - self._sampled_at
@@ -128,6 +129,9 @@
         self, growth: tuple[tuple[float, ...], ...], elapsed: Millis
     ) -> bool:
         """Add growth or restart the sum with it; return whether it spans no jump."""
+        if self.layers and _shape(self.layers) != _shape(growth):
+            # The engine has other layers or experts than before.
+            self.layers, self.usable_rounds = (), 0
         distance = _total_variation(self.layers, growth) if self.layers else 0.0
         self.last_distance = distance
         has_jumped = distance > max(_MIN_JUMP, _JUMP_TO_NOISE_RATIO * self._noise)
@@ -156,6 +160,8 @@
         previous = self._last_samples.get(sample.endpoint)
         if previous is None or previous.epoch != sample.epoch:
             return None
+        if _shape(previous.counts) != _shape(sample.counts):
+            return None
         growth = tuple(
             tuple(new - old for new, old in zip(new_layer, old_layer, strict=True))
             for new_layer, old_layer in zip(sample.counts, previous.counts, strict=True)
@@ -165,6 +171,10 @@
         return growth
 
 
+def _shape(layers: tuple[tuple[float, ...], ...]) -> tuple[int, ...]:
+    return tuple(map(len, layers))
+
+
 def _total_variation(
     known: tuple[tuple[float, ...], ...], growth: tuple[tuple[float, ...], ...]
 ) -> float:
--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -13,12 +13,13 @@
 from azurefold.core.balance.plan import initial_placement
 from azurefold.core.clock import Millis
 from azurefold.core.groups.sampled_popularity import SampledPopularity
+from azurefold.core.routes.model import Engine
 from azurefold.gateway.groups.rank_calls import RankCalls
 from azurefold.gateway.groups.view import GroupView
 from azurefold.gateway.service_state import GatewayService
 from azurefold.gateway.state import GatewayState
 from azurefold.internal.logs import log_event
-from azurefold.platform.ranks import RankClient, RankReport
+from azurefold.platform.ranks import HeldExperts, RankClient, RankReport
 
 __all__ = ["GroupWatch", "SampleCause", "ServiceWatch"]
 
@@ -143,10 +144,10 @@
         self._choose_sampled(count)
         if not self._sampled:
             return False
-        n_layers = self.service.view.engine.layer_sets
+        engine = self.service.view.engine
         answers = self.calls.ask_all(
             [self.client(endpoint) for endpoint in self._sampled],
-            lambda client: client.counts(n_layers),
+            lambda client: client.counts(engine.layer_sets, engine.experts),
         )
         now = self.state.clock.now()
         heard = [answer for answer in answers if answer is not None]
@@ -323,6 +324,8 @@
         held = self._ask_ranks(methodcaller("held_experts"))
         if any(each is None or each.version != version for each in held):
             return False
+        if not all(_fits(each, engine) for each in held):
+            return False
         layers = zip(*(each.layers for each in held), strict=True)
         self.map_is(
             version,
@@ -358,6 +361,14 @@
         return self.calls.ask_all(clients, question)
 
 
+def _fits(held: HeldExperts, engine: Engine) -> bool:
+    """Whether a rank tells experts that its engine has, for each layer."""
+    is_complete = len(held.layers) == engine.layer_sets
+    return is_complete and all(
+        expert < engine.experts for layer in held.layers for expert in layer
+    )
+
+
 def _look_every(view: GroupView) -> Millis:
     if not view.is_whole:
         return _LOOK_BROKEN_MS
--- a/src/azurefold/gateway/peers/membership.py
+++ b/src/azurefold/gateway/peers/membership.py
@@ -23,6 +23,7 @@
 from azurefold.gateway.peers.permits import Permits, new_permits
 from azurefold.gateway.peers.portions import (
     crash_report,
+    limit_age,
     news_of_group,
     sent_at,
     table_statement,
@@ -184,7 +185,7 @@
             state.group_told(news_of_group(beat))
         sent = sent_at(message, state.clock.now(), state.store_now)
         for beat in message.quotas:
-            word = QuotaReport(beat.rate, sent - beat.age)
+            word = QuotaReport(beat.rate, sent - limit_age(beat.age))
             state.quota_told(beat.endpoint, word, message.node)
         for beat in message.crashes:
             now = state.clock.now()
@@ -193,7 +194,7 @@
             now = state.clock.now()
             state.crashing_parts.merge(beat.identity, crash_report(beat, sent), now)
         for group, age in message.trials:
-            state.part_trials.record(group, sent - age)
+            state.part_trials.record(group, sent - limit_age(age))
         if message.endpoints is not None and message.endpoints.departed:
             state.endpoints_told_departed(message.endpoints.departed, message.node)
         news.merge_statements(
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -36,6 +36,7 @@
     "crash_report",
     "departed_marks",
     "heaviest",
+    "limit_age",
     "news_of_group",
     "sent_at",
     "table_beat",
@@ -83,6 +84,7 @@
 a slow link."""
 
 _AHEAD_MS: Millis = 1_000
+_LONGEST_AGE_MS: Millis = 2**40
 """By which a message may seem to be from the future: gateways know lower bounds of the
 store's time. One that is further ahead is dated by a former clock of the store."""
 
@@ -171,8 +173,14 @@
 
 def crash_report(beat: CrashBeat, now: Millis) -> CrashReport:
     """Return the crash report that a message carries for one request."""
-    answered_at = None if beat.answered is None else now - beat.answered
-    return CrashReport({mark: now - age for mark, age in beat.crashes}, answered_at)
+    answered_at = None if beat.answered is None else now - limit_age(beat.answered)
+    crashes = {mark: now - limit_age(age) for mark, age in beat.crashes}
+    return CrashReport(crashes, answered_at)
+
+
+def limit_age(age: Millis) -> Millis:
+    """Return an age that can be told again later, whatever another gateway told."""
+    return max(-_LONGEST_AGE_MS, min(age, _LONGEST_AGE_MS))
 
 
 def news_of_group(beat: GroupBeat) -> GroupStatus:
--- a/src/azurefold/internal/http_client.py
+++ b/src/azurefold/internal/http_client.py
@@ -58,11 +58,13 @@
 class _Pool(ConnectionPool):
     """Connections without delayed writes, made for streams."""
 
+    most_unread: int = _MOST_UNREAD_BYTES
+
     def _create_tcp_socket(
         self, family: int, socktype: int, protocol: int
     ) -> StreamSocket:
         sock = StreamSocket(family, socktype, protocol)
-        sock.most_unread = _MOST_UNREAD_BYTES
+        sock.most_unread = self.most_unread
         tune_connection(sock)
         return sock
 
@@ -72,8 +74,19 @@
     connect_timeout_ms: Millis,
     read_timeout_ms: Millis,
     concurrency: int = 64,
+    most_unread: int | None = None,
 ) -> HTTPClient:
-    """Return a client with a pool of kept-alive connections to one address."""
+    """Return a client with a pool of kept-alive connections to one address.
+
+    Parameters
+    ----------
+    address : str
+    connect_timeout_ms, read_timeout_ms : int
+    concurrency : int, default=64
+        Connections that are kept.
+    most_unread : int, optional
+        Bytes of an answer that its reader has not taken; by default enough for all.
+    """
     host, port = split_address(address)
     client = HTTPClient(host, port, block_size=_BLOCK_BYTES)
     # The client takes no pool of ours as an argument.
@@ -86,6 +99,7 @@
         connection_timeout=connect_timeout_ms / _SECOND_MS,
         network_timeout=read_timeout_ms / _SECOND_MS,
     )
+    client._connection_pool.most_unread = most_unread or _MOST_UNREAD_BYTES
     # The client sends what may be repeated once more for each connection that the
     # pool may hold, should they all have been closed meanwhile. Before a server that
     # resets every connection that made four calls of one, each of which has its price
--- a/src/azurefold/platform/ranks.py
+++ b/src/azurefold/platform/ranks.py
@@ -39,6 +39,9 @@
 _LARGEST_ANSWER_BYTES = 1_048_576
 """Counts and maps of a rank have some ten kilobytes."""
 
+_MOST_RANKS = 65_536
+_MOST_ACTIVE = 1_000_000
+
 _SECOND_MS = 1_000
 _OPEN = "open"
 
@@ -79,9 +82,11 @@
 
 class _Report(msgspec.Struct):
     group: _Group | None = None
-    size: Count = 0
+    size: Annotated[int, msgspec.Meta(ge=0, le=_MOST_RANKS)] = 0
     step: Count = 0
-    active: Count = msgspec.field(name="Active", default=0)
+    active: Annotated[int, msgspec.Meta(ge=0, le=_MOST_ACTIVE)] = msgspec.field(
+        name="Active", default=0
+    )
     pace: Annotated[float, msgspec.Meta(ge=0)] = 1.0
     # A version, although elsewhere a field of this name holds experts.
     version: Count = msgspec.field(name="ExpertMap", default=0)
@@ -125,6 +130,8 @@
         if read is None or read.group is None:
             return None
         group = read.group
+        if group.rank >= read.size:
+            return None
         view = RankView(
             rank=group.rank,
             epoch=group.epoch,
@@ -139,12 +146,17 @@
         )
         return RankReport(group.name, read.size, view, read.born)
 
-    def counts(self, n_layers: int) -> tuple[CountSample, int] | None:
-        """Return the rank's counts and the last pass that was begun."""
+    def counts(self, n_layers: int, n_experts: int) -> tuple[CountSample, int] | None:
+        """Return the rank's counts and the last pass that was begun.
+
+        None if they are not those of ``n_experts`` in each of ``n_layers``.
+        """
         read = self._decoded("/picked", _decode_counts)
         if read is None or not read.counts:
             return None
-        per_layer = len(read.counts) // n_layers
+        if len(read.counts) != n_layers * n_experts:
+            return None
+        per_layer = n_experts
         layers = tuple(
             tuple(read.counts[start : start + per_layer])
             for start in range(0, per_layer * n_layers, per_layer)
@@ -212,7 +224,13 @@
 
 def rank_client(endpoint: str, address: str) -> RankClient:
     """Return a client of the rank at ``address``."""
-    client = http_client(address, _CALL_TIMEOUT_MS, _CALL_TIMEOUT_MS, concurrency=2)
+    client = http_client(
+        address,
+        _CALL_TIMEOUT_MS,
+        _CALL_TIMEOUT_MS,
+        concurrency=2,
+        most_unread=2 * _LARGEST_ANSWER_BYTES,
+    )
     return RankClient(endpoint, client)
 
 
