Refuse callers' odd bodies and timeouts with 400

What a caller saw: 500 for a completion whose unknown field is nested 20,000 levels deep, and for an Azurefold-Timeout-Ms of 5,000 digits that begins with zeros. One of 300 digits that begins with zeros passed as a deadline that never comes.

The decoder's RecursionError was not among the errors that were expected, and the timeout's check read only the first 12 digits of a number that was then converted whole.

--- a/src/azurefold/entry/caller_headers.py
+++ b/src/azurefold/entry/caller_headers.py
@@ -20,6 +20,7 @@
 
 _MAX_KEY_LENGTH = 255
 _MAX_DEADLINE_MS: Millis = 3_600_000
+_MAX_DIGITS = 12
 _TRUTHS = {"true": True, "false": False}
 _PRIORITIES = {"confirmation": Priority.CONFIRMATION, "draft": Priority.DRAFT}
 
@@ -51,7 +52,8 @@
     text = req.get_header("Azurefold-Timeout-Ms")
     if text is None:
         return default
-    if not text.isdecimal() or not 0 < int(text[:12]) <= _MAX_DEADLINE_MS:
+    is_number = text.isdecimal() and len(text) <= _MAX_DIGITS
+    if not is_number or not 0 < int(text) <= _MAX_DEADLINE_MS:
         raise BadRequestError(
             400,
             "bad_timeout",
--- a/src/azurefold/entry/requests.py
+++ b/src/azurefold/entry/requests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from azurefold.border.decoding import UnreadableError, json_decoder
 from azurefold.core.admission.messages import Priority
 from azurefold.core.attempts.ids import AnswerId
 from azurefold.core.callers.memory import Reservation
@@ -95,7 +96,7 @@
     held: Reservation | None = None
 
 
-_decode_completion = msgspec.json.Decoder(CompletionBody).decode
+_decode_completion = json_decoder(CompletionBody)
 
 
 def parse_completion(body: bytes) -> CompletionBody:
@@ -108,7 +109,7 @@
     """
     try:
         completion = _decode_completion(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UnreadableError as error:
         raise BadRequestError(
             400, "bad_body", f"Send a JSON object with model and prompt: {error}."
         ) from error
