Refuse answer ids that fit into no path

What a caller saw: 500 for a Last-Event-ID with a space in it, because the HTTP client refuses to send a path that has one. Other characters, such as "?" or "/../", went to the agent as part of the path.

The parts of an answer id were only checked for being there. They are now letters, digits, dots, dashes and underscores, which is all that entries issue; anything else is a 400.

--- a/src/azurefold/core/attempts/ids.py
+++ b/src/azurefold/core/attempts/ids.py
@@ -1,5 +1,6 @@
 """Attempt ids, and answer ids that locate the agent that keeps an answer."""
 
+import re
 from dataclasses import dataclass
 
 from azurefold.core.clock import Millis
@@ -13,7 +14,7 @@
 ]
 
 _SEPARATOR = "~"
-_PART_COUNT = 4
+_FORM = re.compile(r"([\w.-]+)~([\w.-]+)~([\w.-]+)~([0-9]{1,12})", re.ASCII)
 _TIME_DIGITS = 12
 
 
@@ -93,11 +94,12 @@
     InvalidAnswerIdError
         If the text has another form.
     """
-    parts = text.split(_SEPARATOR)
-    is_well_formed = len(parts) == _PART_COUNT and all(parts) and parts[3].isdecimal()
-    if not is_well_formed or len(parts[3]) > 12:
+    # The parts go into paths and headers of requests to agents.
+    matched = _FORM.fullmatch(text)
+    if matched is None:
         raise InvalidAnswerIdError(
             "send the id of the last event unchanged, "
             "in the form endpoint~incarnation~attempt~offset"
         )
-    return AnswerId(parts[0], parts[1], parts[2], int(parts[3]))
+    endpoint, incarnation, attempt_id, offset = matched.groups()
+    return AnswerId(endpoint, incarnation, attempt_id, int(offset))
--- a/tests/entry/test_odd_requests_of_callers.py
+++ b/tests/entry/test_odd_requests_of_callers.py
@@ -40,6 +40,15 @@
         read_timeout(falcon.Request(environ), 1_000)
 
 
+@pytest.mark.parametrize("part", ["a b", "a\xff", "a/../b", "a?from=0", "a#", "a%0d"])
+@pytest.mark.parametrize("answer", ["{}~7~a1~0", "e~{}~a1~0", "e~7~{}~0"])
+def test_an_answer_id_that_fits_into_no_path_or_header_is_refused(answer, part):
+    """Guards against an answer 500 from the client that is to ask for the answer."""
+    environ = create_environ(headers={"Last-Event-ID": answer.format(part)})
+    with pytest.raises(BadRequestError):
+        read_last_event_id(falcon.Request(environ))
+
+
 @given(st.text(max_size=40))
 def test_any_header_is_an_answer_id_or_refused(text):
     environ = create_environ()
