Bear odd replies of agents

What a caller would see: 500, though the agent has taken the request, when the agent's header Azurefold-Running holds no number; the same for a refusal with a deeply nested field. A state of an attempt that the entry doesn't know raised a ValueError past the handler as well.

An odd number of running attempts counts as 0, which only makes the agent look less busy until its next reply; a refusal or state that cannot be read counts as lost, and the entry asks what became of the attempt.

The unknown state has no test of its own.

--- a/src/azurefold/border/decoding.py
+++ b/src/azurefold/border/decoding.py
@@ -1,5 +1,6 @@
 """One way to decode what other processes have written, and to refuse it."""
 
+import re
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from ipaddress import AddressValueError, IPv4Address
@@ -13,6 +14,7 @@
     "MillisecondsField",
     "Port",
     "UnreadableError",
+    "as_whole_number",
     "check_address",
     "check_ip",
     "check_name",
@@ -28,6 +30,7 @@
 _HIGHEST_PORT = 65_535
 _PORT_DIGITS = 5
 _LONGEST_SHOWN = 80
+_WHOLE_NUMBER = re.compile(r"-?[0-9]{1,15}")
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=LARGEST_COUNT)]
 MillisecondsField = Annotated[float, msgspec.Meta(ge=0, le=_LONGEST_MS)]
@@ -64,7 +67,7 @@
         raise kind(str(error) or type(error).__name__) from error
 
 
-def json_decoder(kind: type[_Kind]) -> Callable[[bytes], _Kind]:
+def json_decoder(kind: type[_Kind]) -> Callable[[bytes | str], _Kind]:
     """Return a decoder of JSON that raises only :class:`UnreadableError`."""
     return _guarded(msgspec.json.Decoder(kind).decode)
 
@@ -74,8 +77,8 @@
     return _guarded(msgspec.msgpack.Decoder(kind).decode)
 
 
-def _guarded(decode: Callable[[bytes], _Kind]) -> Callable[[bytes], _Kind]:
-    def guarded(data: bytes) -> _Kind:
+def _guarded(decode: Callable[..., _Kind]) -> Callable[..., _Kind]:
+    def guarded(data: bytes | str) -> _Kind:
         try:
             return decode(data)
         except (msgspec.MsgspecError, RecursionError, ValueError) as error:
@@ -84,6 +87,17 @@
     return guarded
 
 
+def as_whole_number(text: str, default: int = 0) -> int:
+    """Return the whole number in a header, or ``default`` if it holds none.
+
+    Examples
+    --------
+    >>> as_whole_number("-12"), as_whole_number("--12"), as_whole_number("9" * 300)
+    (-12, 0, 0)
+    """
+    return int(text) if _WHOLE_NUMBER.fullmatch(text) else default
+
+
 def check_address(text: str) -> str:
     """Return an address ``"ip:port"`` that a connection can be made to.
 
--- a/src/azurefold/entry/agents.py
+++ b/src/azurefold/entry/agents.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 
 import gevent
-import msgspec
 from geventhttpclient import HTTPClient
 
+from azurefold.border.decoding import UnreadableError, as_whole_number, json_decoder
 from azurefold.core.attempts.request_state import AttemptStatus
 from azurefold.core.clock import Clock, Millis
 from azurefold.entry.agent_channels import AgentChannels
@@ -38,6 +38,9 @@
 _OK = 200
 _ACCEPTED = 202
 
+_decode_refused = json_decoder(RefusedBody)
+_decode_settled = json_decoder(SettledBody)
+
 
 @dataclass(slots=True)
 class Agents:
@@ -117,9 +120,9 @@
             response = client.post(path, headers=headers)
             if response.status_code != _OK:
                 raise LostError(f"status {response.status_code}")
-            body = msgspec.json.decode(bytes(response.read()), type=SettledBody)
+            body = _decode_settled(bytes(response.read()))
             return AttemptStatus(body.state)
-        except (*CONNECTION_ERRORS, msgspec.MsgspecError) as error:
+        except (*CONNECTION_ERRORS, ValueError) as error:
             raise LostError(str(error)) from error
         finally:
             client.close()
@@ -215,14 +218,14 @@
 
 
 def _running(response: object) -> int:
-    return int(str(response.get(HEADER_RUNNING, "0")))
+    return max(0, as_whole_number(str(response.get(HEADER_RUNNING, "0"))))
 
 
 def _not_taken(response: object) -> NotTaken:
     data = bytes(response.read())
     try:
-        return NotTaken(msgspec.json.decode(data, type=RefusedBody).reason)
-    except msgspec.MsgspecError as error:
+        return NotTaken(_decode_refused(data).reason)
+    except UnreadableError as error:
         raise LostError(f"status {response.status_code} without a reason") from error
 
 
