Refuse odd lines of answers with one error

An agent's line with a further, deeply nested part raised a RecursionError past the handlers of the entry: the reader of a channel ended, and with it all answers on that channel were lost. Negative and 300-digit offsets, totals and statuses were taken for real ones, and an answer's status went to the caller as it was.

Lines are decoded by the decoder with one error and with numbers of a range. An odd line now loses its own attempt only, which is taken up again over a connection of its own.

--- a/src/azurefold/wire/frames.py
+++ b/src/azurefold/wire/frames.py
@@ -6,8 +6,11 @@
 that the entry has given to its attempt.
 """
 
+from typing import Annotated
+
 import msgspec
 
+from azurefold.border.decoding import Count, UnreadableError, json_decoder
 from azurefold.core.attempts.frames import EndFrame, Frame
 
 __all__ = [
@@ -33,12 +36,12 @@
 
 
 class _Text(msgspec.Struct, array_like=True, tag="f", frozen=True):
-    offset: int
+    offset: Count
     text: str
 
 
 class _End(msgspec.Struct, array_like=True, tag="e", frozen=True):
-    total: int
+    total: Count
     digest: str
 
 
@@ -63,12 +66,12 @@
     content_type : str
     """
 
-    status: int
+    status: Annotated[int, msgspec.Meta(ge=100, le=599)]
     content_type: str
 
 
 _encode = msgspec.json.Encoder().encode
-_decode = msgspec.json.Decoder(_Text | _End | Broken | Head).decode
+_decode = json_decoder(_Text | _End | Broken | Head)
 
 
 def encode_frame(offset: int, text: str) -> bytes:
@@ -107,7 +110,7 @@
     """
     try:
         message = _decode(line)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UnreadableError as error:
         raise BadLineError(f"a line from an agent is no frame: {error}") from error
     match message:
         case _Text(offset=offset, text=text):
