Answer "unknown" where a claim cannot be read

What a caller would see: 500 for a request with an Idempotency-Key whose row another program has written or damaged, in place of whether the request was run.

No error of decoding the row was handled. An earlier call with the key may have been run, so the failure now says that this call was not run and that it is unknown of the others. Names that fit into no path are refused, too, because the agent is asked for the claimed answer.

--- a/src/azurefold/entry/claims.py
+++ b/src/azurefold/entry/claims.py
@@ -8,6 +8,7 @@
 import msgspec
 from gevent.event import AsyncResult, Event
 
+from azurefold.border.decoding import UnreadableError, json_decoder, unreadable_as
 from azurefold.core.attempts.claims import (
     Claim,
     ClaimAcquired,
@@ -15,6 +16,7 @@
     KeyReused,
     decide_claim,
 )
+from azurefold.core.attempts.ids import AnswerId, parse_answer_id
 from azurefold.core.attempts.outcome import Failure, RunStatus
 from azurefold.core.clock import Millis
 from azurefold.internal.logs import log_event
@@ -43,6 +45,11 @@
 _RETRY_AFTER_MS: Millis = 2_000
 _WRITERS = 4
 _RESULTS = {ClaimAcquired: "taken", FollowAttempt: "followed", KeyReused: "reused"}
+_decode_claim = json_decoder(Claim)
+_CLAIM_UNREADABLE = (
+    "This call was not run. Whether an earlier one with the same "
+    "Idempotency-Key was run cannot be told, as its row cannot be read."
+)
 _KEY_UNCHECKED = (
     "This call was not run. Whether an earlier one with the same "
     "Idempotency-Key was run cannot be looked up now; come back later."
@@ -206,8 +213,13 @@
         if isinstance(row, Unavailable):
             self.writer.results["unavailable"] += 1
             return _unavailable(row.reason)
+        try:
+            held = _claim_in(row)
+        except UnreadableError:
+            self.writer.results["unavailable"] += 1
+            return _unreadable()
         self._version = row.version
-        decision = decide_claim(own, msgspec.json.decode(row.value, type=Claim))
+        decision = decide_claim(own, held)
         self.writer.results[_RESULTS[type(decision)]] += 1
         if isinstance(decision, KeyReused):
             return _reused()
@@ -233,7 +245,15 @@
         row = found.rows.get(self.key)
         if row is None:
             return failure
-        claim = msgspec.json.decode(row.value, type=Claim)
+        try:
+            claim = _claim_in(row)
+        except UnreadableError:
+            return replace(
+                failure,
+                ran=RunStatus.UNKNOWN,
+                detail=_CLAIM_UNREADABLE,
+                this_call=RunStatus.NOT_RUN,
+            )
         if claim.request != self.request:
             return _reused()
         self._version = row.version
@@ -246,6 +266,15 @@
     return Transaction(conditions, puts)
 
 
+def _claim_in(row: Row) -> Claim:
+    """Return the claim; its names go into paths of requests to the agent."""
+    with unreadable_as(UnreadableError):
+        claim = _decode_claim(row.value)
+        answer = AnswerId(claim.endpoint, claim.incarnation, claim.attempt_id)
+        parse_answer_id(str(answer))
+        return claim
+
+
 def _value(wish: _Wish) -> str:
     return msgspec.json.encode(wish.claim).decode()
 
@@ -268,6 +297,15 @@
     )
 
 
+def _unreadable() -> Failure:
+    return Failure(
+        RunStatus.UNKNOWN,
+        "claim_unreadable",
+        _CLAIM_UNREADABLE,
+        this_call=RunStatus.NOT_RUN,
+    )
+
+
 def _reused() -> Failure:
     return Failure(
         RunStatus.NOT_RUN,
