Take odd bodies of calls between processes for malformed

A sealed request, response or rank's message with an unknown field nested 20,000 levels deep raised a RecursionError past the handlers: a server's log got a traceback and its counter of malformed requests nothing, and the loops that expect CallError (the entry's watch of its control process, a coordinator's calls of ranks) ended in their caller.

All three places raise the error that their callers expect for whatever decoding raises.

--- a/src/azurefold/wire/group_messages.py
+++ b/src/azurefold/wire/group_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from azurefold.border.decoding import unreadable_as
 from azurefold.core.groups.messages import MESSAGE_TYPES, Message
 
 __all__ = [
@@ -98,7 +99,5 @@
     kind = MESSAGE_TYPES.get(content.name)
     if kind is None:
         raise msgspec.ValidationError(f"no message is called {content.name!r}")
-    try:
+    with unreadable_as(msgspec.ValidationError):
         return msgspec.msgpack.decode(content.payload, type=kind)
-    except msgspec.DecodeError as error:
-        raise msgspec.ValidationError(str(error)) from error
--- a/src/azurefold/wire/grpc_caller.py
+++ b/src/azurefold/wire/grpc_caller.py
@@ -7,6 +7,7 @@
 import grpc
 import msgspec
 
+from azurefold.border.decoding import UnreadableError, unreadable_as
 from azurefold.core.clock import SECOND, Clock, Millis
 from azurefold.internal.clock import wall_clock
 from azurefold.wire.grpc_service import (
@@ -183,8 +184,9 @@
             detail = f"response refused: {opened.reason}"
             raise CallError(method, self._address, CallFailure.FAILED, detail)
         try:
-            return msgspec.msgpack.decode(opened.payload, type=response_type)
-        except msgspec.MsgspecError as error:
+            with unreadable_as(UnreadableError):
+                return msgspec.msgpack.decode(opened.payload, type=response_type)
+        except UnreadableError as error:
             detail = f"response malformed: {error}"
             raise CallError(
                 method, self._address, CallFailure.FAILED, detail
--- a/src/azurefold/wire/grpc_service.py
+++ b/src/azurefold/wire/grpc_service.py
@@ -15,6 +15,7 @@
 import grpc
 import msgspec
 
+from azurefold.border.decoding import UnreadableError, unreadable_as
 from azurefold.core.clock import SECOND, Clock, Millis
 from azurefold.internal.clock import wall_clock
 from azurefold.wire.http_auth import RequestParts, verify_request
@@ -144,8 +145,9 @@
             self.on_reject(opened.reason)
             context.abort(grpc.StatusCode.UNAUTHENTICATED, opened.reason.value)
         try:
-            request = msgspec.msgpack.decode(body, type=handler.request)
-        except msgspec.MsgspecError as error:
+            with unreadable_as(UnreadableError):
+                request = msgspec.msgpack.decode(body, type=handler.request)
+        except UnreadableError as error:
             self.on_reject(Reason.MALFORMED)
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
         return request, opened, value or ""
