Bear odd headers, orders, events and replies at the agent

Four places where an agent decodes what others write expected only some of the errors:

- A deadline or priority such as "--5", or of 5,000 digits, got a 500 in place of a refusal that says that nothing ran; one of 300 digits was taken as it was.
It now counts as none.
- An order to leave that is not one got a 500.
It now gets a 400.
- An engine's event with a deeply nested field ended the greenlet that copies the answer, so the attempt seemed to run for ever.
The stream now counts as broken and is resumed; negative and 300-digit offsets are refused the same way.
- An engine's reply with a deeply nested field, or with a number that no message between processes can hold, ended the loop that follows the engine.
It now counts as no reply.

--- a/src/azurefold/agent/endpoint.py
+++ b/src/azurefold/agent/endpoint.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from azurefold.border.decoding import Count, UnreadableError, json_decoder
 from azurefold.core.clock import Millis
 from azurefold.internal.http_client import (
     CONNECTION_ERRORS,
@@ -112,13 +113,13 @@
 
 
 class _Event(msgspec.Struct):
-    offset: int = 0
+    offset: Count = 0
     text: str = ""
     done: bool = False
-    total: int = 0
+    total: Count = 0
 
 
-_decode_event = msgspec.json.Decoder(_Event).decode
+_decode_event = json_decoder(_Event)
 
 
 def parse_event(data: bytes) -> _Event:
@@ -131,7 +132,7 @@
     """
     try:
         return _decode_event(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UnreadableError as error:
         raise StreamBrokeError(f"the engine sent no event: {error}") from error
 
 
--- a/src/azurefold/agent/expert_maps_engine.py
+++ b/src/azurefold/agent/expert_maps_engine.py
@@ -8,6 +8,7 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from azurefold.border.decoding import UnreadableError, unreadable_as
 from azurefold.core.clock import Millis
 from azurefold.core.groups.engine import EngineOrder, EngineReply
 from azurefold.core.groups.popularity import RankReport
@@ -79,10 +80,14 @@
                 answer = bytes(response.read())
             if response.status_code != HTTPStatus.OK:
                 raise EngineFailedError(f"status {response.status_code}")
-            return msgspec.json.decode(answer, type=kind)
+            with unreadable_as(UnreadableError):
+                decoded = msgspec.json.decode(answer, type=kind)
+                # Numbers that fit into no message between processes are of no use.
+                msgspec.msgpack.encode(decoded)
+                return decoded
         except gevent.Timeout as timeout:
             raise EngineFailedError(f"no answer in {_TIMEOUT_MS} ms") from timeout
-        except (*CONNECTION_ERRORS, msgspec.MsgspecError) as error:
+        except (*CONNECTION_ERRORS, UnreadableError) as error:
             raise EngineFailedError(str(error)) from error
 
 
--- a/src/azurefold/agent/http_api.py
+++ b/src/azurefold/agent/http_api.py
@@ -21,6 +21,7 @@
 from azurefold.agent.buffer import AnswerBuffer
 from azurefold.agent.endpoint import EndpointCall
 from azurefold.agent.runner import Attached, NotStarted, Runner
+from azurefold.border.decoding import as_whole_number
 from azurefold.core.attempts.ledger import AlreadyKnown, NotRun, OutcomeUnknown
 from azurefold.wire.attempts import (
     HEADER_DEADLINE,
@@ -38,6 +39,7 @@
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _LINES = "application/x-ndjson"
+_NO_NUMBER = -1
 
 
 def _refuse(resp: falcon.Response, status: str, reason: str) -> None:
@@ -46,8 +48,7 @@
 
 
 def _number(req: falcon.Request, header: str, default: int) -> int:
-    text = req.get_header(header) or ""
-    return int(text) if text.lstrip("-").isdecimal() else default
+    return as_whole_number(req.get_header(header) or "", default)
 
 
 def _early_headers(lines: Iterator[bytes]) -> Iterator[bytes]:
@@ -101,10 +102,11 @@
     def _give(self, req: falcon.Request, resp: falcon.Response, buffer: AnswerBuffer):
         channel_id, _, number = (req.get_header(HEADER_CHANNEL) or "").partition("/")
         channel = self.runner.channels.find(channel_id)
-        if channel is None or not number.isdecimal():
+        known = as_whole_number(number, _NO_NUMBER)
+        if channel is None or known < 0:
             self._stream(resp, buffer, 0)
             return
-        buffer.follow(channel, int(number))
+        buffer.follow(channel, known)
         resp.status = falcon.HTTP_202
         resp.set_header(HEADER_RUNNING, str(self.runner.ledger.running_count))
 
--- a/src/azurefold/agent/leaving.py
+++ b/src/azurefold/agent/leaving.py
@@ -7,12 +7,15 @@
 
 from azurefold.agent.heartbeats import Heartbeats
 from azurefold.agent.runner import Runner
+from azurefold.border.decoding import UnreadableError, json_decoder
 from azurefold.core.membership.endpoints import State
 from azurefold.internal.identity import Identity
 from azurefold.wire.orders import PATH_LEAVE, LeaveReply, LeaveRequest
 
 __all__ = ["leave_route"]
 
+_decode_order = json_decoder(LeaveRequest)
+
 
 @dataclass(frozen=True, slots=True)
 class _Leave:
@@ -21,7 +24,10 @@
     heartbeats: Heartbeats
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        order = msgspec.json.decode(req.context.body, type=LeaveRequest)
+        try:
+            order = _decode_order(req.context.body)
+        except UnreadableError as error:
+            raise falcon.HTTPBadRequest(description=str(error)) from error
         ledger = self.runner.ledger
         # An order that was held up must not make a later life leave: the
         # operator meant the one that was there.
