Refuse odd heads and sections with ValueError only

Readers of heads, marks and sections expect ValueError, but a row or section nested 20,000 levels deep raised a RecursionError, an infinite revision an OverflowError, and a section of organisations that is a list or a number a TypeError. These ended an entry's watch of its control process and a control process's fetch of a head. A negative or 300-digit revision, and half a character in a name, passed and failed later, where the head was put into a message.

All of them are a ValueError now, raised in place, because the core imports no border.

--- a/src/azurefold/core/configuration/head.py
+++ b/src/azurefold/core/configuration/head.py
@@ -31,6 +31,7 @@
     "is_descendant_of",
 ]
 
+_HIGHEST_REVISION = 2**53
 MAX_CHAIN_LENGTH = 32
 """Edits that a head lists. An older head beyond these cannot be recognised as an
 ancestor by the chain alone; :func:`classify_relation` classifies it as forked."""
@@ -236,8 +237,10 @@
     try:
         sections = {str(k): str(v) for k, v in raw["sections"].items()}
         chain = tuple(str(edit_id) for edit_id in raw["chain"])
-        return Head(int(raw["revision"]), str(raw["edit_id"]), sections, chain)
-    except (KeyError, TypeError, AttributeError) as error:
+        edit_id = str(raw["edit_id"])
+        _check_encodable(edit_id, *sections, *sections.values(), *chain)
+        return Head(_revision(raw), edit_id, sections, chain)
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"malformed head: {error}") from error
 
 
@@ -251,13 +254,30 @@
     """
     raw = _decode_object(text)
     try:
-        return HeadId(int(raw["revision"]), str(raw["edit_id"]), str(raw["digest"]))
-    except (KeyError, TypeError) as error:
+        edit_id, digest = str(raw["edit_id"]), str(raw["digest"])
+        _check_encodable(edit_id, digest)
+        return HeadId(_revision(raw), edit_id, digest)
+    except (KeyError, TypeError, OverflowError) as error:
         raise ValueError(f"malformed head id: {error}") from error
 
 
 def _decode_object(text: str) -> dict:
-    raw = json.loads(text)
+    try:
+        raw = json.loads(text)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
     if not isinstance(raw, dict):
         raise ValueError("not a JSON object")
     return raw
+
+
+def _revision(raw: dict) -> int:
+    revision = int(raw["revision"])
+    if not 0 <= revision <= _HIGHEST_REVISION:
+        raise ValueError("the revision is out of range")
+    return revision
+
+
+def _check_encodable(*texts: str) -> None:
+    # JSON can hold half of a character, which no message can.
+    "".join(texts).encode("utf-8")
--- a/src/azurefold/core/configuration/sections.py
+++ b/src/azurefold/core/configuration/sections.py
@@ -107,14 +107,24 @@
     for name, data in sections.items():
         kind, _, suffix = name.partition("/")
         if kind == _SERVICE:
-            services[suffix] = json.loads(data)
+            services[suffix] = _loaded(name, data)
         elif kind == _ORGANISATIONS:
-            organisations.update(json.loads(data))
+            chunk = _loaded(name, data)
+            if not isinstance(chunk, dict):
+                raise ValueError(f"configuration section {name!r} is no JSON object")
+            organisations.update(chunk)
         else:
             raise ValueError(f"unknown configuration section {name!r}")
     return {"services": services, "organisations": organisations}
 
 
+def _loaded(name: str, data: bytes) -> Any:
+    try:
+        return json.loads(data)
+    except RecursionError as error:
+        raise ValueError(f"configuration section {name!r} nests too deeply") from error
+
+
 def select_services(sections: Mapping[str, bytes]) -> Sections:
     """Return the sections that hold services.
 
