Bear odd answers of the platform in the site store

PlatformClient promises to raise nothing for a platform that answers nonsense. An answer, lease or edit's row with an unknown field nested 20,000 levels deep raised a RecursionError all the same and ended the loops that poll the configuration, the leases and the list of VMs. Versions and fences that are negative or of 300 digits were taken for real, and an OK to a write that names no version of a row raised a KeyError where a lease or claim had perhaps been written.

All decoding raises one error, which becomes Unavailable, or Unknown after a write; versions are numbers of a range, and an OK without all versions is Unknown, so the write is read back.

--- a/src/azurefold/site_store/client.py
+++ b/src/azurefold/site_store/client.py
@@ -8,9 +8,10 @@
 """
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import gevent
@@ -18,6 +19,7 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from azurefold.border.decoding import Count, UnreadableError, json_decoder
 from azurefold.site_store.connections import NotSentError, http_client
 from azurefold.site_store.messages import (
     Conflict,
@@ -38,13 +40,15 @@
 
 _DEFAULT_CONCURRENCY = 16
 
+_Kind = TypeVar("_Kind")
+
 
 class _RowList(msgspec.Struct):
     rows: list[Row]
 
 
 class _Versions(msgspec.Struct):
-    versions: dict[str, int]
+    versions: dict[str, Count]
 
 
 class _VmList(msgspec.Struct):
@@ -55,6 +59,12 @@
     applied: bool
 
 
+_decode_rows = json_decoder(_RowList)
+_decode_versions = json_decoder(_Versions)
+_decode_vms = json_decoder(_VmList)
+_decode_refusal = json_decoder(_Refusal)
+
+
 @dataclass(frozen=True, slots=True)
 class _Answer:
     status: int
@@ -93,7 +103,12 @@
         answer = self._ask("POST", "/table", body)
         if not isinstance(answer, _Answer):
             return answer
-        return _write_result(answer)
+        result = _write_result(answer)
+        if isinstance(result, Written):
+            missing = [p.key for p in transaction.puts if p.key not in result.versions]
+            if missing:
+                return Unknown(f"an answer without the version of {missing[0]!r}")
+        return result
 
     def put_object(self, data: bytes) -> Stored | Unavailable:
         """Store ``data`` under its hash; doing so twice changes nothing."""
@@ -124,7 +139,7 @@
     def vms(self) -> Vms | Unavailable:
         """Read the list of VMs, which lags."""
         answer = self._ask("GET", "/vms")
-        listed = _decoded(answer, _VmList)
+        listed = _decoded(answer, _decode_vms)
         if isinstance(listed, Unavailable):
             return listed
         return Vms(tuple(listed.vms))
@@ -135,7 +150,7 @@
             client.close()
 
     def _read_rows(self, uri: str) -> Rows | Unavailable:
-        listed = _decoded(self._ask("GET", uri), _RowList)
+        listed = _decoded(self._ask("GET", uri), _decode_rows)
         if isinstance(listed, Unavailable):
             return listed
         return Rows({row.key: row for row in listed.rows})
@@ -190,28 +205,28 @@
     try:
         match answer.status:
             case HTTPStatus.OK:
-                return Written(
-                    msgspec.json.decode(answer.body, type=_Versions).versions
-                )
+                return Written(_decode_versions(answer.body).versions)
             case HTTPStatus.CONFLICT:
-                rows = msgspec.json.decode(answer.body, type=_RowList).rows
+                rows = _decode_rows(answer.body).rows
                 return Conflict({row.key: row for row in rows})
             case HTTPStatus.SERVICE_UNAVAILABLE:
                 # Only a refusal that says so itself is proof of no effect; a
                 # bare 503 may come from a gateway whose request got through.
-                if not msgspec.json.decode(answer.body, type=_Refusal).applied:
+                if not _decode_refusal(answer.body).applied:
                     return Unavailable("the platform refused the request")
-    except msgspec.MsgspecError as error:
+    except UnreadableError as error:
         return Unknown(f"status {answer.status} with a body not understood: {error}")
     return Unknown(f"status {answer.status}")
 
 
-def _decoded(answer: _Answer | Unknown | Unavailable, kind: type):
+def _decoded(
+    answer: _Answer | Unknown | Unavailable, decode: Callable[[bytes], _Kind]
+) -> _Kind | Unavailable:
     if not isinstance(answer, _Answer) or answer.status != HTTPStatus.OK:
         return _unavailable(answer)
     try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode(answer.body)
+    except UnreadableError as error:
         return Unavailable(f"an answer not understood: {error}")
 
 
--- a/src/azurefold/site_store/configuration_store.py
+++ b/src/azurefold/site_store/configuration_store.py
@@ -11,6 +11,7 @@
 import msgspec
 from gevent.pool import Pool
 
+from azurefold.border.decoding import UnreadableError, json_decoder
 from azurefold.core.configuration.acceptance import (
     OutcomeUnknown,
     WriteConflict,
@@ -69,6 +70,9 @@
     author: str = ""
 
 
+_decode_edit = json_decoder(EditRecord)
+
+
 @dataclass(frozen=True, slots=True)
 class Base:
     """What an edit builds upon.
@@ -200,8 +204,8 @@
             row = read.rows.get(_edit_key(revision))
             if row is not None:
                 try:
-                    records[revision] = msgspec.json.decode(row.value, type=EditRecord)
-                except msgspec.MsgspecError as error:
+                    records[revision] = _decode_edit(row.value)
+                except UnreadableError as error:
                     return Unavailable(f"the row of edit {revision}: {error}")
         return records
 
--- a/src/azurefold/site_store/lease_table.py
+++ b/src/azurefold/site_store/lease_table.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from azurefold.border.decoding import LARGEST_COUNT, UnreadableError, json_decoder
 from azurefold.core.groups.lease import (
     LeaseRow,
     OutcomeUnknown,
@@ -30,6 +31,8 @@
 
 _PREFIX = "group-lease/"
 
+_decode_lease = json_decoder(LeaseRow)
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseTable:
@@ -69,10 +72,15 @@
     if row is None:
         return VersionedLeaseRow()
     try:
-        return VersionedLeaseRow(
-            msgspec.json.decode(row.value, type=LeaseRow), row.version
-        )
-    except msgspec.MsgspecError:
+        lease = _decode_lease(row.value)
+    except UnreadableError:
+        lease = None
+    if lease is None or not _is_counted(lease):
         # Overwritten, a row that a newer version of the program understands
         # would let two coordinators in. Nobody coordinates until it is mended.
         return None
+    return VersionedLeaseRow(lease, row.version)
+
+
+def _is_counted(lease: LeaseRow) -> bool:
+    return all(0 <= each <= LARGEST_COUNT for each in (lease.fence, lease.attempt))
--- a/src/azurefold/site_store/messages.py
+++ b/src/azurefold/site_store/messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from azurefold.border.decoding import Count
+
 __all__ = [
     "Condition",
     "Conflict",
@@ -35,7 +37,7 @@
     """
 
     key: str
-    version: int
+    version: Count
     value: str
 
 
