Bear odd heads of peers and replies of agents in the control process

A delta of a head, or an agent's reply to an order to leave, with an unknown field nested 20,000 levels deep raised a RecursionError: the fetch ended without telling the follower that it failed, or the operator got an error of the call without a reason. A negative or 300-digit revision or number of running requests was passed on and failed where it was sent.

Both are decoded by the decoder with one error, and numbers have a range.

--- a/src/azurefold/control/drains.py
+++ b/src/azurefold/control/drains.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from azurefold.border.decoding import UnreadableError, json_decoder
 from azurefold.control.membership import MembershipLoop
 from azurefold.core.clock import Millis
 from azurefold.core.membership.endpoints import Endpoint
@@ -22,6 +23,8 @@
 
 _TIMEOUT_MS: Millis = 2_000
 
+_decode_reply = json_decoder(LeaveReply)
+
 
 @dataclass(frozen=True, slots=True)
 class Drains:
@@ -37,7 +40,7 @@
             return DrainReply(known=False, detail="no such endpoint is known here")
         try:
             reply = self._order(record)
-        except (*CONNECTION_ERRORS, msgspec.MsgspecError) as error:
+        except (*CONNECTION_ERRORS, UnreadableError) as error:
             return DrainReply(known=True, detail=str(error))
         return DrainReply(True, reply.leaving, reply.in_flight)
 
@@ -47,6 +50,6 @@
         client = fresh_client(record.address, _TIMEOUT_MS, _TIMEOUT_MS)
         try:
             response = client.post(PATH_LEAVE, body=body, headers=headers)
-            return msgspec.json.decode(bytes(response.read()), type=LeaveReply)
+            return _decode_reply(bytes(response.read()))
         finally:
             client.close()
--- a/src/azurefold/control/exchange.py
+++ b/src/azurefold/control/exchange.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from azurefold.border.decoding import LARGEST_COUNT, UnreadableError, json_decoder
 from azurefold.core.configuration.head import (
     Head,
     HeadDelta,
@@ -28,6 +29,8 @@
 
 _MAX_SECTION_BYTES = 4_194_304
 
+_decode_delta = json_decoder(HeadDelta)
+
 
 def packed_head(head: Head, base: Head | None) -> str:
     """Return ``head`` as JSON, as a delta if ``base`` is an earlier one.
@@ -80,7 +83,10 @@
 
 def _from_delta(text: str, base: Head) -> Head | None:
     try:
-        return apply_delta(base, msgspec.json.decode(text, type=HeadDelta))
-    except (ValueError, msgspec.MsgspecError) as error:
+        delta = _decode_delta(text)
+        if not 0 <= delta.revision <= LARGEST_COUNT:
+            raise UnreadableError("the revision is out of range")
+        return apply_delta(base, delta)
+    except ValueError as error:
         log_event(_log, "bad_head", logging.WARNING, why=error)
         return None
--- a/src/azurefold/wire/orders.py
+++ b/src/azurefold/wire/orders.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from azurefold.border.decoding import Count
+
 __all__ = [
     "METHOD_DRAIN",
     "METHOD_GET_HEAD",
@@ -66,7 +68,7 @@
     """The endpoint's own word on its leaving."""
 
     leaving: bool
-    in_flight: int
+    in_flight: Count
 
 
 class GetHead(msgspec.Struct, frozen=True):
