Count damaged lines of logs in place of ending in them

What an operator saw: azurefold-explain ends in a traceback at one damaged line among millions, if a priority has 5,000 digits, a duration of 300 digits or a time in the year 1 makes a date out of range, or a time has no offset and is compared with times that have one.

Such lines now count as unreadable, and an odd priority as an unknown one. Gateways log all times with an offset.

--- a/src/azurefold/commands/explain.py
+++ b/src/azurefold/commands/explain.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
 
+from azurefold.border.decoding import as_whole_number
 from azurefold.commands.log_lines import read_fields, time_of
 from azurefold.commands.reports import Exit, Report
 from azurefold.core.clock import Millis
@@ -26,6 +27,7 @@
 _MOST_IDS = 3
 _SHOWN_GATEWAYS = 3
 _ON_TIME = "on_time"
+_LAST = 2**53
 _NO_PRIORITY = "unknown"
 """Of lines of older releases, and of requests that were not admitted."""
 
@@ -86,7 +88,7 @@
             second = int(time_of(fields).timestamp())
             reason = self._reason(fields)
             gateway, request = fields["process"], fields["request"]
-        except (KeyError, ValueError):
+        except (KeyError, OverflowError, ValueError):
             self.unreadable += 1
             return
         self.requests.setdefault(reason, _Requests()).add(gateway, request)
@@ -167,9 +169,9 @@
     return Report(Exit.OK, tuple([_text(row) for row in rows] + notes), data)
 
 
-def _rank(priority: str) -> float:
+def _rank(priority: str) -> int:
     """Return the place of a priority in the table: those that are unknown come last."""
-    return int(priority) if priority.removeprefix("-").isdecimal() else float("inf")
+    return as_whole_number(priority, _LAST)
 
 
 def _row(tally: _Tally, reason: _Reason, total: int) -> dict[str, object]:
--- a/src/azurefold/commands/explain_request.py
+++ b/src/azurefold/commands/explain_request.py
@@ -178,7 +178,7 @@
                 self.gateways.read(fields)
             elif fields["request"] == self.request:
                 self._keep(fields)
-        except (KeyError, ValueError):
+        except (KeyError, OverflowError, ValueError):
             self.unreadable += is_named
 
     def _keep(self, fields: dict[str, str]) -> None:
--- a/src/azurefold/commands/log_lines.py
+++ b/src/azurefold/commands/log_lines.py
@@ -29,7 +29,10 @@
     KeyError, ValueError
         If it has no time, or one that cannot be read.
     """
-    return datetime.fromisoformat(fields["time"])
+    time = datetime.fromisoformat(fields["time"])
+    if time.tzinfo is None:
+        raise ValueError("a time without its offset cannot be compared with others")
+    return time
 
 
 def number_of(fields: Mapping[str, str], name: str) -> int | None:
