Tell odd answers and files to the operator

One entry whose metrics hold an infinite counter or a bucket without its edge, one control process whose status has a deeply nested field, or an odd file of earlier readings ended a whole report or status in a traceback. A counter of 300 digits was even saved, for the next report to end in.

The entry or control process counts as silent, with the reason, and the file is a finding. Counts have a range in what is read and in what is kept.

--- a/src/azurefold/commands/fleet.py
+++ b/src/azurefold/commands/fleet.py
@@ -7,6 +7,7 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from azurefold.border.decoding import Count, UnreadableError, json_decoder
 from azurefold.border.settings import OperatorControl
 from azurefold.core.clock import Millis
 from azurefold.internal.http_client import CONNECTION_ERRORS, http_client
@@ -34,11 +35,14 @@
 
     name: str
     data_centre: str
-    revision: int
+    revision: Count
     edit_id: str = ""
     alarms: tuple[str, ...] = ()
 
 
+_decode_status = json_decoder(ControlStatus)
+
+
 class Silent(msgspec.Struct, frozen=True):
     """A control process that gave no status."""
 
@@ -77,7 +81,7 @@
             return _decoded(control, client)
     except gevent.Timeout:
         return Silent(control.name, control.data_centre, "no answer in time")
-    except (*CONNECTION_ERRORS, msgspec.MsgspecError) as error:
+    except (*CONNECTION_ERRORS, UnreadableError) as error:
         return Silent(control.name, control.data_centre, str(error))
     finally:
         client.close()
@@ -85,9 +89,9 @@
 
 def _decoded(control: OperatorControl, client: HTTPClient) -> ControlStatus:
     body = bytes(client.get("/status").read())
-    status = msgspec.json.decode(body, type=ControlStatus)
+    status = _decode_status(body)
     if status.name != control.name:
         # Addresses are given out again to other VMs. Counted as the process
         # that is asked for, a stranger would make an edit look in force there.
-        raise msgspec.ValidationError(f"this is {status.name!r}")
+        raise UnreadableError(f"this is {status.name!r}")
     return status
--- a/src/azurefold/commands/report_history.py
+++ b/src/azurefold/commands/report_history.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from azurefold.border.decoding import UnreadableError, json_decoder
 from azurefold.border.findings import Finding, FindingsError, Place
 from azurefold.commands.report_readings import Reading
 from azurefold.core.clock import Millis
@@ -18,6 +19,8 @@
 
 __all__ = ["load_history", "save_history", "thinned"]
 
+_decode_readings = json_decoder(list[Reading])
+
 _SPACING = 32
 """Readings of age t are kept at least t / 32 apart. Thinned again at each run, the
 gaps come to at most twice that, so a window reaches back too far by 7% at most."""
@@ -38,8 +41,8 @@
     if not file.exists():
         return []
     try:
-        readings = msgspec.json.decode(file.read_bytes(), type=list[Reading])
-    except (OSError, msgspec.MsgspecError) as error:
+        readings = _decode_readings(file.read_bytes())
+    except (OSError, UnreadableError) as error:
         finding = Finding(
             Place(path), str(error), "a file that azurefold-report wrote, or none"
         )
--- a/src/azurefold/commands/report_readings.py
+++ b/src/azurefold/commands/report_readings.py
@@ -8,6 +8,12 @@
 from prometheus_client import Metric
 from prometheus_client.parser import text_string_to_metric_families
 
+from azurefold.border.decoding import (
+    LARGEST_COUNT,
+    Count,
+    UnreadableError,
+    unreadable_as,
+)
 from azurefold.core.clock import Clock, Millis
 from azurefold.core.configuration.model import Configuration, Service, ServiceKind
 from azurefold.core.objectives.counts import count_good_from_buckets
@@ -61,11 +67,11 @@
 
     service: str
     kind: str
-    threshold: Millis | None
+    threshold: Count | None
     organisation: str
     endpoint: str
-    good: int
-    total: int
+    good: Count
+    total: Count
 
 
 class Reading(msgspec.Struct, frozen=True):
@@ -81,7 +87,7 @@
         All of them.
     """
 
-    at: Millis
+    at: Count
     process: str
     tallies: tuple[Tally, ...]
 
@@ -171,13 +177,21 @@
             silent.append(text)
             continue
         try:
-            readings.append(Reading(now, address, parse_tallies(text, configuration)))
-            notes += too_fine(text, configuration)
-        except ValueError as error:
+            with unreadable_as(UnreadableError):
+                tallies = parse_tallies(text, configuration)
+                notes += too_fine(text, configuration)
+            readings.append(Reading(now, address, tallies))
+        except UnreadableError as error:
             silent.append(Unread(address, f"not in the exposition format: {error}"))
     return readings, silent, list(dict.fromkeys(notes))
 
 
+def _count(value: float) -> int:
+    if not 0 <= value <= LARGEST_COUNT:
+        raise ValueError(f"no count: {value}")
+    return int(value)
+
+
 def _fetch(address: str, timeout_ms: Millis) -> str | Unread:
     client = http_client(address, timeout_ms, timeout_ms, concurrency=1)
     try:
@@ -211,7 +225,7 @@
 
 def _answers(family: Metric | None, service: str) -> Iterator[Tally]:
     results = {
-        sample.labels.get("result", ""): int(sample.value)
+        sample.labels.get("result", ""): _count(sample.value)
         for sample in _totals(family)
         if sample.labels.get("service") == service
     }
@@ -228,7 +242,7 @@
     good: dict[str, int] = {}
     total: dict[str, int] = {}
     for sample in _totals(family):
-        name, value = sample.labels.get(label, ""), int(sample.value)
+        name, value = sample.labels.get(label, ""), _count(sample.value)
         total[name] = total.get(name, 0) + value
         if sample.labels.get("result") == _ANSWERED:
             good[name] = good.get(name, 0) + value
@@ -257,7 +271,7 @@
     name = next(name for name, measures in _HISTOGRAMS.items() if measures is kind)
     family = families.get(name)
     return [
-        (float(sample.labels["le"]), int(sample.value))
+        (float(sample.labels["le"]), _count(sample.value))
         for sample in (family.samples if family is not None else [])
         if sample.name.endswith("_bucket") and sample.labels.get("service") == service
     ]
