--- a/src/azurefold/border/fields.py
+++ b/src/azurefold/border/fields.py
@@ -41,13 +41,22 @@
 """A duration from one millisecond to a day."""
 
 
+def _checked_secret(secret: SecretStr) -> SecretStr:
+    try:
+        secret.get_secret_value().encode()
+    except UnicodeEncodeError:
+        # The error itself holds the secret.
+        raise ValueError("the secret holds half a character") from None
+    return secret
+
+
 class Key(BorderModel):
     """A shared key for orders and datagrams between processes."""
 
     id: Name = Field(description="a short name of the key, sent beside each seal")
-    secret: Annotated[SecretStr, Field(min_length=_SHORTEST_SECRET)] = Field(
-        description=f"a secret of at least {_SHORTEST_SECRET} characters"
-    )
+    secret: Annotated[
+        SecretStr, Field(min_length=_SHORTEST_SECRET), AfterValidator(_checked_secret)
+    ] = Field(description=f"a secret of at least {_SHORTEST_SECRET} characters")
 
     def secret_bytes(self) -> bytes:
         """Return the secret as the bytes that seals are made with."""
