Keep entry, control and agent running at a SIGHUP

They ignore it until their signals are taken, and log reload_ignored after that: their settings are read at a start.

--- a/src/azurefold/internal/process.py
+++ b/src/azurefold/internal/process.py
@@ -1,6 +1,7 @@
 """Starting and stopping a binary."""
 
 import hashlib
+import logging
 import signal
 import sys
 from collections.abc import Callable, Sequence
@@ -14,11 +15,14 @@
 from azurefold.border.fields import Key
 from azurefold.border.findings import FindingsError
 from azurefold.border.settings import load_settings
+from azurefold.internal.logs import log_event
 from azurefold.internal.process_log import log_failure, prepare_start
 from azurefold.wire.seal import KeyRing, key_ring
 
 __all__ = ["load_or_exit", "ring_from_settings", "run_binary", "stop_requested"]
 
+_log = logging.getLogger("azurefold.process")
+
 EXIT_BAD_SETTINGS = 2
 _KEY_ID_DIGITS = 4
 
@@ -78,8 +82,17 @@
 
 
 def stop_requested() -> Event:
-    """Return an event that is set on SIGTERM or SIGINT."""
+    """Return an event that is set on SIGTERM or SIGINT.
+
+    SIGHUP, by default the end of a process, is logged: settings are read at a start.
+    """
     stop = Event()
+    gevent.signal_handler(signal.SIGHUP, _log_hangup)
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
     return stop
+
+
+def _log_hangup() -> None:
+    why = "settings are read at a start"
+    log_event(_log, "reload_ignored", logging.WARNING, why=why)
--- a/src/azurefold/internal/process_log.py
+++ b/src/azurefold/internal/process_log.py
@@ -21,7 +21,8 @@
 def prepare_start(process: str) -> None:
     """Log that the interpreter runs, before modules and settings are loaded.
 
-    Until the process takes signals in its own way, SIGTERM ends it with a line.
+    Until the process takes signals in its own way, SIGTERM ends it with a line, and
+    SIGHUP is ignored: settings are read later.
 
     Parameters
     ----------
@@ -30,6 +31,7 @@
     """
     _open_standard_fds()
     print_event(process, f"event=starting pid={os.getpid()}")
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, lambda *_: _stop_early(process))
 
 
