Draw odd values for all programs from one list, and apply odd configurations

The tests of rows and of the other programs had two lists of odd values; both draw from the union now.

--- a/tests/gateway/test_odd_rows_of_other_writers.py
+++ b/tests/gateway/test_odd_rows_of_other_writers.py
@@ -5,10 +5,13 @@
 import msgspec
 import pytest
 from hypothesis import given, settings
-from hypothesis import strategies as st
+from tests.gateway.conftest import settings_of
+from tests.odd_json import DIGITS, NESTED, odd_texts
 
+from azurefold.core.clock import ManualTime, manual_clock
 from azurefold.gateway.groups.coordinator import _holder_in
 from azurefold.gateway.peers.membership import _peer
+from azurefold.gateway.state import new_gateway_state
 from azurefold.gateway.store.news import new_news
 from azurefold.platform.configuration import (
     BadConfigurationError,
@@ -18,10 +21,6 @@
 from azurefold.platform.registry import BadEntryError, decode_entry
 from azurefold.platform.store_messages import StoredRow
 
-LEVELS = 20_000
-DIGITS = 5_000
-
-NESTED = "[" * LEVELS + "]" * LEVELS
 ENTRY = {
     "Service": "desk",
     "Address": "10.0.0.1:80",
@@ -53,55 +52,10 @@
 NODE = {"ip": "10.0.0.2", "port": 7340}
 HOLDER = {"node": "gateway-2", "incarnation": 5, "popularity": {"a": [[1]]}, "term": 3}
 
-ODD_VALUES = [
-    NESTED,
-    '{"a":' * LEVELS + "1" + "}" * LEVELS,
-    "9" * DIGITS,
-    "9" * 300,
-    str(2**63),
-    str(2**64),
-    "-1",
-    "1e308",
-    "-1e308",
-    "1e999",
-    "null",
-    "true",
-    '""',
-    '"a\\r\\nHost: b"',
-    '"\\u2603"',
-    '"\\u0000"',
-    '"10.0.0.1:' + "9" * DIGITS + '"',
-    '"0.0.0.0:80"',
-    '"nowhere.example:80"',
-    "[]",
-    "{}",
-]
-
-
-def texts_of(value):
-    """Yield JSON texts of ``value`` with one field anywhere replaced by ``@``."""
-    if isinstance(value, dict):
-        for name in value:
-            for inner in ("@", *texts_of(value[name])):
-                yield _with(value, name, inner)
-        yield _with(value, "Later", "@")
-    if isinstance(value, list):
-        for inner in texts_of(value[0]):
-            yield f"[{inner}]"
-
-
-def _with(value, name, inner):
-    fields = {key: json.dumps(each) for key, each in value.items()} | {name: inner}
-    return "{" + ",".join(f'"{key}":{text}' for key, text in fields.items()) + "}"
-
 
 def odd_rows(value):
     """Return a strategy of rows that hold ``value`` with an odd field."""
-    return st.builds(
-        lambda text, odd: text.replace("@", odd).encode(),
-        st.sampled_from(list(texts_of(value))),
-        st.sampled_from(ODD_VALUES),
-    )
+    return odd_texts(value).map(str.encode)
 
 
 @settings(max_examples=300, deadline=None)
@@ -137,6 +91,10 @@
     except BadConfigurationError:
         return
     msgspec.msgpack.encode([read.version, *(r.timeout_ms for r in read.routes)])
+    state = new_gateway_state(settings_of(), manual_clock(ManualTime()))
+    state.apply(read)
+    for service in state.services.values():
+        service.tick()
 
 
 @settings(max_examples=200, deadline=None)
