End requests in a stop wherever they wait, and only those without an answer

A request that waited to send as the process ended was taken for one whose connection broke, and sent to another endpoint (two attempts, one retry; shown). Streams that had begun were cut a quarter of a second before the end, with nothing gained. A request that must not run twice was accepted up to that quarter of a second later than the stop waits. A reload moved the end of a stop (4 s made 1 s: requests without an answer). For want of descriptors the listener's close raised out of the stop, which then ended with code 70.

Every error that ends a request passes an attempt's send; only requests whose callers have nothing yet are ended; the end is fixed when the stop begins and accepted requests have to end before the last answers; the listener is closed whatever accept raises.

The names follow the field's terms.

--- a/src/azurefold/gateway/callers/app.py
+++ b/src/azurefold/gateway/callers/app.py
@@ -101,8 +101,8 @@
         holder = self._holder(configuration, route, head)
         wait = min(route.timeout_ms, head.deadline_ms or _NO_ROUTE_TIMEOUT_MS)
         deadline = arrived + wait
-        is_repeatable = route.is_safe_to_rerun
-        if not self.state.takes_request(deadline, is_repeatable=is_repeatable):
+        is_safe = route.is_safe_to_rerun
+        if not self.state.accepts_request(deadline, is_safe_to_rerun=is_safe):
             raise _RefusalError(503, "draining", _DRAINING_RETRY_MS)
         return Call(
             method=str(environ["REQUEST_METHOD"]),
--- a/src/azurefold/gateway/callers/relay.py
+++ b/src/azurefold/gateway/callers/relay.py
@@ -79,7 +79,7 @@
 
 _OUTAGES = (Unavailable.GROUPS_DOWN.value, Unavailable.OUT_OF_REACH.value)
 _DETAIL_DEADLINE = "No answer came in time."
-_DETAIL_STOPPING = "This gateway stops; another one takes requests."
+_DETAIL_STOPPING = "The gateway is shutting down; retry at another one."
 
 
 class _RetryDenial(StrEnum):
@@ -141,13 +141,13 @@
         )
         timer.start()
         worker = gevent.getcurrent()
-        self.state.relaying.add(worker)
+        self.state.unanswered.add(worker)
         try:
             yield from self._run()
         except StoppedError:
             self._course.forwarded = self._progress.passed
             if not self._course.is_confirming:
-                yield self._give_up(self._course.correct_refusal(self._stopped()))
+                yield self._give_up(self._course.correct_refusal(self._stop_failure()))
         except DeadlinePassedError:
             self._course.forwarded = self._progress.passed
             if not self._course.is_confirming:
@@ -156,7 +156,7 @@
             self._progress.result = "caller_gone"
             raise
         finally:
-            self.state.relaying.discard(worker)
+            self.state.unanswered.discard(worker)
             timer.close()
             self._log_end()
 
@@ -393,8 +393,8 @@
         pool = self.service.admission.pool
         return pool.is_unavailable or pool.is_evacuated or self.state.is_cut_off
 
-    def _stopped(self) -> Failure:
-        """Return what a caller is told whose answer this process can't wait for."""
+    def _stop_failure(self) -> Failure:
+        """Return the failure of a request that is unanswered as the process ends."""
         is_sent = self._progress.dispatched
         ran = RunStatus.UNKNOWN if is_sent else RunStatus.NOT_RUN
         return Failure(ran, "stopping", _DETAIL_STOPPING, 0)
--- a/src/azurefold/gateway/endpoints/attempt.py
+++ b/src/azurefold/gateway/endpoints/attempt.py
@@ -30,7 +30,7 @@
 from azurefold.gateway.callers.calls import (
     Begun,
     Call,
-    CallerGoneError,
+    CutOffError,
     DeadlinePassedError,
     Part,
     Piece,
@@ -245,7 +245,7 @@
         try:
             self._link.sock.sendall(self._request_bytes())
         except OSError as error:
-            if isinstance(error, CallerGoneError | DeadlinePassedError):
+            if isinstance(error, CutOffError):
                 raise
             raise BrokenReplyError("send_failed", begun=False) from error
 
@@ -271,6 +271,11 @@
             return (yield from self._stream(reply))
         return (yield from self._whole(reply))
 
+    def _begin_answer(self) -> None:
+        """Note that the caller gets the head of this answer, and of no other."""
+        self.progress.begun = True
+        self.state.unanswered.discard(gevent.getcurrent())
+
     def _whole(self, reply: Reply) -> Iterator[Part]:
         kept = keep_body(reply, self.call.held)
         if not kept.is_whole:
@@ -289,7 +294,7 @@
         head = reply.head
         if _OK <= head.status < _REDIRECT:
             self._note_begun(self.state.clock.now())
-        self.progress.begun = True
+        self._begin_answer()
         self.progress.passed = 1
         self.state.answers_passed_on[self.call.service] += 1
         log_event(
@@ -343,7 +348,7 @@
                 self.service.group_served(self.endpoint, self._sent_at, now)
             self._observe_events(now)
             if not self.progress.begun:
-                self.progress.begun = True
+                self._begin_answer()
                 yield Begun(reply.head.status, reply.head.forwarded, None)
             self.progress.passed = splitter.event_count
             yield Piece(events)
--- a/src/azurefold/gateway/state.py
+++ b/src/azurefold/gateway/state.py
@@ -42,7 +42,7 @@
 from azurefold.internal.logs import log_event
 from azurefold.internal.process_limits import ProcessLimits, new_process_limits
 
-__all__ = ["GatewayState", "new_gateway_state"]
+__all__ = ["FINAL_ANSWERS_MS", "GatewayState", "new_gateway_state"]
 
 _log = logging.getLogger("azurefold.gateway")
 
@@ -62,10 +62,13 @@
 """After a start, for which a gateway with an older configuration than the others lets
 them serve: by then what a store's return took back has been written again."""
 
-_LAST_NEW_MS: Millis = 2_500
+_ACCEPT_AFTER_STOP_MS: Millis = 2_500
 """After the order to stop: the balancer in front needs two failed checks, a
 second apart, before it sends no more."""
 
+FINAL_ANSWERS_MS: Millis = 250
+"""Before the end of a stop, to write the errors of requests that are unanswered."""
+
 _STOP_MARGIN_MS: Millis = 400
 """Before the platform kills the process, to end what is left by ourselves."""
 
@@ -103,8 +106,10 @@
         Whether the process has been told to stop.
     drain_began : int
         When it was told.
-    relaying : set of Greenlet
-        Those that work on requests whose answers are not there yet.
+    stops_at : int
+        When the process ends, once it has been told to stop.
+    unanswered : set of Greenlet
+        Those of requests whose callers have nothing of an answer yet.
     in_flight : int
         Requests read and not yet answered.
     unwritten : int
@@ -191,7 +196,8 @@
     routes: RouteTable = field(default_factory=lambda: build_route_table(()))
     draining: bool = False
     drain_began: Millis = 0
-    relaying: set[Greenlet] = field(default_factory=set)
+    stops_at: Millis = 0
+    unanswered: set[Greenlet] = field(default_factory=set)
     in_flight: int = 0
     unwritten: int = 0
     answers: Counter[tuple[str, str]] = field(default_factory=Counter)
@@ -385,30 +391,28 @@
             if service.cold_policy.is_enabled and name in present
         ]
 
-    @property
-    def stops_at(self) -> Millis:
-        """When the process ends, once it has been told to stop."""
-        return self.drain_began + self.settings.stop_grace_ms - _STOP_MARGIN_MS
-
     def begin_drain(self) -> None:
-        """Take nothing more that the stop may cut off."""
+        """Refuse new requests that the stop may cut off from now on."""
         self.draining = True
         self.drain_began = self.clock.now()
+        # A reload does not move the moment at which the platform kills the process.
+        grace = self.settings.stop_grace_ms
+        self.stops_at = self.drain_began + grace - _STOP_MARGIN_MS
 
-    def takes_request(self, deadline: Millis, *, is_repeatable: bool) -> bool:
-        """Whether a new request would get its answer before the process ends.
+    def accepts_request(self, deadline: Millis, *, is_safe_to_rerun: bool) -> bool:
+        """Whether a new request should get its answer before the process ends.
 
-        What may not be repeated is taken only if its caller's time is over by then.
+        One that must not run twice is accepted only if its deadline is before the stop.
         Others usually take much less than they may, and their callers can come back.
         """
         if not self.draining:
             return True
         now = self.clock.now()
-        if now - self.drain_began > _LAST_NEW_MS:
+        if now - self.drain_began > _ACCEPT_AFTER_STOP_MS:
             return False
-        if is_repeatable:
-            return 2 * (self.stops_at - now) >= self.settings.stop_grace_ms
-        return deadline <= self.stops_at
+        if is_safe_to_rerun:
+            return 2 * (self.stops_at - now) >= self.stops_at - self.drain_began
+        return deadline <= self.stops_at - FINAL_ANSWERS_MS
 
     def note_request(self) -> None:
         """Note that a caller has sent a request."""
--- a/src/azurefold/gateway/stopping.py
+++ b/src/azurefold/gateway/stopping.py
@@ -1,4 +1,4 @@
-"""A stop: what is in flight gets its answer before the process ends."""
+"""Graceful stop of a gateway."""
 
 import logging
 
@@ -6,7 +6,7 @@
 
 from azurefold.core.clock import Millis
 from azurefold.gateway.callers.calls import StoppedError
-from azurefold.gateway.state import GatewayState
+from azurefold.gateway.state import FINAL_ANSWERS_MS, GatewayState
 from azurefold.internal.http_server import TimedServer
 from azurefold.internal.logs import log_event
 
@@ -15,17 +15,14 @@
 _log = logging.getLogger("azurefold.gateway")
 
 _SECOND_MS = 1_000
-_LOOK_MS: Millis = 50
+_POLL_INTERVAL_MS: Millis = 50
 
 _LISTEN_AFTER_STOP_MS: Millis = 3_200
 """The balancer in front checks each second and needs two misses. Until then it
 sends new connections, which a closed port would reset."""
 
-_LAST_READ_MS: Millis = 200
-"""For the requests on connections that were taken in last."""
-
-_LAST_ANSWERS_MS: Millis = 250
-"""Before the end, to write the answers of requests that are given up."""
+_READ_AFTER_CLOSE_MS: Millis = 200
+"""For the requests on the connections that were accepted last."""
 
 
 def drain(state: GatewayState, callers: TimedServer) -> int:
@@ -36,39 +33,37 @@
     int
         0, or 1 if answers were cut off.
     """
-    began = state.clock.now()
     state.begin_drain()
+    began = state.drain_began
     log_event(_log, "draining", in_flight=state.in_flight)
-    listening = True
-    given_up = 0
-    while state.clock.now() < state.stops_at:
-        now = state.clock.now()
-        if listening and now - began >= _LISTEN_AFTER_STOP_MS:
-            callers.close_when_taken()
-            listening = False
-        is_read = now - began >= _LISTEN_AFTER_STOP_MS + _LAST_READ_MS
-        if is_read and state.in_flight + state.unwritten == 0:
+    is_listening = True
+    given_up: set[gevent.Greenlet] = set()
+    while (now := state.clock.now()) < state.stops_at:
+        waited = now - began
+        is_ending = state.stops_at - now <= FINAL_ANSWERS_MS
+        if is_listening and (waited >= _LISTEN_AFTER_STOP_MS or is_ending):
+            callers.accept_pending_and_close()
+            is_listening = False
+        may_exit = waited >= _LISTEN_AFTER_STOP_MS + _READ_AFTER_CLOSE_MS
+        if may_exit and state.in_flight + state.unwritten == 0:
             break
-        if state.stops_at - now <= _LAST_ANSWERS_MS:
-            if listening:
-                callers.close_when_taken()
-                listening = False
-            given_up += _give_up(state)
-        gevent.sleep(_LOOK_MS / _SECOND_MS)
+        if is_ending:
+            given_up |= _stop_requests(state)
+        gevent.sleep(_POLL_INTERVAL_MS / _SECOND_MS)
     cut_off = state.in_flight + state.unwritten
-    log_event(_log, "stopped", cut_off=cut_off, given_up=given_up)
+    log_event(_log, "stopped", cut_off=cut_off, given_up=len(given_up))
     return 1 if cut_off else 0
 
 
-def _give_up(state: GatewayState) -> int:
-    """Let requests end with an answer of our own; return how many."""
-    relaying = tuple(state.relaying)
-    for greenlet in relaying:
-        gevent.get_hub().loop.run_callback(_end, state, greenlet)
-    return len(relaying)
+def _stop_requests(state: GatewayState) -> frozenset[gevent.Greenlet]:
+    """End unanswered requests with an error, and return their greenlets."""
+    greenlets = frozenset(state.unanswered)
+    for greenlet in greenlets:
+        gevent.get_hub().loop.run_callback(_stop_request, state, greenlet)
+    return greenlets
 
 
-def _end(state: GatewayState, greenlet: gevent.Greenlet) -> None:
-    # It may have got its answer since.
-    if greenlet in state.relaying:
+def _stop_request(state: GatewayState, greenlet: gevent.Greenlet) -> None:
+    # The request may have been answered since this was scheduled.
+    if greenlet in state.unanswered:
         greenlet.throw(StoppedError("stopping"))
--- a/src/azurefold/internal/http_server.py
+++ b/src/azurefold/internal/http_server.py
@@ -225,10 +225,12 @@
         ):
             self.socket.setsockopt(level, option, size)
 
-    def close_when_taken(self) -> None:
-        """Take in the connections that wait, and listen no more."""
-        while (client := self.do_read()) is not None:
-            self.do_handle(*client)
+    def accept_pending_and_close(self) -> None:
+        """Accept all pending connections, then close the listener."""
+        # For want of descriptors the rest is reset.
+        with contextlib.suppress(OSError):
+            while (client := self.do_read()) is not None:
+                self.do_handle(*client)
         self.close()
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -21,6 +21,7 @@
     Call,
     GivenUp,
     Piece,
+    StoppedError,
 )
 from azurefold.gateway.callers.relay import Relay
 from azurefold.gateway.endpoints import attempt as attempts
@@ -155,6 +156,27 @@
     assert len(sockets) == 1
 
 
+@pytest.mark.parametrize("at", ["send", "answer"])
+@pytest.mark.parametrize("kind", [AnswerKind.IDEMPOTENT, AnswerKind.NON_IDEMPOTENT])
+def test_a_stop_ends_a_request_wherever_it_waits(
+    state, script, sockets, monkeypatch, kind, at
+):
+    """Guards against a request that is sent to another endpoint as the process ends."""
+
+    def stop(*_):
+        raise StoppedError("stopping")
+
+    if at == "send":
+        monkeypatch.setattr(FakeSocket, "sendall", stop)
+    script += [StoppedError("stopping"), answer(200, [b"whole"])]
+    [given_up] = parts_of(relay_of(state, kind, max_attempts=3))
+    assert given_up.status == 502
+    assert given_up.failure.reason == "stopping"
+    assert len(sockets) == 1
+    assert not state.unanswered
+    assert not state.broken_replies
+
+
 def test_a_refusal_by_the_endpoint_is_tried_elsewhere(state, script, sockets):
     script += [answer(**NOT_RUN), answer(200, [b"whole"])]
     relay = relay_of(state, AnswerKind.NON_IDEMPOTENT, max_attempts=2)
--- a/tests/gateway/test_requests_late_in_a_stop.py
+++ b/tests/gateway/test_requests_late_in_a_stop.py
@@ -176,7 +176,7 @@
     ]
     for each in connections:
         each.sendall(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
-    server.close_when_taken()
+    server.accept_pending_and_close()
     gevent.sleep(0.2)
     for each in connections:
         each.settimeout(GRACE_S)
