Refuse windows and maps of no use

Found by the second review: a retry window of 0 s raised ValueError at the first retry, one of 10^12 s MemoryError, and heartbeats of 0 ms were taken; a rank's map that holds an expert twice, or on no rank, was planned from. Windows and heartbeats have ranges of their own, whose defaults hold for others, and a map has to be valid. A hub error without a type is logged, too.

Three cases of test_a_window_of_no_use fail without this; the maps were shown by the review's programs.

--- a/src/azurefold/border/fields.py
+++ b/src/azurefold/border/fields.py
@@ -46,7 +46,7 @@
         secret.get_secret_value().encode()
     except UnicodeEncodeError:
         # The error itself holds the secret.
-        raise ValueError("the secret holds half a character") from None
+        raise ValueError("the secret contains a lone surrogate") from None
     return secret
 
 
--- a/src/azurefold/border/settings.py
+++ b/src/azurefold/border/settings.py
@@ -38,7 +38,7 @@
 _DATA_CENTRE = "the name of the data centre this runs in"
 _MOST_KEYS = 8
 _MEGABYTE = 1_048_576
-_MOST = 2**31 - 1
+_MAX_INT32 = 2**31 - 1
 """Of megabytes, descriptors and ranks."""
 _KEYS = "a list of one to eight keys; the first seals, all of them verify"
 _PLATFORM = f"a list of the platform's addresses, each {_ADDRESS}"
@@ -68,12 +68,12 @@
     data_centre: Name = Field(description=_DATA_CENTRE)
     metrics: Address = Field(description=f"where /metrics is served: {_ADDRESS}")
     keys: _Keys = Field(description=_KEYS)
-    memory_mb: Annotated[int, Field(ge=0, le=_MOST)] = Field(
+    memory_mb: Annotated[int, Field(ge=0, le=_MAX_INT32)] = Field(
         default=0,
         description="megabytes of the VM, or of the slot on it, that the process stays "
         "within; 0 for all of the machine's",
     )
-    descriptors: Annotated[int, Field(ge=0, le=_MOST)] = Field(
+    descriptors: Annotated[int, Field(ge=0, le=_MAX_INT32)] = Field(
         default=0,
         description="descriptors that the process may have open; 0 for as many as the "
         "system allows",
@@ -158,7 +158,7 @@
     group: Name | None = Field(
         default=None, description="the group of ranks, left out for plain services"
     )
-    rank: Annotated[int, Field(ge=0, le=_MOST)] | None = Field(
+    rank: Annotated[int, Field(ge=0, le=_MAX_INT32)] | None = Field(
         default=None, description="the rank in its group, counted from 0"
     )
     http: Address = Field(description=f"where entries come: {_ADDRESS}")
--- a/src/azurefold/gateway/groups/watch.py
+++ b/src/azurefold/gateway/groups/watch.py
@@ -324,16 +324,16 @@
         held = self._ask_ranks(methodcaller("held_experts"))
         if any(each is None or each.version != version for each in held):
             return False
-        if not all(_fits(each, engine) for each in held):
+        if not all(_matches_engine(each, engine) for each in held):
             return False
         layers = zip(*(each.layers for each in held), strict=True)
-        self.map_is(
-            version,
-            tuple(
-                Placement(engine.experts, engine.expert_slots_per_rank, tuple(ranks))
-                for ranks in layers
-            ),
+        placements = tuple(
+            Placement(engine.experts, engine.expert_slots_per_rank, tuple(ranks))
+            for ranks in layers
         )
+        if any(placement.find_violations() for placement in placements):
+            return False
+        self.map_is(version, placements)
         return True
 
     def map_is(self, version: int, placements: tuple[Placement, ...]) -> None:
@@ -361,8 +361,8 @@
         return self.calls.ask_all(clients, question)
 
 
-def _fits(held: HeldExperts, engine: Engine) -> bool:
-    """Whether a rank tells experts that its engine has, for each layer."""
+def _matches_engine(held: HeldExperts, engine: Engine) -> bool:
+    """Whether the reported experts match the engine's layers and experts."""
     is_complete = len(held.layers) == engine.layer_sets
     return is_complete and all(
         expert < engine.experts for layer in held.layers for expert in layer
--- a/src/azurefold/gateway/peers/portions.py
+++ b/src/azurefold/gateway/peers/portions.py
@@ -84,10 +84,12 @@
 a slow link."""
 
 _AHEAD_MS: Millis = 1_000
-_LONGEST_AGE_MS: Millis = 2**40
 """By which a message may seem to be from the future: gateways know lower bounds of the
 store's time. One that is further ahead is dated by a former clock of the store."""
 
+_LONGEST_AGE_MS: Millis = 2**40
+"""Still fits into a message when it is told again, however long a process runs."""
+
 
 def departed_marks(names: Iterable[str]) -> tuple[int, ...]:
     """Return the marks of departed endpoints that a message has room for."""
--- a/src/azurefold/internal/http_client.py
+++ b/src/azurefold/internal/http_client.py
@@ -85,7 +85,7 @@
     concurrency : int, default=64
         Connections that are kept.
     most_unread : int, optional
-        Bytes of an answer that its reader has not taken; by default enough for all.
+        Bytes of an answer that its reader has not taken; 32 MiB by default.
     """
     host, port = split_address(address)
     client = HTTPClient(host, port, block_size=_BLOCK_BYTES)
--- a/src/azurefold/internal/log_writer.py
+++ b/src/azurefold/internal/log_writer.py
@@ -140,12 +140,16 @@
 
 
 def _log_hub_error(
-    context: object, kind: type, error: BaseException, trace: TracebackType | None
+    context: object,
+    kind: type[BaseException] | None,
+    error: BaseException | None,
+    trace: TracebackType | None,
 ) -> None:
     """Log an exception that a greenlet or a callback of the event loop has raised."""
-    # Its text could hold what a caller sent, such as a key.
+    # The context may be a request's environment, with its key.
     where = type(context).__name__
-    line = event_line("greenlet_failed", {"where": where, "why": kind.__name__})
+    why = kind.__name__ if kind is not None else "unknown"
+    line = event_line("greenlet_failed", {"where": where, "why": why})
     _log.error(line, exc_info=(kind, error, trace))
 
 
--- a/src/azurefold/internal/ports.py
+++ b/src/azurefold/internal/ports.py
@@ -13,11 +13,11 @@
 
 _log = logging.getLogger("azurefold.ports")
 
-_LATER = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+_RETRIABLE_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
 """In use, or the address is not up yet."""
 
 _RETRY_MS: Millis = 100
-_TOLD_EVERY_MS: Millis = 10_000
+_LOG_INTERVAL_MS: Millis = 10_000
 _SECOND_MS = 1_000
 
 
@@ -48,14 +48,14 @@
         try:
             open_port()
         except OSError as error:
-            why = errno.errorcode.get(error.errno, "unknown")
-            if error.errno not in _LATER:
+            if error.errno not in _RETRIABLE_ERRORS:
                 raise
+            why = errno.errorcode[error.errno]
         else:
             if waited:
                 log_event(_log, "port_free", port=name, address=address, ms=waited)
             return True
-        if waited % _TOLD_EVERY_MS == 0:
+        if waited % _LOG_INTERVAL_MS == 0:
             log_event(
                 _log,
                 "port_in_use",
--- a/src/azurefold/internal/stream_socket.py
+++ b/src/azurefold/internal/stream_socket.py
@@ -93,7 +93,7 @@
         if self.most_unread is not None:
             self._unread += len(data)
             if self._unread > self.most_unread:
-                raise OSError(errno.EMSGSIZE, "an answer without end")
+                raise OSError(errno.EMSGSIZE, "response too long")
         return data
 
     def _receive(self, size: int, flags: int) -> bytes:
--- a/src/azurefold/platform/ranks.py
+++ b/src/azurefold/platform/ranks.py
@@ -39,8 +39,9 @@
 _LARGEST_ANSWER_BYTES = 1_048_576
 """Counts and maps of a rank have some ten kilobytes."""
 
-_MOST_RANKS = 65_536
-_MOST_ACTIVE = 1_000_000
+_MAX_RANKS = 65_536
+_MAX_ACTIVE_REQUESTS = 1_000_000
+"""Far above what one rank runs; sums and shares of them still fit into messages."""
 
 _SECOND_MS = 1_000
 _OPEN = "open"
@@ -82,9 +83,9 @@
 
 class _Report(msgspec.Struct):
     group: _Group | None = None
-    size: Annotated[int, msgspec.Meta(ge=0, le=_MOST_RANKS)] = 0
+    size: Annotated[int, msgspec.Meta(ge=0, le=_MAX_RANKS)] = 0
     step: Count = 0
-    active: Annotated[int, msgspec.Meta(ge=0, le=_MOST_ACTIVE)] = msgspec.field(
+    active: Annotated[int, msgspec.Meta(ge=0, le=_MAX_ACTIVE_REQUESTS)] = msgspec.field(
         name="Active", default=0
     )
     pace: Annotated[float, msgspec.Meta(ge=0)] = 1.0
@@ -156,10 +157,9 @@
             return None
         if len(read.counts) != n_layers * n_experts:
             return None
-        per_layer = n_experts
         layers = tuple(
-            tuple(read.counts[start : start + per_layer])
-            for start in range(0, per_layer * n_layers, per_layer)
+            tuple(read.counts[start : start + n_experts])
+            for start in range(0, n_layers * n_experts, n_experts)
         )
         return CountSample(self.endpoint, read.epoch, layers), read.step
 
--- a/src/azurefold/platform/settings.py
+++ b/src/azurefold/platform/settings.py
@@ -21,12 +21,15 @@
 
 _SECOND_MS = 1_000
 _ANY_HOST = "0.0.0.0"
-_LARGEST = 1e12
-"""Of all numbers. Above it and below 0 the default holds: with an evacuation's bound of
--1 ms no configuration would ever count as new enough."""
+_MAX_NUMBER = 1e12
+"""Numbers outside of 0 to this are replaced by their defaults: with an evacuation's
+bound of -1 ms no configuration would ever count as new enough."""
 
+_RANGES = {"RetryWindowS": (0.1, 3_600), "HeartbeatMs": (1, 3_600_000)}
+"""Narrower ones, of what is divided by or kept for as long."""
 
-_Part = TypeVar("_Part", bound=msgspec.Struct)
+
+_Section = TypeVar("_Section", bound=msgspec.Struct)
 
 
 class BadSettingsError(Exception):
@@ -117,7 +120,8 @@
     _check_listen(settings.listen.admin)
     check_port(settings.store.address)
     bounds, invalid_bounds = _within_range(settings.bounds or _Bounds())
-    limits, invalid_limits = _within_range(_limits(settings.limits or _Limits()))
+    told_limits = _without_negative(settings.limits or _Limits())
+    limits, invalid_limits = _within_range(told_limits)
     own, invalid = _within_range(settings)
     return GatewaySettings(
         name=settings.name,
@@ -154,29 +158,30 @@
         check_ip(host)
 
 
-def _limits(told: _Limits) -> _Limits:
-    """Return limits of which those below 0 are none."""
+def _without_negative(limits: _Limits) -> _Limits:
+    """Return limits with negative values replaced by 0, which stands for no limit."""
     negative = {
         name: 0.0
-        for name in told.__struct_fields__
-        if getattr(told, name) not in ("", None) and getattr(told, name) < 0
+        for name in limits.__struct_fields__
+        if getattr(limits, name) not in ("", None) and getattr(limits, name) < 0
     }
-    return msgspec.structs.replace(told, **negative)
+    return msgspec.structs.replace(limits, **negative)
 
 
-def _within_range(told: _Part) -> tuple[_Part, list[str]]:
-    """Return a part with defaults for numbers out of range, and what these were.
+def _within_range(section: _Section) -> tuple[_Section, list[str]]:
+    """Return a section with defaults for invalid numbers, and what these were.
 
-    Those that are empty have their defaults, too.
+    Empty values have their defaults, too.
     """
     defaults, invalid = {}, []
-    for field in msgspec.structs.fields(told):
-        value = getattr(told, field.name)
+    for field in msgspec.structs.fields(section):
+        value = getattr(section, field.name)
         if field.type != _Number:
             continue
+        lowest, highest = _RANGES.get(field.encode_name, (0, _MAX_NUMBER))
         if value in ("", None):
             defaults[field.name] = field.default
-        elif not 0 <= value <= _LARGEST:
+        elif not lowest <= value <= highest:
             defaults[field.name] = field.default
             invalid.append(f"{field.encode_name}={value}")
-    return msgspec.structs.replace(told, **defaults), invalid
+    return msgspec.structs.replace(section, **defaults), invalid
--- a/tests/gateway/test_settings_of_a_vm.py
+++ b/tests/gateway/test_settings_of_a_vm.py
@@ -95,6 +95,14 @@
     check_defaults(settings)
 
 
+@pytest.mark.parametrize("value", [0, 0.005, 1e11])
+def test_a_window_of_no_use_is_named_and_its_default_holds(tmp_path, value):
+    """Guards against retries that fail, or take all memory, for a window's length."""
+    settings = load(tmp_path, {"Bounds": {"RetryWindowS": value}})
+    assert settings.invalid == (f"RetryWindowS={float(value)}",)
+    assert settings.retry_window_ms == 10_000
+
+
 @pytest.mark.parametrize("limit", ["MemoryMb", "MaxFds", "LinkMbps"])
 def test_a_limit_below_0_is_none(tmp_path, limit):
     """Guards against reloads that are refused for a limit that is not set."""
