End a test's processes where its site does not start

A site whose start failed in test_a_gateway_starts_without_the_port_of_its_metrics left its processes behind, four of them, until they were ended by hand.

--- a/tests/gateway/test_ports_that_are_in_use.py
+++ b/tests/gateway/test_ports_that_are_in_use.py
@@ -103,11 +103,11 @@
     process.arguments = (*module, "--metrics-port", port, path)
     held = held_port(metrics, socket.SOCK_STREAM)
     try:
-        site.start()
-        assert site.is_ready("gateway-0")
-    finally:
-        held.close()
-    try:
+        try:
+            site.start()
+            assert site.is_ready("gateway-0")
+        finally:
+            held.close()
         wait_until(lambda: site._answers(metrics, "/metrics"), "metrics are served")
     finally:
         site.processes.kill_all()
