Show that an address without a route costs a caller a 500

An entry may name an address that is valid and has no route. A connect to it raises OSError with ENETUNREACH, EHOSTUNREACH or EACCES, which is neither a TimeoutError nor a ConnectionError: Attempt.run lets it out of the request, whose caller gets a 500 in place of another endpoint.

--- a/tests/gateway/test_relays_answer_truthfully.py
+++ b/tests/gateway/test_relays_answer_truthfully.py
@@ -1,5 +1,6 @@
 """What callers are told when attempts at bare endpoints go wrong."""
 
+import errno
 import re
 from dataclasses import dataclass, field
 
@@ -379,3 +380,19 @@
     told = re.search(rb"Deadline-Ms: (\d+)", sockets[0].sent[0])[1]
     is_stream = kind is AnswerKind.STREAMING
     assert TIMEOUT_MS + 50 * is_stream <= int(told) <= TIMEOUT_MS + 500 * is_stream
+
+
+@pytest.mark.parametrize(
+    "number", [errno.ENETUNREACH, errno.EHOSTUNREACH, errno.EACCES]
+)
+def test_an_address_without_a_route_is_out_of_reach(
+    state, script, sockets, monkeypatch, number
+):
+    """Guards against a 500 for a caller whose endpoint's address leads nowhere."""
+
+    def take(*_, **__):
+        raise OSError(number, "no route")
+
+    monkeypatch.setattr(type(state.links), "take", take)
+    [given_up] = parts_of(relay_of(state, AnswerKind.IDEMPOTENT, max_attempts=2))
+    assert given_up.status == 503
