--- a/review/lab2.py
+++ b/review/lab2.py
@@ -95,10 +95,20 @@
         self.rows = {}
         self.changes = []
         self._changed = asyncio.Event()
+        self._servers = {}
+        self._writers = set()
 
     async def start(self):
+        """Listen at the present address, beside earlier ones."""
         ip, port = split(self.address)
-        self._server = await asyncio.start_server(self._serve, ip, port)
+        self._servers[self.address] = await asyncio.start_server(self._serve, ip, port)
+
+    def close(self, where):
+        """Listen at an address no more, and close its connections."""
+        self._servers.pop(where).close()
+        for writer in list(self._writers):
+            if writer.get_extra_info("sockname") == split(where):
+                writer.close()
 
     def put(self, table, key, value):
         """Write a row as the operator and the workers do; None removes it."""
@@ -133,6 +143,7 @@
         return message("200 OK", json.dumps(body).encode())
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while (read := await read_message(reader)) is not None:
                 line, fields = read
@@ -143,6 +154,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _handle(self, target, body):
