--- a/review/lab2.py
+++ b/review/lab2.py
@@ -378,8 +378,14 @@
     return await asyncio.wait_for(play(record, scratch, cleanup), 115)
 
 
+def _stop(*_):
+    raise SystemExit(2)
+
+
 def main(play, folder):
     """Play a case and return its exit code: 1 broken, 0 held, 2 could not run."""
+    # A case that is told to stop ends what it has started.
+    signal.signal(signal.SIGTERM, _stop)
     record = Record(folder)
     scratch = tempfile.mkdtemp(prefix="azurefold-case-")
     cleanup = []
